--- /dev/null
+++ b/idl/mulberryslip.thrift
@@ -0,0 +1,241 @@
+// Messages between the processes of mulberryslip. Field numbers are never reused.
+// Durations are in milliseconds, memory in megabytes, processor shares in thousandths of a core.
+
+namespace py mulberryslip.wire
+
+struct Header {
+  1: required string request_id,
+  2: required i32 deadline_ms,      // time left at the moment of sending
+  3: required i64 config_revision,  // 0: the sender has seen no configuration yet
+  4: required string sender,
+  5: required string incarnation,   // changes with each start of the sender
+}
+
+enum Outcome { OK = 0, NOT_RUN = 1, OUTCOME_UNKNOWN = 2, INVALID = 3, NOT_FOUND = 4, CONFLICT = 5 }
+
+struct Resources {
+  1: required i32 cpu_millis,
+  2: required i32 memory_mb,
+  3: required i32 accelerators,
+  4: required i32 slots,
+}
+
+struct Load {
+  1: required i32 in_flight,         // requests at the target now
+  2: required i32 queued,            // requests waiting for a connection to the target
+  3: required i32 service_time_us,   // moving average of the target's answer time
+  4: required Resources free,        // capacity that is neither reserved nor committed
+  5: required bool leaving,
+  6: required i32 pressure_permille, // tail latency of the target against its objective; 1000 meets it exactly
+}
+
+struct WorkerDescription {
+  1: required string worker_id,
+  2: required string incarnation,
+  3: required string data_centre,
+  4: required string rack,
+  5: required string host,
+  6: required i32 port,
+  7: required Resources capacity,
+  8: required list<string> services, // templates that the local target answers
+}
+
+struct ForwardRequest {
+  1: required Header header,
+  2: required string template_name,
+  3: required string method,
+  4: required string path,
+  5: required map<string, string> headers,
+  6: required binary body,
+  7: required bool idempotent,
+  8: required bool resent,           // ask for the remembered answer, never hand to the target
+}
+
+struct ForwardReply {
+  1: required string request_id,
+  2: required Outcome outcome,
+  3: required string reason,
+  4: required i32 status,
+  5: required map<string, string> headers,
+  6: required binary body,
+  7: required i64 body_crc32,
+  8: required Load load,
+}
+
+struct TaskRef {
+  1: required string job_id,
+  2: required i32 index,
+  3: required i32 attempt,
+}
+
+struct ReserveItem {
+  1: required TaskRef task,
+  2: required Resources resources,
+  3: required string template_name,
+  4: required string task_class,
+}
+
+struct ReserveRequest {
+  1: required Header header,
+  2: required i32 shard,
+  3: required i64 epoch,
+  4: required list<ReserveItem> items,
+}
+
+struct Reservation {
+  1: required TaskRef task,
+  2: required bool granted,
+  3: required string reservation_id,
+  4: required string reason,
+}
+
+struct ReserveReply {
+  1: required Outcome outcome,
+  2: required string reason,
+  3: required list<Reservation> reservations,
+  4: required Load load,
+  5: required string incarnation,
+}
+
+struct StartItem {
+  1: required TaskRef task,
+  2: required string reservation_id,
+  3: required string account,
+  4: required string input,          // JSON text, passed to the runtime as it is
+  5: required string checkpoint,     // empty: start from the beginning
+}
+
+struct StartRequest {
+  1: required Header header,
+  2: required i32 shard,
+  3: required i64 epoch,
+  4: required list<StartItem> items,
+}
+
+struct StartResult {
+  1: required TaskRef task,
+  2: required Outcome outcome,
+  3: required string reason,
+}
+
+struct StartReply {
+  1: required Outcome outcome,
+  2: required string reason,
+  3: required list<StartResult> results,
+  4: required Load load,
+}
+
+enum TaskState { RUNNING = 0, SUSPENDED = 1, FINISHED = 2, FAILED = 3, STOPPED = 4 }
+
+struct TaskReport {
+  1: required TaskRef task,
+  2: required TaskState state,
+  3: required string checkpoint,     // newest checkpoint, or empty
+  4: required string result,         // JSON text of a finished task, or empty
+  5: required string reason,
+  6: required Resources usage,       // reported by the runtime, with a lag
+  7: required i32 throttle_permille, // 1000: not throttled
+}
+
+struct RenewRequest {
+  1: required Header header,
+  2: required i32 shard,
+  3: required i64 epoch,
+  4: required i32 lease_ms,          // validity granted, counted from receipt
+  5: required list<TaskRef> acknowledged, // reports that are committed and may be forgotten
+  6: required binary config,         // configuration view for this worker, or empty when it is up to date
+  7: required string owner_host,
+  8: required i32 owner_port,
+}
+
+struct RenewReply {
+  1: required Outcome outcome,
+  2: required string reason,
+  3: required i64 epoch,             // highest epoch seen for the shard
+  4: required list<TaskReport> tasks, // every attempt held for the shard
+  5: required Load load,
+  6: required i64 config_revision,
+  7: required string incarnation,
+}
+
+struct StopRequest {
+  1: required Header header,
+  2: required i32 shard,
+  3: required i64 epoch,
+  4: required list<TaskRef> tasks,
+  5: required bool checkpoint,
+  6: required string reason,
+}
+
+struct StopReply {
+  1: required Outcome outcome,
+  2: required string reason,
+  3: required list<TaskReport> tasks,
+}
+
+service WorkerService {
+  i64 ping(1: i64 token),
+  ForwardReply forward(1: ForwardRequest req),
+  ReserveReply reserve(1: ReserveRequest req),
+  StartReply start(1: StartRequest req),
+  RenewReply renew(1: RenewRequest req),
+  StopReply stop(1: StopRequest req),
+}
+
+struct AnnounceRequest {
+  1: required Header header,
+  2: required WorkerDescription worker,
+  3: required Load load,
+}
+
+struct AnnounceReply {
+  1: required Outcome outcome,
+  2: required i64 config_revision,
+  3: required binary config,         // configuration view, when the worker's revision is older
+  4: required list<string> entries,  // host:port of every registered entry
+}
+
+struct ReportRequest {
+  1: required Header header,
+  2: required i32 shard,
+  3: required list<TaskReport> tasks,
+}
+
+struct ReportReply {
+  1: required Outcome outcome,
+  2: required list<TaskRef> acknowledged,
+}
+
+struct JobRequest {
+  1: required Header header,
+  2: required string job_id,
+  3: required binary body,           // JSON of the submission; empty for status and cancel
+}
+
+struct JobReply {
+  1: required Outcome outcome,
+  2: required string reason,
+  3: required binary body,           // JSON of the job's state
+}
+
+struct ClaimRequest {
+  1: required Header header,
+  2: required string claim_id,
+  3: required string worker_id,      // worker that is about to receive the request, or empty to release
+}
+
+struct ClaimReply {
+  1: required Outcome outcome,       // OK: claimed now; CONFLICT: claimed before
+  2: required string reason,
+  3: required string worker_id,      // worker of the earlier claim
+}
+
+service EntryService {
+  i64 ping(1: i64 token),
+  AnnounceReply announce(1: AnnounceRequest req),
+  ReportReply report(1: ReportRequest req),
+  JobReply submit(1: JobRequest req),
+  JobReply job_status(1: JobRequest req),
+  JobReply cancel(1: JobRequest req),
+  ClaimReply claim_request(1: ClaimRequest req),
+}
--- /dev/null
+++ b/packages/cli/src/mulberryslip_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/core/src/mulberryslip/__init__.py
@@ -0,0 +1,33 @@
+"""Scheduler core of mulberryslip."""
+
+from .clocks import Clock, ManualClock, SystemClock
+from .exceptions import MulberryslipError
+from .models import Attempt, Priority, Resources, TaskClass, TaskKey, WorkerDescription, WorkerLoad
+from .outcomes import (
+    Answered,
+    Committed,
+    Conflict,
+    NotRun,
+    OutcomeUnknown,
+    Unknown,
+)
+
+__all__ = [
+    "Answered",
+    "Attempt",
+    "Clock",
+    "Committed",
+    "Conflict",
+    "ManualClock",
+    "MulberryslipError",
+    "NotRun",
+    "OutcomeUnknown",
+    "Priority",
+    "Resources",
+    "SystemClock",
+    "TaskClass",
+    "TaskKey",
+    "Unknown",
+    "WorkerDescription",
+    "WorkerLoad",
+]
--- /dev/null
+++ b/packages/core/src/mulberryslip/clocks.py
@@ -0,0 +1,80 @@
+"""Clocks, passed in wherever code reads the time or waits."""
+
+import threading
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of time. Durations are `timedelta`, instants are aware UTC `datetime`."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+
+    def monotonic(self) -> timedelta:
+        """Return the time since an arbitrary fixed point; it never goes back."""
+
+    def sleep(self, duration: timedelta) -> None:
+        """Block the calling thread for a duration."""
+
+    def wait(self, event: threading.Event, timeout: timedelta) -> bool:
+        """Wait for an event.
+
+        :param event: event to wait for.
+        :param timeout: longest time to wait.
+        :returns: whether the event is set.
+        """
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> timedelta:
+        """Return the system's monotonic time."""
+        return timedelta(seconds=time.monotonic())
+
+    def sleep(self, duration: timedelta) -> None:
+        """Block the calling thread; a negative duration returns at once."""
+        time.sleep(max(0.0, duration.total_seconds()))
+
+    def wait(self, event: threading.Event, timeout: timedelta) -> bool:
+        """Wait for an event; a negative timeout only looks."""
+        return event.wait(max(0.0, timeout.total_seconds()))
+
+
+class ManualClock:
+    """Clock for tests that moves only when it is told to."""
+
+    def __init__(self, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)):
+        self._start = start
+        self._elapsed = timedelta()
+
+    def now(self) -> datetime:
+        """Return the start time plus what the clock was advanced by."""
+        return self._start + self._elapsed
+
+    def monotonic(self) -> timedelta:
+        """Return what the clock was advanced by."""
+        return self._elapsed
+
+    def sleep(self, duration: timedelta) -> None:
+        """Advance the clock."""
+        self.advance(duration)
+
+    def wait(self, event: threading.Event, timeout: timedelta) -> bool:
+        """Advance the clock by the timeout unless the event is set."""
+        if not event.is_set():
+            self.advance(timeout)
+        return event.is_set()
+
+    def advance(self, duration: timedelta) -> None:
+        """Move the clock forward.
+
+        :param duration: non-negative duration.
+        """
+        self._elapsed += duration
--- /dev/null
+++ b/packages/core/src/mulberryslip/events.py
@@ -0,0 +1,63 @@
+"""Numbered log events. The catalogue for operators is `docs/events.md`."""
+
+import enum
+
+import eliot
+
+
+class Event(enum.Enum):
+    """Every event: its number and the message type in the log.
+
+    1xx process, 2xx configuration, 3xx shards and journal, 4xx tasks, 5xx requests,
+    6xx workers, 7xx store.
+    """
+
+    PROCESS_STARTED = 101
+    PROCESS_STOPPING = 102
+    PROCESS_STOPPED = 103
+    SETTINGS_INVALID = 104
+    MESSAGE_INVALID = 105
+    INTERNAL_ERROR = 106
+    CONFIG_ACCEPTED = 201
+    CONFIG_REFUSED = 202
+    CONFIG_APPLIED = 203
+    SHARD_CLAIMED = 301
+    SHARD_LOST = 302
+    SHARD_RELEASED = 303
+    JOURNAL_FENCED = 304
+    JOURNAL_READ_BACK = 305
+    SNAPSHOT_WRITTEN = 306
+    TASK_STARTED = 401
+    TASK_FINISHED = 402
+    TASK_FAILED = 403
+    TASK_EVICTED = 404
+    TASK_SUSPENDED = 405
+    TASK_REATTACHED = 406
+    TASK_THROTTLED = 407
+    START_REFUSED = 408
+    JOB_ACCEPTED = 411
+    JOB_FINISHED = 412
+    JOB_FAILED = 413
+    JOB_CANCELLED = 414
+    REQUEST_NOT_RUN = 501
+    REQUEST_OUTCOME_UNKNOWN = 502
+    REQUEST_RETRIED = 503
+    REQUEST_HEDGED = 504
+    CONNECTION_DROPPED = 505
+    WORKER_ANNOUNCED = 601
+    WORKER_LEAVING = 602
+    WORKER_LOST = 603
+    WORKER_QUARANTINED = 604
+    WORKER_RELEASED = 605
+    STORE_UNAVAILABLE = 701
+    STORE_RECOVERED = 702
+    SESSION_EXPIRED = 703
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event to the log.
+
+    :param event: the event.
+    :param fields: JSON-serialisable details.
+    """
+    eliot.log_message(message_type=event.name.lower(), event=event.value, **fields)
--- /dev/null
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -0,0 +1,64 @@
+"""The exception tree. Each layer raises its own branch and translates errors from below."""
+
+
+class MulberryslipError(Exception):
+    """Base of all errors that this project raises."""
+
+
+class SettingsError(MulberryslipError):
+    """The settings file is invalid.
+
+    :param faults: one line for each fault: key, value, what is allowed.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class StoreError(MulberryslipError):
+    """The platform's store did not answer as expected."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store could not be reached, timed out, or refused a call for its rate."""
+
+
+class RuntimeAdapterError(MulberryslipError):
+    """The platform's worker runtime did not answer as expected."""
+
+
+class WireError(MulberryslipError):
+    """A connection between two of our processes failed."""
+
+
+class NotSentError(WireError):
+    """The call was not sent; the peer cannot have received it."""
+
+
+class ReplyLostError(WireError):
+    """The call may have been received, but no whole reply came back."""
+
+
+class ConfigError(MulberryslipError):
+    """A configuration document or a change to it is invalid."""
+
+
+class JournalError(MulberryslipError):
+    """A shard's journal cannot be read or written."""
+
+
+class FencedError(JournalError):
+    """Another process owns the shard; this one must give it up."""
+
+
+class JobError(MulberryslipError):
+    """A job submission is invalid or breaks a rule of the job."""
+
+
+class AdmissionError(MulberryslipError):
+    """A worker refuses a reservation or a start."""
+
+
+class InvalidMessageError(MulberryslipError):
+    """A message or a stored value is damaged, incomplete, or from a newer version."""
--- /dev/null
+++ b/packages/core/src/mulberryslip/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'WorkerService', 'EntryService']
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/__init__.py
@@ -0,0 +1,1 @@
+"""The mulberryslip daemon: entry and worker roles."""
