Add checked settings, examples, the command line and the process harness

Cause: operators need a product frame before the parts behind it exist. Conclusion: the frame is ready for the daemons; no command places a task.

--- /dev/null
+++ b/packages/cli/src/mulberryslip_cli/main.py
@@ -0,0 +1,103 @@
+"""Entry point of the `mulberryslip` command."""
+
+import json
+import sys
+from collections.abc import Sequence
+
+from absl import flags
+
+from .clients import OperatorClient
+from .commands import COMMANDS, Command
+from .exceptions import CommandError, UsageError
+
+DEFAULT_ENTRIES = "127.0.0.1:7003"
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_list(
+    "entries",
+    DEFAULT_ENTRIES,
+    "Operators' addresses of the entries, IP:PORT, tried in order.",
+    flag_values=_FLAGS,
+)
+flags.DEFINE_boolean("json", False, "Print JSON instead of tables.", flag_values=_FLAGS)
+flags.DEFINE_integer(
+    "if_revision",
+    None,
+    "Refuse the change unless the configuration has this revision. Without it, the revision that"
+    " the command has just read is used.",
+    lower_bound=1,
+    flag_values=_FLAGS,
+)
+flags.DEFINE_float(
+    "timeout_s", 5.0, "Longest wait for one entry, in seconds.", 0.1, flag_values=_FLAGS
+)
+flags.DEFINE_boolean("help", False, "Print this help.", flag_values=_FLAGS)
+
+EXAMPLES = """\
+examples:
+  mulberryslip data-centre out concord
+  mulberryslip template set reconciliation class=batch account=granite-hollow cpu_millis=1000
+  mulberryslip --if_revision=7 template set reconciliation max_attempts=2
+  mulberryslip explain job reconciliation-2026-12-04
+
+exit codes: 0 done, 1 refused, 2 wrong usage, 3 another operator was first (the message says what
+changed), 4 no entry could serve the command (nothing was changed), 5 outcome unknown"""
+
+
+def run() -> None:
+    """Run the command line of the process and exit."""
+    sys.exit(main(sys.argv))
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run one command.
+
+    :param argv: program name, flags, words of the command and its arguments.
+    :returns: the exit code.
+    """
+    try:
+        _FLAGS.unparse_flags()
+        words = _FLAGS(argv)[1:]
+        if _FLAGS.help or not words:
+            print(usage())
+            return 0 if _FLAGS.help else UsageError.exit_code
+        command, args = find(words)
+        client = OperatorClient(_FLAGS.entries, _FLAGS.timeout_s)
+        output = command.run(client, args, _FLAGS.if_revision)
+    except flags.Error as exc:
+        print(f"mulberryslip: {exc}", file=sys.stderr)
+        return UsageError.exit_code
+    except CommandError as exc:
+        print(f"mulberryslip: {exc}", file=sys.stderr)
+        return exc.exit_code
+    print(json.dumps(output.document, indent=2) if _FLAGS.json else output.text)
+    return 0
+
+
+def find(words: Sequence[str]) -> tuple[Command, Sequence[str]]:
+    """Find the command that the words select.
+
+    :param words: words of the command and its arguments.
+    :returns: the command and its arguments.
+    :raises UsageError: when there is no such command, naming those with the same first word.
+    """
+    for command in COMMANDS:
+        count = len(command.words)
+        if tuple(words[:count]) == command.words:
+            return command, words[count:]
+    near = [" ".join(c.words) for c in COMMANDS if c.words[0] == words[0]]
+    known = near or sorted({c.words[0] for c in COMMANDS})
+    raise UsageError(f"unknown command {' '.join(words[:2])!r}; there are: {', '.join(known)}")
+
+
+def usage() -> str:
+    """Return the help text."""
+    width = max(len(" ".join((*c.words, c.arguments))) for c in COMMANDS) + 2
+    lines = ["usage: mulberryslip [flags] COMMAND [arguments]", "", "commands:"]
+    for command in COMMANDS:
+        left = " ".join((*command.words, command.arguments))
+        lines.append(f"  {left:<{width}}{command.summary}")
+    lines += ["", "flags:"]
+    for name in ("entries", "json", "if_revision", "timeout_s", "help"):
+        lines.append(f"  --{name}: {_FLAGS[name].help} (default: {_FLAGS[name].default})")
+    return "\n".join([*lines, "", EXAMPLES])
--- /dev/null
+++ b/packages/core/src/mulberryslip/settings.py
@@ -0,0 +1,316 @@
+"""Settings of one process, read from a TOML file and checked as a whole."""
+
+import ipaddress
+import re
+import tomllib
+from collections.abc import Mapping
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from .exceptions import SettingsError
+from .models import Resources
+
+ROLES = ("entry", "worker")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+MAX_PORT = 65535
+MAX_THREADS = 256
+
+
+@attrs.frozen
+class Key:
+    """One key of the settings file.
+
+    :param kind: type of the TOML value.
+    :param allowed: what is allowed, in words, for messages.
+    :param check: returns whether a value of the right type is allowed.
+    :param default: value when the key is absent; `REQUIRED` when it must be present.
+    """
+
+    kind: type
+    allowed: str
+    check: Any
+    default: Any
+
+
+REQUIRED = object()
+
+
+def _integer(low: int, high: int, default: Any = REQUIRED) -> Key:
+    return Key(int, f"an integer from {low} to {high}", lambda v: low <= v <= high, default)
+
+
+def _name(default: Any = REQUIRED) -> Key:
+    return Key(
+        str,
+        "1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit",
+        lambda v: NAME_PATTERN.fullmatch(v) is not None,
+        default,
+    )
+
+
+def _names() -> Key:
+    return Key(
+        list,
+        "a list of template names",
+        lambda v: all(isinstance(n, str) and NAME_PATTERN.fullmatch(n) for n in v),
+        [],
+    )
+
+
+def _ip() -> Key:
+    return Key(str, "an IP address", _is_ip, REQUIRED)
+
+
+def _url(default: Any = REQUIRED) -> Key:
+    return Key(str, "an address of the form http://IP:PORT[/PATH]", _is_url, default)
+
+
+def _port(default: Any = REQUIRED) -> Key:
+    return _integer(1, MAX_PORT, default)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_ip_or_empty(text: str) -> bool:
+    return not text or _is_ip(text)
+
+
+def _is_url(text: str) -> bool:
+    match = re.fullmatch(r"http://([0-9.]+):(\d{1,5})(/[^\s]*)?", text)
+    return match is not None and _is_ip(match[1]) and 0 < int(match[2]) <= MAX_PORT
+
+
+def _is_address(text: Any) -> bool:
+    if not isinstance(text, str):
+        return False
+    host, _, port = text.rpartition(":")
+    return _is_ip(host) and port.isdigit() and 0 < int(port) <= MAX_PORT
+
+
+def _is_link(text: str) -> bool:
+    names = text.split("/")
+    return len(names) == 2 and all(NAME_PATTERN.fullmatch(name) for name in names)
+
+
+ADDRESS_LIST = Key(
+    list,
+    'a list of "IP:PORT" strings',
+    lambda v: bool(v) and all(_is_address(item) for item in v),
+    REQUIRED,
+)
+LINK_TABLE = Key(
+    dict,
+    'a table of "DATA-CENTRE/DATA-CENTRE" = one-way milliseconds from 0 to 10000',
+    lambda v: all(
+        _is_link(k)
+        and isinstance(ms, int | float)
+        and not isinstance(ms, bool)
+        and 0 <= ms <= 10_000
+        for k, ms in v.items()
+    ),
+    {},
+)
+
+PROCESS_KEYS = {
+    "role": Key(str, "one of entry, worker", lambda v: v in ROLES, REQUIRED),
+    "id": _name(),
+    "data_centre": _name(),
+    "rack": _name("rack-0"),
+    "host": _ip(),
+    "listen_host": Key(str, "an IP address, or empty for process.host", _is_ip_or_empty, ""),
+}
+STORE_KEYS = {
+    "url": _url(),
+    "timeout_ms": _integer(50, 60_000, 1000),
+    "lease_ttl_ms": _integer(300, 60_000, 3000),
+}
+TIMING_KEYS = {
+    "reservation_ms": _integer(100, 60_000, 3000),
+    "task_lease_ms": _integer(500, 3_600_000, 20_000),
+    "renew_interval_ms": _integer(50, 60_000, 1000),
+    "runtime_lease_ms": _integer(200, 60_000, 2000),
+    "config_read_interval_ms": _integer(100, 60_000, 2000),
+    "worker_silence_ms": _integer(300, 600_000, 5000),
+    "stop_timeout_ms": _integer(500, 600_000, 10_000),
+    "stop_grace_ms": _integer(0, 60_000, 1000),
+}
+ENTRY_KEYS = {
+    "wire_port": _port(),
+    "callers_port": _port(),
+    "operators_port": _port(),
+    "shards": _integer(1, 1024, 4),
+    "journal_slots": _integer(8, 4096, 64),
+    "commit_interval_ms": _integer(0, 1000, 20),
+    "threads": _integer(1, MAX_THREADS, 16),
+    "wire_connections": _integer(1, 4096, 512),
+    "links": LINK_TABLE,
+}
+WORKER_KEYS = {
+    "wire_port": _port(),
+    "target_url": _url(),
+    "runtime_url": _url(),
+    "services": _names(),
+    "entries": ADDRESS_LIST,
+    "connections": _integer(1, 4096, 64),
+    "queue": _integer(0, 4096, 64),
+    "cpu_millis": _integer(1, 10_000_000),
+    "memory_mb": _integer(1, 100_000_000),
+    "accelerators": _integer(0, 1024, 0),
+    "slots": _integer(1, 1024, 8),
+    "service_cpu_millis": _integer(0, 10_000_000, 0),
+    "service_memory_mb": _integer(0, 100_000_000, 0),
+    "announce_interval_ms": _integer(50, 60_000, 1000),
+}
+TABLES = {"process": PROCESS_KEYS, "store": STORE_KEYS, "timing": TIMING_KEYS}
+ROLE_TABLES = {"entry": ENTRY_KEYS, "worker": WORKER_KEYS}
+
+
+@attrs.frozen
+class Settings:
+    """Checked settings of one process.
+
+    :param process: role, id, data centre, rack and IP address.
+    :param store: address, timeout and lease of the platform's store.
+    :param timing: intervals and leases; they must be equal on all processes.
+    :param role: keys of the role's own table, `[entry]` or `[worker]`.
+    """
+
+    process: Mapping[str, Any]
+    store: Mapping[str, Any]
+    timing: Mapping[str, Any]
+    role: Mapping[str, Any]
+
+    def listen_host(self) -> str:
+        """Return the IP address to listen on; peers are told `process.host`."""
+        return self.process["listen_host"] or self.process["host"]
+
+    def duration(self, key: str) -> timedelta:
+        """Return a duration of `[timing]`.
+
+        :param key: name without the `_ms` suffix.
+        """
+        return timedelta(milliseconds=self.timing[f"{key}_ms"])
+
+    def capacity(self) -> Resources:
+        """Return a worker's capacity for tasks: the VM's less the share of its services."""
+        return Resources(
+            self.role["cpu_millis"] - self.role["service_cpu_millis"],
+            self.role["memory_mb"] - self.role["service_memory_mb"],
+            self.role["accelerators"],
+            self.role["slots"],
+        )
+
+
+def load(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    :param path: TOML file.
+    :returns: the settings, with defaults filled in.
+    :raises SettingsError: with one line for each fault found.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as exc:
+        raise SettingsError([f"{path}: cannot be read: {exc.strerror}"]) from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise SettingsError([f"{path}: not a TOML file: {exc}"]) from exc
+    return parse(document)
+
+
+def parse(document: Mapping[str, Any]) -> Settings:
+    """Check a decoded settings document.
+
+    :param document: tables of the TOML file.
+    :returns: the settings, with defaults filled in.
+    :raises SettingsError: with one line for each fault found.
+    """
+    faults: list[str] = []
+    role = _role_of(document)
+    tables = dict(TABLES)
+    if role:
+        tables[role] = ROLE_TABLES[role]
+    known = set(tables) if role else set(TABLES) | set(ROLE_TABLES)
+    faults += [
+        f"{name} = {document[name]!r}: unknown table; allowed: {', '.join(sorted(known))}"
+        for name in sorted(set(document) - known)
+    ]
+    values = {name: _check_table(name, keys, document, faults) for name, keys in tables.items()}
+    if not faults:
+        faults += _check_together(role, values)
+    if faults:
+        raise SettingsError(faults)
+    return Settings(values["process"], values["store"], values["timing"], values[role])
+
+
+def _role_of(document: Mapping[str, Any]) -> str:
+    process = document.get("process")
+    role = process.get("role") if isinstance(process, dict) else None
+    return role if role in ROLES else ""
+
+
+def _check_table(
+    name: str, keys: Mapping[str, Key], document: Mapping[str, Any], faults: list[str]
+) -> dict[str, Any]:
+    table = document.get(name, {})
+    if not isinstance(table, dict):
+        faults.append(f"{name} = {table!r}: must be a table")
+        return {}
+    faults += [
+        f"{name}.{key} = {table[key]!r}: unknown key; allowed: {', '.join(keys)}"
+        for key in sorted(set(table) - set(keys))
+    ]
+    return {
+        key: _check_value(f"{name}.{key}", spec, table.get(key), faults)
+        for key, spec in keys.items()
+    }
+
+
+def _check_value(path: str, spec: Key, value: Any, faults: list[str]) -> Any:
+    if value is None:
+        if spec.default is REQUIRED:
+            faults.append(f"{path}: missing; must be {spec.allowed}")
+            return None
+        return spec.default
+    right_type = isinstance(value, spec.kind) and not (spec.kind is int and isinstance(value, bool))
+    if not right_type or not spec.check(value):
+        faults.append(f"{path} = {value!r}: must be {spec.allowed}")
+    return value
+
+
+def _check_together(role: str, values: Mapping[str, Mapping[str, Any]]) -> list[str]:
+    faults = []
+    timing = values["timing"]
+    if timing["renew_interval_ms"] * 3 > timing["task_lease_ms"]:
+        faults.append(
+            f"timing.renew_interval_ms = {timing['renew_interval_ms']}: must be at most a third of"
+            f" timing.task_lease_ms ({timing['task_lease_ms']}), so that two renewals may be lost"
+        )
+    if timing["stop_grace_ms"] >= timing["stop_timeout_ms"]:
+        faults.append(
+            f"timing.stop_grace_ms = {timing['stop_grace_ms']}: must be less than"
+            f" timing.stop_timeout_ms ({timing['stop_timeout_ms']})"
+        )
+    return faults + _check_role_together(role, values[role])
+
+
+def _check_role_together(role: str, own: Mapping[str, Any]) -> list[str]:
+    if role == "entry":
+        ports = [own["wire_port"], own["callers_port"], own["operators_port"]]
+        if len(set(ports)) < len(ports):
+            return [f"entry: wire_port, callers_port and operators_port must differ, got {ports}"]
+        return []
+    return [
+        f"worker.service_{name} = {own[f'service_{name}']}:"
+        f" must be less than worker.{name} ({own[name]})"
+        for name in ("cpu_millis", "memory_mb")
+        if own[f"service_{name}"] >= own[name]
+    ]
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,113 @@
+"""Checks of the settings file."""
+
+import copy
+from pathlib import Path
+
+import pytest
+from mulberryslip import settings
+from mulberryslip.exceptions import SettingsError
+
+ENTRY = {
+    "process": {"role": "entry", "id": "entry-1", "data_centre": "concord", "host": "127.0.0.1"},
+    "store": {"url": "http://127.0.0.1:9000"},
+    "entry": {"wire_port": 7001, "callers_port": 7002, "operators_port": 7003},
+}
+WORKER = {
+    "process": {"role": "worker", "id": "worker-1", "data_centre": "concord", "host": "127.0.0.1"},
+    "store": {"url": "http://127.0.0.1:9000"},
+    "worker": {
+        "wire_port": 7101,
+        "target_url": "http://127.0.0.1:8001",
+        "runtime_url": "http://127.0.0.1:8002/workers/worker-1",
+        "entries": ["127.0.0.1:7001"],
+        "cpu_millis": 64000,
+        "memory_mb": 250000,
+    },
+}
+
+
+def changed(document, table, key, value):
+    document = copy.deepcopy(document)
+    document.setdefault(table, {})[key] = value
+    return document
+
+
+@pytest.mark.parametrize("document", [ENTRY, WORKER])
+def test_minimal_settings_are_accepted(document):
+    """Guards against a default that its own check refuses."""
+    assert settings.parse(document).process["id"] == document["process"]["id"]
+
+
+@pytest.mark.parametrize(
+    ("document", "table", "key", "value", "fault"),
+    [
+        (
+            ENTRY,
+            "process",
+            "role",
+            "leader",
+            "process.role = 'leader': must be one of entry, worker",
+        ),
+        (
+            ENTRY,
+            "process",
+            "host",
+            "localhost",
+            "process.host = 'localhost': must be an IP address",
+        ),
+        (ENTRY, "entry", "shards", 0, "entry.shards = 0: must be an integer from 1 to 1024"),
+        (ENTRY, "entry", "shards", True, "entry.shards = True: must be an integer"),
+        (ENTRY, "entry", "wire_port", 7002, "must differ"),
+        (ENTRY, "entry", "colour", "red", "entry.colour = 'red': unknown key; allowed: wire_port"),
+        (ENTRY, "worker", "slots", 8, "worker = {'slots': 8}: unknown table"),
+        (ENTRY, "entry", "links", {"concord": 4}, "DATA-CENTRE/DATA-CENTRE"),
+        (ENTRY, "timing", "renew_interval_ms", 10_000, "at most a third"),
+        (WORKER, "worker", "entries", [], "worker.entries = []: must be a list"),
+        (WORKER, "worker", "service_cpu_millis", 64000, "must be less than worker.cpu_millis"),
+        (WORKER, "store", "url", "https://store", "store.url = 'https://store': must be"),
+    ],
+)
+def test_fault_names_key_value_and_what_is_allowed(document, table, key, value, fault):
+    """Guards against a wrong setting that is ignored or reported without its key."""
+    with pytest.raises(SettingsError) as info:
+        settings.parse(changed(document, table, key, value))
+    assert fault in str(info.value)
+
+
+def test_every_fault_is_reported_at_once():
+    """Guards against a check that stops at the first fault."""
+    document = changed(changed(ENTRY, "entry", "shards", 0), "store", "timeout_ms", "slow")
+    del document["process"]["id"]
+    with pytest.raises(SettingsError) as info:
+        settings.parse(document)
+    assert len(info.value.faults) == 3
+
+
+@pytest.mark.parametrize("content", [b"role = ", b"\xff\xfe", None])
+def test_unreadable_file_is_a_settings_error(tmp_path, content):
+    """Guards against a traceback instead of a message for a broken file."""
+    path = tmp_path / "settings.toml"
+    if content is not None:
+        path.write_bytes(content)
+    with pytest.raises(SettingsError):
+        settings.load(path)
+
+
+EXAMPLES = sorted((Path(__file__).parent.parent / "examples").glob("*/*.toml"))
+
+
+@pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: f"{path.parent.name}/{path.stem}")
+def test_shipped_example_is_accepted(path):
+    """Guards against examples that lag behind the settings."""
+    assert settings.load(path).process["id"] == path.stem
+
+
+def test_examples_cover_both_deployments():
+    """Guards against a deployment with missing workers or data centres."""
+    loaded = [(path.parent.name, settings.load(path)) for path in EXAMPLES]
+    for name, data_centres in (("token-ledger", 4), ("dispatch-service", 3)):
+        workers = [cfg for dep, cfg in loaded if dep == name and cfg.process["role"] == "worker"]
+        assert len(workers) == 11
+        assert {cfg.role["slots"] for cfg in workers} == {8}
+        assert {cfg.role["connections"] for cfg in workers} == {64}
+        assert len({cfg.process["data_centre"] for cfg in workers}) == data_centres
