--- a/packages/core/src/mulberryslip/models.py
+++ b/packages/core/src/mulberryslip/models.py
@@ -116,3 +116,21 @@
     port: int
     capacity: Resources
     services: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class WorkerView:
+    """A worker as placement and routing see it at one moment.
+
+    :param description: what the worker announced.
+    :param load: its newest known load.
+    :param data_centre_in: whether its data centre is in service.
+    :param quarantined: whether it takes no tasks because it failed several jobs in a row.
+    :param running: template names of the tasks known to run there, one for each task.
+    """
+
+    description: WorkerDescription
+    load: WorkerLoad
+    data_centre_in: bool = True
+    quarantined: bool = False
+    running: tuple[str, ...] = ()
