--- /dev/null
+++ b/packages/core/src/mulberryslip/changes.py
@@ -0,0 +1,312 @@
+"""Operators' changes to the configuration document and the rules of revisions."""
+
+import functools
+import hashlib
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import attrs
+
+from .configs import (
+    MAX_CHANGES_KEPT,
+    ChangeRecord,
+    ClientAccount,
+    ConfigView,
+    DataCentre,
+    DataCentreState,
+    Template,
+    check_account,
+    known_names,
+    plain,
+    plain_template,
+)
+from .exceptions import ConfigError
+
+MAX_WORDS = 400
+"""Longest description of a change, in characters, so that the kept changes stay under 64 KB."""
+
+
+class UnknownNameError(ConfigError):
+    """A change names something that the document does not hold."""
+
+
+class ReusedChangeIdError(ConfigError):
+    """A `Change-Id` was used before for a different change."""
+
+
+@attrs.frozen
+class SetTemplate:
+    """Add a template or replace its account and parameters."""
+
+    template: Template
+
+
+@attrs.frozen
+class DeleteTemplate:
+    """Remove a template. Its jobs keep the parameters that they were submitted with."""
+
+    name: str
+
+
+@attrs.frozen
+class SetAccount:
+    """Add a client account or replace its quota."""
+
+    name: str
+    account: ClientAccount
+
+
+@attrs.frozen
+class SetDataCentre:
+    """Add a data centre, take it out or bring it back."""
+
+    name: str
+    data_centre: DataCentre
+
+
+Change = SetTemplate | DeleteTemplate | SetAccount | SetDataCentre
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The change is allowed.
+
+    :param view: the document to be written, with the next revision.
+    """
+
+    view: ConfigView
+
+
+@dataclass(frozen=True)
+class AlreadyAccepted:
+    """The change was accepted before; this is a resend.
+
+    :param revision: the revision that the first request received.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class Stale:
+    """The change was based on an older revision.
+
+    :param revision: the current revision.
+    :param changed: what changed since, in words, oldest first.
+    """
+
+    revision: int
+    changed: tuple[str, ...]
+
+
+Decision = Accepted | AlreadyAccepted | Stale
+
+
+@functools.singledispatch
+def apply(change: object, view: ConfigView) -> ConfigView:
+    """Return the document with a change applied; its revision is left as it is.
+
+    :param change: one of the change classes.
+    :raises ConfigError: when the change breaks a rule of the document.
+    """
+    raise ConfigError(f"{type(change).__name__} is not a change to the configuration")
+
+
+@apply.register
+def _(change: SetTemplate, view: ConfigView) -> ConfigView:
+    template = change.template
+    check_account(template, view)
+    previous = view.template(template.name)
+    if previous is not None and previous.task_class is not template.task_class:
+        raise ConfigError(
+            f"template {template.name}.class: {template.task_class.value!r} is not allowed; "
+            f"allowed: {previous.task_class.value}, as the class of a template never changes; "
+            "delete the template first"
+        )
+    return attrs.evolve(view, templates=_with(view.templates, template.name, template))
+
+
+@apply.register
+def _(change: DeleteTemplate, view: ConfigView) -> ConfigView:
+    if change.name not in view.templates:
+        raise _unknown("template", change.name, view.templates)
+    templates = {name: part for name, part in view.templates.items() if name != change.name}
+    return attrs.evolve(view, templates=MappingProxyType(templates))
+
+
+@apply.register
+def _(change: SetAccount, view: ConfigView) -> ConfigView:
+    return attrs.evolve(view, accounts=_with(view.accounts, change.name, change.account))
+
+
+@apply.register
+def _(change: SetDataCentre, view: ConfigView) -> ConfigView:
+    # Without this check, a misspelt name would be accepted and the data centre would stay in.
+    if change.data_centre.state is DataCentreState.OUT and change.name not in view.data_centres:
+        raise _unknown("data centre", change.name, view.data_centres)
+    centres = _with(view.data_centres, change.name, change.data_centre)
+    return attrs.evolve(view, data_centres=centres)
+
+
+def decide(
+    view: ConfigView, change: Change, based_on: int, change_id: str = "", operator: str = ""
+) -> Decision:
+    """Decide on a change against the current document.
+
+    :param view: the current document, freshly read.
+    :param based_on: revision that the operator has seen.
+    :param change_id: chosen by the operator to make a resend safe, or empty.
+    :param operator: who makes the change.
+    :raises ConfigError: when the change breaks a rule of the document.
+    :raises ReusedChangeIdError: when the id belongs to a different change.
+    """
+    digest = digest_of(change)
+    earlier = find_change(view, change_id)
+    if earlier is not None:
+        return _resent(earlier, digest)
+    if based_on > view.revision:
+        raise ConfigError(
+            f"If-Revision: {based_on} is not allowed; allowed: the current revision {view.revision}"
+        )
+    if based_on < view.revision:
+        return Stale(view.revision, changes_since(view, based_on))
+    changed = apply(change, view)
+    what = _shorten("; ".join(differences(view, changed)) or f"no difference: {subject_of(change)}")
+    record = ChangeRecord(change_id, view.revision + 1, operator, what, digest)
+    changes = (*view.changes, record)[-MAX_CHANGES_KEPT:]
+    return Accepted(attrs.evolve(changed, revision=record.revision, changes=changes))
+
+
+def find_change(view: ConfigView, change_id: str) -> ChangeRecord | None:
+    """Return the kept change with an id, or None."""
+    if not change_id:
+        return None
+    return next((record for record in view.changes if record.id == change_id), None)
+
+
+def changes_since(view: ConfigView, revision: int) -> tuple[str, ...]:
+    """Return in words what changed after a revision, oldest first."""
+    records = [record for record in view.changes if record.revision > revision]
+    lines = [_describe(record) for record in records]
+    missing = view.revision - revision - len(records)
+    if missing > 0:
+        lines.insert(0, f"{missing} earlier changes after revision {revision} are no longer kept")
+    return tuple(lines)
+
+
+def differences(old: ConfigView, new: ConfigView) -> tuple[str, ...]:
+    """Return the difference between two documents in words, one line for each part that differs."""
+    lines = []
+    lines += _part_lines("data centre", _plain_all(old.data_centres), _plain_all(new.data_centres))
+    lines += _part_lines("account", _plain_all(old.accounts), _plain_all(new.accounts))
+    lines += _part_lines("template", _plain_all(old.templates), _plain_all(new.templates))
+    return tuple(lines)
+
+
+def newest(current: ConfigView | None, candidate: ConfigView) -> ConfigView:
+    """Return the view with the higher revision; `current` wins a tie."""
+    if current is None or candidate.revision > current.revision:
+        return candidate
+    return current
+
+
+@functools.singledispatch
+def subject_of(change: object) -> str:
+    """Return what a change is about, in words."""
+    raise ConfigError(f"{type(change).__name__} is not a change to the configuration")
+
+
+@subject_of.register
+def _(change: SetTemplate) -> str:
+    return f"template {change.template.name}"
+
+
+@subject_of.register
+def _(change: DeleteTemplate) -> str:
+    return f"removal of template {change.name}"
+
+
+@subject_of.register
+def _(change: SetAccount) -> str:
+    return f"account {change.name}"
+
+
+@subject_of.register
+def _(change: SetDataCentre) -> str:
+    return f"data centre {change.name}"
+
+
+def digest_of(change: Change) -> str:
+    """Return a digest of the content of a change."""
+    values = attrs.asdict(
+        change, value_serializer=lambda _i, _f, value: getattr(value, "value", value)
+    )
+    text = json.dumps([type(change).__name__, values], sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def _resent(earlier: ChangeRecord, digest: str) -> AlreadyAccepted:
+    if earlier.digest != digest:
+        raise ReusedChangeIdError(
+            f"Change-Id: {earlier.id!r} is not allowed; it was used for another change, "
+            f"revision {earlier.revision}: {earlier.what}"
+        )
+    return AlreadyAccepted(earlier.revision)
+
+
+def _with(parts: Mapping[str, object], name: str, part: object) -> Mapping[str, object]:
+    return MappingProxyType({**parts, name: part})
+
+
+def _unknown(kind: str, name: str, parts: Mapping[str, object]) -> UnknownNameError:
+    return UnknownNameError(
+        f"{kind}: {name!r} is not allowed; allowed: a known {kind}: {known_names(parts)}"
+    )
+
+
+def _describe(record: ChangeRecord) -> str:
+    operator = f" by {record.operator}" if record.operator else ""
+    return f"revision {record.revision}{operator}: {record.what}"
+
+
+def _shorten(text: str) -> str:
+    return text if len(text) <= MAX_WORDS else text[: MAX_WORDS - 3] + "..."
+
+
+def _plain_all(parts: Mapping[str, object]) -> dict[str, dict[str, object]]:
+    return {
+        name: _flat(plain_template(part)) if isinstance(part, Template) else plain(part)
+        for name, part in parts.items()
+    }
+
+
+def _flat(template: dict[str, object]) -> dict[str, object]:
+    return {"class": template["class"], "account": template["account"], **template["parameters"]}
+
+
+def _part_lines(
+    kind: str, old: dict[str, dict[str, object]], new: dict[str, dict[str, object]]
+) -> Iterator[str]:
+    for name in sorted(old.keys() | new.keys()):
+        if name not in new:
+            yield f"{kind} {name} removed"
+        elif name not in old:
+            yield f"{kind} {name} added: " + ", ".join(_pairs(new[name]))
+        elif old[name] != new[name]:
+            yield f"{kind} {name}: " + ", ".join(_field_words(old[name], new[name]))
+
+
+def _pairs(fields: dict[str, object]) -> Iterator[str]:
+    return (f"{name} {_word(value)}" for name, value in fields.items())
+
+
+def _field_words(old: dict[str, object], new: dict[str, object]) -> Iterator[str]:
+    for name in new:
+        if old.get(name) != new[name]:
+            yield f"{name} from {_word(old.get(name))} to {_word(new[name])}"
+
+
+def _word(value: object) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
--- /dev/null
+++ b/packages/core/src/mulberryslip/configs.py
@@ -0,0 +1,437 @@
+"""The operators' configuration document: its parts, its validation and the view that others read.
+
+Changes to the document and the rules of revisions are in `changes`.
+"""
+
+import enum
+import json
+import re
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import attrs
+
+from .exceptions import ConfigError
+from .models import Priority, Resources, TaskClass
+
+CONFIG_KEY = "config/current"
+"""Store key of the document."""
+
+MAX_DOCUMENT_BYTES = 900_000
+"""The store takes values up to 1 MB; the rest is left for the store's own framing."""
+
+MAX_CHANGES_KEPT = 64
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+"""Names appear in URL paths and log lines. Lower case only, so that two names never differ in case
+alone."""
+
+_MAX_MS = 600_000
+_MAX_S = 31_536_000
+
+_T = TypeVar("_T")
+
+
+class DataCentreState(enum.Enum):
+    """Whether work may run in a data centre."""
+
+    IN = "in"
+    OUT = "out"
+
+
+@attrs.frozen
+class _Integer:
+    """Rule of a whole-number field: its bounds, both allowed."""
+
+    minimum: int
+    maximum: int
+
+    def parse(self, where: str, raw: object) -> int:
+        whole = isinstance(raw, int) and not isinstance(raw, bool)
+        if whole and self.minimum <= raw <= self.maximum:
+            return raw
+        raise _fault(where, raw, f"a whole number from {self.minimum} to {self.maximum}")
+
+
+@attrs.frozen
+class _Flag:
+    """Rule of a true-or-false field."""
+
+    def parse(self, where: str, raw: object) -> bool:
+        if isinstance(raw, bool):
+            return raw
+        raise _fault(where, raw, "true or false")
+
+
+@attrs.frozen
+class _Choice:
+    """Rule of a field that takes the values of an enumeration."""
+
+    kind: type[enum.Enum]
+
+    def parse(self, where: str, raw: object) -> enum.Enum:
+        for member in self.kind:
+            if raw == member.value:
+                return member
+        raise _fault(where, raw, "one of " + ", ".join(str(member.value) for member in self.kind))
+
+
+@attrs.frozen
+class _Text:
+    """Rule of a free-text field."""
+
+    maximum: int
+
+    def parse(self, where: str, raw: object) -> str:
+        if isinstance(raw, str) and len(raw) <= self.maximum:
+            return raw
+        raise _fault(where, raw, f"text of at most {self.maximum} characters")
+
+
+def _field(rule: object, default: object = attrs.NOTHING) -> Any:
+    return attrs.field(default=default, metadata={"rule": rule})
+
+
+def _integer(minimum: int, maximum: int, default: object = attrs.NOTHING) -> Any:
+    return _field(_Integer(minimum, maximum), default)
+
+
+@attrs.frozen
+class DataCentre:
+    """State of one data centre."""
+
+    state: DataCentreState = _field(_Choice(DataCentreState))
+
+
+@attrs.frozen
+class ClientAccount:
+    """Quota of one client account.
+
+    :param cpu_millis: thousandths of a core.
+    :param memory_mb: megabytes.
+    :param accelerators: whole accelerators.
+    :param weight: share of idle capacity relative to other accounts.
+    """
+
+    cpu_millis: int = _integer(0, 1_000_000_000)
+    memory_mb: int = _integer(0, 1_000_000_000)
+    accelerators: int = _integer(0, 1_000_000, 0)
+    weight: int = _integer(1, 1000, 1)
+
+
+@attrs.frozen
+class ServiceParameters:
+    """Parameters of a template of class `service`.
+
+    :param deadline_ms: deadline of a request whose caller names none.
+    :param objective_ms: answer time that the 99th percentile is to meet.
+    :param idempotent: whether a request may be sent to a second worker after a hand-over.
+    :param max_in_flight: requests at one worker's target at a time.
+    :param hedge_after_ms: shortest delay before an idempotent request is sent to a second worker;
+        0 disables hedging.
+    """
+
+    deadline_ms: int = _integer(1, _MAX_MS, 500)
+    objective_ms: int = _integer(1, _MAX_MS, 50)
+    idempotent: bool = _field(_Flag(), False)
+    max_in_flight: int = _integer(1, 10_000, 32)
+    hedge_after_ms: int = _integer(0, _MAX_MS, 50)
+
+    def check(self, where: str) -> None:
+        """Check rules between fields.
+
+        :raises ConfigError: naming the field, its value and what is allowed.
+        """
+        if self.objective_ms > self.deadline_ms:
+            allowed = f"at most deadline_ms, which is {self.deadline_ms}"
+            raise _fault(f"{where}.objective_ms", self.objective_ms, allowed)
+
+
+@attrs.frozen
+class TaskParameters:
+    """Parameters of a template of class `batch` or `watch`.
+
+    :param cpu_millis: declared processor share in thousandths of a core.
+    :param memory_mb: declared memory in megabytes.
+    :param accelerators: declared whole accelerators.
+    :param priority: urgent tasks are placed first.
+    :param max_attempts: failed attempts after which a task is failed.
+    :param max_run_s: longest run of one attempt in seconds.
+    :param checkpoint_s: time between checkpoints in seconds.
+    :param lease_s: lease of the worker for the task in seconds.
+    """
+
+    cpu_millis: int = _integer(1, 1_000_000, 1000)
+    memory_mb: int = _integer(1, 16_000_000, 512)
+    accelerators: int = _integer(0, 1000, 0)
+    priority: Priority = _field(_Choice(Priority), Priority.NORMAL)
+    max_attempts: int = _integer(1, 100, 4)
+    max_run_s: int = _integer(1, _MAX_S, 3600)
+    checkpoint_s: int = _integer(1, 86_400, 60)
+    lease_s: int = _integer(5, 300, 20)
+
+    def check(self, where: str) -> None:
+        """Check rules between fields; there are none."""
+
+    def resources(self) -> Resources:
+        """Return the declared size of one task; each task takes one slot."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators, 1)
+
+
+_PARAMETERS: Mapping[TaskClass, type] = MappingProxyType(
+    {
+        TaskClass.SERVICE: ServiceParameters,
+        TaskClass.BATCH: TaskParameters,
+        TaskClass.WATCH: TaskParameters,
+    }
+)
+
+
+@attrs.frozen
+class Template:
+    """What operators define once for many requests or tasks.
+
+    :param name: name of the template.
+    :param task_class: how its work is treated.
+    :param account: client account that its work counts against.
+    :param parameters: `ServiceParameters` for a service, otherwise `TaskParameters`.
+    """
+
+    name: str
+    task_class: TaskClass
+    account: str
+    parameters: ServiceParameters | TaskParameters
+
+
+@attrs.frozen
+class ChangeRecord:
+    """One accepted change, kept in the document.
+
+    :param id: the operator's `Change-Id`, or empty.
+    :param revision: revision that the change produced.
+    :param operator: who made the change.
+    :param what: the difference in words.
+    :param digest: identifies the content of the change, to tell a resend from a reused id.
+    """
+
+    id: str = _field(_Text(128))
+    revision: int = _integer(1, 2**62)
+    operator: str = _field(_Text(128))
+    what: str = _field(_Text(4096))
+    digest: str = _field(_Text(64), "")
+
+
+@attrs.frozen
+class ConfigView:
+    """Read-only aggregate over one revision of the document.
+
+    :param revision: 0 before the first accepted change; it increases by one per change.
+    :param changes: the most recent changes, oldest first.
+    """
+
+    revision: int = 0
+    changes: tuple[ChangeRecord, ...] = ()
+    data_centres: Mapping[str, DataCentre] = MappingProxyType({})
+    accounts: Mapping[str, ClientAccount] = MappingProxyType({})
+    templates: Mapping[str, Template] = MappingProxyType({})
+
+    def data_centre_in(self, name: str) -> bool:
+        """Return whether work may run in a data centre.
+
+        One that operators have never listed is out, so a worker with a misspelt data centre in its
+        settings receives no work.
+        """
+        data_centre = self.data_centres.get(name)
+        return data_centre is not None and data_centre.state is DataCentreState.IN
+
+    def template(self, name: str) -> Template | None:
+        """Return a template, or None when it is unknown."""
+        return self.templates.get(name)
+
+    def account(self, name: str) -> ClientAccount | None:
+        """Return a client account, or None when it is unknown."""
+        return self.accounts.get(name)
+
+    def to_json(self) -> bytes:
+        """Return the document as it is stored and sent.
+
+        :raises ConfigError: when it is larger than the store takes.
+        """
+        body = json.dumps(to_document(self), separators=(",", ":")).encode()
+        if len(body) > MAX_DOCUMENT_BYTES:
+            raise _fault("document", f"{len(body)} bytes", f"at most {MAX_DOCUMENT_BYTES} bytes")
+        return body
+
+    @classmethod
+    def from_json(cls, body: bytes) -> "ConfigView":
+        """Read a stored or received document.
+
+        :raises ConfigError: when it is damaged or breaks a rule.
+        """
+        return parse_document(parse_json("document", body))
+
+
+def parse_json(where: str, body: bytes) -> object:
+    """Parse JSON text.
+
+    :param where: what the text is, for the message.
+    :raises ConfigError: when it is not JSON, repeats a name in an object, or nests too deeply.
+    """
+    try:
+        return json.loads(body, object_pairs_hook=_unique_pairs, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise ConfigError(f"{where} is not valid JSON: {exc}") from exc
+
+
+def parse_document(raw: object) -> ConfigView:
+    """Validate a whole document.
+
+    :raises ConfigError: naming the field, its value and what is allowed.
+    """
+    fields = _object(
+        "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
+    )
+    accounts = _named("accounts", fields.get("accounts", {}), parse_account)
+    view = ConfigView(
+        revision=_Integer(0, 2**62).parse("revision", fields.get("revision", 0)),
+        changes=_parse_changes(fields.get("changes", [])),
+        data_centres=_named("data_centres", fields.get("data_centres", {}), parse_data_centre),
+        accounts=accounts,
+        templates=_named("templates", fields.get("templates", {}), parse_template),
+    )
+    for template in view.templates.values():
+        check_account(template, view)
+    return view
+
+
+def parse_data_centre(name: str, raw: object) -> DataCentre:
+    """Validate the body of a data centre; raises `ConfigError`."""
+    return _parse(DataCentre, f"data centre {check_name('data centre', name)}", raw)
+
+
+def parse_account(name: str, raw: object) -> ClientAccount:
+    """Validate the body of a client account; raises `ConfigError`."""
+    return _parse(ClientAccount, f"account {check_name('account', name)}", raw)
+
+
+def parse_template(name: str, raw: object) -> Template:
+    """Validate the body of a template, except that its account exists; raises `ConfigError`."""
+    where = f"template {check_name('template', name)}"
+    fields = _object(where, raw, ("class", "account", "parameters"))
+    task_class = _Choice(TaskClass).parse(f"{where}.class", fields.get("class"))
+    account = check_name(f"{where}.account", fields.get("account"))
+    kind = _PARAMETERS[task_class]
+    parameters = _parse(kind, f"{where}.parameters", fields.get("parameters", {}))
+    parameters.check(f"{where}.parameters")
+    return Template(name, task_class, account, parameters)
+
+
+def check_account(template: Template, view: ConfigView) -> None:
+    """Check that a template's account is listed.
+
+    :raises ConfigError: naming the known accounts.
+    """
+    if template.account not in view.accounts:
+        allowed = "a known account: " + known_names(view.accounts)
+        raise _fault(f"template {template.name}.account", template.account, allowed)
+
+
+def check_name(what: str, name: object) -> str:
+    """Return a valid name.
+
+    :raises ConfigError: when it breaks the rules of names.
+    """
+    if isinstance(name, str) and NAME_PATTERN.fullmatch(name):
+        return name
+    allowed = "1 to 63 characters of a-z, 0-9, '.', '_' and '-', the first a letter or digit"
+    raise _fault(what, name, allowed)
+
+
+def known_names(parts: Mapping[str, object]) -> str:
+    """Return the names of parts for a message, at most 20 of them."""
+    names = sorted(parts)
+    shown = ", ".join(names[:20]) or "none yet"
+    return shown + (f" and {len(names) - 20} more" if len(names) > 20 else "")
+
+
+def to_document(view: ConfigView) -> dict[str, object]:
+    """Return a view as JSON-serialisable values."""
+    return {
+        "revision": view.revision,
+        "changes": [plain(change) for change in view.changes],
+        "data_centres": {name: plain(part) for name, part in view.data_centres.items()},
+        "accounts": {name: plain(part) for name, part in view.accounts.items()},
+        "templates": {name: plain_template(part) for name, part in view.templates.items()},
+    }
+
+
+def plain(part: object) -> dict[str, object]:
+    """Return a part of the document as JSON-serialisable values."""
+    values = {field.name: getattr(part, field.name) for field in attrs.fields(type(part))}
+    return {
+        name: value.value if isinstance(value, enum.Enum) else value
+        for name, value in values.items()
+    }
+
+
+def plain_template(template: Template) -> dict[str, object]:
+    """Return a template as JSON-serialisable values."""
+    return {
+        "class": template.task_class.value,
+        "account": template.account,
+        "parameters": plain(template.parameters),
+    }
+
+
+def _fault(where: str, value: object, allowed: str) -> ConfigError:
+    shown = repr(value)
+    if len(shown) > 80:
+        shown = shown[:77] + "..."
+    return ConfigError(f"{where}: {shown} is not allowed; allowed: {allowed}")
+
+
+def _unique_pairs(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        raise ValueError("a name is repeated in one object")
+    return fields
+
+
+def _refuse_constant(name: str) -> object:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _object(where: str, raw: object, allowed: tuple[str, ...]) -> dict[str, object]:
+    names = ", ".join(allowed)
+    if not isinstance(raw, dict):
+        raise _fault(where, raw, f"an object with the fields {names}")
+    for name in raw:
+        if name not in allowed:
+            raise _fault(f"field of {where}", name, names)
+    return raw
+
+
+def _parse(kind: type[_T], where: str, raw: object) -> _T:
+    rules = {field.name: field for field in attrs.fields(kind)}
+    fields = _object(where, raw, tuple(rules))
+    for name, field in rules.items():
+        if name not in fields and field.default is attrs.NOTHING:
+            raise ConfigError(f"{where}.{name} is missing")
+    values = {
+        name: rules[name].metadata["rule"].parse(f"{where}.{name}", value)
+        for name, value in fields.items()
+    }
+    return kind(**values)
+
+
+def _named(where: str, raw: object, parse: Any) -> Mapping[str, Any]:
+    if not isinstance(raw, dict):
+        raise _fault(where, raw, "an object from names to values")
+    return MappingProxyType({name: parse(name, value) for name, value in raw.items()})
+
+
+def _parse_changes(raw: object) -> tuple[ChangeRecord, ...]:
+    if not isinstance(raw, list) or len(raw) > MAX_CHANGES_KEPT:
+        raise _fault("changes", raw, f"a list of at most {MAX_CHANGES_KEPT} changes")
+    return tuple(_parse(ChangeRecord, f"changes[{i}]", item) for i, item in enumerate(raw))
--- /dev/null
+++ b/tests/test_configs.py
@@ -0,0 +1,238 @@
+"""Rules of the configuration document, of changes to it and of revisions."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import TaskClass
+from mulberryslip.changes import (
+    Accepted,
+    AlreadyAccepted,
+    DeleteTemplate,
+    ReusedChangeIdError,
+    SetAccount,
+    SetDataCentre,
+    SetTemplate,
+    Stale,
+    UnknownNameError,
+    apply,
+    decide,
+    differences,
+)
+from mulberryslip.configs import (
+    MAX_CHANGES_KEPT,
+    ClientAccount,
+    ConfigView,
+    DataCentre,
+    DataCentreState,
+    parse_template,
+)
+from mulberryslip.exceptions import ConfigError
+
+IN = DataCentre(DataCentreState.IN)
+OUT = DataCentre(DataCentreState.OUT)
+
+DOCUMENT = {
+    "revision": 3,
+    "changes": [{"id": "c-1", "revision": 2, "operator": "ann", "what": "data centre concord out"}],
+    "data_centres": {"concord": {"state": "in"}},
+    "accounts": {
+        "granite-hollow": {
+            "cpu_millis": 64000,
+            "memory_mb": 200000,
+            "accelerators": 0,
+            "weight": 1,
+        }
+    },
+    "templates": {
+        "balance-check": {
+            "class": "service",
+            "account": "granite-hollow",
+            "parameters": {"deadline_ms": 500, "objective_ms": 50, "idempotent": True},
+        },
+        "reconciliation": {"class": "batch", "account": "granite-hollow", "parameters": {}},
+    },
+}
+
+
+def document(**changed):
+    return json.dumps({**DOCUMENT, **changed}).encode()
+
+
+def template_document(**changed):
+    template = {**DOCUMENT["templates"]["balance-check"], **changed}
+    return document(templates={"balance-check": template})
+
+
+def start_view():
+    return ConfigView.from_json(document())
+
+
+def batch(name="plans", **parameters):
+    raw = {"class": "batch", "account": "granite-hollow", "parameters": parameters}
+    return SetTemplate(parse_template(name, raw))
+
+
+def test_document_survives_writing_and_reading():
+    """Guards against a field that is dropped or altered when an entry rewrites the document."""
+    view = start_view()
+    assert ConfigView.from_json(view.to_json()) == view
+    assert view.template("reconciliation").task_class is TaskClass.BATCH
+    assert view.template("balance-check").parameters.idempotent is True
+    assert view.account("granite-hollow").memory_mb == 200000
+
+
+@pytest.mark.parametrize(("name", "is_in"), [("concord", True), ("concrod", False), ("", False)])
+def test_only_a_listed_data_centre_is_in(name, is_in):
+    """Guards against work in a data centre that operators never listed."""
+    assert start_view().data_centre_in(name) is is_in
+
+
+@pytest.mark.parametrize(
+    ("body", "words"),
+    [
+        (b"", ["document is not valid JSON"]),
+        (b"\xff{}", ["document is not valid JSON"]),
+        (b"[" * 100_000, ["document is not valid JSON"]),
+        (b'{"revision": 1, "revision": 2}', ["repeated"]),
+        (b"[]", ["document", "revision, changes"]),
+        (document(revision=-1), ["revision", "-1", "0 to"]),
+        (document(revision=True), ["revision", "True", "whole number"]),
+        (document(revision=1.5), ["revision", "1.5"]),
+        (document(regions={}), ["'regions'", "data_centres"]),
+        (document(changes={}), ["changes", "list"]),
+        (document(changes=[{"id": "x"}]), ["changes[0].revision is missing"]),
+        (
+            document(data_centres={"concord": {"state": "off"}}),
+            ["concord.state", "'off'", "in, out"],
+        ),
+        (document(data_centres={"concord": {}}), ["concord.state is missing"]),
+        (document(data_centres={"Concord": {"state": "in"}}), ["'Concord'", "a-z"]),
+        (document(data_centres={"../x": {"state": "in"}}), ["'../x'"]),
+        (document(accounts={"granite-hollow": {"cpu_millis": 1}}), ["memory_mb is missing"]),
+        (document(accounts={}), ["account", "'granite-hollow'", "none yet"]),
+        (template_document(**{"class": "cron"}), ["class", "'cron'", "service, batch, watch"]),
+        (template_document(account=None), ["account", "None"]),
+        (template_document(parameters={"cpu_millis": 5}), ["'cpu_millis'", "deadline_ms"]),
+        (template_document(parameters={"deadline_ms": 0}), ["deadline_ms", "0", "1 to 600000"]),
+        (template_document(parameters={"deadline_ms": "5"}), ["deadline_ms", "'5'"]),
+        (template_document(parameters={"idempotent": 1}), ["idempotent", "true or false"]),
+        (
+            template_document(parameters={"deadline_ms": 20, "objective_ms": 30}),
+            ["objective_ms", "30", "at most deadline_ms, which is 20"],
+        ),
+        (template_document(parameters={"deadline_ms": float("nan")}), ["NaN"]),
+    ],
+)
+def test_invalid_document_names_field_value_and_allowed(body, words):
+    """Guards against a damaged document that is accepted, or a refusal that explains nothing."""
+    with pytest.raises(ConfigError) as caught:
+        ConfigView.from_json(body)
+    for word in words:
+        assert word in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("change", "error", "words"),
+    [
+        (SetDataCentre("concrod", OUT), UnknownNameError, ["concrod", "concord"]),
+        (DeleteTemplate("plans"), UnknownNameError, ["plans", "balance-check, reconciliation"]),
+        (batch("balance-check"), ConfigError, ["class", "service"]),
+        (
+            SetTemplate(parse_template("x", {"class": "watch", "account": "tavlolie"})),
+            ConfigError,
+            ["tavlolie", "granite-hollow"],
+        ),
+        (object(), ConfigError, ["object is not a change"]),
+    ],
+)
+def test_change_that_breaks_a_rule_is_refused(change, error, words):
+    """Guards against a change whose effect differs from what the operator meant."""
+    with pytest.raises(error) as caught:
+        apply(change, start_view())
+    for word in words:
+        assert word in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("change", "line"),
+    [
+        (SetDataCentre("concord", OUT), "data centre concord: state from in to out"),
+        (SetDataCentre("lexing", IN), "data centre lexing added: state in"),
+        (DeleteTemplate("reconciliation"), "template reconciliation removed"),
+        (
+            batch("reconciliation", max_attempts=2),
+            "template reconciliation: max_attempts from 4 to 2",
+        ),
+        (
+            SetAccount("granite-hollow", ClientAccount(64000, 1, 0, 5)),
+            "account granite-hollow: memory_mb from 200000 to 1, weight from 1 to 5",
+        ),
+    ],
+)
+def test_difference_in_words(change, line):
+    """Guards against a conflict message that hides what the other operator changed."""
+    view = start_view()
+    assert differences(view, apply(change, view)) == (line,)
+    accepted = decide(view, change, 3, "c-9", "bob")
+    assert accepted.view.revision == 4
+    assert accepted.view.changes[-1].what == line
+
+
+def test_loser_of_a_race_is_told_what_changed():
+    """Guards against a lost update: a change based on an older revision must not be applied."""
+    view = decide(start_view(), SetDataCentre("concord", OUT), 3, "", "ann").view
+    outcome = decide(view, batch("plans"), 3, "", "bob")
+    assert outcome == Stale(4, ("revision 4 by ann: data centre concord: state from in to out",))
+
+
+def test_resend_returns_the_first_revision():
+    """Guards against a resent change that is applied twice or refused as a conflict with itself."""
+    change = batch("plans")
+    view = decide(start_view(), change, 3, "c-2").view
+    view = decide(view, SetDataCentre("concord", OUT), 4).view
+    assert decide(view, change, 3, "c-2") == AlreadyAccepted(4)
+    with pytest.raises(ReusedChangeIdError, match="c-2"):
+        decide(view, batch("plans", max_attempts=1), 3, "c-2")
+
+
+def test_revision_from_the_future_is_refused():
+    """Guards against a mistyped If-Revision that would hide a later race."""
+    with pytest.raises(ConfigError, match="current revision 3"):
+        decide(start_view(), batch(), 7)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from([1, 2, 3]), st.integers(0, 2))))
+def test_revisions_increase_by_one_and_history_is_bounded(steps):
+    """Guards against a skipped or reused revision in any order of current and stale changes."""
+    view = start_view()
+    for number, attempts, lag in steps * 4:
+        based_on = view.revision - lag
+        outcome = decide(view, batch(f"t{number}", max_attempts=attempts), based_on)
+        if lag:
+            assert isinstance(outcome, Stale)
+            assert len(outcome.changed) >= 1
+            continue
+        assert isinstance(outcome, Accepted)
+        assert outcome.view.revision == view.revision + 1
+        assert len(outcome.view.changes) <= MAX_CHANGES_KEPT
+        view = ConfigView.from_json(outcome.view.to_json())
+
+
+def test_document_over_the_store_limit_is_refused():
+    """Guards against an accepted change that the store can never hold."""
+    accounts = {f"account-{i:06}": ClientAccount(1, 1) for i in range(20_000)}
+    with pytest.raises(ConfigError, match="at most 900000 bytes"):
+        ConfigView(accounts=accounts).to_json()
+
+
+def test_stale_change_says_when_history_is_cut():
+    """Guards against a conflict that claims to be complete when older changes were dropped."""
+    view = start_view()
+    for number in range(MAX_CHANGES_KEPT + 2):
+        view = decide(view, batch("plans", max_attempts=number % 9 + 1), view.revision).view
+    outcome = decide(view, batch("other"), 3)
+    assert "2 earlier changes after revision 3" in outcome.changed[0]
+    assert len(outcome.changed) == MAX_CHANGES_KEPT + 1
