--- a/packages/core/src/mulberryslip/exceptions.py
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -24,6 +24,14 @@
     """The store could not be reached, timed out, or refused a call for its rate."""
 
 
+class LeaseExpiredError(StoreError):
+    """A write named a store lease that has expired; nothing was written."""
+
+
+class ValueTooLargeError(StoreError):
+    """A value exceeds the store's limit; nothing was written."""
+
+
 class RuntimeAdapterError(MulberryslipError):
     """The platform's worker runtime did not answer as expected."""
 
@@ -45,7 +53,15 @@
 
 
 class JournalError(MulberryslipError):
-    """A shard's journal cannot be read or written."""
+    """A shard's journal cannot be read or written.
+
+    :param message: what failed.
+    :param unresolved: whether the batch may have been committed; False means that it was not.
+    """
+
+    def __init__(self, message: str, unresolved: bool = False):
+        super().__init__(message)
+        self.unresolved = unresolved
 
 
 class FencedError(JournalError):
