--- /dev/null
+++ b/packages/testing/src/mulberryslip_testing/demo.py
@@ -0,0 +1,159 @@
+"""Runs the main job on loopback: configuration, a balance check, a batch, the operators' view."""
+
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from absl import app, flags
+from mulberryslip_cli.main import main as operator_command
+
+from .clusters import Cluster, ClusterError, Layout
+
+_REDEMPTIONS = flags.DEFINE_integer("redemptions", 1000, "Redemptions to reconcile.", 1)
+_TASKS = flags.DEFINE_integer("tasks", 5, "Tasks of the nightly batch, one for each franchisee.", 1)
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the generated redemptions.")
+
+JOB_ID = "reconciliation-2026-12-04"
+ITEM_MS = 2
+MAX_AMOUNT_CENTS = 900
+BATCH_TIMEOUT_S = 60.0
+
+
+def redemptions(seed: int, count: int, tasks: int) -> list[list[dict]]:
+    """Generate redemptions, split by franchisee.
+
+    :param seed: seed of the generator.
+    :param count: number of redemptions.
+    :param tasks: number of franchisees.
+    :returns: one list of `{"id", "amount"}` for each franchisee; amounts in cents.
+    """
+    rng = random.Random(seed)
+    items = [
+        {"id": f"r-{number}", "amount": rng.randint(1, MAX_AMOUNT_CENTS)} for number in range(count)
+    ]
+    return [items[index::tasks] for index in range(tasks)]
+
+
+def operate(cluster: Cluster, *words: str) -> None:
+    """Run one command of the operators' command line and print it.
+
+    :raises ClusterError: when the command fails.
+    """
+    addresses = ",".join(cluster.operators_address(name) for name in cluster.entry_names())
+    print(f"\n$ mulberryslip {' '.join(words)}")
+    code = operator_command(["mulberryslip", f"--entries={addresses}", *words])
+    if code:
+        raise ClusterError(f"mulberryslip {' '.join(words)}: exit code {code}")
+
+
+def configure(cluster: Cluster) -> None:
+    """Set the parameters that the demo needs, as an operator would."""
+    for name in cluster.layout.data_centres:
+        operate(cluster, "data-centre", "in", name)
+    operate(cluster, "account", "set", "granite-hollow", "cpu_millis=16000", "memory_mb=32000")
+    operate(
+        cluster, "template", "set", "balance-check", "class=service", "account=granite-hollow",
+        "deadline_ms=500", "objective_ms=50", "idempotent=true",
+    )  # fmt: skip
+    operate(
+        cluster, "template", "set", "reconciliation", "class=batch", "account=granite-hollow",
+        "cpu_millis=1000", "memory_mb=256",
+    )  # fmt: skip
+
+
+def check_balance(cluster: Cluster) -> None:
+    """Answer a caller's balance check through an entry."""
+    started = time.monotonic()
+    status, body = cluster.call("entry-1", "GET", "/v1/services/balance-check/tokens/t-42")
+    elapsed_ms = (time.monotonic() - started) * 1000
+    print(f"\nbalance check of token t-42: HTTP {status} in {elapsed_ms:.1f} ms: {body}")
+    if status != 200:
+        raise ClusterError("the balance check was not answered")
+
+
+def run_batch(cluster: Cluster, parts: list[list[dict]]) -> None:
+    """Submit the nightly batch twice under one id, wait for it, and check its sums."""
+    body = {
+        "template": "reconciliation",
+        "tasks": [{"input": {"items": part, "item_ms": ITEM_MS}} for part in parts],
+    }
+    for entry in cluster.entry_names()[:2]:
+        status, answer = cluster.call(entry, "PUT", f"/v1/jobs/{JOB_ID}", body)
+        print(f"submitted {JOB_ID} through {entry}: HTTP {status} {answer.get('state', answer)}")
+
+    def finished() -> dict | None:
+        _, job = cluster.call("entry-1", "GET", f"/v1/jobs/{JOB_ID}")
+        return job if job.get("state") in ("finished", "failed") else None
+
+    job = cluster.wait_until(finished, f"{JOB_ID} finished", BATCH_TIMEOUT_S)
+    check_results(job, parts)
+    check_history(cluster, len(parts))
+
+
+def check_results(job: dict, parts: list[list[dict]]) -> None:
+    """Compare a job's results with the redemptions that were submitted.
+
+    :raises ClusterError: when a redemption is missing or counted twice.
+    """
+    for task, part in zip(job["tasks"], parts, strict=True):
+        expected = (len(part), sum(item["amount"] for item in part))
+        result = task["result"] or {}
+        if (result.get("items"), result.get("total")) != expected:
+            raise ClusterError(f"task {task['index']}: result {result}, expected {expected}")
+    count = sum(len(part) for part in parts)
+    print(f"{JOB_ID} finished: {count} redemptions in {len(parts)} tasks, each counted once")
+
+
+def check_history(cluster: Cluster, tasks: int) -> None:
+    """Check in the runtime's own record that each task ran once.
+
+    :raises ClusterError: when a task was started more than once.
+    """
+    _, history = cluster.stand_in("runtime", "GET", "/history")
+    starts = [event for event in history["events"] if event["kind"] == "start"]
+    if len(starts) != tasks:
+        raise ClusterError(f"{len(starts)} starts for {tasks} tasks: {starts}")
+    print(f"the platform's own record: {len(starts)} starts for {tasks} tasks")
+
+
+def run(directory: Path) -> None:
+    """Run the whole demo with files in a directory."""
+    parts = redemptions(_SEED.value, _REDEMPTIONS.value, _TASKS.value)
+    cluster = Cluster(directory, Layout())
+    with cluster:
+        count = len(cluster.processes)
+        print(f"{count} processes on loopback: store, runtime, targets, 2 entries, 3 workers")
+        configure(cluster)
+        check_balance(cluster)
+        run_batch(cluster, parts)
+        operate(cluster, "job", "list")
+        operate(cluster, "job", "show", JOB_ID)
+        operate(cluster, "worker", "list")
+        operate(cluster, "explain", "job", JOB_ID)
+        operate(cluster, "metrics", "show")
+        names = [*cluster.worker_names(), *cluster.entry_names()]
+        codes = {name: cluster.processes[name].terminate() for name in names}
+        print(f"\nplanned stop: exit codes {codes}")
+        if any(codes.values()):
+            raise ClusterError("a planned stop did not end with exit code 0")
+    print("demo passed; no process is left")
+
+
+def main(argv: list[str]) -> int:
+    """Run the demo.
+
+    :returns: 0 when every check passed, 1 otherwise.
+    """
+    with tempfile.TemporaryDirectory(prefix="mulberryslip-demo-") as name:
+        try:
+            run(Path(name))
+        except ClusterError as exc:
+            print(f"demo failed: {exc}", file=sys.stderr)
+            return 1
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
