Serve the stand-in store over HTTP

Cause: real processes need a store to talk to, with faults set from outside. Change: WSGI application and cheroot server over StoreState, with counters, admin faults and flags; the interface tests run on FakeStore and on HTTPStore. Conclusion: adapter and stand-in agree on the basic calls; faults over HTTP are not tested yet.

--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -1,16 +1,38 @@
-"""Stand-in for the platform's store: state, faults and HTTP server."""
+"""Stand-in for the platform's store: state, faults and HTTP server.
 
+`python -m mulberryslip_testing.stores --port N` serves the protocol of `mulberryslip.stores`, and:
+
+- `GET /v1/counters`: number of calls by kind and by fate
+- `GET /admin/faults`, `PUT /admin/faults`: JSON with the fields of `Faults`; fields left out of a
+  change keep their values
+"""
+
+import collections
 import enum
+import errno
 import heapq
+import json
 import random
+import signal
 import threading
+from collections.abc import Callable, Iterable
 from datetime import timedelta
+from urllib.parse import parse_qs
 
 import attrs
-from mulberryslip.clocks import Clock
+from absl import app, flags
+from cheroot import wsgi
+from mulberryslip.clocks import Clock, SystemClock
 from mulberryslip.exceptions import LeaseExpiredError, ValueTooLargeError
 from mulberryslip.outcomes import Committed, Conflict, WriteOutcome
-from mulberryslip.stores import MAX_VALUE_BYTES, CallKind, Listing, StoredValue
+from mulberryslip.stores import (
+    MAX_VALUE_BYTES,
+    CallCounter,
+    CallKind,
+    Listing,
+    StoredValue,
+    listing_to_json,
+)
 
 
 @attrs.define
@@ -299,3 +321,250 @@
         if changing and draw < faults.lost_answer_probability + faults.lost_call_probability:
             return Fate.CALL_LOST
         return Fate.NORMAL
+
+
+@attrs.frozen
+class _Request:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    fields: dict[str, str]
+    body: bytes
+
+    def number(self, name: str) -> int:
+        """Return a query field as a whole number."""
+        return int(self.fields[name])
+
+
+@attrs.frozen
+class _Answer:
+    """One HTTP answer."""
+
+    status: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def _json_answer(status: str, document: object) -> _Answer:
+    body = json.dumps(document).encode()
+    return _Answer(status, body, (("Content-Type", "application/json"),))
+
+
+_NOT_FOUND = _json_answer("404 Not Found", {"error": "not found"})
+_BODY_LIMIT_BYTES = MAX_VALUE_BYTES + 1
+
+
+class StoreApplication:
+    """WSGI application of the stand-in.
+
+    :param clock: measures leases, waits, delays and rates.
+    :param faults: faults and limits at the start.
+    """
+
+    def __init__(self, clock: Clock, faults: Faults):
+        self.state = StoreState(clock)
+        self.injector = FaultInjector(clock, faults)
+        self._calls = CallCounter()
+        self._fates: collections.Counter[str] = collections.Counter()
+        self._lock = threading.Lock()
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request.
+
+        :raises ConnectionResetError: closes the connection without an answer.
+        """
+        req = _read_request(environ)
+        try:
+            answer = self._answer(req)
+        except (ValueError, KeyError, TypeError) as exc:
+            answer = _json_answer("400 Bad Request", {"error": repr(exc)})
+        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        start_response(answer.status, headers)
+        return [answer.body]
+
+    def _answer(self, req: _Request) -> _Answer:
+        if req.path == "/admin/faults":
+            return self._admin(req)
+        if req.path == "/v1/counters":
+            return self._counters()
+        kind = _call_kind(req)
+        if kind is None:
+            return _NOT_FOUND
+        self._calls.add(kind)
+        fate = self.injector.fate(kind)
+        with self._lock:
+            self._fates[fate.value] += 1
+        return self._act(req, fate)
+
+    def _act(self, req: _Request, fate: Fate) -> _Answer:
+        if fate is Fate.REFUSED:
+            return _json_answer("503 Service Unavailable", {"error": fate.value})
+        if fate is Fate.OVER_RATE:
+            return _json_answer("429 Too Many Requests", {"error": fate.value})
+        if fate is Fate.CALL_LOST:
+            raise ConnectionResetError(errno.ECONNRESET, fate.value)
+        answer = self._execute(req)
+        if fate is Fate.ANSWER_LOST:
+            raise ConnectionResetError(errno.ECONNRESET, fate.value)
+        return answer
+
+    def _admin(self, req: _Request) -> _Answer:
+        if req.method == "PUT":
+            change = json.loads(req.body)
+            self.injector.set(attrs.evolve(self.injector.faults, **change))
+        return _json_answer("200 OK", attrs.asdict(self.injector.faults))
+
+    def _counters(self) -> _Answer:
+        with self._lock:
+            fates = dict(self._fates)
+        return _json_answer("200 OK", {"calls": self._calls.counts(), "fates": fates})
+
+    def _execute(self, req: _Request) -> _Answer:
+        if req.path.startswith("/v1/kv/"):
+            return self._key_call(req, req.path.removeprefix("/v1/kv/"))
+        if req.path.startswith("/v1/leases"):
+            return self._lease_call(req, req.path.removeprefix("/v1/leases").lstrip("/"))
+        if req.path == "/v1/list":
+            return _Answer("200 OK", listing_to_json(self.state.list(req.fields["prefix"])))
+        timeout = timedelta(milliseconds=req.number("timeout_ms"))
+        listing = self.state.watch(req.fields["prefix"], req.number("after"), timeout)
+        return _Answer("200 OK", listing_to_json(listing))
+
+    def _key_call(self, req: _Request, key: str) -> _Answer:
+        if req.method == "GET":
+            found = self.state.get(key)
+            if found is None:
+                return _NOT_FOUND
+            return _Answer("200 OK", found.value, (("Version", str(found.version)),))
+        try:
+            outcome = self._write(req, key)
+        except LeaseExpiredError as exc:
+            return _json_answer("404 Not Found", {"error": str(exc)})
+        except ValueTooLargeError as exc:
+            return _json_answer("413 Content Too Large", {"error": str(exc)})
+        status = "200 OK" if isinstance(outcome, Committed) else "409 Conflict"
+        return _json_answer(status, {"version": outcome.version})
+
+    def _write(self, req: _Request, key: str) -> WriteOutcome:
+        if req.method == "DELETE":
+            return self.state.delete(key, req.number("version"))
+        return self.state.put(key, req.body, req.number("version"), req.fields.get("lease", ""))
+
+    def _lease_call(self, req: _Request, lease_id: str) -> _Answer:
+        if req.method == "POST":
+            ttl = timedelta(milliseconds=json.loads(req.body)["ttl_ms"])
+            return _json_answer("200 OK", {"lease_id": self.state.grant_lease(ttl)})
+        known = self._change_lease(req.method, lease_id)
+        return _json_answer("200 OK", {}) if known else _NOT_FOUND
+
+    def _change_lease(self, method: str, lease_id: str) -> bool:
+        if method == "PUT":
+            return self.state.renew_lease(lease_id)
+        return self.state.revoke_lease(lease_id)
+
+
+def _read_request(environ: dict) -> _Request:
+    length = min(int(environ.get("CONTENT_LENGTH") or 0), _BODY_LIMIT_BYTES)
+    fields = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
+    return _Request(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"].encode("latin-1").decode(errors="replace"),
+        {name: values[-1] for name, values in fields.items()},
+        environ["wsgi.input"].read(length) if length else b"",
+    )
+
+
+def _call_kind(req: _Request) -> CallKind | None:
+    """Return the kind of a store call, or None for a path or method that does not exist."""
+    if req.path.startswith("/v1/kv/"):
+        kinds = {"GET": CallKind.READ, "PUT": CallKind.WRITE, "DELETE": CallKind.WRITE}
+        return kinds.get(req.method)
+    if req.path == "/v1/leases":
+        return CallKind.LEASE if req.method == "POST" else None
+    if req.path.startswith("/v1/leases/"):
+        return CallKind.LEASE if req.method in ("PUT", "DELETE") else None
+    kinds = {"/v1/list": CallKind.READ, "/v1/watch": CallKind.WATCH}
+    return kinds.get(req.path) if req.method == "GET" else None
+
+
+class StoreServer:
+    """HTTP server of the stand-in, on 127.0.0.1.
+
+    :param port: TCP port; 0 chooses a free one.
+    :param faults: faults and limits at the start.
+    :param clock: measures leases, waits, delays and rates.
+    :param threads: calls served at a time; each waiting watch occupies one.
+    """
+
+    KEEP_ALIVE_CONNECTIONS = 1000
+    IDLE_TIMEOUT_S = 30
+    STOP_TIMEOUT_S = 1
+
+    def __init__(
+        self,
+        port: int = 0,
+        faults: Faults | None = None,
+        clock: Clock | None = None,
+        threads: int = 64,
+    ):
+        self.application = StoreApplication(clock or SystemClock(), faults or Faults())
+        self._server = wsgi.Server(
+            ("127.0.0.1", port),
+            self.application,
+            numthreads=threads,
+            request_queue_size=128,
+            timeout=self.IDLE_TIMEOUT_S,
+            shutdown_timeout=self.STOP_TIMEOUT_S,
+        )
+        self._server.keep_alive_conn_limit = self.KEEP_ALIVE_CONNECTIONS
+        self._thread = threading.Thread(target=self._server.serve, name="store", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """TCP port, known after `start`."""
+        return self._server.bind_addr[1]
+
+    @property
+    def base_url(self) -> str:
+        """URL for `HTTPStore`."""
+        return f"http://127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        """Bind the port and serve in the background."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the port and all connections."""
+        self._server.stop()
+        self._thread.join()
+
+
+def _main(_: list[str]) -> None:
+    faults = Faults(
+        writes_per_s=flags.FLAGS.writes_per_s,
+        reads_per_s=flags.FLAGS.reads_per_s,
+        seed=flags.FLAGS.seed,
+    )
+    server = StoreServer(flags.FLAGS.port, faults, threads=flags.FLAGS.threads)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    server.start()
+    print(f"store listening on {server.base_url}", flush=True)
+    stopping.wait()
+    server.stop()
+
+
+def _define_flags() -> None:
+    flags.DEFINE_integer("port", 0, "TCP port; 0 chooses a free one", lower_bound=0)
+    flags.DEFINE_float("writes_per_s", Faults().writes_per_s, "limit of writes; 0 for none")
+    flags.DEFINE_float("reads_per_s", Faults().reads_per_s, "limit of reads; 0 for none")
+    flags.DEFINE_integer("seed", 1, "start of the random numbers of faults")
+    flags.DEFINE_integer("threads", 64, "calls served at a time", lower_bound=1)
+
+
+if __name__ == "__main__":
+    _define_flags()
+    app.run(_main)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -5,8 +5,9 @@
 import pytest
 from mulberryslip import Committed, Conflict, ManualClock, Unknown
 from mulberryslip.exceptions import LeaseExpiredError, StoreUnavailableError, ValueTooLargeError
-from mulberryslip.stores import MAX_VALUE_BYTES, StoredValue
+from mulberryslip.stores import MAX_VALUE_BYTES, HTTPStore, StoredValue
 from mulberryslip_testing.fakes import FakeStore
+from mulberryslip_testing.stores import StoreServer
 
 TTL = timedelta(seconds=3)
 
@@ -17,8 +18,21 @@
 
 
 @pytest.fixture
-def store(clock):
-    return FakeStore(clock)
+def server(clock):
+    server = StoreServer(clock=clock, threads=4)
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture(params=["fake", "http"])
+def store(request, clock):
+    if request.param == "fake":
+        yield FakeStore(clock)
+        return
+    store = HTTPStore(request.getfixturevalue("server").base_url)
+    yield store
+    store.close()
 
 
 def test_put_takes_effect_only_with_the_expected_version(store):
