--- a/packages/testing/src/mulberryslip_testing/demo.py
+++ b/packages/testing/src/mulberryslip_testing/demo.py
@@ -112,7 +112,7 @@
     :raises ClusterError: when a task was started more than once.
     """
     _, history = cluster.stand_in("runtime", "GET", "/history")
-    starts = [event for event in history["events"] if event["kind"] == "start"]
+    starts = [entry for entry in history["entries"] if entry["event"] == "start"]
     if len(starts) != tasks:
         raise ClusterError(f"{len(starts)} starts for {tasks} tasks: {starts}")
     print(f"the platform's own record: {len(starts)} starts for {tasks} tasks")
--- /dev/null
+++ b/packages/testing/src/mulberryslip_testing/invariants.py
@@ -0,0 +1,180 @@
+"""Checks of what must always hold, on what the stand-ins recorded.
+
+Each check returns one line for each violation. History entries are those of the runtime stand-in,
+request records those of the target stand-ins.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import attrs
+from mulberryslip import Resources
+
+END_EVENTS = frozenset({"finished", "failed", "stopped", "lapsed"})
+
+
+@attrs.frozen
+class Run:
+    """One uninterrupted execution of an attempt.
+
+    :param task: job id and index.
+    :param attempt: number of the attempt.
+    :param worker: VM that ran it.
+    :param started: seconds.
+    :param ended: seconds; infinity while it runs.
+    :param resources: what it holds on the VM.
+    """
+
+    task: tuple[str, str]
+    attempt: int
+    worker: str
+    started: float
+    ended: float
+    resources: Resources
+
+
+def runs(history: Iterable[Mapping[str, Any]]) -> list[Run]:
+    """Return the executions that a history records, in the order of their starts."""
+    started: dict[str, Mapping[str, Any]] = {}
+    ended: dict[str, float] = {}
+    for entry in history:
+        if entry["event"] == "start":
+            started[entry["task_id"]] = entry
+        elif entry["event"] in END_EVENTS:
+            ended[entry["task_id"]] = entry["at"]
+    return [_run(entry, ended.get(task_id, float("inf"))) for task_id, entry in started.items()]
+
+
+def _run(entry: Mapping[str, Any], ended: float) -> Run:
+    job_id, index, attempt = entry["task_id"].rsplit("/", 2)
+    return Run(
+        (job_id, index),
+        int(attempt),
+        entry["worker"],
+        entry["at"],
+        ended,
+        Resources(**entry["resources"]),
+    )
+
+
+def check_capacity(
+    history: Sequence[Mapping[str, Any]], capacities: Mapping[str, Resources]
+) -> list[str]:
+    """Check that no VM holds more work than it has capacity for.
+
+    :param capacities: capacity of each worker.
+    """
+    changes = []
+    for run in runs(history):
+        changes.append((run.started, 1, run))
+        changes.append((run.ended, 0, run))
+    used: dict[str, Resources] = defaultdict(Resources)
+    violations = []
+    for at, is_start, run in sorted(changes, key=lambda change: change[:2]):
+        if not is_start:
+            used[run.worker] -= run.resources
+            continue
+        used[run.worker] += run.resources
+        if not used[run.worker].fits(capacities[run.worker]):
+            violations.append(f"{run.worker} holds {used[run.worker]} at {at:.3f}: over capacity")
+    return violations
+
+
+def check_single_run(history: Sequence[Mapping[str, Any]]) -> list[str]:
+    """Check that no task runs in two places at once and attempt numbers only go up."""
+    by_task: dict[tuple[str, str], list[Run]] = defaultdict(list)
+    for run in runs(history):
+        by_task[run.task].append(run)
+    violations = []
+    for task, found in by_task.items():
+        found.sort(key=lambda run: run.started)
+        for earlier, later in zip(found, found[1:], strict=False):
+            if later.started < earlier.ended:
+                violations.append(f"{task}: {later} overlaps {earlier}")
+            if later.attempt <= earlier.attempt:
+                violations.append(f"{task}: attempt {later.attempt} after {earlier.attempt}")
+    return violations
+
+
+def check_resumes(history: Sequence[Mapping[str, Any]]) -> list[str]:
+    """Check that each checkpoint is resumed at most once and at the progress it saved."""
+    saved = {e["checkpoint"]: e["items_done"] for e in history if e["event"] == "checkpoint"}
+    resumed = [e for e in history if e["event"] == "start" and e["checkpoint"]]
+    counts = Counter(entry["checkpoint"] for entry in resumed)
+    violations = [f"checkpoint {c} resumed {n} times" for c, n in counts.items() if n > 1]
+    for entry in resumed:
+        if saved.get(entry["checkpoint"]) != entry["items_done"]:
+            violations.append(f"{entry['task_id']} resumed elsewhere than {entry['checkpoint']}")
+    return violations
+
+
+def check_results(job: Mapping[str, Any], expected: Sequence[tuple[int, int]]) -> list[str]:
+    """Check that a finished job counts every item once.
+
+    :param job: job state as the entry returns it.
+    :param expected: number and total of the items of each task.
+    """
+    if job.get("state") != "finished":
+        return [f"job {job.get('job_id')} is {job.get('state')}: {job.get('reason')}"]
+    violations = []
+    for task, (items, total) in zip(job["tasks"], expected, strict=True):
+        result = task["result"] or {}
+        if (result.get("items"), result.get("total")) != (items, total):
+            violations.append(f"task {task['index']}: {result}, expected {items} and {total}")
+    return violations
+
+
+def check_data_centre_out(
+    history: Sequence[Mapping[str, Any]], workers: Iterable[str], out_at: float, in_at: float
+) -> list[str]:
+    """Check that no task starts on the workers of a data centre that is out.
+
+    :param workers: workers of the data centre.
+    :param out_at: seconds from which no start is allowed.
+    :param in_at: seconds at which the data centre was brought back; infinity if it was not.
+    """
+    inside = set(workers)
+    return [
+        f"{e['task_id']} started on {e['worker']} {e['at'] - out_at:.3f} s after the bound"
+        for e in history
+        if e["event"] == "start" and e["worker"] in inside and out_at < e["at"] < in_at
+    ]
+
+
+def check_at_most_once(records: Sequence[Mapping[str, Any]]) -> list[str]:
+    """Check that no non-idempotent request was run twice, over the records of all targets."""
+    counts = Counter(r["request_id"] for r in records if r["method"] not in ("GET", "HEAD"))
+    return [f"request {rid} ran {n} times" for rid, n in counts.items() if rid and n > 1]
+
+
+def check_not_run(records: Sequence[Mapping[str, Any]], refused: Iterable[str]) -> list[str]:
+    """Check that no target ran a request that was refused as not run.
+
+    :param refused: ids of the requests that a caller was told had not run.
+    """
+    ran = {record["request_id"] for record in records}
+    return [f"request {rid} was refused as not run, but ran" for rid in refused if rid in ran]
+
+
+def check_no_new_work(records: Sequence[Mapping[str, Any]], after: float) -> list[str]:
+    """Check that a target received nothing after a time in seconds."""
+    return [
+        f"request {r['request_id']} started {r['started'] - after:.3f} s after the bound"
+        for r in records
+        if r["started"] > after
+    ]
+
+
+def check_revisions(observed: Sequence[tuple[float, str, int]]) -> list[str]:
+    """Check that no process ever shows a lower revision than it, or any other, accepted before.
+
+    :param observed: time in seconds, process and revision, for reads of one process each.
+    """
+    newest: dict[str, int] = {}
+    violations = []
+    for at, name, revision in sorted(observed):
+        if revision < newest.get(name, 0):
+            violations.append(f"{name} went from {newest[name]} back to {revision} at {at:.3f}")
+        newest[name] = max(revision, newest.get(name, 0))
+    return violations
