Give the store's address to entries only

Cause: every process had to be given the store's address, but no worker calls the store. Before/after: a worker's settings with [store] were accepted and ignored; they are now refused as unknown.

--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -170,8 +170,12 @@
     "service_memory_mb": _integer(0, 100_000_000, 0),
     "announce_interval_ms": _integer(50, 60_000, 1000),
 }
-TABLES = {"process": PROCESS_KEYS, "store": STORE_KEYS, "timing": TIMING_KEYS}
-ROLE_TABLES = {"entry": ENTRY_KEYS, "worker": WORKER_KEYS}
+TABLES = {"process": PROCESS_KEYS, "timing": TIMING_KEYS}
+# Only entries use the store: its rates grow more slowly than the number of workers.
+ROLE_TABLES = {
+    "entry": {"store": STORE_KEYS, "entry": ENTRY_KEYS},
+    "worker": {"worker": WORKER_KEYS},
+}
 
 
 @attrs.frozen
@@ -179,7 +183,7 @@
     """Checked settings of one process.
 
     :param process: role, id, data centre, rack and IP address.
-    :param store: address, timeout and lease of the platform's store.
+    :param store: address, timeout and lease of the platform's store; empty for a worker.
     :param timing: intervals and leases; they must be equal on all processes.
     :param role: keys of the role's own table, `[entry]` or `[worker]`.
     """
@@ -235,10 +239,8 @@
     """
     faults: list[str] = []
     role = _role_of(document)
-    tables = dict(TABLES)
-    if role:
-        tables[role] = ROLE_TABLES[role]
-    known = set(tables) if role else set(TABLES) | set(ROLE_TABLES)
+    tables = {**TABLES, **ROLE_TABLES.get(role, {})}
+    known = set(tables) if role else set(TABLES).union(*ROLE_TABLES.values())
     faults += [
         f"{name} = {document[name]!r}: unknown table; allowed: {', '.join(sorted(known))}"
         for name in sorted(set(document) - known)
@@ -248,7 +250,7 @@
         faults += _check_together(role, values)
     if faults:
         raise SettingsError(faults)
-    return Settings(values["process"], values["store"], values["timing"], values[role])
+    return Settings(values["process"], values.get("store", {}), values["timing"], values[role])
 
 
 def _role_of(document: Mapping[str, Any]) -> str:
--- a/packages/testing/src/mulberryslip_testing/clusters.py
+++ b/packages/testing/src/mulberryslip_testing/clusters.py
@@ -296,10 +296,11 @@
                 "host": self.advertised_host(name),
                 "listen_host": LOOPBACK,
             },
-            "store": {"url": self.store_url(name), **self.layout.store},
             "timing": self.layout.timing,
             role: self._entry_table(name) if role == "entry" else self._worker_table(name),
         }
+        if role == "entry":
+            tables["store"] = {"url": self.store_url(name), **self.layout.store}
         path.write_text(to_toml(tables))
         daemon = os.path.join(os.path.dirname(sys.executable), "mulberryslipd")
         argv = [daemon, f"--config={path}"]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,7 +14,6 @@
 }
 WORKER = {
     "process": {"role": "worker", "id": "worker-1", "data_centre": "concord", "host": "127.0.0.1"},
-    "store": {"url": "http://127.0.0.1:9000"},
     "worker": {
         "wire_port": 7101,
         "target_url": "http://127.0.0.1:8001",
@@ -64,7 +63,8 @@
         (ENTRY, "timing", "renew_interval_ms", 10_000, "at most a third"),
         (WORKER, "worker", "entries", [], "worker.entries = []: must be a list"),
         (WORKER, "worker", "service_cpu_millis", 64000, "must be less than worker.cpu_millis"),
-        (WORKER, "store", "url", "https://store", "store.url = 'https://store': must be"),
+        (ENTRY, "store", "url", "https://store", "store.url = 'https://store': must be"),
+        (WORKER, "store", "url", "http://127.0.0.1:1", "unknown table; allowed: process, timing"),
     ],
 )
 def test_fault_names_key_value_and_what_is_allowed(document, table, key, value, fault):
