Check refusals as not run against the time at which a request ran

Cause: a request that was refused and then sent again may run; the check took every run for a lie, and could not see a refusal that came after a run. Change: refusals carry their time; a run before any refusal, or a run of a request that was only ever refused, is a violation. Conclusion: the check is stricter where it matters and allows a resend.

--- a/packages/testing/src/mulberryslip_testing/invariants.py
+++ b/packages/testing/src/mulberryslip_testing/invariants.py
@@ -148,13 +148,27 @@
     return [f"request {rid} ran {n} times" for rid, n in counts.items() if rid and n > 1]
 
 
-def check_not_run(records: Sequence[Mapping[str, Any]], refused: Iterable[str]) -> list[str]:
-    """Check that no target ran a request that was refused as not run.
+def check_not_run(
+    records: Sequence[Mapping[str, Any]],
+    refused: Iterable[tuple[str, float]],
+    sent_again: Iterable[str] = (),
+) -> list[str]:
+    """Check that a request which was refused as not run had not run, and did not run later.
 
-    :param refused: ids of the requests that a caller was told had not run.
+    :param refused: request id and time in seconds of each such answer.
+    :param sent_again: ids that were sent again and had another outcome; they may run after the
+        refusal of the first send, but not before any refusal.
     """
-    ran = {record["request_id"] for record in records}
-    return [f"request {rid} was refused as not run, but ran" for rid in refused if rid in ran]
+    started: dict[str, float] = {}
+    for record in records:
+        rid = record["request_id"]
+        started[rid] = min(record["started"], started.get(rid, float("inf")))
+    allowed_later = set(sent_again)
+    return [
+        f"request {rid} was refused as not run at {at:.3f}, but ran at {started[rid]:.3f}"
+        for rid, at in refused
+        if rid in started and (started[rid] < at or rid not in allowed_later)
+    ]
 
 
 def check_no_new_work(records: Sequence[Mapping[str, Any]], after: float) -> list[str]:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -69,8 +69,10 @@
     [
         (invariants.check_at_most_once, [request("a"), request("a")], 1),
         (invariants.check_at_most_once, [request("a", "GET"), request("a", "GET")], 0),
-        (lambda r: invariants.check_not_run(r, ["a"]), [request("a")], 1),
-        (lambda r: invariants.check_not_run(r, ["b"]), [request("a")], 0),
+        (lambda r: invariants.check_not_run(r, [("a", 5.0)]), [request("a", started=6.0)], 1),
+        (lambda r: invariants.check_not_run(r, [("b", 5.0)]), [request("a")], 0),
+        (lambda r: invariants.check_not_run(r, [("a", 5.0)], "a"), [request("a", started=6.0)], 0),
+        (lambda r: invariants.check_not_run(r, [("a", 5.0)], "a"), [request("a", started=4.0)], 1),
         (lambda r: invariants.check_no_new_work(r, 5.0), [request("a", started=6.0)], 1),
     ],
 )
