--- a/packages/core/src/mulberryslip/placements.py
+++ b/packages/core/src/mulberryslip/placements.py
@@ -12,7 +12,7 @@
 import attrs
 
 from .clocks import Clock
-from .models import Priority, Resources, TaskClass, TaskKey, WorkerDescription, WorkerLoad
+from .models import Priority, Resources, TaskClass, TaskKey, WorkerView
 from .profiles import BatchProfile, ServiceProfile, WatchProfile, profile_of
 from .quotas import Quotas
 from .sizes import SizeBook
@@ -70,24 +70,6 @@
     avoid: frozenset[str] = frozenset()
 
 
-@attrs.frozen
-class WorkerView:
-    """What is known about a worker.
-
-    :param description: its announcement.
-    :param load: newest load received.
-    :param data_centre_in: whether its data centre is in service.
-    :param quarantined: whether it is excluded from starts.
-    :param running: template names of the tasks that it runs.
-    """
-
-    description: WorkerDescription
-    load: WorkerLoad
-    data_centre_in: bool
-    quarantined: bool
-    running: tuple[str, ...] = ()
-
-
 @attrs.frozen
 class Ranked:
     """A worker on which to try a reservation.
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,136 @@
+"""Order and pace of work that leaves a data centre and returns to it."""
+
+from datetime import timedelta
+
+import pytest
+from mulberryslip import (
+    ManualClock,
+    Priority,
+    Resources,
+    TaskClass,
+    TaskKey,
+    WorkerDescription,
+    WorkerLoad,
+)
+from mulberryslip.actions import RunningTask
+from mulberryslip.evacuations import MOVING_SHARE, NOTICE, RETURN_TIME, Evacuations
+from mulberryslip.models import WorkerView
+from mulberryslip.placements import Placement, PlacementItem
+
+CAPACITY = Resources(8000, 8000, 0, 8)
+SECOND = timedelta(seconds=1)
+
+
+def view(name, data_centre="a", is_in=True, used=0):
+    description = WorkerDescription(name, "1", data_centre, "r", "127.0.0.1", 1, CAPACITY)
+    free = CAPACITY - Resources(0, 0, 0, used)
+    return WorkerView(description, WorkerLoad(free=free), data_centre_in=is_in)
+
+
+def task(index, run_s=100, memory=500, template="plan", task_class=TaskClass.BATCH, worker="w0"):
+    return RunningTask(
+        TaskKey("job", index),
+        template,
+        task_class,
+        worker,
+        Resources(1000, memory, 0, 1),
+        run_time=SECOND * run_s,
+        unsaved=SECOND * min(run_s, 60),
+    )
+
+
+def moves(policy, clock, workers, tasks, seconds):
+    """Run rounds in which moved tasks leave; return the index and second of each move."""
+    held = list(tasks)
+    done = []
+    for second in range(seconds):
+        for action in policy.decide(clock.monotonic(), workers, held):
+            assert action.reason
+            done.append((action.task.index, second))
+            held = [entry for entry in held if entry.key != action.task]
+        clock.advance(SECOND)
+    return done
+
+
+@pytest.mark.parametrize("count", [1, 20, 200])
+def test_all_tasks_leave_in_time_and_at_an_even_pace(count):
+    """Guards against tasks lost with the data centre, and against one burst of checkpoints."""
+    clock = ManualClock()
+    policy = Evacuations(clock)
+    tasks = [task(index) for index in range(count)]
+    done = moves(policy, clock, [view("w0", is_in=False)], tasks, int(NOTICE.total_seconds()))
+    assert len(done) == count
+    window = (NOTICE * MOVING_SHARE).total_seconds()
+    assert done[-1][1] <= window
+    for second in range(int(window)):
+        assert sum(at == second for _, at in done) <= count / window + 1
+
+
+def test_long_running_and_cheap_tasks_move_first():
+    """Guards against risking the most work, or the most watches, until the end."""
+    clock = ManualClock()
+    tasks = [
+        task(0, run_s=10),
+        task(1, run_s=1000, memory=4000),
+        task(2, run_s=1000, memory=200),
+        task(3, run_s=5, task_class=TaskClass.WATCH),
+    ]
+    done = moves(Evacuations(clock), clock, [view("w0", is_in=False)], tasks, 60)
+    assert [index for index, _ in done] == [3, 2, 1, 0]
+
+
+@pytest.mark.parametrize(
+    ("run_s", "task_class", "moved"),
+    [
+        (80, TaskClass.BATCH, False),
+        (10, TaskClass.BATCH, True),
+        (500, TaskClass.BATCH, True),
+        (80, TaskClass.WATCH, True),
+    ],
+    ids=["almost done", "far from done", "longer than known", "watch"],
+)
+def test_batch_that_is_almost_done_may_finish(run_s, task_class, moved):
+    """Guards against moving a task that would have finished before the data centre is gone."""
+    clock = ManualClock()
+    policy = Evacuations(clock)
+    for _ in range(5):
+        policy.durations.observe("plan", SECOND * 100)
+    tasks = [task(0, run_s=run_s, task_class=task_class)]
+    # The run time of the fake does not advance, so only the time in which it is true counts.
+    assert bool(moves(policy, clock, [view("w0", is_in=False)], tasks, 20)) is moved
+
+
+def test_tasks_elsewhere_stay():
+    """Guards against moving tasks of a data centre that is in service."""
+    clock = ManualClock()
+    workers = [view("w0", is_in=False), view("w1", "b")]
+    assert moves(Evacuations(clock), clock, workers, [task(0, worker="w1")], 60) == []
+
+
+@pytest.mark.parametrize("paced", [True, False])
+def test_work_returns_at_a_limited_rate(paced):
+    """Guards against a returned data centre that is flooded at once; `paced` switches it off."""
+    clock = ManualClock()
+    policy = Evacuations(clock, return_time=RETURN_TIME if paced else timedelta())
+    policy.observe([view("w0", is_in=False)])
+    clock.advance(timedelta(minutes=5))
+    policy.observe([view("w0")])
+    placement = Placement(clock, pace=policy)
+    item = PlacementItem(
+        TaskKey("job", 1), "plan", "a", TaskClass.BATCH, Priority.NORMAL, Resources(1, 1, 0, 1)
+    )
+    starts = []
+    for second in range(60):
+        policy.observe([view("w0")])
+        while len(starts) < 8 and placement.rank(item, [view("w0", used=len(starts))]):
+            starts.append(second)
+        clock.advance(SECOND)
+    assert len(starts) == 8
+    assert (starts[3] >= RETURN_TIME.total_seconds() / 3) is paced
+
+
+def test_data_centre_that_was_never_out_is_not_paced():
+    """Guards against a slow start of the whole fleet when the scheduler itself restarts."""
+    policy = Evacuations(ManualClock())
+    policy.observe([view("w0")])
+    assert policy.admits(view("w0", used=7))
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -12,12 +12,12 @@
     WorkerDescription,
     WorkerLoad,
 )
+from mulberryslip.models import WorkerView
 from mulberryslip.placements import (
     LARGE_WAIT,
     RESERVATION_LIFETIME,
     Placement,
     PlacementItem,
-    WorkerView,
 )
 
 CAPACITY = Resources(8000, 8000, 0, 8)
