--- /dev/null
+++ b/packages/core/src/mulberryslip/channels.py
@@ -0,0 +1,657 @@
+"""Thrift connections between the system's processes: client pool and threaded server."""
+
+import contextlib
+import itertools
+import random
+import socket
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.Thrift import TApplicationException, TException, TMessageType, TProcessor
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TMemoryBuffer, TTransportException
+
+from .clocks import Clock, SystemClock
+from .events import Event, log
+from .exceptions import InvalidMessageError, NotSentError, ReplyLostError
+from .wire.ttypes import Outcome, TaskState
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_CONTAINER_ITEMS = 65_536
+# A receive buffer is allocated before the peer has sent what its frame header declares.
+MAX_RECEIVE_BYTES = 64 * 1024
+# Thrift's reader puts it in place of invalid UTF-8, which would make different ids equal.
+REPLACEMENT_CHARACTER = "\ufffd"
+MAX_SEQUENCE = 2**31 - 1
+IDLE_BEFORE_PING = timedelta(seconds=2)
+IDLE_BEFORE_CLOSE = timedelta(seconds=30)
+PING_TIMEOUT = timedelta(seconds=1)
+# Longer than the client keeps an idle connection, so that normally the client closes first.
+SERVER_IDLE_TIMEOUT = timedelta(seconds=60)
+SERVER_TRANSFER_TIMEOUT = timedelta(seconds=5)
+STOP_QUIET_TIME = timedelta(milliseconds=200)
+STOP_POLL_INTERVAL = timedelta(milliseconds=20)
+LISTEN_BACKLOG = 128
+
+_ENUM_FIELDS = {"outcome": Outcome, "state": TaskState}
+_DECODE_ERRORS = (
+    TProtocolException,
+    EOFError,
+    UnicodeDecodeError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    MemoryError,
+    RecursionError,
+)
+
+
+@attrs.frozen(order=True)
+class Address:
+    """TCP address of one of our processes.
+
+    :param host: IP address.
+    :param port: TCP port.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address written as `host:port`.
+
+        :raises ValueError: the text has another form.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not host:
+            raise ValueError(f"address {text!r} is not host:port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def validate(value: Any, path: str = "message") -> None:
+    """Check a decoded message for missing fields and unknown enumeration values.
+
+    Thrift's generated readers leave a missing required field as None, and their `validate`
+    does not look into nested structures.
+
+    :param value: decoded structure, container or scalar.
+    :param path: where the value stands, for the error message.
+    :raises InvalidMessageError: a part is missing or out of range.
+    """
+    if value is None:
+        raise InvalidMessageError(f"{path} is missing")
+    if isinstance(value, str) and REPLACEMENT_CHARACTER in value:
+        raise InvalidMessageError(f"{path} is not valid UTF-8")
+    if isinstance(value, list):
+        for position, item in enumerate(value):
+            validate(item, f"{path}[{position}]")
+        return
+    if isinstance(value, dict):
+        for key, item in value.items():
+            validate(key, f"{path} key")
+            validate(item, f"{path}[{key!r}]")
+        return
+    spec = getattr(value, "thrift_spec", None)
+    if spec is None:
+        return
+    for field in filter(None, spec):
+        name = field[2]
+        item = getattr(value, name)
+        validate(item, f"{path}.{name}")
+        values = _ENUM_FIELDS.get(name)
+        if values is not None and item not in values._VALUES_TO_NAMES:
+            raise InvalidMessageError(f"{path}.{name} has the unknown value {item}")
+
+
+class DeadlineSocket(TSocket):
+    """Connected socket whose reads and writes all end by one deadline."""
+
+    def __init__(self, handle: socket.socket, clock: Clock):
+        super().__init__()
+        self.setHandle(handle)
+        self._clock = clock
+        self._deadline = timedelta()
+
+    def set_deadline(self, remaining: timedelta) -> None:
+        """Set the time left for all further reads and writes."""
+        self._deadline = self._clock.monotonic() + remaining
+
+    def read(self, size: int) -> bytes:
+        """Read at most `size` bytes.
+
+        :raises TTransportException: timeout, end of stream, or another socket error.
+        """
+        self._arm()
+        return super().read(min(size, MAX_RECEIVE_BYTES))
+
+    def write(self, data: bytes) -> None:
+        """Write all bytes.
+
+        :raises TTransportException: timeout or another socket error.
+        """
+        self._arm()
+        try:
+            self.handle.sendall(data)
+        except TimeoutError as exc:
+            raise TTransportException(TTransportException.TIMED_OUT, "write timeout") from exc
+        except OSError as exc:
+            raise TTransportException(TTransportException.UNKNOWN, str(exc)) from exc
+
+    def is_quiet(self) -> bool:
+        """Return whether the stream is open and holds no unread bytes."""
+        try:
+            self.handle.settimeout(0)
+            self.handle.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def _arm(self) -> None:
+        if self.handle is None:
+            raise TTransportException(TTransportException.NOT_OPEN, "connection is closed")
+        remaining = self._deadline - self._clock.monotonic()
+        if remaining <= timedelta():
+            raise TTransportException(TTransportException.TIMED_OUT, "deadline passed")
+        self.handle.settimeout(remaining.total_seconds())
+
+
+class _Protocol(TBinaryProtocolAccelerated):
+    """Binary protocol with limits that remembers or checks the message's sequence number."""
+
+    def __init__(self, transport: Any):
+        super().__init__(
+            transport,
+            strictRead=True,
+            string_length_limit=MAX_FRAME_BYTES,
+            container_length_limit=MAX_CONTAINER_ITEMS,
+        )
+        self.method = ""
+        self.sequence = 0
+        self.expected: tuple[str, int] | None = None
+
+    def readMessageBegin(self) -> tuple[str, int, int]:  # noqa: N802 - thrift's name
+        name, kind, sequence = super().readMessageBegin()
+        self.method = name
+        self.sequence = sequence
+        # The generated client ignores the sequence number; a late or duplicated reply would
+        # be taken for the answer to the next call.
+        if self.expected is not None and (name, sequence) != self.expected:
+            message = f"reply {name}/{sequence} does not belong to call {self.expected}"
+            raise TProtocolException(TProtocolException.INVALID_DATA, message)
+        return name, kind, sequence
+
+
+class _FrameReader:
+    """Reads one frame at a time, so that a short message cannot consume the next frame."""
+
+    def __init__(self, transport: DeadlineSocket):
+        self._framed = TFramedTransport(transport, MAX_FRAME_BYTES)
+
+    def read(self) -> TMemoryBuffer:
+        self._framed.readFrame()
+        return TMemoryBuffer(self._framed.cstringio_buf.getvalue())
+
+
+class _ReplyProtocol(_Protocol):
+    """Client-side reader that fetches the reply's frame when the message begins."""
+
+    def __init__(self, reader: _FrameReader):
+        super().__init__(TMemoryBuffer(b""))
+        self._reader = reader
+
+    def readMessageBegin(self) -> tuple[str, int, int]:  # noqa: N802 - thrift's name
+        self.trans = self._reader.read()
+        return super().readMessageBegin()
+
+
+class _Connection:
+    """One client connection; carries one call at a time."""
+
+    def __init__(self, client_class: type, address: Address, clock: Clock, timeout: timedelta):
+        handle = socket.create_connection((address.host, address.port), timeout.total_seconds())
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = DeadlineSocket(handle, clock)
+        self._reply = _ReplyProtocol(_FrameReader(self._socket))
+        self._client = client_class(
+            self._reply, _Protocol(TFramedTransport(self._socket, MAX_FRAME_BYTES))
+        )
+        # A random start makes replies of another connection to the same peer recognisable.
+        self._sequence = itertools.count(random.randrange(MAX_SEQUENCE // 2))
+        self._clock = clock
+        self.last_used = clock.monotonic()
+
+    def call(self, method: str, request: Any, timeout: timedelta) -> Any:
+        """Send one call and return its validated reply."""
+        self._socket.set_deadline(timeout)
+        sequence = next(self._sequence) % MAX_SEQUENCE
+        self._client._seqid = sequence
+        self._reply.expected = (method, sequence)
+        reply = getattr(self._client, method)(request)
+        validate(reply, "reply")
+        self.last_used = self._clock.monotonic()
+        return reply
+
+    def ping(self, timeout: timedelta) -> bool:
+        """Return whether the peer answers."""
+        token = random.randrange(MAX_SEQUENCE)
+        try:
+            return self.call("ping", token, timeout) == token
+        except (*_DECODE_ERRORS, TException, InvalidMessageError):
+            return False
+
+    def is_quiet(self) -> bool:
+        return self._socket.is_quiet()
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class ChannelPool:
+    """Client connections to any number of peers, with liveness checks.
+
+    A connection carries one call at a time and is closed after a missed deadline or a reply
+    that does not belong to the call. New connections are pinged before their first call: a
+    server over its limit, or a suspended one, accepts connections too, and the call must not
+    be sent to it.
+
+    :param service_client_class: generated thrift client class; its service has `ping`.
+    :param clock: source of time.
+    :param max_connections: limit per peer; a call over it raises `NotSentError` at once.
+    :param idle_before_ping: idle time after which a connection is pinged before use.
+    """
+
+    def __init__(
+        self,
+        service_client_class: type,
+        clock: Clock | None = None,
+        max_connections: int = 128,
+        idle_before_ping: timedelta = IDLE_BEFORE_PING,
+        idle_before_close: timedelta = IDLE_BEFORE_CLOSE,
+    ):
+        self._client_class = service_client_class
+        self._clock = clock or SystemClock()
+        self._max_connections = max_connections
+        self._idle_before_ping = idle_before_ping
+        self._idle_before_close = idle_before_close
+        self._lock = threading.Lock()
+        self._idle: dict[Address, list[_Connection]] = {}
+        self._open: dict[Address, int] = {}
+        self._closed = False
+
+    def call(self, address: Address, method: str, request: Any, deadline: timedelta) -> Any:
+        """Call one method of a peer.
+
+        :param address: peer.
+        :param method: name of the thrift method.
+        :param request: its only argument.
+        :param deadline: time left for the whole call.
+        :returns: the validated reply.
+        :raises NotSentError: the peer cannot have received the call.
+        :raises ReplyLostError: the peer may have received the call, but no whole valid reply
+            came back in time.
+        """
+        expires = self._clock.monotonic() + deadline
+        conn = self._take(address, expires)
+        try:
+            remaining = expires - self._clock.monotonic()
+            if remaining <= timedelta():
+                self._give_back(address, conn)
+                conn = None
+                raise NotSentError(f"{method} to {address}: deadline passed before sending")
+            reply = conn.call(method, request, remaining)
+        except TApplicationException as exc:
+            # A whole reply: the peer refused the message, and the connection stays usable.
+            self._give_back(address, conn)
+            raise ReplyLostError(f"{method} to {address} failed there: {exc.message}") from exc
+        except (*_DECODE_ERRORS, TException, InvalidMessageError) as exc:
+            self._discard(address, conn)
+            if getattr(exc, "type", None) == TTransportException.TIMED_OUT:
+                self._discard_idle(address)
+            raise ReplyLostError(f"{method} to {address}: {exc}") from exc
+        except NotSentError:
+            raise
+        except BaseException:
+            self._discard(address, conn)
+            raise
+        self._give_back(address, conn)
+        return reply
+
+    def close(self) -> None:
+        """Close idle connections; connections in use are closed when their call ends."""
+        with self._lock:
+            self._closed = True
+            addresses = list(self._idle)
+        for address in addresses:
+            self._discard_idle(address)
+
+    def _take(self, address: Address, expires: timedelta) -> _Connection:
+        while (conn := self._take_idle(address)) is not None:
+            if self._is_usable(conn, expires):
+                return conn
+            self._discard(address, conn)
+        return self._connect(address, expires)
+
+    def _take_idle(self, address: Address) -> _Connection | None:
+        oldest = self._clock.monotonic() - self._idle_before_close
+        with self._lock:
+            idle = self._idle.get(address)
+            if not idle:
+                return None
+            conn = idle.pop()
+            expired = [other for other in idle if other.last_used < oldest]
+            self._idle[address] = [other for other in idle if other.last_used >= oldest]
+        for other in expired:
+            self._discard(address, other)
+        return conn
+
+    def _is_usable(self, conn: _Connection, expires: timedelta) -> bool:
+        if not conn.is_quiet():
+            return False
+        now = self._clock.monotonic()
+        if now - conn.last_used <= self._idle_before_ping:
+            return True
+        # Half of the time left, so that a new connection can still serve the call.
+        return conn.ping(min(PING_TIMEOUT, (expires - now) / 2))
+
+    def _connect(self, address: Address, expires: timedelta) -> _Connection:
+        remaining = expires - self._clock.monotonic()
+        if remaining <= timedelta():
+            raise NotSentError(f"{address}: deadline passed before connecting")
+        self._count_connection(address)
+        try:
+            conn = _Connection(self._client_class, address, self._clock, remaining)
+        except OSError as exc:
+            self._uncount_connection(address)
+            raise NotSentError(f"connecting to {address}: {exc}") from exc
+        if not conn.ping(expires - self._clock.monotonic()):
+            self._discard(address, conn)
+            raise NotSentError(f"{address} accepted a connection but answers no ping on it")
+        return conn
+
+    def _count_connection(self, address: Address) -> None:
+        with self._lock:
+            if self._closed:
+                raise NotSentError("the connection pool is closed")
+            count = self._open.get(address, 0)
+            if count >= self._max_connections:
+                raise NotSentError(f"{address}: over the limit of {count} connections")
+            self._open[address] = count + 1
+
+    def _uncount_connection(self, address: Address) -> None:
+        with self._lock:
+            self._open[address] -= 1
+            if not self._open[address]:
+                del self._open[address]
+
+    def _give_back(self, address: Address, conn: _Connection) -> None:
+        with self._lock:
+            keep = not self._closed
+            if keep:
+                self._idle.setdefault(address, []).append(conn)
+        if not keep:
+            self._discard(address, conn)
+        self._close_expired()
+
+    def _close_expired(self) -> None:
+        oldest = self._clock.monotonic() - self._idle_before_close
+        expired = []
+        with self._lock:
+            for address, idle in list(self._idle.items()):
+                # Connections are appended in order of last use.
+                while idle and idle[0].last_used < oldest:
+                    expired.append((address, idle.pop(0)))
+                if not idle:
+                    del self._idle[address]
+        for address, conn in expired:
+            self._discard(address, conn)
+
+    def _discard(self, address: Address, conn: _Connection) -> None:
+        conn.close()
+        self._uncount_connection(address)
+
+    def _discard_idle(self, address: Address) -> None:
+        # When one connection to a peer went silent, the others of the same age often did too.
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for conn in idle:
+            self._discard(address, conn)
+
+
+class _RefusedError(TTransportException):
+    """Ends a call with an application error.
+
+    Generated processors pass transport exceptions through and log all others to the root
+    logger, so this derives from the former.
+    """
+
+    def __init__(self, kind: int, message: str):
+        super().__init__(message=message)
+        self.error = TApplicationException(kind, message)
+
+
+class _CheckedHandler:
+    """Validates arguments before the handler sees them and reports its exceptions."""
+
+    def __init__(self, handler: Any):
+        self._handler = handler
+
+    def __getattr__(self, method: str) -> Callable[[Any], Any]:
+        function = getattr(self._handler, method)
+
+        def run(req: Any) -> Any:
+            try:
+                validate(req, method)
+            except InvalidMessageError as exc:
+                raise _RefusedError(TApplicationException.PROTOCOL_ERROR, str(exc)) from exc
+            try:
+                return function(req)
+            except Exception as exc:
+                log(Event.INTERNAL_ERROR, method=method, error=repr(exc))
+                message = f"internal error: {type(exc).__name__}"
+                raise _RefusedError(TApplicationException.INTERNAL_ERROR, message) from exc
+
+        return run
+
+
+class _ServerConnection:
+    """One accepted connection and its thread."""
+
+    def __init__(self, server: "Server", handle: socket.socket, peer: str):
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server = server
+        self._handle = handle
+        self._socket = DeadlineSocket(handle, server.clock)
+        self._reader = _FrameReader(self._socket)
+        self._peer = peer
+        self._lock = threading.Lock()
+        self._busy = False
+        self._last_used = server.clock.monotonic()
+
+    def run(self) -> None:
+        """Serve calls until the peer leaves, a deadline passes or the server stops."""
+        try:
+            while self._wait_for_frame():
+                self._serve_one()
+        except (TTransportException, EOFError, OSError) as exc:
+            log(Event.CONNECTION_DROPPED, peer=self._peer, reason=str(exc))
+        finally:
+            self._socket.close()
+            self._server.remove(self)
+
+    def quiet_for(self) -> timedelta:
+        """Return the time since the last call ended; zero while one is running."""
+        with self._lock:
+            if self._busy:
+                return timedelta()
+            return self._server.clock.monotonic() - self._last_used
+
+    def hang_up(self) -> None:
+        """Wake the thread with an end of stream."""
+        with contextlib.suppress(OSError):
+            self._handle.shutdown(socket.SHUT_RD)
+
+    def abort(self) -> None:
+        """Cut the connection off in both directions."""
+        with contextlib.suppress(OSError):
+            self._handle.shutdown(socket.SHUT_RDWR)
+
+    def _wait_for_frame(self) -> bool:
+        self._handle.settimeout(self._server.idle_timeout.total_seconds())
+        try:
+            has_data = bool(self._handle.recv(1, socket.MSG_PEEK))
+        except TimeoutError:
+            return False
+        with self._lock:
+            self._busy = has_data
+        return has_data
+
+    def _serve_one(self) -> None:
+        self._socket.set_deadline(self._server.transfer_timeout)
+        iprot = _Protocol(self._reader.read())
+        oprot = _Protocol(TMemoryBuffer())
+        self._process(iprot, oprot)
+        self._socket.set_deadline(self._server.transfer_timeout)
+        self._write_frame(oprot.trans.getvalue())
+        with self._lock:
+            self._busy = False
+            self._last_used = self._server.clock.monotonic()
+
+    def _process(self, iprot: _Protocol, oprot: _Protocol) -> None:
+        try:
+            self._server.processor.process(iprot, oprot)
+        except _RefusedError as exc:
+            error = exc.error
+        except (*_DECODE_ERRORS, TTransportException) as exc:
+            error = TApplicationException(
+                TApplicationException.PROTOCOL_ERROR, f"damaged message: {exc or type(exc)}"
+            )
+        else:
+            return
+        if error.type == TApplicationException.PROTOCOL_ERROR:
+            log(Event.MESSAGE_INVALID, peer=self._peer, reason=error.message)
+        # Drop what was already written of a reply that could not be encoded.
+        oprot.trans = TMemoryBuffer()
+        oprot.writeMessageBegin(iprot.method, TMessageType.EXCEPTION, iprot.sequence)
+        error.write(oprot)
+        oprot.writeMessageEnd()
+
+    def _write_frame(self, data: bytes) -> None:
+        framed = TFramedTransport(self._socket, MAX_FRAME_BYTES)
+        framed.write(data)
+        framed.flush()
+
+
+class Server:
+    """Thrift server with one thread for each connection.
+
+    :param processor: generated thrift processor.
+    :param host: IP address to listen on.
+    :param port: TCP port; 0 takes a free one, see `port`.
+    :param max_connections: over the limit a connection is closed at once.
+    :param idle_timeout: a connection without calls for this time is closed.
+    :param transfer_timeout: limit for reading one request, and for writing one reply.
+    """
+
+    def __init__(
+        self,
+        processor: TProcessor,
+        host: str,
+        port: int,
+        max_connections: int = 256,
+        clock: Clock | None = None,
+        idle_timeout: timedelta = SERVER_IDLE_TIMEOUT,
+        transfer_timeout: timedelta = SERVER_TRANSFER_TIMEOUT,
+    ):
+        # Generated processors offer no other place to check arguments before the handler.
+        processor._handler = _CheckedHandler(processor._handler)
+        self.processor = processor
+        self.clock = clock or SystemClock()
+        self.idle_timeout = idle_timeout
+        self.transfer_timeout = transfer_timeout
+        self._max_connections = max_connections
+        self._lock = threading.Lock()
+        self._connections: set[_ServerConnection] = set()
+        self._stopping = False
+        self._listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        self.port: int = self._listener.getsockname()[1]
+        self._acceptor = threading.Thread(target=self._accept, name="accept", daemon=True)
+
+    def start(self) -> None:
+        """Accept connections in a background thread."""
+        self._acceptor.start()
+
+    def stop(self, grace: timedelta) -> None:
+        """Stop accepting, let running calls end, then close.
+
+        A connection is closed once it was quiet for 200 ms, so that a call that was on its
+        way when the stop began is still answered.
+
+        :param grace: after this time the remaining connections are cut off.
+        """
+        self._close_listener()
+        expires = self.clock.monotonic() + grace
+        while self.clock.monotonic() < expires:
+            connections = self._snapshot()
+            if not connections:
+                break
+            for conn in connections:
+                if conn.quiet_for() >= STOP_QUIET_TIME:
+                    conn.hang_up()
+            self.clock.sleep(STOP_POLL_INTERVAL)
+        for conn in self._snapshot():
+            conn.abort()
+
+    def remove(self, conn: _ServerConnection) -> None:
+        """Forget a closed connection."""
+        with self._lock:
+            self._connections.discard(conn)
+
+    def _close_listener(self) -> None:
+        with self._lock:
+            self._stopping = True
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _snapshot(self) -> list[_ServerConnection]:
+        with self._lock:
+            return list(self._connections)
+
+    def _accept(self) -> None:
+        while not self._stopping:
+            try:
+                handle, peer = self._listener.accept()
+            except OSError as exc:
+                if not self._stopping:
+                    log(Event.CONNECTION_DROPPED, peer="", reason=f"accept: {exc}")
+                    self.clock.sleep(STOP_POLL_INTERVAL)
+                continue
+            self._serve(handle, f"{peer[0]}:{peer[1]}")
+
+    def _serve(self, handle: socket.socket, peer: str) -> None:
+        conn = _ServerConnection(self, handle, peer)
+        with self._lock:
+            accepted = not self._stopping and len(self._connections) < self._max_connections
+            if accepted:
+                self._connections.add(conn)
+        if not accepted:
+            handle.close()
+            log(Event.CONNECTION_DROPPED, peer=peer, reason="over the connection limit")
+            return
+        try:
+            threading.Thread(target=conn.run, name=f"conn-{peer}", daemon=True).start()
+        except RuntimeError as exc:
+            self.remove(conn)
+            handle.close()
+            log(Event.CONNECTION_DROPPED, peer=peer, reason=f"no thread: {exc}")
--- a/packages/core/src/mulberryslip/exceptions.py
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -36,6 +36,17 @@
     """The platform's worker runtime did not answer as expected."""
 
 
+class RuntimeRefusedError(RuntimeAdapterError):
+    """The runtime answered that it did not carry out the call.
+
+    :param code: the runtime's error code, such as `session_expired` or `checkpoint_consumed`.
+    """
+
+    def __init__(self, code: str, message: str):
+        super().__init__(message)
+        self.code = code
+
+
 class WireError(MulberryslipError):
     """A connection between two of our processes failed."""
 
@@ -78,3 +89,11 @@
 
 class InvalidMessageError(MulberryslipError):
     """A message or a stored value is damaged, incomplete, or from a newer version."""
+
+
+class JobConflictError(JobError):
+    """The job id is in use for a job with another body."""
+
+
+class ShardFullError(JobError):
+    """The shard takes no more jobs or claims until older ones are dropped."""
