--- /dev/null
+++ b/packages/core/src/mulberryslip/journals.py
@@ -0,0 +1,492 @@
+"""The log of one shard in the platform's store.
+
+A journal is a ring of store keys. Record `seq` lives in slot `seq % slots` and is written by
+compare-and-swap on the version that the writer read from the slot. Versions never repeat, so a
+writer that was overtaken is refused even when it resumes after a whole lap of the ring.
+
+Stored values are one format byte followed by zlib-compressed JSON:
+
+- record `shards/<n>/log/<slot>`: `{"seq", "epoch", "slots", "batch_id", "events"}`
+- snapshot `shards/<n>/snapshot`: `{"seq", "epoch", "slots", "snapshot_id", "state"}`
+"""
+
+import json
+import uuid
+import zlib
+
+import attrs
+
+from .events import Event, log
+from .exceptions import (
+    FencedError,
+    InvalidMessageError,
+    JournalError,
+    StoreError,
+)
+from .outcomes import Committed, Conflict
+from .stores import Store, StoredValue
+
+FORMAT = 1
+
+# Below the store's limit, so that a shard can still be read and written when it is full.
+MAX_SNAPSHOT_BYTES = 900_000
+MAX_RECORD_BYTES = 900_000
+
+# A damaged value must not expand without bound in memory.
+_MAX_JSON_BYTES = 64 * 1024 * 1024
+
+# A fast writer can overtake the reader between its reads of snapshot and ring.
+_READ_ATTEMPTS = 5
+
+# Writes with lost answers are repeated at once while the store answers reads.
+_WRITE_ATTEMPTS = 3
+
+_COMPRESSION_LEVEL = 1
+
+
+@attrs.frozen
+class Record:
+    """One entry of the journal.
+
+    :param seq: position, counted from 1 without gaps.
+    :param epoch: ownership under which it was written.
+    :param slots: size of the ring.
+    :param batch_id: unique per append, so that a writer recognises its own record.
+    :param events: JSON-serialisable events, applied in order.
+    """
+
+    seq: int
+    epoch: int
+    slots: int
+    batch_id: str
+    events: list[dict]
+
+
+@attrs.frozen
+class Snapshot:
+    """State of the shard after a record.
+
+    :param seq: last record that the state includes.
+    :param epoch: ownership under which it was written.
+    :param slots: size of the ring.
+    :param snapshot_id: unique per write.
+    :param state: JSON-serialisable state.
+    """
+
+    seq: int
+    epoch: int
+    slots: int
+    snapshot_id: str
+    state: dict
+
+
+@attrs.frozen
+class Recovery:
+    """What a new owner reads.
+
+    :param state: state of the snapshot; None when there is none.
+    :param events: events after the snapshot, in order.
+    :param seq: last record.
+    :param epoch: highest epoch.
+    """
+
+    state: dict | None
+    events: list[dict]
+    seq: int
+    epoch: int
+
+
+def encode(message: Record | Snapshot) -> bytes:
+    """Encode a record or a snapshot as a stored value."""
+    text = json.dumps(attrs.asdict(message, recurse=False), separators=(",", ":"))
+    return bytes([FORMAT]) + zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+
+
+def decode_record(stored: StoredValue) -> Record:
+    """Decode a record.
+
+    :raises InvalidMessageError: the value is damaged or newer; the message names the key.
+    """
+    body = _decode(stored, attrs.fields_dict(Record).keys())
+    events = body["events"]
+    valid = _valid_header(body) and body["seq"] > 0 and isinstance(body["batch_id"], str)
+    if not valid or not isinstance(events, list) or not all(isinstance(e, dict) for e in events):
+        raise InvalidMessageError(f"{stored.key}: a field of the record is invalid")
+    return Record(**body)
+
+
+def decode_snapshot(stored: StoredValue) -> Snapshot:
+    """Decode a snapshot.
+
+    :raises InvalidMessageError: the value is damaged or newer; the message names the key.
+    """
+    body = _decode(stored, attrs.fields_dict(Snapshot).keys())
+    valid = _valid_header(body) and isinstance(body["snapshot_id"], str)
+    if not valid or not isinstance(body["state"], dict):
+        raise InvalidMessageError(f"{stored.key}: a field of the snapshot is invalid")
+    return Snapshot(**body)
+
+
+def _decode(stored: StoredValue, names: set[str]) -> dict:
+    if not stored.value:
+        raise InvalidMessageError(f"{stored.key}: the value is empty")
+    if stored.value[0] != FORMAT:
+        raise InvalidMessageError(f"{stored.key}: format {stored.value[0]} is not {FORMAT}")
+    try:
+        body = json.loads(_decompress(stored.value[1:]))
+    except (ValueError, zlib.error, RecursionError) as exc:
+        raise InvalidMessageError(f"{stored.key}: {exc}") from exc
+    if not isinstance(body, dict) or body.keys() != names:
+        raise InvalidMessageError(f"{stored.key}: the fields differ from {sorted(names)}")
+    return body
+
+
+def _decompress(data: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    text = stream.decompress(data, _MAX_JSON_BYTES)
+    if not stream.eof or stream.unused_data:
+        raise ValueError("the compressed data is incomplete, too long or followed by other data")
+    return text
+
+
+def _valid_header(body: dict) -> bool:
+    return all(type(body[name]) is int and body[name] >= 0 for name in ("seq", "epoch", "slots"))
+
+
+@attrs.define
+class _Pending:
+    """A record that was or may have been sent.
+
+    :param value: the encoded record.
+    :param key: key of its slot.
+    :param expected: version of the slot before it.
+    :param sent: whether an earlier write may have taken effect or may still do so.
+    """
+
+    record: Record
+    value: bytes
+    key: str
+    expected: int
+    sent: bool = False
+
+
+class Journal:
+    """Writer and reader of one shard's log; used by one thread at a time.
+
+    Call `open`, apply what it returns, write a snapshot if one is due, then `claim`, then `append`
+    and `write_snapshot`. After a `FencedError` only `open` starts anew.
+
+    :param store: the platform's store.
+    :param shard: number of the shard.
+    :param slots: size of the ring; fixed for the lifetime of the shard's data.
+    """
+
+    def __init__(self, store: Store, shard: int, slots: int = 64):
+        if slots < 2:
+            raise JournalError(f"a ring of {slots} slots is too small")
+        self._store = store
+        self._shard = shard
+        self._slots = slots
+        self._prefix = f"shards/{shard}/log/"
+        self._snapshot_key = f"shards/{shard}/snapshot"
+        self._versions = [0] * slots
+        self._snapshot_version = 0
+        self._snapshot_seq = 0
+        self._snapshot_bytes = 0
+        self._seq = 0
+        self._epoch = 0
+        self._pending: _Pending | None = None
+        self._opened = False
+        self._claimed = False
+        self._fenced = False
+
+    @property
+    def seq(self) -> int:
+        """Last record known to be committed."""
+        return self._seq
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of this owner after `claim`, else the highest one read."""
+        return self._epoch
+
+    @property
+    def snapshot_bytes(self) -> int:
+        """Size of the last snapshot read or written, in stored bytes."""
+        return self._snapshot_bytes
+
+    @property
+    def snapshot_due(self) -> bool:
+        """Whether half of the ring was written since the last snapshot."""
+        return self._seq - self._snapshot_seq >= self._slots // 2
+
+    def open(self) -> Recovery:
+        """Read the snapshot and the ring.
+
+        :returns: snapshot state and events after it.
+        :raises JournalError: the store is unavailable, or the ring does not fit the snapshot.
+        :raises InvalidMessageError: a stored value is damaged or newer.
+        """
+        self._opened = False
+        self._claimed = False
+        self._fenced = False
+        self._pending = None
+        for _ in range(_READ_ATTEMPTS):
+            recovery = self._read()
+            if recovery is not None:
+                self._opened = True
+                return recovery
+        raise JournalError(f"shard {self._shard}: the ring has a gap after the snapshot")
+
+    def claim(self) -> int:
+        """Append a record of the next epoch, which fences the previous owner.
+
+        :returns: the new epoch.
+        :raises FencedError: the ring changed since `open`.
+        :raises JournalError: as for `append`; call `claim` again when it is unresolved.
+        """
+        self._require_open()
+        if self._claimed:
+            raise JournalError(f"shard {self._shard}: claimed already")
+        if self._pending is None:
+            self._pending = self._prepare([], self._epoch + 1)
+        self._commit()
+        self._claimed = True
+        return self._epoch
+
+    def append(self, events: list[dict]) -> int:
+        """Append one record.
+
+        After an unresolved error the same batch must be appended again (or `resolve` called) before
+        any other, since it may have taken effect. An error that is not unresolved means that the
+        batch was not written and never will be.
+
+        :param events: JSON-serialisable events.
+        :returns: seq of the record.
+        :raises FencedError: another owner claimed the shard; `unresolved` tells whether the batch
+            may have been committed before that.
+        :raises JournalError: the store is unavailable, a snapshot is overdue, or the batch is too
+            large.
+        """
+        self._require_claim()
+        if self._pending is None:
+            self._pending = self._prepare(list(events), self._epoch)
+        elif self._pending.record.events != events:
+            message = f"{self._pending.key}: another batch is unresolved and comes first"
+            raise JournalError(message)
+        return self._commit()
+
+    def resolve(self) -> Record | None:
+        """Retry the unresolved batch.
+
+        :returns: its record, or None when no batch is unresolved.
+        :raises JournalError: as for `append`.
+        """
+        self._require_claim()
+        if self._pending is None:
+            return None
+        record = self._pending.record
+        self._commit()
+        return record
+
+    def write_snapshot(self, state: dict, seq: int | None = None) -> None:
+        """Write a snapshot, which frees the slots up to it.
+
+        It needs no claim: a snapshot of committed records is true whoever writes it, and a new
+        owner may find the ring full.
+
+        :param state: JSON-serialisable state.
+        :param seq: last record that the state includes; the last committed one by default.
+        :raises FencedError: another owner wrote a snapshot.
+        :raises JournalError: the store is unavailable (call it again with a current state), or the
+            snapshot exceeds `MAX_SNAPSHOT_BYTES`.
+        """
+        self._require_open()
+        seq = self._seq if seq is None else seq
+        if not self._snapshot_seq <= seq <= self._seq:
+            raise JournalError(f"{self._snapshot_key}: no snapshot of record {seq} is possible")
+        snapshot = Snapshot(seq, self._epoch, self._slots, uuid.uuid4().hex, state)
+        value = encode(snapshot)
+        if len(value) > MAX_SNAPSHOT_BYTES:
+            raise JournalError(f"{self._snapshot_key}: {len(value)} bytes exceed the limit")
+        try:
+            self._put_snapshot(snapshot, value)
+        except StoreError as exc:
+            raise JournalError(f"{self._snapshot_key}: {exc}") from exc
+        log(Event.SNAPSHOT_WRITTEN, shard=self._shard, seq=seq, size=len(value))
+
+    def _put_snapshot(self, snapshot: Snapshot, value: bytes) -> None:
+        for _ in range(_WRITE_ATTEMPTS):
+            outcome = self._store.put(self._snapshot_key, value, self._snapshot_version)
+            if isinstance(outcome, Committed):
+                self._snapshot_written(snapshot.seq, outcome.version, len(value))
+                return
+            stored = self._store.get(self._snapshot_key)
+            if stored is not None and self._covers(decode_snapshot(stored), snapshot):
+                self._snapshot_written(snapshot.seq, stored.version, len(stored.value))
+                return
+            self._snapshot_version = stored.version if stored else 0
+        raise JournalError(f"{self._snapshot_key}: the write has not taken effect")
+
+    def _covers(self, found: Snapshot, ours: Snapshot) -> bool:
+        """Return whether the snapshot in the store makes ours unnecessary.
+
+        A previous owner's late snapshot has a lower seq and is replaced.
+        """
+        if found.epoch > ours.epoch:
+            self._fenced = True
+            raise FencedError(f"{self._snapshot_key}: written in epoch {found.epoch}")
+        return found.seq >= ours.seq
+
+    def _snapshot_written(self, seq: int, version: int, size: int) -> None:
+        self._snapshot_seq = seq
+        self._snapshot_version = version
+        self._snapshot_bytes = size
+
+    # Reading
+
+    def _read(self) -> Recovery | None:
+        """Read once; return None when the writer overtook the read."""
+        try:
+            stored = self._store.get(self._snapshot_key)
+            listing = self._store.list(self._prefix)
+        except StoreError as exc:
+            raise JournalError(f"shard {self._shard}: {exc}") from exc
+        snapshot = self._snapshot(stored)
+        ring = self._ring(listing.values)
+        recent = [ring[seq] for seq in sorted(ring) if seq > snapshot.seq]
+        if [record.seq for record in recent] != [
+            snapshot.seq + position + 1 for position in range(len(recent))
+        ]:
+            return None
+        if not recent and max(ring, default=0) < snapshot.seq:
+            raise JournalError(f"shard {self._shard}: the ring ends before the snapshot")
+        epochs = [snapshot.epoch, *(record.epoch for record in recent)]
+        if epochs != sorted(epochs):
+            raise JournalError(f"shard {self._shard}: epochs decrease along the ring")
+        self._adopt(stored, snapshot, listing.values)
+        self._seq = snapshot.seq + len(recent)
+        self._epoch = epochs[-1]
+        events = [event for record in recent for event in record.events]
+        state = snapshot.state if stored else None
+        return Recovery(state, events, self._seq, self._epoch)
+
+    def _snapshot(self, stored: StoredValue | None) -> Snapshot:
+        if stored is None:
+            return Snapshot(0, 0, self._slots, "", {})
+        snapshot = decode_snapshot(stored)
+        self._require_slots(stored.key, snapshot.slots)
+        return snapshot
+
+    def _ring(self, values: tuple[StoredValue, ...]) -> dict[int, Record]:
+        ring = {}
+        for stored in values:
+            record = decode_record(stored)
+            self._require_slots(stored.key, record.slots)
+            if stored.key != self._key(record.seq):
+                raise InvalidMessageError(f"{stored.key}: holds record {record.seq}")
+            ring[record.seq] = record
+        return ring
+
+    def _require_slots(self, key: str, slots: int) -> None:
+        if slots != self._slots:
+            raise JournalError(f"{key}: written for {slots} slots, not {self._slots}")
+
+    def _adopt(
+        self, stored: StoredValue | None, snapshot: Snapshot, values: tuple[StoredValue, ...]
+    ) -> None:
+        self._versions = [0] * self._slots
+        for value in values:
+            self._versions[int(value.key.rpartition("/")[2])] = value.version
+        self._snapshot_version = stored.version if stored else 0
+        self._snapshot_bytes = len(stored.value) if stored else 0
+        self._snapshot_seq = snapshot.seq
+
+    def _key(self, seq: int) -> str:
+        return f"{self._prefix}{seq % self._slots}"
+
+    # Appending
+
+    def _require_open(self) -> None:
+        if self._fenced:
+            raise FencedError(f"shard {self._shard}: fenced")
+        if not self._opened:
+            raise JournalError(f"shard {self._shard}: not open")
+
+    def _require_claim(self) -> None:
+        self._require_open()
+        if not self._claimed:
+            raise JournalError(f"shard {self._shard}: not claimed")
+
+    def _prepare(self, events: list[dict], epoch: int) -> _Pending:
+        seq = self._seq + 1
+        if seq - self._slots > self._snapshot_seq:
+            raise JournalError(f"shard {self._shard}: a snapshot is due before record {seq}")
+        record = Record(seq, epoch, self._slots, uuid.uuid4().hex, events)
+        value = encode(record)
+        if len(value) > MAX_RECORD_BYTES:
+            raise JournalError(f"{self._key(seq)}: {len(value)} bytes exceed the limit")
+        return _Pending(record, value, self._key(seq), self._versions[seq % self._slots])
+
+    def _commit(self) -> int:
+        """Write the pending record until its fate is known."""
+        pending = self._pending
+        for _ in range(_WRITE_ATTEMPTS):
+            version = self._write(pending)
+            if version:
+                return self._committed(pending, version)
+        raise self._failed(pending, "the write has not taken effect")
+
+    def _write(self, pending: _Pending) -> int:
+        """Write once.
+
+        :returns: version of the slot with our record; 0 when it has not taken effect so far.
+        """
+        try:
+            outcome = self._store.put(pending.key, pending.value, pending.expected)
+        except StoreError as exc:
+            raise self._failed(pending, exc) from exc
+        if isinstance(outcome, Committed):
+            return outcome.version
+        if isinstance(outcome, Conflict) and not pending.sent:
+            raise self._fence(pending, unresolved=False)
+        pending.sent = True
+        return self._read_back(pending)
+
+    def _read_back(self, pending: _Pending) -> int:
+        try:
+            stored = self._store.get(pending.key)
+        except StoreError as exc:
+            raise self._failed(pending, exc) from exc
+        version = stored.version if stored else 0
+        log(Event.JOURNAL_READ_BACK, shard=self._shard, seq=pending.record.seq, version=version)
+        if version == pending.expected:
+            return 0
+        if stored is None:
+            raise InvalidMessageError(f"{pending.key}: the slot was deleted")
+        found = decode_record(stored)
+        if found.batch_id == pending.record.batch_id:
+            return version
+        # Each seq is written once, so another record of our seq excludes ours. A later record may
+        # have replaced ours.
+        raise self._fence(pending, unresolved=found.seq != pending.record.seq)
+
+    def _committed(self, pending: _Pending, version: int) -> int:
+        self._pending = None
+        self._seq = pending.record.seq
+        self._epoch = pending.record.epoch
+        self._versions[self._seq % self._slots] = version
+        return self._seq
+
+    def _failed(self, pending: _Pending, reason: object) -> JournalError:
+        """Keep the batch if it may have been sent, else drop it."""
+        if not pending.sent:
+            self._pending = None
+        message = f"{pending.key}: record {pending.record.seq}: {reason}"
+        return JournalError(message, unresolved=pending.sent)
+
+    def _fence(self, pending: _Pending, unresolved: bool) -> FencedError:
+        self._fenced = True
+        log(Event.JOURNAL_FENCED, shard=self._shard, seq=pending.record.seq, epoch=self._epoch)
+        message = f"{pending.key}: another owner wrote record {pending.record.seq} or a later one"
+        return FencedError(message, unresolved)
--- /dev/null
+++ b/tests/test_journals.py
@@ -0,0 +1,391 @@
+"""Rules of the shard journal: order, fencing, lost answers, damaged values, group commit."""
+
+import itertools
+import json
+import random
+import zlib
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock
+from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
+from mulberryslip.journals import (
+    FORMAT,
+    Journal,
+    Record,
+    Snapshot,
+    decode_record,
+    decode_snapshot,
+    encode,
+)
+from mulberryslip.outcomes import Conflict
+from mulberryslip.stores import StoredValue
+from mulberryslip_testing.fakes import FakeStore
+
+SLOTS = 8
+
+
+@pytest.fixture
+def store():
+    return FakeStore(ManualClock())
+
+
+def opened(store, slots=SLOTS):
+    journal = Journal(store, 0, slots)
+    journal.open()
+    journal.claim()
+    return journal
+
+
+def event(number):
+    return {"n": number}
+
+
+def numbers(store):
+    """Return what a new owner recovers, with a state that is the list of all event numbers."""
+    recovery = Journal(store, 0, SLOTS).open()
+    return [*(recovery.state or {"n": []})["n"], *(e["n"] for e in recovery.events)]
+
+
+class BlindStore(FakeStore):
+    """A store without compare-and-swap, to show that the fencing tests depend on it."""
+
+    def put(self, key, value, expected_version, lease_id=""):
+        outcome = super().put(key, value, expected_version, lease_id)
+        if isinstance(outcome, Conflict):
+            return super().put(key, value, outcome.version, lease_id)
+        return outcome
+
+
+class AssumingJournal(Journal):
+    """A journal that takes a write without an answer for written."""
+
+    def _read_back(self, pending):
+        return -1
+
+
+class RepeatingJournal(Journal):
+    """A journal that appends again after a write without an answer."""
+
+    def _read_back(self, pending):
+        raise self._failed(pending, "not read back")
+
+    def append(self, events):
+        try:
+            return super().append(events)
+        except JournalError as exc:
+            if not exc.unresolved:
+                raise
+        self.open()
+        self.claim()
+        return super().append(events)
+
+
+def test_new_owner_recovers_snapshot_and_events_in_order(store):
+    """Guards against records lost or reordered across laps of the ring and restarts."""
+    journal = opened(store)
+    for number in range(30):
+        if journal.snapshot_due:
+            journal.write_snapshot({"n": list(range(number))})
+        journal.append([event(number)])
+    assert numbers(store) == list(range(30))
+
+
+def test_append_refuses_to_overwrite_records_without_a_snapshot(store):
+    """Guards against a ring that laps itself and loses records."""
+    journal = opened(store)
+    for number in range(SLOTS - 1):
+        journal.append([event(number)])
+    with pytest.raises(JournalError, match="snapshot is due") as caught:
+        journal.append([event(99)])
+    assert not caught.value.unresolved
+    assert numbers(store) == list(range(SLOTS - 1))
+
+
+def test_new_owner_of_a_full_ring_can_go_on(store):
+    """Guards against a shard that nobody can claim after its owner died before a snapshot."""
+    journal = opened(store)
+    for number in range(SLOTS - 1):
+        journal.append([event(number)])
+    successor = Journal(store, 0, SLOTS)
+    recovery = successor.open()
+    assert successor.snapshot_due
+    successor.write_snapshot({"n": [e["n"] for e in recovery.events]})
+    assert successor.claim() == 2
+    successor.append([event(SLOTS - 1)])
+    assert numbers(store) == list(range(SLOTS))
+
+
+def resume_after_a_lap(store):
+    """Let an owner resume after a successor has written one whole lap; return what is recovered."""
+    paused = opened(store)
+    paused.append([event(0)])
+    successor = opened(store)
+    for number in range(1, SLOTS):
+        if successor.snapshot_due:
+            successor.write_snapshot({"n": list(range(number))})
+        successor.append([event(number)])
+    with pytest.raises(FencedError) as caught:
+        paused.append([event(-1)])
+    assert not caught.value.unresolved
+    with pytest.raises(FencedError):
+        paused.append([event(-1)])
+    return numbers(store)
+
+
+def test_owner_that_resumes_after_a_whole_lap_is_fenced(store):
+    """Guards against a paused owner that finds its slot at the same place of the ring."""
+    assert resume_after_a_lap(store) == list(range(SLOTS))
+
+
+def test_fencing_needs_compare_and_swap():
+    """Shows that the test above detects a store or journal without compare-and-swap."""
+    with pytest.raises(pytest.fail.Exception):
+        resume_after_a_lap(BlindStore(ManualClock()))
+
+
+def append_with_lost_writes(journal_class, store, lose, count):
+    """Append three batches while writes are lost; return what is recovered."""
+    journal = journal_class(store, 0, SLOTS)
+    journal.open()
+    journal.claim()
+    getattr(store, lose)(count)
+    for number in range(3):
+        for _ in range(3):
+            try:
+                journal.append([event(number)])
+                break
+            except JournalError as exc:
+                assert exc.unresolved
+    return numbers(store)
+
+
+@pytest.mark.parametrize("lose", ["lose_answers", "lose_calls"])
+@pytest.mark.parametrize("count", [1, 2, 3, 7])
+def test_lost_answer_neither_doubles_nor_loses_a_batch(store, lose, count):
+    """Guards against a batch that is appended twice or dropped after a lost answer."""
+    assert append_with_lost_writes(Journal, store, lose, count) == [0, 1, 2]
+
+
+@pytest.mark.parametrize(
+    ("journal_class", "lose"),
+    [(AssumingJournal, "lose_calls"), (RepeatingJournal, "lose_answers")],
+)
+def test_lost_answer_needs_reading_back(store, journal_class, lose):
+    """Shows that the test above detects a journal that does not read back."""
+    try:
+        found = append_with_lost_writes(journal_class, store, lose, 1)
+    except JournalError:
+        return
+    assert found != [0, 1, 2]
+
+
+def test_unresolved_batch_comes_before_any_other(store):
+    """Guards against a later batch that takes the place of one which may have taken effect."""
+    journal = opened(store)
+    store.set_faults(outage="drop")
+    with pytest.raises(JournalError) as caught:
+        journal.append([event(0)])
+    assert caught.value.unresolved
+    store.set_faults(outage="")
+    with pytest.raises(JournalError, match="unresolved"):
+        journal.append([event(1)])
+    assert journal.resolve().events == [event(0)]
+    assert journal.resolve() is None
+    journal.append([event(1)])
+    assert numbers(store) == [0, 1]
+
+
+def test_refused_write_is_not_unresolved(store):
+    """Guards against answering 'outcome unknown' for work that was certainly not committed."""
+    journal = opened(store)
+    store.set_faults(outage="refuse")
+    with pytest.raises(JournalError) as caught:
+        journal.append([event(0)])
+    assert not caught.value.unresolved
+    store.set_faults(outage="")
+    journal.append([event(1)])
+    assert numbers(store) == [1]
+
+
+def test_only_one_of_two_claimants_wins(store):
+    """Guards against two owners of one epoch."""
+    first, second = Journal(store, 0, SLOTS), Journal(store, 0, SLOTS)
+    first.open()
+    second.open()
+    assert second.claim() == 1
+    with pytest.raises(FencedError):
+        first.claim()
+    first.open()
+    assert first.claim() == 2
+
+
+def test_late_snapshot_of_a_previous_owner_does_not_stop_its_successor(store):
+    """Guards against a snapshot that goes back, or an owner that loses its shard to it."""
+    paused = opened(store)
+    paused.append([event(0)])
+    successor = opened(store)
+    successor.append([event(1)])
+    paused.write_snapshot({"n": [0]})
+    successor.write_snapshot({"n": [0, 1]})
+    assert numbers(store) == [0, 1]
+    with pytest.raises(FencedError):
+        paused.write_snapshot({"n": [0]})
+    assert numbers(store) == [0, 1]
+
+
+class Owner:
+    """One of several owners in a race; it stops after a fencing and starts anew."""
+
+    def __init__(self, store, journal_class=Journal):
+        self.journal = journal_class(store, 0, SLOTS)
+        self.state = None
+        self.batch = None
+
+    def step(self, rng, model, counter):
+        """Take one step; record in the model each event that was reported as committed."""
+        try:
+            if self.state is None:
+                self.start()
+            elif rng.random() < 0.1:
+                self.state = None
+                self.batch = None
+            else:
+                self.append(model, counter)
+        except FencedError as exc:
+            self.give_up(model, exc)
+        except JournalError as exc:
+            if not exc.unresolved and self.batch is not None:
+                model.refused.add(self.batch)
+                self.batch = None
+
+    def start(self):
+        recovery = self.journal.open()
+        recovered = [*(recovery.state or {"n": []})["n"], *(e["n"] for e in recovery.events)]
+        if self.journal.snapshot_due:
+            self.journal.write_snapshot({"n": recovered})
+        self.journal.claim()
+        self.state = recovered
+
+    def append(self, model, counter):
+        if self.batch is None:
+            if self.journal.snapshot_due:
+                self.journal.write_snapshot({"n": self.state})
+            self.batch = next(counter)
+        self.journal.append([event(self.batch)])
+        self.state.append(self.batch)
+        model.committed.append(self.batch)
+        self.batch = None
+
+    def give_up(self, model, exc):
+        if self.batch is not None and not exc.unresolved:
+            model.refused.add(self.batch)
+        self.state = None
+        self.batch = None
+
+
+class Model:
+    """What the owners were told: committed events in order, and refused ones."""
+
+    def __init__(self):
+        self.committed = []
+        self.refused = set()
+
+
+def race(seed, journal_class=Journal, store_class=FakeStore):
+    """Run owners in a random interleaving with lost writes; return the model and the log."""
+    rng = random.Random(seed)
+    store = store_class(ManualClock())
+    model = Model()
+    counter = itertools.count()
+    owners = [Owner(store, journal_class) for _ in range(3)]
+    for _ in range(120):
+        fault = rng.choice(("", "", "", "", "lose_answers", "lose_calls"))
+        if fault:
+            getattr(store, fault)()
+        rng.choice(owners).step(rng, model, counter)
+    store.set_faults()
+    return model, numbers(store)
+
+
+def check_race(model, found):
+    """Compare the log with the list of events that were reported as committed."""
+    assert len(found) == len(set(found))
+    assert not model.refused & set(found)
+    assert [n for n in found if n in set(model.committed)] == model.committed
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_racing_owners_agree_with_a_list(seed):
+    """Guards against lost, doubled, reordered or wrongly refused events under any interleaving."""
+    check_race(*race(seed))
+
+
+@pytest.mark.parametrize(
+    ("journal_class", "store_class"),
+    [(AssumingJournal, FakeStore), (RepeatingJournal, FakeStore), (Journal, BlindStore)],
+)
+def test_race_detects_a_missing_mechanism(journal_class, store_class):
+    """Shows that the race fails without reading back or without compare-and-swap."""
+    failures = 0
+    for seed in range(50):
+        try:
+            check_race(*race(seed, journal_class, store_class))
+        except (AssertionError, JournalError, InvalidMessageError, RecursionError):
+            failures += 1
+    assert failures > 0
+
+
+VALUES = [
+    (decode_record, Record(3, 1, SLOTS, "b", [event(1)])),
+    (decode_snapshot, Snapshot(3, 1, SLOTS, "s", {"n": [1, 2]})),
+]
+
+
+@pytest.mark.parametrize(("decode", "message"), VALUES)
+def test_decoders_refuse_damaged_and_newer_values(decode, message):
+    """Guards against starting from a damaged value, and against an error that names no key."""
+    good = encode(message)
+    assert decode(StoredValue("k", good, 1)) == message
+    bad = [b"", bytes([FORMAT + 1]) + good[1:], good[:-1], good + b"x"]
+    bad += [good[:i] + bytes([good[i] ^ 16]) + good[i + 1 :] for i in range(len(good))]
+    for value in bad:
+        try:
+            assert decode(StoredValue("the/key", value, 1)) == message
+        except InvalidMessageError as exc:
+            assert "the/key" in str(exc)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(data=st.binary(max_size=200), packed=st.booleans())
+def test_decoders_raise_only_their_error(data, packed):
+    """Guards against a damaged value that ends the owner's thread with another exception."""
+    value = bytes([FORMAT]) + (zlib.compress(data) if packed else data)
+    for decode, _ in VALUES:
+        with pytest.raises(InvalidMessageError):
+            decode(StoredValue("k", value, 1))
+
+
+RECORD_FIELDS = sorted(attrs.fields_dict(Record))
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(fields=st.dictionaries(st.sampled_from(RECORD_FIELDS), JSON))
+def test_record_decoder_checks_each_field(fields):
+    """Guards against a record of valid JSON with a field of the wrong type."""
+    body = {**attrs.asdict(VALUES[0][1]), **fields}
+    value = bytes([FORMAT]) + zlib.compress(json.dumps(body).encode())
+    try:
+        record = decode_record(StoredValue("k", value, 1))
+    except InvalidMessageError:
+        return
+    assert type(record.seq) is int and record.seq > 0
+    assert type(record.epoch) is int and isinstance(record.batch_id, str)
+    assert all(isinstance(item, dict) for item in record.events)
