Test the command line against a scripted entry

Cause: the exit codes and the one change id for all entries had no test. Change: tests of accepted, refused, racing, lost and unavailable changes, and of wrong usage. Conclusion: the command line tells "nothing was changed" and "outcome unknown" apart.

--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,136 @@
+"""The operators' command line against a scripted entry."""
+
+import json
+import threading
+
+import pytest
+from cheroot import wsgi
+from mulberryslip_cli.main import main
+
+CONFIG = {
+    "revision": 7,
+    "data_centres": {"concord": {"state": "in"}},
+    "accounts": {"granite-hollow": {"cpu_millis": 1000, "weight": 1}},
+    "templates": {
+        "recon": {"class": "batch", "account": "granite-hollow", "parameters": {"cpu_millis": 5}}
+    },
+}
+
+
+class ScriptedEntry:
+    """Serves the configuration and answers each change with the next scripted status."""
+
+    def __init__(self):
+        self.changes = []
+        self.answers = []
+        self._server = wsgi.Server(("127.0.0.1", 0), self._application, numthreads=2)
+        self._server.prepare()
+        self.address = f"127.0.0.1:{self._server.bind_addr[1]}"
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def stop(self):
+        self._server.stop()
+
+    def _application(self, environ, start_response):
+        if environ["REQUEST_METHOD"] == "GET":
+            return self._respond(start_response, 200, CONFIG)
+        body = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
+        self.changes.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], environ, body))
+        status, document = self.answers.pop(0)
+        return self._respond(start_response, status, document)
+
+    @staticmethod
+    def _respond(start_response, status, document):
+        data = json.dumps(document).encode()
+        start_response(f"{status} X", [("Content-Length", str(len(data)))])
+        return [data]
+
+
+@pytest.fixture(scope="module")
+def servers():
+    started = [ScriptedEntry(), ScriptedEntry()]
+    yield started
+    for entry in started:
+        entry.stop()
+
+
+@pytest.fixture
+def entries(servers):
+    for entry in servers:
+        entry.changes.clear()
+        entry.answers.clear()
+    return servers
+
+
+def run(entries, *words):
+    return main(["mulberryslip", "--entries=" + ",".join(e.address for e in entries), *words])
+
+
+def error(message):
+    return {"error": {"code": "x", "message": message}}
+
+
+@pytest.mark.parametrize(
+    ("status", "document", "exit_code", "shown"),
+    [
+        (200, {"revision": 8}, 0, "accepted as revision 8"),
+        (400, error("cpu_millis = -1: must be positive"), 1, "must be positive"),
+        (409, error("revision 8: ann took concord out"), 3, "ann took concord out"),
+    ],
+)
+def test_change_reports_the_entrys_answer(entries, capsys, status, document, exit_code, shown):
+    """Guards against a refused change that looks accepted, and a conflict without its reason."""
+    entries[0].answers.append((status, document))
+    assert run(entries, "data-centre", "out", "concord") == exit_code
+    captured = capsys.readouterr()
+    assert shown in captured.out + captured.err
+
+
+def test_template_set_keeps_other_parameters_and_names_its_revision(entries):
+    """Guards against a change of one parameter that drops the others or ignores a race."""
+    entries[0].answers.append((200, {"revision": 8}))
+    assert run(entries, "template", "set", "recon", "memory_mb=512") == 0
+    method, path, environ, body = entries[0].changes[0]
+    assert (method, path, environ["HTTP_IF_REVISION"]) == ("PUT", "/v1/templates/recon", "7")
+    assert json.loads(body)["parameters"] == {"cpu_millis": 5, "memory_mb": 512}
+
+
+def test_second_entry_gets_the_same_change_id(entries):
+    """Guards against a change that is applied twice after its answer was lost."""
+    entries[0].answers.append((504, error("outcome unknown")))
+    entries[1].answers.append((200, {"revision": 8}))
+    assert run(entries, "data-centre", "in", "concord") == 0
+    ids = [entry.changes[0][2]["HTTP_CHANGE_ID"] for entry in entries]
+    assert ids[0] == ids[1]
+
+
+@pytest.mark.parametrize(
+    ("statuses", "exit_code"), [((503, 503), 4), ((504, 503), 5), ((503, 504), 5)]
+)
+def test_unavailable_and_unknown_are_told_apart(entries, statuses, exit_code):
+    """Guards against "nothing was changed" when a change may have been accepted."""
+    for entry, status in zip(entries, statuses, strict=True):
+        entry.answers.append((status, error("store down")))
+    assert run(entries, "data-centre", "out", "concord") == exit_code
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("data-centre", "out"),
+        ("template", "set", "recon"),
+        ("template", "set", "recon", "no-equals-sign"),
+        ("job", "place"),
+        ("--if_revision=x", "config", "show"),
+    ],
+)
+def test_wrong_usage_changes_nothing(entries, words):
+    """Guards against a command line that guesses what was meant."""
+    assert run(entries, *words) == 2
+    assert not entries[0].changes
+
+
+def test_json_output_is_the_whole_document(entries, capsys):
+    """Guards against output that scripts cannot read."""
+    assert run(entries, "--json", "config", "show") == 0
+    assert json.loads(capsys.readouterr().out) == CONFIG
