--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -11,7 +11,16 @@
   5: required string incarnation,   // changes with each start of the sender
 }
 
-enum Outcome { OK = 0, NOT_RUN = 1, OUTCOME_UNKNOWN = 2, INVALID = 3, NOT_FOUND = 4, CONFLICT = 5 }
+// NOT_OWNER: nothing was done, because the receiver does not own the shard.
+enum Outcome {
+  OK = 0,
+  NOT_RUN = 1,
+  OUTCOME_UNKNOWN = 2,
+  INVALID = 3,
+  NOT_FOUND = 4,
+  CONFLICT = 5,
+  NOT_OWNER = 6,
+}
 
 struct Resources {
   1: required i32 cpu_millis,
@@ -230,6 +239,11 @@
   3: required string worker_id,      // worker of the earlier claim
 }
 
+struct ShardRequest {
+  1: required Header header,
+  2: required i32 shard,
+}
+
 service EntryService {
   i64 ping(1: i64 token),
   AnnounceReply announce(1: AnnounceRequest req),
@@ -238,4 +252,6 @@
   JobReply job_status(1: JobRequest req),
   JobReply cancel(1: JobRequest req),
   ClaimReply claim_request(1: ClaimRequest req),
+  JobReply list_jobs(1: ShardRequest req),   // body: JSON list of the shard's jobs
+  JobReply explain_job(1: JobRequest req),   // body: JSON list of reasons
 }
--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -23,7 +23,7 @@
 
 MAX_CHANGES_KEPT = 64
 
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 """Names appear in URL paths and log lines. Lower case only, so that two names never differ in case
 alone."""
 
@@ -344,7 +344,7 @@
     """
     if isinstance(name, str) and NAME_PATTERN.fullmatch(name):
         return name
-    allowed = "1 to 63 characters of a-z, 0-9, '.', '_' and '-', the first a letter or digit"
+    allowed = "1 to 63 lower-case letters, digits and hyphens, starting with a letter or digit"
     raise _fault(what, name, allowed)
 
 
--- /dev/null
+++ b/packages/core/src/mulberryslip/metrics.py
@@ -0,0 +1,128 @@
+"""Latency histograms by client account, class and template, and counters."""
+
+import threading
+from datetime import timedelta
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+"""Ten minutes, the longest deadline; a longer latency is recorded as this."""
+
+SIGNIFICANT_DIGITS = 2
+"""Two digits take 14 KB for each series; a third would take about eight times as much."""
+
+MAX_SERIES = 1000
+MAX_COUNTERS = 500
+OTHER = "other"
+
+_MICROSECOND = timedelta(microseconds=1)
+_US_PER_MS = 1000
+
+
+@attrs.frozen(order=True)
+class SeriesKey:
+    """What one histogram is kept for.
+
+    :param account: client account.
+    :param task_class: value of `TaskClass`.
+    :param template: name of the template.
+    """
+
+    account: str
+    task_class: str
+    template: str
+
+
+@attrs.frozen
+class SeriesSummary:
+    """Percentiles of one histogram, in milliseconds."""
+
+    key: SeriesKey
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p99_9_ms: float
+    max_ms: float
+
+    def to_json(self) -> dict[str, object]:
+        """Return the summary as JSON-serialisable values."""
+        return {
+            "account": self.key.account,
+            "class": self.key.task_class,
+            "template": self.key.template,
+            "count": self.count,
+            "p50_ms": self.p50_ms,
+            "p99_ms": self.p99_ms,
+            "p99_9_ms": self.p99_9_ms,
+            "max_ms": self.max_ms,
+        }
+
+
+@attrs.frozen
+class MetricsSnapshot:
+    """All histograms and counters at one moment."""
+
+    series: tuple[SeriesSummary, ...]
+    counters: dict[str, int]
+
+    def to_json(self) -> dict[str, object]:
+        """Return the snapshot as JSON-serialisable values."""
+        histograms = [summary.to_json() for summary in self.series]
+        return {"histograms": histograms, "counters": self.counters}
+
+
+class Metrics:
+    """Histograms and counters of one process; safe for use by several threads.
+
+    :param max_series: further series are counted together under the name `other`, so that the
+        memory is bounded whatever names occur.
+    """
+
+    def __init__(self, max_series: int = MAX_SERIES, max_counters: int = MAX_COUNTERS):
+        self._max_series = max_series
+        self._max_counters = max_counters
+        self._lock = threading.Lock()
+        self._series: dict[SeriesKey, HdrHistogram] = {}
+        self._counters: dict[str, int] = {}
+
+    def record(self, account: str, task_class: str, template: str, latency: timedelta) -> None:
+        """Record one latency."""
+        value = min(max(latency // _MICROSECOND, LOWEST_US), HIGHEST_US)
+        with self._lock:
+            self._histogram(SeriesKey(account, task_class, template)).record_value(value)
+
+    def count(self, counter: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            if counter not in self._counters and len(self._counters) >= self._max_counters:
+                counter = OTHER
+            self._counters[counter] = self._counters.get(counter, 0) + amount
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return all series, ordered by key, and all counters."""
+        with self._lock:
+            series = tuple(_summary(key, self._series[key]) for key in sorted(self._series))
+            return MetricsSnapshot(series, dict(sorted(self._counters.items())))
+
+    def _histogram(self, key: SeriesKey) -> HdrHistogram:
+        if key not in self._series and len(self._series) >= self._max_series:
+            key = SeriesKey(OTHER, OTHER, OTHER)
+        if key not in self._series:
+            self._series[key] = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS, word_size=4)
+        return self._series[key]
+
+
+def _summary(key: SeriesKey, histogram: HdrHistogram) -> SeriesSummary:
+    def percentile(percent: float) -> float:
+        return histogram.get_value_at_percentile(percent) / _US_PER_MS
+
+    return SeriesSummary(
+        key=key,
+        count=histogram.get_total_count(),
+        p50_ms=percentile(50),
+        p99_ms=percentile(99),
+        p99_9_ms=percentile(99.9),
+        max_ms=histogram.get_max_value() / _US_PER_MS,
+    )
--- a/packages/core/src/mulberryslip/wire/EntryService.py
+++ b/packages/core/src/mulberryslip/wire/EntryService.py
@@ -75,6 +75,22 @@
         """
         pass
 
+    def list_jobs(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
+    def explain_job(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -307,6 +323,70 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "claim_request failed: unknown result")
 
+    def list_jobs(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_list_jobs(req)
+        return self.recv_list_jobs()
+
+    def send_list_jobs(self, req):
+        self._oprot.writeMessageBegin('list_jobs', TMessageType.CALL, self._seqid)
+        args = list_jobs_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_list_jobs(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = list_jobs_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "list_jobs failed: unknown result")
+
+    def explain_job(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_explain_job(req)
+        return self.recv_explain_job()
+
+    def send_explain_job(self, req):
+        self._oprot.writeMessageBegin('explain_job', TMessageType.CALL, self._seqid)
+        args = explain_job_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_explain_job(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = explain_job_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "explain_job failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -319,6 +399,8 @@
         self._processMap["job_status"] = Processor.process_job_status
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["claim_request"] = Processor.process_claim_request
+        self._processMap["list_jobs"] = Processor.process_list_jobs
+        self._processMap["explain_job"] = Processor.process_explain_job
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -502,6 +584,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_list_jobs(self, seqid, iprot, oprot):
+        args = list_jobs_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = list_jobs_result()
+        try:
+            result.success = self._handler.list_jobs(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("list_jobs", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_explain_job(self, seqid, iprot, oprot):
+        args = explain_job_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = explain_job_result()
+        try:
+            result.success = self._handler.explain_job(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("explain_job", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1376,5 +1504,255 @@
 claim_request_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [ClaimReply, None], None, ),  # 0
 )
+
+
+class list_jobs_args(object):
+    """
+    Attributes:
+     - req
+
+    """
+
+
+    def __init__(self, req=None,):
+        self.req = req
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.req = ShardRequest()
+                    self.req.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('list_jobs_args')
+        if self.req is not None:
+            oprot.writeFieldBegin('req', TType.STRUCT, 1)
+            self.req.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(list_jobs_args)
+list_jobs_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [ShardRequest, None], None, ),  # 1
+)
+
+
+class list_jobs_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = JobReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('list_jobs_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(list_jobs_result)
+list_jobs_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [JobReply, None], None, ),  # 0
+)
+
+
+class explain_job_args(object):
+    """
+    Attributes:
+     - req
+
+    """
+
+
+    def __init__(self, req=None,):
+        self.req = req
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.req = JobRequest()
+                    self.req.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('explain_job_args')
+        if self.req is not None:
+            oprot.writeFieldBegin('req', TType.STRUCT, 1)
+            self.req.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(explain_job_args)
+explain_job_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [JobRequest, None], None, ),  # 1
+)
+
+
+class explain_job_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = JobReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('explain_job_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(explain_job_result)
+explain_job_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [JobReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -23,6 +23,7 @@
     INVALID = 3
     NOT_FOUND = 4
     CONFLICT = 5
+    NOT_OWNER = 6
 
     _VALUES_TO_NAMES = {
         0: "OK",
@@ -31,6 +32,7 @@
         3: "INVALID",
         4: "NOT_FOUND",
         5: "CONFLICT",
+        6: "NOT_OWNER",
     }
 
     _NAMES_TO_VALUES = {
@@ -40,6 +42,7 @@
         "INVALID": 3,
         "NOT_FOUND": 4,
         "CONFLICT": 5,
+        "NOT_OWNER": 6,
     }
 
 
@@ -3193,6 +3196,79 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ShardRequest(object):
+    """
+    Attributes:
+     - header
+     - shard
+
+    """
+
+
+    def __init__(self, header=None, shard=None,):
+        self.header = header
+        self.shard = shard
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.header = Header()
+                    self.header.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.shard = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShardRequest')
+        if self.header is not None:
+            oprot.writeFieldBegin('header', TType.STRUCT, 1)
+            self.header.write(oprot)
+            oprot.writeFieldEnd()
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.I32, 2)
+            oprot.writeI32(self.shard)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.header is None:
+            raise TProtocolException(message='Required field header is unset!')
+        if self.shard is None:
+            raise TProtocolException(message='Required field shard is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -3435,5 +3511,11 @@
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'worker_id', 'UTF8', None, ),  # 3
 )
+all_structs.append(ShardRequest)
+ShardRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'header', [Header, None], None, ),  # 1
+    (2, TType.I32, 'shard', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_configs.py
+++ b/tests/test_configs.py
@@ -108,7 +108,7 @@
             ["concord.state", "'off'", "in, out"],
         ),
         (document(data_centres={"concord": {}}), ["concord.state is missing"]),
-        (document(data_centres={"Concord": {"state": "in"}}), ["'Concord'", "a-z"]),
+        (document(data_centres={"Concord": {"state": "in"}}), ["'Concord'", "lower-case"]),
         (document(data_centres={"../x": {"state": "in"}}), ["'../x'"]),
         (document(accounts={"granite-hollow": {"cpu_millis": 1}}), ["memory_mb is missing"]),
         (document(accounts={}), ["account", "'granite-hollow'", "none yet"]),
