Tell every process the number of shards

Cause: a restarted worker finds the shard of a task that it adopts from the task's job id, so it needs the same number of shards as the entries. Before/after: the worker assumed 4 shards whatever the entries used; it now has a checked setting. Conclusion: the number is set in one table that must be equal everywhere.

--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -133,6 +133,7 @@
     "timeout_ms": _integer(50, 60_000, 1000),
     "lease_ttl_ms": _integer(300, 60_000, 3000),
 }
+CLUSTER_KEYS = {"shards": _integer(1, 1024, 4)}
 TIMING_KEYS = {
     "reservation_ms": _integer(100, 60_000, 3000),
     "task_lease_ms": _integer(500, 3_600_000, 20_000),
@@ -147,7 +148,6 @@
     "wire_port": _port(),
     "callers_port": _port(),
     "operators_port": _port(),
-    "shards": _integer(1, 1024, 4),
     "journal_slots": _integer(8, 4096, 64),
     "commit_interval_ms": _integer(0, 1000, 20),
     "threads": _integer(1, MAX_THREADS, 16),
@@ -170,7 +170,7 @@
     "service_memory_mb": _integer(0, 100_000_000, 0),
     "announce_interval_ms": _integer(50, 60_000, 1000),
 }
-TABLES = {"process": PROCESS_KEYS, "timing": TIMING_KEYS}
+TABLES = {"process": PROCESS_KEYS, "cluster": CLUSTER_KEYS, "timing": TIMING_KEYS}
 # Only entries use the store: its rates grow more slowly than the number of workers.
 ROLE_TABLES = {
     "entry": {"store": STORE_KEYS, "entry": ENTRY_KEYS},
@@ -184,12 +184,14 @@
 
     :param process: role, id, data centre, rack and IP address.
     :param store: address, timeout and lease of the platform's store; empty for a worker.
+    :param cluster: number of shards; it must be equal on all processes.
     :param timing: intervals and leases; they must be equal on all processes.
     :param role: keys of the role's own table, `[entry]` or `[worker]`.
     """
 
     process: Mapping[str, Any]
     store: Mapping[str, Any]
+    cluster: Mapping[str, Any]
     timing: Mapping[str, Any]
     role: Mapping[str, Any]
 
@@ -205,14 +207,18 @@
         return timedelta(milliseconds=self.timing[f"{key}_ms"])
 
     def capacity(self) -> Resources:
-        """Return a worker's capacity for tasks: the VM's less the share of its services."""
+        """Return a worker's whole capacity."""
         return Resources(
-            self.role["cpu_millis"] - self.role["service_cpu_millis"],
-            self.role["memory_mb"] - self.role["service_memory_mb"],
+            self.role["cpu_millis"],
+            self.role["memory_mb"],
             self.role["accelerators"],
             self.role["slots"],
         )
 
+    def service_share(self) -> Resources:
+        """Return the part of a worker's capacity that its target keeps."""
+        return Resources(self.role["service_cpu_millis"], self.role["service_memory_mb"])
+
 
 def load(path: str | Path) -> Settings:
     """Read and check a settings file.
@@ -250,7 +256,13 @@
         faults += _check_together(role, values)
     if faults:
         raise SettingsError(faults)
-    return Settings(values["process"], values.get("store", {}), values["timing"], values[role])
+    return Settings(
+        values["process"],
+        values.get("store", {}),
+        values["cluster"],
+        values["timing"],
+        values[role],
+    )
 
 
 def _role_of(document: Mapping[str, Any]) -> str:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,8 +54,8 @@
             "localhost",
             "process.host = 'localhost': must be an IP address",
         ),
-        (ENTRY, "entry", "shards", 0, "entry.shards = 0: must be an integer from 1 to 1024"),
-        (ENTRY, "entry", "shards", True, "entry.shards = True: must be an integer"),
+        (ENTRY, "cluster", "shards", 0, "cluster.shards = 0: must be an integer from 1 to 1024"),
+        (ENTRY, "cluster", "shards", True, "cluster.shards = True: must be an integer"),
         (ENTRY, "entry", "wire_port", 7002, "must differ"),
         (ENTRY, "entry", "colour", "red", "entry.colour = 'red': unknown key; allowed: wire_port"),
         (ENTRY, "worker", "slots", 8, "worker = {'slots': 8}: unknown table"),
@@ -64,7 +64,13 @@
         (WORKER, "worker", "entries", [], "worker.entries = []: must be a list"),
         (WORKER, "worker", "service_cpu_millis", 64000, "must be less than worker.cpu_millis"),
         (ENTRY, "store", "url", "https://store", "store.url = 'https://store': must be"),
-        (WORKER, "store", "url", "http://127.0.0.1:1", "unknown table; allowed: process, timing"),
+        (
+            WORKER,
+            "store",
+            "url",
+            "http://127.0.0.1:1",
+            "unknown table; allowed: cluster, process, timing",
+        ),
     ],
 )
 def test_fault_names_key_value_and_what_is_allowed(document, table, key, value, fault):
@@ -76,7 +82,7 @@
 
 def test_every_fault_is_reported_at_once():
     """Guards against a check that stops at the first fault."""
-    document = changed(changed(ENTRY, "entry", "shards", 0), "store", "timeout_ms", "slow")
+    document = changed(changed(ENTRY, "cluster", "shards", 0), "store", "timeout_ms", "slow")
     del document["process"]["id"]
     with pytest.raises(SettingsError) as info:
         settings.parse(document)
