Add the admission of tasks to a worker

Cause: a worker must be the only authority over its capacity and must refuse starts that were decided before an expiry, an epoch change or the removal of its data centre.

Change: Admission with reservations that expire on the worker's clock, commitments, epochs per shard, attempt numbers, the share kept for services, and no admission before the running tasks and a configuration are known.

--- /dev/null
+++ b/packages/core/src/mulberryslip/admissions.py
@@ -0,0 +1,296 @@
+"""Admission of tasks to one worker: the only authority over its capacity."""
+
+import itertools
+import threading
+from collections import OrderedDict
+from datetime import timedelta
+
+import attrs
+
+from .clocks import Clock
+from .exceptions import AdmissionError
+from .models import Attempt, Resources, TaskClass, TaskKey
+
+RESERVATION_TTL = timedelta(seconds=3)
+# Attempt numbers of this many tasks are remembered to refuse delayed calls for old attempts.
+# A delayed call is refused by epoch or reservation too, so forgetting the oldest is safe.
+MAX_REMEMBERED_TASKS = 16_384
+
+
+@attrs.frozen
+class Reservation:
+    """Capacity held for an attempt until it starts or the reservation expires.
+
+    :param reservation_id: identifier, unique over all starts of the process.
+    :param shard: shard of the job.
+    :param attempt: the attempt.
+    :param template: template name.
+    :param task_class: class of the template.
+    :param resources: capacity held.
+    :param expires: on the worker's monotonic clock.
+    """
+
+    reservation_id: str
+    shard: int
+    attempt: Attempt
+    template: str
+    task_class: TaskClass
+    resources: Resources
+    expires: timedelta
+
+
+@attrs.frozen
+class Commitment:
+    """Capacity of an attempt that was started.
+
+    :param attempt: the attempt.
+    :param task_class: class of the template.
+    :param resources: capacity held until it is released.
+    """
+
+    attempt: Attempt
+    task_class: TaskClass
+    resources: Resources
+
+
+class Admission:
+    """Capacity of one worker.
+
+    Rules: reserved and committed capacity never exceed the worker's; batch tasks and watches
+    never use the share kept for services; a shard's epoch and a task's attempt number never
+    go back; nothing is admitted before a configuration is known, while the data centre is out,
+    or while the worker is leaving.
+
+    :param capacity: whole capacity of the worker, slots included.
+    :param service_share: part of it that only services may use.
+    :param clock: source of time.
+    :param incarnation: start of the process, so that reservation ids never repeat.
+    :param reservation_ttl: life of a reservation on the worker's own clock.
+    """
+
+    def __init__(
+        self,
+        capacity: Resources,
+        service_share: Resources,
+        clock: Clock,
+        incarnation: str,
+        reservation_ttl: timedelta = RESERVATION_TTL,
+    ):
+        if not service_share.fits(capacity):
+            raise ValueError("the share of services exceeds the worker's capacity")
+        self._capacity = capacity
+        self._other_capacity = capacity - service_share
+        self._clock = clock
+        self._incarnation = incarnation
+        self._reservation_ttl = reservation_ttl
+        self._lock = threading.RLock()
+        self._numbers = itertools.count(1)
+        self._reservations: dict[TaskKey, Reservation] = {}
+        self._commitments: dict[Attempt, Commitment] = {}
+        self._newest: OrderedDict[TaskKey, int] = OrderedDict()
+        self._ended: OrderedDict[Attempt, None] = OrderedDict()
+        self._epochs: dict[int, int] = {}
+        self._revision = 0
+        self._is_data_centre_in = False
+        self._is_open = False
+        self._is_leaving = False
+
+    @property
+    def capacity(self) -> Resources:
+        """Whole capacity of the worker."""
+        return self._capacity
+
+    def apply_config(self, revision: int, is_data_centre_in: bool) -> bool:
+        """Take over a configuration unless it is older than the known one.
+
+        :returns: whether it was newer.
+        """
+        with self._lock:
+            if revision <= self._revision:
+                return False
+            self._revision = revision
+            self._is_data_centre_in = is_data_centre_in
+            return True
+
+    def open(self) -> None:
+        """Admit work from now on; the tasks that run already have been adopted."""
+        with self._lock:
+            self._is_open = True
+
+    def leave(self) -> None:
+        """Admit nothing from now on."""
+        with self._lock:
+            self._is_leaving = True
+
+    def epoch(self, shard: int) -> int:
+        """Return the highest epoch seen for a shard; 0 when none was."""
+        with self._lock:
+            return self._epochs.get(shard, 0)
+
+    def observe_epoch(self, shard: int, epoch: int) -> None:
+        """Record an epoch.
+
+        :raises AdmissionError: a higher epoch was seen.
+        """
+        with self._lock:
+            highest = self._epochs.get(shard, 0)
+            if epoch < highest:
+                raise AdmissionError(f"epoch {epoch} of shard {shard} is below {highest}")
+            self._epochs[shard] = epoch
+
+    def reserve(
+        self,
+        shard: int,
+        epoch: int,
+        attempt: Attempt,
+        template: str,
+        task_class: TaskClass,
+        resources: Resources,
+    ) -> Reservation:
+        """Hold capacity for an attempt.
+
+        Repeating the call for the same attempt returns the same reservation; its life is not
+        extended, because the owner may have read the configuration after the first answer.
+
+        :raises AdmissionError: with the reason for the refusal.
+        """
+        with self._lock:
+            self.observe_epoch(shard, epoch)
+            self._check_open()
+            self._expire()
+            self._check_number(attempt)
+            earlier = self._reservations.get(attempt.key)
+            if earlier is not None and earlier.attempt == attempt:
+                return earlier
+            if any(held.key == attempt.key for held in self._commitments):
+                raise AdmissionError("an attempt of the task is held here")
+            self._check_amounts(resources)
+            # A newer attempt replaces the reservation of an older one.
+            self._reservations.pop(attempt.key, None)
+            self._check_fit(task_class, resources)
+            return self._add_reservation(shard, attempt, template, task_class, resources)
+
+    def commit(self, shard: int, epoch: int, attempt: Attempt, reservation_id: str) -> Reservation:
+        """Turn a reservation into a commitment, at the start of the attempt.
+
+        :returns: the reservation.
+        :raises AdmissionError: with the reason for the refusal.
+        """
+        with self._lock:
+            self.observe_epoch(shard, epoch)
+            self._check_open()
+            self._expire()
+            reservation = self._reservations.get(attempt.key)
+            if reservation is None or reservation.reservation_id != reservation_id:
+                raise AdmissionError("the reservation has expired or is unknown")
+            if reservation.attempt != attempt or reservation.shard != shard:
+                raise AdmissionError("the reservation belongs to another attempt")
+            del self._reservations[attempt.key]
+            self._commitments[attempt] = Commitment(
+                attempt, reservation.task_class, reservation.resources
+            )
+            return reservation
+
+    def adopt(self, attempt: Attempt, task_class: TaskClass, resources: Resources) -> None:
+        """Commit the capacity of an attempt that runs already, after a restart."""
+        with self._lock:
+            self._commitments[attempt] = Commitment(attempt, task_class, resources)
+            self._remember(attempt)
+
+    def release(self, attempt: Attempt) -> None:
+        """Free what an attempt holds and refuse its later reservation or start."""
+        with self._lock:
+            self._commitments.pop(attempt, None)
+            reservation = self._reservations.get(attempt.key)
+            if reservation is not None and reservation.attempt == attempt:
+                del self._reservations[attempt.key]
+            self._remember(attempt)
+            self._ended[attempt] = None
+            self._ended.move_to_end(attempt)
+            while len(self._ended) > MAX_REMEMBERED_TASKS:
+                self._ended.popitem(last=False)
+
+    def used(self) -> Resources:
+        """Return what is reserved and committed."""
+        with self._lock:
+            self._expire()
+            return self._sum(None)
+
+    def free(self, task_class: TaskClass = TaskClass.BATCH) -> Resources:
+        """Return what an attempt of a class may still reserve; no amount is negative."""
+        with self._lock:
+            self._expire()
+            left = self._capacity - self._sum(None)
+            if task_class is not TaskClass.SERVICE:
+                other = self._other_capacity - self._sum(TaskClass.SERVICE)
+                left = Resources(*map(min, left.amounts(), other.amounts()))
+            return Resources(*(max(0, amount) for amount in left.amounts()))
+
+    def _check_open(self) -> None:
+        if self._is_leaving:
+            raise AdmissionError("the worker is leaving")
+        if not self._is_open:
+            raise AdmissionError("the tasks that run already are not known yet")
+        if not self._revision:
+            raise AdmissionError("the worker knows no configuration yet")
+        if not self._is_data_centre_in:
+            raise AdmissionError("the data centre is out")
+
+    def _check_number(self, attempt: Attempt) -> None:
+        newest = self._newest.get(attempt.key, 0)
+        if attempt.number < newest:
+            raise AdmissionError(f"attempt {attempt.number} is older than {newest}")
+        if attempt in self._ended:
+            raise AdmissionError("the attempt has ended")
+
+    def _check_amounts(self, resources: Resources) -> None:
+        if min(resources.amounts()) < 0:
+            raise AdmissionError("a resource amount is negative")
+
+    def _check_fit(self, task_class: TaskClass, resources: Resources) -> None:
+        if not (self._sum(None) + resources).fits(self._capacity):
+            raise AdmissionError("not enough free capacity")
+        if task_class is TaskClass.SERVICE:
+            return
+        if not (self._sum(TaskClass.SERVICE) + resources).fits(self._other_capacity):
+            raise AdmissionError("only capacity that is kept for services is free")
+
+    def _add_reservation(
+        self,
+        shard: int,
+        attempt: Attempt,
+        template: str,
+        task_class: TaskClass,
+        resources: Resources,
+    ) -> Reservation:
+        reservation = Reservation(
+            f"{self._incarnation}-{next(self._numbers)}",
+            shard,
+            attempt,
+            template,
+            task_class,
+            resources,
+            self._clock.monotonic() + self._reservation_ttl,
+        )
+        self._reservations[attempt.key] = reservation
+        self._remember(attempt)
+        return reservation
+
+    def _remember(self, attempt: Attempt) -> None:
+        self._newest[attempt.key] = max(attempt.number, self._newest.get(attempt.key, 0))
+        self._newest.move_to_end(attempt.key)
+        while len(self._newest) > MAX_REMEMBERED_TASKS:
+            self._newest.popitem(last=False)
+
+    def _expire(self) -> None:
+        now = self._clock.monotonic()
+        for key, reservation in list(self._reservations.items()):
+            if reservation.expires <= now:
+                del self._reservations[key]
+
+    def _sum(self, without: TaskClass | None) -> Resources:
+        total = Resources()
+        for held in (*self._reservations.values(), *self._commitments.values()):
+            if held.task_class is not without:
+                total += held.resources
+        return total
