Add the process's store lease

Cause: an entry must know, without synchronised clocks, whether its lease certainly still exists. Change: Session renews in its own thread, counts the validity from the moment the renewal was sent, opens a new lease after an expiry and backs off with jitter. StoreState lists its live leases for the checks. With the validity counted from the answer, the same drive of 50 renewals finds a session that is valid without a lease. Conclusion: owners can gate their actions on valid().

--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -130,6 +130,12 @@
             self._expire()
             return self._end_lease(lease_id)
 
+    def lease_ids(self) -> set[str]:
+        """Return the leases that have not expired."""
+        with self._lock:
+            self._expire()
+            return set(self._leases)
+
     def watch(self, prefix: str, after_revision: int, timeout: timedelta) -> Listing:
         """Wait for a change; return an empty listing when none came."""
         deadline = self._clock.monotonic() + timeout
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,164 @@
+"""Rules of the process's store lease."""
+
+import random
+import threading
+from datetime import timedelta
+
+import pytest
+from mulberryslip import ManualClock, SystemClock
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.sessions import Session
+
+TTL = timedelta(seconds=3)
+
+
+class SlowStore(FakeStore):
+    """A store whose answers to lease calls take a time after the call took effect."""
+
+    def __init__(self, clock, answer_delay):
+        super().__init__(clock)
+        self.clock = clock
+        self.answer_delay = answer_delay
+
+    def grant_lease(self, ttl):
+        lease_id = super().grant_lease(ttl)
+        self.clock.advance(self.answer_delay)
+        return lease_id
+
+    def renew_lease(self, lease_id):
+        known = super().renew_lease(lease_id)
+        self.clock.advance(self.answer_delay)
+        return known
+
+
+class AnswerTimeSession(Session):
+    """A session that counts its validity from the receipt of the answer."""
+
+    def _extend(self, lease_id, sent):
+        super()._extend(lease_id, self._clock.monotonic())
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return FakeStore(clock)
+
+
+def valid_without_lease(session_class, clock, rng):
+    """Drive a session through slow answers; return whether it was ever valid without a lease."""
+    store = SlowStore(clock, timedelta(seconds=1))
+    session = session_class(store, TTL, clock, rng=rng)
+    for _ in range(50):
+        session.renew()
+        clock.advance(timedelta(seconds=rng.uniform(0, 3)))
+        if session.valid() and session.session_id not in store.state.lease_ids():
+            return True
+    return False
+
+
+@pytest.mark.parametrize(
+    ("session_class", "expected"), [(Session, False), (AnswerTimeSession, True)]
+)
+def test_session_is_never_valid_without_its_lease(session_class, expected, clock):
+    """Guards against an owner that acts after its keys were deleted.
+
+    The second case shows that counting from the answer fails the check.
+    """
+    assert valid_without_lease(session_class, clock, random.Random(1)) is expected
+
+
+def test_paused_process_is_not_valid_when_it_resumes(store, clock):
+    """Guards against a process that acts on its old lease after a pause."""
+    new = []
+    session = Session(store, TTL, clock, new.append)
+    session.renew()
+    first = session.session_id
+    clock.advance(TTL)
+    assert not session.valid()
+    assert session.remaining() == timedelta()
+    session.renew()
+    assert session.valid()
+    assert new == [first, session.session_id]
+    assert first != session.session_id
+
+
+def test_failed_renewals_neither_extend_nor_end_the_validity(store, clock):
+    """Guards against giving up during a short outage, and against validity beyond the lease."""
+    session = Session(store, TTL, clock)
+    session.renew()
+    first = session.session_id
+    store.set_faults(outage="refuse")
+    clock.advance(TTL / 3)
+    session.renew()
+    assert session.remaining() == TTL * 2 / 3
+    store.set_faults(outage="")
+    session.renew()
+    assert session.session_id == first
+    assert session.remaining() == TTL
+
+
+def test_lost_answer_to_a_renewal_does_not_extend(store, clock):
+    """Guards against counting a renewal whose answer never came."""
+    session = Session(store, TTL, clock)
+    session.renew()
+    clock.advance(TTL / 2)
+    store.set_faults(lost_answer_probability=1)
+    session.renew()
+    assert session.remaining() == TTL / 2
+
+
+def test_backoff_is_bounded_and_jittered(store, clock):
+    """Guards against all processes calling a returning store at the same moment."""
+    store.set_faults(outage="refuse")
+    pauses = [
+        [Session.renew(session) for _ in range(12)]
+        for session in (Session(store, TTL, clock, rng=random.Random(seed)) for seed in range(5))
+    ]
+    assert len({tuple(row) for row in pauses}) == 5
+    assert max(max(row) for row in pauses) <= TTL / 3
+    assert min(row[-1] for row in pauses) >= TTL / 6
+
+
+def test_stop_deletes_the_keys_of_the_lease(store, clock):
+    """Guards against a planned stop that leaves the shards unowned for a whole TTL."""
+    session = Session(store, TTL, clock)
+    session.renew()
+    store.put("entries/1", b"x", 0, session.session_id)
+    session.stop()
+    assert store.get("entries/1") is None
+    assert not session.valid()
+
+
+def test_thread_renews_and_survives_an_outage_and_a_faulty_callback():
+    """Guards against a renewing thread that ends silently, which would lose the lease for good."""
+    store = FakeStore(SystemClock())
+    calls = threading.Semaphore(0)
+
+    def fail(session_id):
+        calls.release()
+        raise RuntimeError(session_id)
+
+    session = Session(store, timedelta(milliseconds=300), SystemClock(), fail)
+    session.start()
+    assert calls.acquire(timeout=5)
+    store.set_faults(outage="drop")
+    assert wait_until(lambda: not session.valid())
+    store.set_faults(outage="")
+    assert calls.acquire(timeout=5)
+    assert wait_until(session.valid)
+    session.stop()
+    assert store.state.lease_ids() == set()
+
+
+def wait_until(condition, timeout_s=5.0):
+    """Return whether a condition came true within the time."""
+    never = threading.Event()
+    for _ in range(int(timeout_s / 0.01)):
+        if condition():
+            return True
+        never.wait(0.01)
+    return False
