Add the entry role: HTTP for callers and operators, forwarding, shard calls

Cause: any entry must serve any call of callers, operators and workers. Two properties of cheroot are worked around: an application's 'Connection: close' does not close the connection, and the unread rest of a chunked body would be taken for the next request.

--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/callers.py
@@ -0,0 +1,166 @@
+"""HTTP interface for callers: requests to services, and jobs."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+from urllib.parse import unquote
+
+from mulberryslip.clocks import Clock
+from mulberryslip.configs import ConfigView, Template
+from mulberryslip.models import TaskClass
+from mulberryslip.outcomes import Answered, NotRun, RequestOutcome
+from mulberryslip.retries import Deadline
+from mulberryslip.wire.ttypes import JobReply, Outcome
+
+from .requests import ServiceRequest
+from .responses import (
+    ID_PATTERN,
+    ID_WORDS,
+    Application,
+    Call,
+    Drain,
+    HTTPError,
+    Response,
+    end_to_end,
+    invalid,
+    json_response,
+    not_allowed,
+    not_found,
+    outcome_error,
+)
+
+MAX_DEADLINE_MS = 600_000
+JOB_DEADLINE = timedelta(seconds=5)
+
+_MS = timedelta(milliseconds=1)
+_JOB_METHODS = {"PUT": "submit", "GET": "job_status", "DELETE": "cancel"}
+
+
+class Requests(Protocol):
+    """The part of `requests.RequestService` that the interface calls."""
+
+    def run(self, req: ServiceRequest) -> RequestOutcome:
+        """Forward one request."""
+
+
+class Jobs(Protocol):
+    """The part of `services.ShardCalls` that the interface calls."""
+
+    def job(
+        self, method: str, job_id: str, body: bytes, request_id: str, deadline: Deadline
+    ) -> JobReply:
+        """Call the owner of a job."""
+
+
+class Callers:
+    """Serves the callers' paths.
+
+    :param requests: forwards requests to services.
+    :param jobs: calls the owners of jobs.
+    :param config: returns the newest configuration, or None before the first.
+    """
+
+    def __init__(
+        self,
+        requests: Requests,
+        jobs: Jobs,
+        config: Callable[[], ConfigView | None],
+        drain: Drain,
+        clock: Clock,
+    ):
+        self._requests = requests
+        self._jobs = jobs
+        self._config = config
+        self._drain = drain
+        self._clock = clock
+
+    def application(self) -> Application:
+        """Return the WSGI application."""
+        return Application(self.handle, self._drain)
+
+    def handle(self, call: Call) -> Response:
+        """Serve one call.
+
+        :raises HTTPError: for every answer that is not a success.
+        """
+        parts = call.path.split("/")
+        if parts[:3] == ["", "v1", "services"] and len(parts) >= 4:
+            return self._service(call, parts[3], "/" + "/".join(parts[4:]))
+        if parts[:3] == ["", "v1", "jobs"] and len(parts) == 4:
+            return self._job(call, unquote(parts[3]))
+        if call.path == "/v1/health":
+            return self._health(call)
+        raise not_found(f"no such path: {call.path[:200]}")
+
+    def _health(self, call: Call) -> Response:
+        if call.method not in ("GET", "HEAD"):
+            raise not_allowed(call.method, "GET, HEAD")
+        if self._drain.leaving:
+            raise HTTPError(503, "stopping", "this entry is stopping")
+        if self._config() is None:
+            raise HTTPError(503, "starting", "this entry has not read the configuration yet")
+        return json_response({"status": "ok"})
+
+    def _service(self, call: Call, name: str, path: str) -> Response:
+        template = self._template(unquote(name))
+        deadline = self._deadline(call, template)
+        outcome = self._requests.run(
+            ServiceRequest(
+                template=template,
+                method=call.method,
+                path=path + (f"?{call.query}" if call.query else ""),
+                headers=call.forwarded_headers(),
+                body=call.body,
+                request_id=call.request_id,
+                caller_chosen=call.caller_chosen,
+                deadline=deadline,
+            )
+        )
+        return _answer(outcome, call.request_id)
+
+    def _template(self, name: str) -> Template:
+        view = self._config()
+        if view is None:
+            message = "this entry has not read the configuration yet; nothing was done"
+            raise HTTPError(503, "not_run", message)
+        template = view.template(name)
+        if template is None or template.task_class is not TaskClass.SERVICE:
+            raise not_found(f"no service is named {name[:80]!r}")
+        return template
+
+    def _deadline(self, call: Call, template: Template) -> Deadline:
+        text = call.header("Request-Deadline-Ms")
+        if text is None:
+            return Deadline(self._clock, template.parameters.deadline_ms * _MS)
+        # The length is checked first, since the conversion of a long number is slow.
+        valid = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_DEADLINE_MS))
+        if not valid or not 1 <= int(text) <= MAX_DEADLINE_MS:
+            allowed = f"a whole number from 1 to {MAX_DEADLINE_MS}"
+            raise invalid("Request-Deadline-Ms", text, allowed)
+        return Deadline(self._clock, int(text) * _MS)
+
+    def _job(self, call: Call, job_id: str) -> Response:
+        method = _JOB_METHODS.get(call.method)
+        if method is None:
+            raise not_allowed(call.method, ", ".join(_JOB_METHODS))
+        if not ID_PATTERN.fullmatch(job_id):
+            raise invalid("job id", job_id, ID_WORDS)
+        body = call.body if call.method == "PUT" else b""
+        deadline = Deadline(self._clock, JOB_DEADLINE)
+        reply = self._jobs.job(method, job_id, body, call.request_id, deadline)
+        if reply.outcome != Outcome.OK:
+            raise outcome_error(reply.outcome, reply.reason)
+        return Response(200, reply.body, {"Content-Type": "application/json"})
+
+
+def _answer(outcome: RequestOutcome, request_id: str) -> Response:
+    if isinstance(outcome, NotRun):
+        raise HTTPError(503, "not_run", outcome.reason)
+    if not isinstance(outcome, Answered):
+        raise HTTPError(504, "outcome_unknown", outcome.reason)
+    if not 200 <= outcome.status <= 599:
+        reason = f"{outcome.worker_id}: the target answered with status {outcome.status}"
+        raise HTTPError(504, "outcome_unknown", reason)
+    headers = {name.title(): value for name, value in end_to_end(outcome.headers).items()}
+    headers["Request-Id"] = request_id
+    return Response(outcome.status, outcome.body, headers)
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -0,0 +1,361 @@
+"""The entry role: serves callers, operators and workers, and runs the owners of the shards."""
+
+import json
+import random
+import threading
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Protocol
+
+import attrs
+from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.clocks import Clock
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import StoreError
+from mulberryslip.fleets import Fleet
+from mulberryslip.metrics import Metrics
+from mulberryslip.outcomes import Committed
+from mulberryslip.retries import RetryBudget
+from mulberryslip.routings import Links, Router
+from mulberryslip.stores import Store
+from mulberryslip.wire import EntryService as EntryWire
+from mulberryslip.wire import WorkerService as WorkerWire
+
+from .callers import Callers
+from .listeners import HTTPListener
+from .operators import Operators
+from .reports import EntryReports
+from .requests import Identity, RequestService
+from .responses import Drain
+from .services import EntryService, Owner, OwnerDirectory, ShardCalls
+from .sources import ConfigSource, ConfigWriter
+
+ENTRIES_PREFIX = "entries/"
+SHARDS = 4
+REGISTRATION_INTERVAL = timedelta(seconds=1)
+DIRECTORY_INTERVAL = timedelta(seconds=2)
+FLEET_INTERVAL = timedelta(seconds=1)
+OPERATOR_THREADS = 4
+SERVER_GRACE = timedelta(seconds=1)
+STOP_RESERVE = timedelta(seconds=2)
+"""Part of the stop timeout that is kept for closing connections and ending threads."""
+
+
+class Session(Protocol):
+    """The part of `sessions.Session` that the entry needs."""
+
+    session_id: str
+
+    def start(self) -> None:
+        """Start renewing."""
+
+    def stop(self) -> None:
+        """End the lease, which deletes its keys."""
+
+
+class RunningOwner(Owner, Protocol):
+    """An owner with its loop."""
+
+    def run(self, stop: threading.Event) -> None:
+        """Claim the shard whenever it is free, and do its work until stopped."""
+
+    def release(self) -> None:
+        """Give the shard up."""
+
+
+@attrs.frozen
+class EntryOptions:
+    """Plain parameters of an entry.
+
+    :param entry_id: name of the entry.
+    :param incarnation: changes with each start of the process.
+    :param data_centre: where the entry runs.
+    :param host: IP address that others are told.
+    :param listen_host: IP address to listen on.
+    :param wire_port: TCP port for the system's own processes.
+    :param callers_port: TCP port for callers.
+    :param operators_port: TCP port for operators.
+    :param threads: callers' requests that are served at a time.
+    :param wire_connections: connections of workers and other entries.
+    :param links: one-way milliseconds by `"data-centre/data-centre"`.
+    :param stop_grace: time during which health checks fail before requests are turned away.
+    :param stop_timeout: longest time of a planned stop.
+    """
+
+    entry_id: str
+    incarnation: str
+    data_centre: str
+    host: str
+    listen_host: str
+    wire_port: int
+    callers_port: int
+    operators_port: int
+    threads: int = 16
+    wire_connections: int = 512
+    links: Mapping[str, float] = attrs.field(factory=dict)
+    stop_grace: timedelta = timedelta(seconds=1)
+    stop_timeout: timedelta = timedelta(seconds=10)
+
+    def identity(self) -> Identity:
+        """Return how the entry presents itself in messages."""
+        return Identity(self.entry_id, self.incarnation, self.data_centre)
+
+
+class EntryRegistration:
+    """Keeps `entries/<id>` in the store under the session's lease, and knows the other entries.
+
+    :param address: returns this entry's thrift address.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        session: Session,
+        options: EntryOptions,
+        address: Callable[[], Address],
+        clock: Clock,
+    ):
+        self._store = store
+        self._session = session
+        self._options = options
+        self._address = address
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._registered_under = ""
+        self._addresses: list[str] = []
+
+    def addresses(self) -> list[str]:
+        """Return `host:port` of every registered entry, this one included."""
+        with self._lock:
+            return sorted({*self._addresses, str(self._address())})
+
+    def run(self, stop: threading.Event) -> None:
+        """Keep the registration and the list of entries up to date until stopped."""
+        next_listing = self._clock.monotonic()
+        while not stop.is_set():
+            try:
+                self.register()
+                if self._clock.monotonic() >= next_listing:
+                    self.refresh()
+                    next_listing = self._clock.monotonic() + DIRECTORY_INTERVAL
+            except StoreError as exc:
+                log(Event.STORE_UNAVAILABLE, call="register entry", reason=str(exc))
+            self._clock.wait(stop, REGISTRATION_INTERVAL)
+
+    def register(self) -> None:
+        """Write the registration if the session is a new one.
+
+        :raises StoreError: when the store does not answer.
+        """
+        session_id = self._session.session_id
+        if not session_id or session_id == self._registered_under:
+            return
+        key = ENTRIES_PREFIX + self._options.entry_id
+        stored = self._store.get(key)
+        version = 0 if stored is None else stored.version
+        if isinstance(self._store.put(key, self._record(), version, session_id), Committed):
+            self._registered_under = session_id
+
+    def refresh(self) -> None:
+        """Read the list of entries.
+
+        :raises StoreError: when the store does not answer; the last list is kept.
+        """
+        listing = self._store.list(ENTRIES_PREFIX)
+        found = [_address_of(stored.value) for stored in listing.values]
+        with self._lock:
+            self._addresses = [address for address in found if address]
+
+    def _record(self) -> bytes:
+        address = self._address()
+        record = {
+            "entry_id": self._options.entry_id,
+            "incarnation": self._options.incarnation,
+            "data_centre": self._options.data_centre,
+            "host": address.host,
+            "port": address.port,
+        }
+        return json.dumps(record).encode()
+
+
+class EntryDaemon:
+    """All parts of one entry process.
+
+    :param session: lease of the process in the store.
+    :param fleet: known workers, shared with the owners.
+    :param source: the configuration, shared with the owners.
+    :param owners: owner of each shard, by shard number from 0.
+    :param store_calls: returns the number of calls to the store by kind.
+    """
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        store: Store,
+        session: Session,
+        fleet: Fleet,
+        source: ConfigSource,
+        owners: Mapping[int, RunningOwner],
+        clock: Clock,
+        rng: random.Random,
+        store_calls: Callable[[], dict[str, int]] = dict,
+    ):
+        self._options = options
+        self._session = session
+        self._fleet = fleet
+        self._source = source
+        self._owners = owners
+        self._clock = clock
+        self._stop = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self.drain = Drain(clock)
+        self.metrics = Metrics()
+        self._worker_channels = ChannelPool(WorkerWire.Client, clock)
+        self._entry_channels = ChannelPool(EntryWire.Client, clock)
+        self._registration = EntryRegistration(store, session, options, self.wire_address, clock)
+        self._calls = ShardCalls(
+            options.identity(),
+            owners,
+            OwnerDirectory(store, clock),
+            self._entry_channels,
+            source.revision,
+            clock,
+            rng,
+        )
+        router = Router(clock, rng, Links(options.links))
+        self._requests = RequestService(
+            options.identity(),
+            fleet,
+            router,
+            self._worker_channels,
+            self._calls,
+            self.metrics,
+            RetryBudget(),
+            source.revision,
+            clock,
+            rng,
+        )
+        reports = EntryReports(fleet, router, self._calls, self.metrics, clock, store_calls)
+        callers = Callers(self._requests, self._calls, source.view, self.drain, clock)
+        writer = ConfigWriter(store, source, clock, rng)
+        operators = Operators(source, writer, reports, self.drain)
+        self._open_servers(callers, operators)
+        source.subscribe(fleet.apply_config)
+
+    def _open_servers(self, callers: Callers, operators: Operators) -> None:
+        options = self._options
+        service = EntryService(self._fleet, self._source, self._calls, self._registration.addresses)
+        self._wire = Server(
+            EntryWire.Processor(service),
+            options.listen_host,
+            options.wire_port,
+            options.wire_connections,
+            self._clock,
+        )
+        self._callers = HTTPListener(
+            options.listen_host, options.callers_port, callers.application(), options.threads
+        )
+        self._operators = HTTPListener(
+            options.listen_host, options.operators_port, operators.application(), OPERATOR_THREADS
+        )
+
+    def wire_address(self) -> Address:
+        """Return the address of the thrift server as others are told it."""
+        return Address(self._options.host, self._wire.port)
+
+    @property
+    def callers_port(self) -> int:
+        """TCP port for callers."""
+        return self._callers.port
+
+    @property
+    def operators_port(self) -> int:
+        """TCP port for operators."""
+        return self._operators.port
+
+    def start(self) -> None:
+        """Start all threads and servers."""
+        self._session.start()
+        self._start_thread("config-reads", lambda: self._source.run_reads(self._stop))
+        self._start_thread("config-watch", lambda: self._source.run_watch(self._stop))
+        self._start_thread("registration", lambda: self._registration.run(self._stop))
+        self._start_thread("fleet", self._run_fleet)
+        for shard, owner in self._owners.items():
+            self._start_thread(f"shard-{shard}", lambda owner=owner: owner.run(self._stop))
+        self._wire.start()
+        self._callers.start()
+        self._operators.start()
+        log(Event.PROCESS_STARTED, role="entry", id=self._options.entry_id)
+
+    def stop(self) -> None:
+        """Stop as section "Planned stop" of the design says; returns within the stop timeout."""
+        expires = self._clock.monotonic() + self._options.stop_timeout
+        log(Event.PROCESS_STOPPING, role="entry", id=self._options.entry_id)
+        self.drain.leave()
+        self._clock.sleep(self._options.stop_grace)
+        self.drain.close()
+        # Shards are given up while requests finish, so that their new owners begin at once.
+        self._stop.set()
+        releasing = threading.Thread(target=self._release, name="release", daemon=True)
+        releasing.start()
+        drained = self.drain.wait(expires - STOP_RESERVE - self._clock.monotonic())
+        left = expires - SERVER_GRACE - self._clock.monotonic()
+        releasing.join(max(0.0, left.total_seconds()))
+        self._close_servers()
+        log(Event.PROCESS_STOPPED, role="entry", id=self._options.entry_id, drained=drained)
+
+    def _release(self) -> None:
+        threads = [
+            threading.Thread(target=owner.release, name=f"release-{shard}", daemon=True)
+            for shard, owner in self._owners.items()
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        # Ends the lease, which deletes the registration.
+        self._session.stop()
+
+    def _close_servers(self) -> None:
+        servers = [
+            threading.Thread(target=self._callers.stop, name="stop-callers", daemon=True),
+            threading.Thread(target=self._operators.stop, name="stop-operators", daemon=True),
+            threading.Thread(
+                target=lambda: self._wire.stop(SERVER_GRACE), name="stop-wire", daemon=True
+            ),
+        ]
+        for thread in servers:
+            thread.start()
+        for thread in servers:
+            thread.join(SERVER_GRACE.total_seconds())
+        self._requests.close()
+        self._worker_channels.close()
+        self._entry_channels.close()
+
+    def _run_fleet(self) -> None:
+        while not self._stop.is_set():
+            self._fleet.expire()
+            self._clock.wait(self._stop, FLEET_INTERVAL)
+
+    def _start_thread(self, name: str, target: Callable[[], None]) -> None:
+        thread = threading.Thread(target=self._guard, args=(name, target), name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _guard(self, name: str, target: Callable[[], None]) -> None:
+        """Run a loop again after a fault, since the process is of no use without it."""
+        while not self._stop.is_set():
+            try:
+                target()
+            except Exception as exc:
+                log(Event.INTERNAL_ERROR, where=name, error=repr(exc))
+                self._clock.wait(self._stop, REGISTRATION_INTERVAL)
+
+
+def _address_of(value: bytes) -> str:
+    try:
+        record = json.loads(value)
+        return str(Address(str(record["host"]), int(record["port"])))
+    except (ValueError, KeyError, TypeError) as exc:
+        log(Event.MESSAGE_INVALID, what="entry registration", reason=repr(exc))
+        return ""
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/responses.py
@@ -0,0 +1,346 @@
+"""What both HTTP interfaces of an entry share: requests, responses, errors and draining."""
+
+import http
+import json
+import re
+import threading
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import Any
+
+import attrs
+from cheroot.errors import MaxSizeExceeded
+from mulberryslip.clocks import Clock
+from mulberryslip.configs import parse_json
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import ConfigError
+from mulberryslip.wire.ttypes import Outcome
+
+MAX_BODY_BYTES = 900_000
+"""A job's body must fit the shard's snapshot, and a request's body a frame of 4 MB."""
+
+ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+ID_WORDS = "1 to 128 characters of A-Z, a-z, 0-9, '.', '_', ':' and '-'"
+
+CLOSE = {"Connection": "close"}
+"""Header of the last response on a connection."""
+
+_POLL = timedelta(milliseconds=20)
+_HOP_BY_HOP = frozenset(
+    (
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+        "transfer-encoding", "upgrade", "proxy-connection",
+    )
+)  # fmt: skip
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class HTTPError(Exception):
+    """Ends a call with an error response.
+
+    :param status: HTTP status.
+    :param code: machine-readable code.
+    :param message: what was wrong, with field, value and what is allowed.
+    :param details: further fields of the JSON body.
+    :param headers: further headers.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        details: Mapping[str, object] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ):
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.details = dict(details or {})
+        self.headers = dict(headers or {})
+
+
+@attrs.frozen
+class Response:
+    """One HTTP response."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Call:
+    """One HTTP request.
+
+    :param method: in capitals.
+    :param path: percent-encoded path without the query.
+    :param query: percent-encoded query without `?`.
+    :param request_id: from the header `Request-Id`, or made here.
+    :param caller_chosen: whether the caller sent the id.
+    :param body: whole body.
+    """
+
+    method: str
+    path: str
+    query: str
+    environ: Mapping[str, Any]
+    request_id: str
+    caller_chosen: bool
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        """Return a request header, or None when it is absent."""
+        key = name.upper().replace("-", "_")
+        if key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            return self.environ.get(key)
+        return self.environ.get(f"HTTP_{key}")
+
+    def json_object(self) -> object:
+        """Read the body as JSON.
+
+        :raises HTTPError: 400 when it is not JSON.
+        """
+        try:
+            return parse_json("body", self.body)
+        except ConfigError as exc:
+            raise HTTPError(400, "invalid", str(exc)) from exc
+
+    def forwarded_headers(self) -> dict[str, str]:
+        """Return the request headers that a target receives."""
+        headers = {
+            key[5:].replace("_", "-").title(): value
+            for key, value in self.environ.items()
+            if key.startswith("HTTP_")
+        }
+        content_type = self.environ.get("CONTENT_TYPE")
+        if content_type is not None:
+            headers["Content-Type"] = content_type
+        return end_to_end(headers)
+
+
+class Drain:
+    """Counts requests in flight and turns new ones away while the process stops."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self.leaving = False
+        self.closed = False
+
+    def enter(self) -> bool:
+        """Count a new request; False when it must be turned away."""
+        with self._lock:
+            if self.closed:
+                return False
+            self._in_flight += 1
+            return True
+
+    def exit(self) -> None:
+        """Count the end of a request."""
+        with self._lock:
+            self._in_flight -= 1
+
+    def leave(self) -> None:
+        """Fail health checks and close each connection after its answer."""
+        self.leaving = True
+
+    def close(self) -> None:
+        """Turn away new requests."""
+        with self._lock:
+            self.leaving = True
+            self.closed = True
+
+    def wait(self, timeout: timedelta) -> bool:
+        """Wait until no request is in flight.
+
+        :returns: False when the time was not enough.
+        """
+        expires = self._clock.monotonic() + timeout
+        while self._clock.monotonic() < expires:
+            with self._lock:
+                if self._in_flight == 0:
+                    return True
+            self._clock.sleep(_POLL)
+        return False
+
+
+class Application:
+    """WSGI application that turns calls into responses and exceptions into error bodies.
+
+    :param handle: serves one call; raises `HTTPError`.
+    :param drain: state of the planned stop.
+    """
+
+    def __init__(self, handle: Callable[[Call], Response], drain: Drain):
+        self._handle = handle
+        self._drain = drain
+
+    def __call__(self, environ: Mapping[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one request as WSGI defines it."""
+        response = self._respond(environ)
+        headers = list(response.headers.items())
+        if self._drain.leaving and CLOSE.items().isdisjoint(headers):
+            headers.extend(CLOSE.items())
+        head = environ["REQUEST_METHOD"] == "HEAD"
+        bodiless = response.status in (204, 304)
+        if not bodiless and not (head and "Content-Length" in response.headers):
+            headers = [pair for pair in headers if pair[0] != "Content-Length"]
+            headers.append(("Content-Length", str(len(response.body))))
+        start(_status_line(response.status), headers)
+        return [] if head or bodiless or not response.body else [response.body]
+
+    def _respond(self, environ: Mapping[str, Any]) -> Response:
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        if not self._drain.enter():
+            message = "this entry is stopping; nothing was done"
+            return error_response(HTTPError(503, "not_run", message, headers=CLOSE), request_id)
+        try:
+            call = _call(environ)
+            request_id = call.request_id
+            return self._handle(call)
+        except HTTPError as exc:
+            return error_response(exc, request_id)
+        except Exception as exc:
+            log(Event.INTERNAL_ERROR, path=environ.get("PATH_INFO", ""), error=repr(exc))
+            error = HTTPError(500, "internal", f"internal error: {type(exc).__name__}")
+            return error_response(error, request_id)
+        finally:
+            self._drain.exit()
+
+
+def json_response(
+    document: object, status: int = 200, headers: Mapping[str, str] | None = None
+) -> Response:
+    """Return a response with a JSON body."""
+    body = json.dumps(document).encode()
+    return Response(status, body, {"Content-Type": "application/json", **(headers or {})})
+
+
+def error_response(error: HTTPError, request_id: str) -> Response:
+    """Return the JSON error body of section 4 of the design."""
+    shown = request_id if ID_PATTERN.fullmatch(request_id) else ""
+    document = {
+        "error": {"code": error.code, "message": str(error), "request_id": shown},
+        **error.details,
+    }
+    return json_response(document, error.status, error.headers)
+
+
+def invalid(what: str, value: object, allowed: str) -> HTTPError:
+    """Return a 400 error that names a field, its value and what is allowed."""
+    return HTTPError(400, "invalid", f"{what}: {_short(value)} is not allowed; allowed: {allowed}")
+
+
+def not_found(what: str) -> HTTPError:
+    """Return a 404 error."""
+    return HTTPError(404, "not_found", what)
+
+
+def not_allowed(method: str, allowed: str) -> HTTPError:
+    """Return a 405 error.
+
+    :param allowed: the allowed methods, separated by commas.
+    """
+    message = f"method {_short(method)} is not allowed; allowed: {allowed}"
+    return HTTPError(405, "method_not_allowed", message, headers={"Allow": allowed})
+
+
+def too_large() -> HTTPError:
+    """Return a 413 error."""
+    message = f"body: allowed: at most {MAX_BODY_BYTES} bytes"
+    return HTTPError(413, "too_large", message, headers=CLOSE)
+
+
+def end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers without those of the connection itself and without damaged ones."""
+    named = headers.get("Connection", "").lower().replace(" ", "").split(",")
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in named and _is_header(name, value)
+    }
+
+
+def outcome_error(outcome: int, reason: str) -> HTTPError:
+    """Return the error for a thrift outcome other than OK."""
+    status, code = {
+        Outcome.NOT_RUN: (503, "not_run"),
+        Outcome.NOT_OWNER: (503, "not_run"),
+        Outcome.INVALID: (400, "invalid"),
+        Outcome.NOT_FOUND: (404, "not_found"),
+        Outcome.CONFLICT: (409, "conflict"),
+    }.get(outcome, (504, "outcome_unknown"))
+    return HTTPError(status, code, reason)
+
+
+def _call(environ: Mapping[str, Any]) -> Call:
+    body = _read_body(environ)
+    request_id = environ.get("HTTP_REQUEST_ID")
+    if request_id is not None and not ID_PATTERN.fullmatch(request_id):
+        raise invalid("Request-Id", request_id, ID_WORDS)
+    path, _, query = environ.get("REQUEST_URI", environ["PATH_INFO"]).partition("?")
+    return Call(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        query=query,
+        environ=environ,
+        request_id=request_id or uuid.uuid4().hex,
+        caller_chosen=request_id is not None,
+        body=body,
+    )
+
+
+def _read_body(environ: Mapping[str, Any]) -> bytes:
+    """Read the whole body, since an unread rest would be taken for the next request.
+
+    :raises HTTPError: 413 for a body over the limit, 400 for one that is cut short or damaged; the
+        connection is closed with either.
+    """
+    length = environ.get("CONTENT_LENGTH", "")
+    chunked = environ.get("wsgi.input_terminated", False)
+    if not length and not chunked:
+        return b""
+    if not chunked and not (length.isascii() and length.isdigit()):
+        raise _broken_body(f"Content-Length: {_short(length)} is not a whole number")
+    limit = MAX_BODY_BYTES + 1 if chunked else int(length)
+    if limit > MAX_BODY_BYTES and not chunked:
+        raise too_large()
+    try:
+        body = environ["wsgi.input"].read(limit)
+    except MaxSizeExceeded as exc:
+        raise too_large() from exc
+    except (ValueError, OSError) as exc:
+        raise _broken_body(f"the body could not be read: {exc}") from exc
+    if len(body) > MAX_BODY_BYTES:
+        raise too_large()
+    if not chunked and len(body) < limit:
+        raise _broken_body(f"the body ended after {len(body)} of {limit} bytes")
+    return body
+
+
+def _broken_body(message: str) -> HTTPError:
+    return HTTPError(400, "invalid", message, headers=CLOSE)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def _is_header(name: str, value: str) -> bool:
+    return (
+        re.fullmatch(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+", name) is not None
+        and re.search(r"[\x00-\x08\x0a-\x1f\x7f]", value) is None
+        and all(ord(character) < 256 for character in value)
+    )
+
+
+def _short(value: object) -> str:
+    shown = repr(value)
+    return shown if len(shown) <= 80 else shown[:77] + "..."
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -0,0 +1,360 @@
+"""Thrift service of an entry, and calls to the owner of a shard wherever it is."""
+
+import json
+import random
+import threading
+import zlib
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Any, Protocol
+
+import attrs
+from mulberryslip.channels import Address
+from mulberryslip.clocks import Clock
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import NotSentError, StoreError, WireError
+from mulberryslip.fleets import Fleet
+from mulberryslip.models import WorkerDescription
+from mulberryslip.retries import Deadline, backoff
+from mulberryslip.stores import Store
+from mulberryslip.wire.ttypes import (
+    AnnounceReply,
+    AnnounceRequest,
+    ClaimReply,
+    ClaimRequest,
+    Header,
+    JobReply,
+    JobRequest,
+    Outcome,
+    ReportReply,
+    ReportRequest,
+    ShardRequest,
+)
+from mulberryslip.wire.ttypes import WorkerDescription as WireDescription
+
+from .requests import Channels, Identity, load_from_wire, resources_from_wire
+from .sources import ConfigSource
+
+ENTRY_SENDER = "entry/"
+"""Prefix of the sender of a call that an entry forwards. Such a call is never forwarded again, so
+that two entries with outdated owner records cannot pass it back and forth."""
+
+OWNER_KEPT = timedelta(seconds=1)
+OWNER_SEARCH = timedelta(seconds=3)
+"""Longest search for an owner; a shard is claimed anew within about this time."""
+
+_OWNER_METHODS = {"job_status": "status", "explain_job": "explain"}
+_NOT_OWNER = "this entry does not own the shard"
+
+
+class Owner(Protocol):
+    """The part of `owners.ShardOwner` that the entry calls; replies are thrift messages."""
+
+    def is_owner(self) -> bool:
+        """Return whether this process owns the shard now."""
+
+    def submit(self, req: JobRequest) -> JobReply:
+        """Accept a job."""
+
+    def status(self, req: JobRequest) -> JobReply:
+        """Return the state of a job."""
+
+    def cancel(self, req: JobRequest) -> JobReply:
+        """Cancel a job."""
+
+    def report(self, req: ReportRequest) -> ReportReply:
+        """Take in what a worker reports."""
+
+    def claim_request(self, req: ClaimRequest) -> ClaimReply:
+        """Claim or release a request id."""
+
+    def list_jobs(self, req: ShardRequest) -> JobReply:
+        """Return the jobs of the shard."""
+
+    def explain(self, req: JobRequest) -> JobReply:
+        """Return why the tasks of a job wait, run or moved."""
+
+
+@attrs.frozen
+class OwnerAddress:
+    """Owner of a shard as recorded in the store."""
+
+    entry_id: str
+    address: Address
+    incarnation: str
+
+
+class OwnerDirectory:
+    """Owners of the shards as recorded in the store, kept for a second.
+
+    :param store: the platform's store.
+    """
+
+    def __init__(self, store: Store, clock: Clock):
+        self._store = store
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._known: dict[int, tuple[timedelta, OwnerAddress | None]] = {}
+
+    def find(self, shard: int, fresh: bool = False) -> OwnerAddress | None:
+        """Return the owner of a shard, or None when it is not known.
+
+        While the store is down the last known owner is returned.
+
+        :param fresh: whether to read the store even if the record was read just now.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            read_at, owner = self._known.get(shard, (-OWNER_KEPT, None))
+        if not fresh and now - read_at < OWNER_KEPT:
+            return owner
+        try:
+            owner = self._read(shard)
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="find owner", reason=str(exc))
+        with self._lock:
+            self._known[shard] = (now, owner)
+        return owner
+
+    def _read(self, shard: int) -> OwnerAddress | None:
+        stored = self._store.get(f"shards/{shard}/owner")
+        return None if stored is None else parse_owner(stored.value)
+
+
+def parse_owner(value: bytes) -> OwnerAddress | None:
+    """Return the owner from its record, or None when the record is damaged."""
+    try:
+        record = json.loads(value)
+        address = Address(str(record["host"]), int(record["port"]))
+        return OwnerAddress(str(record["entry_id"]), address, str(record["incarnation"]))
+    except (ValueError, KeyError, TypeError) as exc:
+        log(Event.MESSAGE_INVALID, what="shard owner", reason=repr(exc))
+        return None
+
+
+def shard_of(job_id: str, shards: int) -> int:
+    """Return the shard of a job or request id."""
+    return zlib.crc32(job_id.encode()) % shards
+
+
+class ShardCalls:
+    """Calls to the owner of a shard, local or remote.
+
+    :param owners: this process's owner of each shard.
+    :param channels: connections to other entries.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        owners: Mapping[int, Owner],
+        directory: OwnerDirectory,
+        channels: Channels,
+        revision: Callable[[], int],
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._identity = identity
+        self._owners = owners
+        self._directory = directory
+        self._channels = channels
+        self._revision = revision
+        self._clock = clock
+        self._rng = rng
+
+    @property
+    def shards(self) -> int:
+        """Number of shards."""
+        return len(self._owners)
+
+    def job(
+        self, method: str, job_id: str, body: bytes, request_id: str, deadline: Deadline
+    ) -> JobReply:
+        """Call `submit`, `job_status`, `cancel` or `explain_job` of the owner of a job.
+
+        All of them may be repeated safely, so a lost reply is followed by another try.
+        """
+
+        def message() -> JobRequest:
+            return JobRequest(self._header(request_id, deadline), job_id, body)
+
+        shard = shard_of(job_id, self.shards)
+        return self._search(shard, method, message, deadline, repeat_lost=True)
+
+    def list_jobs(self, shard: int, request_id: str, deadline: Deadline) -> JobReply:
+        """Return the jobs of one shard."""
+
+        def message() -> ShardRequest:
+            return ShardRequest(self._header(request_id, deadline), shard)
+
+        return self._search(shard, "list_jobs", message, deadline, repeat_lost=True)
+
+    def owner(self, shard: int) -> OwnerAddress | None:
+        """Return the recorded owner of a shard, or None."""
+        return self._directory.find(shard)
+
+    def claim(self, claim_id: str, worker_id: str, deadline: Deadline) -> ClaimReply:
+        """Claim a request id for a worker, or release it with an empty worker id.
+
+        A call that may have arrived is not repeated: a second release could remove a claim that
+        another entry made meanwhile.
+        """
+
+        def message() -> ClaimRequest:
+            return ClaimRequest(self._header(claim_id, deadline), claim_id, worker_id)
+
+        shard = shard_of(claim_id, self.shards)
+        return self._search(shard, "claim_request", message, deadline, repeat_lost=False)
+
+    def serve(self, shard: int, method: str, req: Any) -> Any:
+        """Serve a call that came in over thrift, here or at the owner.
+
+        :param req: message; its header names the sender.
+        """
+        if not 0 <= shard < self.shards:
+            return _refusal(method, Outcome.INVALID, f"shard {shard} is not below {self.shards}")
+        if self._owners[shard].is_owner() or req.header.sender.startswith(ENTRY_SENDER):
+            return self._local(shard, method, req)
+        deadline = Deadline(self._clock, timedelta(milliseconds=req.header.deadline_ms))
+        req.header = self._header(req.header.request_id, deadline)
+        return self._remote(shard, method, req, deadline, fresh=False)
+
+    def _search(
+        self,
+        shard: int,
+        method: str,
+        message: Callable[[], Any],
+        deadline: Deadline,
+        repeat_lost: bool,
+    ) -> Any:
+        """Call the owner; while there is none, or it has just changed, try again."""
+        search = Deadline(self._clock, deadline.sooner(OWNER_SEARCH))
+        failures = 0
+        while True:
+            if self._owners[shard].is_owner():
+                reply = self._local(shard, method, message())
+            else:
+                reply = self._remote(shard, method, message(), deadline, fresh=failures > 0)
+            lost = reply.outcome == Outcome.OUTCOME_UNKNOWN and repeat_lost
+            if not (lost or reply.outcome == Outcome.NOT_OWNER):
+                return reply
+            failures += 1
+            pause = backoff(failures, self._rng, timedelta(milliseconds=50))
+            if pause >= search.remaining():
+                return reply
+            self._clock.sleep(pause)
+
+    def _local(self, shard: int, method: str, req: Any) -> Any:
+        owner = self._owners[shard]
+        if not owner.is_owner():
+            return _refusal(method, Outcome.NOT_OWNER, _NOT_OWNER)
+        return getattr(owner, _OWNER_METHODS.get(method, method))(req)
+
+    def _remote(self, shard: int, method: str, req: Any, deadline: Deadline, fresh: bool) -> Any:
+        owner = self._directory.find(shard, fresh)
+        if owner is None or owner.entry_id == self._identity.entry_id:
+            return _refusal(method, Outcome.NOT_OWNER, f"shard {shard} has no owner now")
+        try:
+            return self._channels.call(owner.address, method, req, deadline.remaining())
+        except NotSentError as exc:
+            reason = f"shard {shard} has no reachable owner: {exc}"
+            return _refusal(method, Outcome.NOT_OWNER, reason)
+        except WireError as exc:
+            return _refusal(method, Outcome.OUTCOME_UNKNOWN, str(exc))
+
+    def _header(self, request_id: str, deadline: Deadline) -> Header:
+        return Header(
+            request_id=request_id,
+            deadline_ms=deadline.remaining_ms(),
+            config_revision=self._revision(),
+            sender=ENTRY_SENDER + self._identity.entry_id,
+            incarnation=self._identity.incarnation,
+        )
+
+
+class EntryService:
+    """Handlers of the thrift `EntryService`.
+
+    :param entries: returns `host:port` of every registered entry.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        source: ConfigSource,
+        calls: ShardCalls,
+        entries: Callable[[], list[str]],
+    ):
+        self._fleet = fleet
+        self._source = source
+        self._calls = calls
+        self._entries = entries
+
+    def ping(self, token: int) -> int:
+        """Return the token."""
+        return token
+
+    def announce(self, req: AnnounceRequest) -> AnnounceReply:
+        """Take in a worker's announcement; the reply carries the configuration if it is newer."""
+        known = self._fleet.announce(description_from_wire(req.worker), load_from_wire(req.load))
+        view = self._source.view()
+        newer = view is not None and view.revision > req.header.config_revision
+        return AnnounceReply(
+            outcome=Outcome.OK if known else Outcome.CONFLICT,
+            config_revision=0 if view is None else view.revision,
+            config=view.to_json() if newer else b"",
+            entries=self._entries(),
+        )
+
+    def report(self, req: ReportRequest) -> ReportReply:
+        """Take in a worker's report on tasks."""
+        return self._calls.serve(req.shard, "report", req)
+
+    def submit(self, req: JobRequest) -> JobReply:
+        """Accept a job."""
+        return self._job("submit", req)
+
+    def job_status(self, req: JobRequest) -> JobReply:
+        """Return the state of a job."""
+        return self._job("job_status", req)
+
+    def cancel(self, req: JobRequest) -> JobReply:
+        """Cancel a job."""
+        return self._job("cancel", req)
+
+    def claim_request(self, req: ClaimRequest) -> ClaimReply:
+        """Claim or release a request id."""
+        return self._calls.serve(shard_of(req.claim_id, self._calls.shards), "claim_request", req)
+
+    def list_jobs(self, req: ShardRequest) -> JobReply:
+        """Return the jobs of a shard."""
+        return self._calls.serve(req.shard, "list_jobs", req)
+
+    def explain_job(self, req: JobRequest) -> JobReply:
+        """Return why the tasks of a job wait, run or moved."""
+        return self._job("explain_job", req)
+
+    def _job(self, method: str, req: JobRequest) -> JobReply:
+        return self._calls.serve(shard_of(req.job_id, self._calls.shards), method, req)
+
+
+def description_from_wire(worker: WireDescription) -> WorkerDescription:
+    """Return a worker's description as the model has it."""
+    return WorkerDescription(
+        worker_id=worker.worker_id,
+        incarnation=worker.incarnation,
+        data_centre=worker.data_centre,
+        rack=worker.rack,
+        host=worker.host,
+        port=worker.port,
+        capacity=resources_from_wire(worker.capacity),
+        services=tuple(worker.services),
+    )
+
+
+def _refusal(method: str, outcome: int, reason: str) -> Any:
+    if method == "report":
+        return ReportReply(outcome=outcome, acknowledged=[])
+    if method == "claim_request":
+        return ClaimReply(outcome=outcome, reason=reason, worker_id="")
+    return JobReply(outcome=outcome, reason=reason, body=b"")
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/sources.py
@@ -0,0 +1,250 @@
+"""Where the entry gets the operators' configuration from, and how it writes changes to it."""
+
+import random
+import threading
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from mulberryslip.changes import (
+    Accepted,
+    AlreadyAccepted,
+    Change,
+    Stale,
+    decide,
+    newest,
+    subject_of,
+)
+from mulberryslip.clocks import Clock
+from mulberryslip.configs import CONFIG_KEY, ConfigView
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import ConfigError, StoreError, StoreUnavailableError
+from mulberryslip.outcomes import Committed, Unknown
+from mulberryslip.retries import Deadline, backoff
+from mulberryslip.stores import Store, StoredValue
+
+READ_INTERVAL = timedelta(seconds=2)
+WATCH_TIMEOUT = timedelta(seconds=10)
+WRITE_TIMEOUT = timedelta(seconds=5)
+MAX_WRITE_ATTEMPTS = 20
+
+
+class ConfigSource:
+    """The newest configuration that this process has seen; its revision never goes back.
+
+    :param store: the platform's store.
+    :param clock: source of time for the waits.
+    :param read_interval: time between reads, which cover for a watch that went silent.
+    """
+
+    def __init__(self, store: Store, clock: Clock, read_interval: timedelta = READ_INTERVAL):
+        self._store = store
+        self._clock = clock
+        self._read_interval = read_interval
+        self._lock = threading.Lock()
+        self._view: ConfigView | None = None
+        self._subscribers: list[Callable[[ConfigView], None]] = []
+        self._rng = random.Random()
+
+    def view(self) -> ConfigView | None:
+        """Return the newest view, or None before the first read."""
+        with self._lock:
+            return self._view
+
+    def revision(self) -> int:
+        """Return the newest revision; 0 before the first read."""
+        view = self.view()
+        return 0 if view is None else view.revision
+
+    def subscribe(self, subscriber: Callable[[ConfigView], None]) -> None:
+        """Call a function with each newer view; it must not block."""
+        with self._lock:
+            self._subscribers.append(subscriber)
+            view = self._view
+        if view is not None:
+            subscriber(view)
+
+    def offer(self, view: ConfigView) -> ConfigView:
+        """Take in a view if it is newer.
+
+        :returns: the newest view.
+        """
+        with self._lock:
+            newer = newest(self._view, view)
+            changed = newer is not self._view
+            self._view = newer
+            subscribers = list(self._subscribers) if changed else []
+        for subscriber in subscribers:
+            subscriber(newer)
+        if changed:
+            log(Event.CONFIG_APPLIED, revision=newer.revision)
+        return newer
+
+    def refresh(self) -> ConfigView:
+        """Read the store and return the newest view.
+
+        :raises StoreUnavailableError: when the store does not answer; the view is left as it is.
+        :raises ConfigError: when the stored document is damaged; the view is left as it is.
+        """
+        return self.offer(parse_stored(self._store.get(CONFIG_KEY)))
+
+    def run_reads(self, stop: threading.Event) -> None:
+        """Read the store periodically until stopped."""
+        while not stop.is_set():
+            self._try(self.refresh)
+            self._clock.wait(stop, self._read_interval)
+
+    def run_watch(self, stop: threading.Event) -> None:
+        """Watch the store until stopped."""
+        revision = 0
+        failures = 0
+        while not stop.is_set():
+            try:
+                revision = self._watch_once(revision)
+                failures = 0
+            except (StoreError, ConfigError) as exc:
+                failures += 1
+                log(Event.STORE_UNAVAILABLE, call="watch config", reason=str(exc))
+                # The store may have restarted its revisions; a new listing gives the current one.
+                revision = 0
+                pause = backoff(failures, self._rng, timedelta(milliseconds=100))
+                self._clock.wait(stop, pause)
+
+    def _watch_once(self, revision: int) -> int:
+        if revision == 0:
+            listing = self._store.list(CONFIG_KEY)
+        else:
+            listing = self._store.watch(CONFIG_KEY, revision, WATCH_TIMEOUT)
+        for stored in listing.values:
+            if stored.key == CONFIG_KEY and stored.version > 0:
+                self.offer(parse_stored(stored))
+        return listing.revision
+
+    def _try(self, read: Callable[[], object]) -> None:
+        try:
+            read()
+        except (StoreError, ConfigError) as exc:
+            log(Event.STORE_UNAVAILABLE, call="read config", reason=str(exc))
+
+
+@dataclass(frozen=True)
+class ChangeAccepted:
+    """A change took effect.
+
+    :param revision: the revision that it produced.
+    :param resent: whether an earlier request had made the change already.
+    """
+
+    revision: int
+    resent: bool = False
+
+
+@dataclass(frozen=True)
+class ChangeUnavailable:
+    """A change was not made because the store does not answer."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class ChangeUnknown:
+    """A change may have been made; resending it with the same `Change-Id` is safe."""
+
+    reason: str
+
+
+ChangeOutcome = ChangeAccepted | Stale | ChangeUnavailable | ChangeUnknown
+
+
+class ConfigWriter:
+    """Writes operators' changes by compare-and-swap.
+
+    :param store: the platform's store.
+    :param source: is given each accepted document, so that this process applies it at once.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        source: ConfigSource,
+        clock: Clock,
+        rng: random.Random,
+        timeout: timedelta = WRITE_TIMEOUT,
+    ):
+        self._store = store
+        self._source = source
+        self._clock = clock
+        self._rng = rng
+        self._timeout = timeout
+
+    def write(
+        self, change: Change, based_on: int, change_id: str = "", operator: str = ""
+    ) -> ChangeOutcome:
+        """Make one change.
+
+        :param based_on: revision that the operator has seen.
+        :param change_id: the operator's id of the change, or empty.
+        :raises ConfigError: when the change breaks a rule of the document.
+        """
+        # Every record needs an id, since a write whose answer was lost is found again by it.
+        own_id = change_id or f"entry-{uuid.uuid4().hex}"
+        deadline = Deadline(self._clock, self._timeout)
+        unresolved = ""
+        for attempt in range(1, MAX_WRITE_ATTEMPTS + 1):
+            try:
+                outcome = self._write_once(change, based_on, own_id, operator)
+            except StoreUnavailableError as exc:
+                if not unresolved:
+                    return ChangeUnavailable(str(exc))
+                outcome = Unknown(str(exc))
+            if isinstance(outcome, AlreadyAccepted):
+                return ChangeAccepted(outcome.revision, resent=not unresolved)
+            if isinstance(outcome, ChangeAccepted | Stale):
+                self._log(outcome, change, operator)
+                return outcome
+            if isinstance(outcome, Unknown):
+                unresolved = outcome.reason
+            if deadline.expired():
+                break
+            self._clock.sleep(deadline.sooner(backoff(attempt, self._rng)))
+        if unresolved:
+            return ChangeUnknown(unresolved)
+        return ChangeUnavailable("the configuration is being changed too often; try again")
+
+    def _write_once(
+        self, change: Change, based_on: int, change_id: str, operator: str
+    ) -> ChangeAccepted | AlreadyAccepted | Stale | Unknown | None:
+        """Try once; None means that the document changed meanwhile."""
+        stored = self._store.get(CONFIG_KEY)
+        current = self._source.offer(parse_stored(stored))
+        decision = decide(current, change, based_on, change_id, operator)
+        if not isinstance(decision, Accepted):
+            return decision
+        version = 0 if stored is None else stored.version
+        outcome = self._store.put(CONFIG_KEY, decision.view.to_json(), version)
+        if isinstance(outcome, Unknown):
+            return outcome
+        if not isinstance(outcome, Committed):
+            return None
+        self._source.offer(decision.view)
+        return ChangeAccepted(decision.view.revision)
+
+    def _log(self, outcome: ChangeAccepted | Stale, change: Change, operator: str) -> None:
+        accepted = isinstance(outcome, ChangeAccepted)
+        log(
+            Event.CONFIG_ACCEPTED if accepted else Event.CONFIG_REFUSED,
+            revision=outcome.revision,
+            operator=operator,
+            subject=subject_of(change),
+        )
+
+
+def parse_stored(stored: StoredValue | None) -> ConfigView:
+    """Return the view of a stored document; an absent one has revision 0.
+
+    :raises ConfigError: when it is damaged.
+    """
+    if stored is None:
+        return ConfigView()
+    return ConfigView.from_json(stored.value)
