Test routing and retries; keep a choice independent of the number of workers

Cause: a choice looked at every worker: 70 us with 11 of them, 1387 us with 810. Change: the workers by distance and their averages are kept for 50 ms; a choice draws from them. Share of a burst of 4 entries that goes to the one worker that looks idle: 1.00 for the smallest report, 0.67 with own requests counted, 0.23 with the random draw (test doubles in tests/test_routings.py). Conclusion: cost per request no longer grows with the fleet.

--- a/packages/core/src/mulberryslip/routings.py
+++ b/packages/core/src/mulberryslip/routings.py
@@ -30,6 +30,10 @@
 
 DRAWN = 2
 DRAWN_REMOTE = 1
+DRAWN_PER_CANDIDATE = 4
+
+POOL_KEPT = timedelta(milliseconds=50)
+"""Looking at all workers takes 1 ms with 800 of them; reports arrive once a second."""
 
 UNKNOWN_SERVICE_TIME = timedelta(milliseconds=20)
 """Assumed where no worker has reported a service time yet."""
@@ -157,6 +161,21 @@
     others: float
 
 
+@attrs.frozen
+class _Pool:
+    """Workers that answer a service, as seen from one data centre.
+
+    :param built_at: when the reports were taken in and the average was made.
+    """
+
+    workers: Sequence[WorkerView]
+    source: str
+    built_at: timedelta
+    nearest: list[WorkerView]
+    remote: list[WorkerView]
+    average: _Average
+
+
 class Router:
     """Chooses workers for the requests of one entry; safe for use by several threads.
 
@@ -180,6 +199,7 @@
         self._lock = threading.Lock()
         self._workers: dict[str, _WorkerState] = {}
         self._services: dict[str, _Service] = {}
+        self._pools: dict[tuple[str, str], _Pool] = {}
         self._next_prune = clock.monotonic() + PRUNE_INTERVAL
 
     def choose(
@@ -194,18 +214,20 @@
 
         :param service: template of class `service`.
         :param source_data_centre: where the request is.
-        :param workers: workers that answer the service and may receive requests.
+        :param workers: workers that answer the service and may receive requests; the same object
+            may be passed again for a while, and must not be changed.
         :param deadline: time left.
         :param avoid: workers that this request has been sent to already.
         """
         with self._lock:
             now = self._clock.monotonic()
             self._prune(now)
-            usable = [view for view in workers if view.description.worker_id not in avoid]
-            if not usable:
+            pool = self._pool(service, source_data_centre, workers, now)
+            drawn = self._draw(pool, avoid, now)
+            if not drawn:
                 tried = f"; {len(avoid)} were tried" if avoid else ""
                 return _refusal(f"no worker in service answers {service.name}{tried}")
-            return self._choose(service, source_data_centre, usable, deadline, now)
+            return self._compare(service, pool, drawn, deadline, avoid, now)
 
     def sent(self, worker_id: str) -> None:
         """Count a request that is about to be sent to a worker."""
@@ -248,27 +270,23 @@
             state = self._workers.get(worker_id)
             return state.own if state is not None else 0
 
-    def _choose(
+    def _compare(
         self,
         service: Template,
-        source: str,
-        usable: list[WorkerView],
+        pool: _Pool,
+        drawn: Sequence[WorkerView],
         deadline: timedelta,
+        avoid: frozenset[str],
         now: timedelta,
     ) -> RouteChoice:
-        for view in usable:
-            self._take_report(view, now)
-        ready = [view for view in usable if self._state(view).avoid_until <= now] or usable
-        average = self._average(usable, now)
-
         def estimate(view: WorkerView) -> _Candidate:
-            return self._estimate(view, service.parameters, source, average, now)
+            return self._estimate(view, service.parameters, pool, now)
 
-        drawn = [estimate(view) for view in self._draw(ready, source)]
-        best = min(drawn, key=lambda candidate: candidate.cost_us)
+        candidates = [estimate(view) for view in drawn]
+        best = min(candidates, key=lambda candidate: candidate.cost_us)
         if best.completion_us * _US <= deadline:
-            return self._chosen(service, best, drawn, deadline, "")
-        every = [estimate(view) for view in ready]
+            return self._chosen(service, best, candidates, deadline, "")
+        every = [estimate(view) for view in self._usable(pool.workers, avoid, now)] or candidates
         best = min(every, key=lambda candidate: candidate.completion_us)
         if best.completion_us * _US <= deadline:
             return self._chosen(service, best, every, deadline, ", as those drawn were too slow")
@@ -282,6 +300,26 @@
             f"{best.completion_us / _US_PER_MS:.0f} ms"
         )
 
+    def _pool(
+        self, service: Template, source: str, workers: Sequence[WorkerView], now: timedelta
+    ) -> _Pool:
+        """Return the workers by distance; kept for a moment, since it looks at all of them."""
+        key = (service.name, source)
+        pool = self._pools.get(key)
+        if pool is None or pool.workers is not workers or now - pool.built_at > POOL_KEPT:
+            pool = self._pools[key] = self._build_pool(source, workers, now)
+        return pool
+
+    def _build_pool(self, source: str, workers: Sequence[WorkerView], now: timedelta) -> _Pool:
+        by_distance: dict[float, list[WorkerView]] = {}
+        for view in workers:
+            self._take_report(view, now)
+            distance = self._links.round_trip_us(source, view.description.data_centre)
+            by_distance.setdefault(distance, []).append(view)
+        nearest = by_distance.pop(min(by_distance)) if by_distance else []
+        remote = [view for views in by_distance.values() for view in views]
+        return _Pool(workers, source, now, nearest, remote, self._average(workers, now))
+
     def _take_report(self, view: WorkerView, now: timedelta) -> None:
         worker_id = view.description.worker_id
         state = self._workers.get(worker_id)
@@ -299,20 +337,29 @@
     def _service(self, name: str) -> _Service:
         return self._services.setdefault(name, _Service())
 
-    def _draw(self, ready: list[WorkerView], source: str) -> list[WorkerView]:
+    def _draw(self, pool: _Pool, avoid: frozenset[str], now: timedelta) -> list[WorkerView]:
         """Draw from the nearest data centre, and from all others to notice when it is full."""
-        by_distance: dict[float, list[WorkerView]] = {}
-        for view in ready:
-            distance = self._links.round_trip_us(source, view.description.data_centre)
-            by_distance.setdefault(distance, []).append(view)
-        nearest = by_distance.pop(min(by_distance))
-        remote = [view for views in by_distance.values() for view in views]
-        return self._sample(nearest, DRAWN) + self._sample(remote, DRAWN_REMOTE)
-
-    def _sample(self, views: list[WorkerView], count: int) -> list[WorkerView]:
-        return views if len(views) <= count else self._rng.sample(views, count)
-
-    def _average(self, views: list[WorkerView], now: timedelta) -> _Average:
+        drawn = self._sample(pool.nearest, DRAWN, avoid, now)
+        drawn += self._sample(pool.remote, DRAWN_REMOTE, avoid, now)
+        return drawn or [v for v in pool.workers if v.description.worker_id not in avoid]
+
+    def _sample(
+        self, views: Sequence[WorkerView], count: int, avoid: frozenset[str], now: timedelta
+    ) -> list[WorkerView]:
+        # Some of those drawn may have been tried or be in back-off, so more are drawn.
+        size = min(len(views), DRAWN_PER_CANDIDATE * count + len(avoid))
+        return self._usable(self._rng.sample(views, size), avoid, now)[:count]
+
+    def _usable(
+        self, views: Sequence[WorkerView], avoid: frozenset[str], now: timedelta
+    ) -> list[WorkerView]:
+        return [
+            view
+            for view in views
+            if view.description.worker_id not in avoid and self._state(view).avoid_until <= now
+        ]
+
+    def _average(self, views: Sequence[WorkerView], now: timedelta) -> _Average:
         fresh = [s for s in map(self._state, views) if now - s.seen_at <= 2 * self._half_life]
         times = [s.load.service_time_us for s in fresh if s.load.service_time_us > 0]
         service_us = sum(times) / len(times) if times else UNKNOWN_SERVICE_TIME / _US
@@ -323,11 +370,11 @@
         self,
         view: WorkerView,
         parameters: ServiceParameters,
-        source: str,
-        average: _Average,
+        pool: _Pool,
         now: timedelta,
     ) -> _Candidate:
         state = self._state(view)
+        average = pool.average
         age = now - state.seen_at
         weight = 0.5 ** (age / self._half_life)
         cautious_us = CAUTION_FACTOR * average.service_us
@@ -337,7 +384,7 @@
         others = weight * state.others + (1 - weight) * cautious_others
         pressure = min(max(state.load.pressure_permille / 1000, 1.0), MAX_PRESSURE)
         rounds = 1 + (others + state.own) / parameters.max_in_flight
-        link_us = self._links.round_trip_us(source, view.description.data_centre)
+        link_us = self._links.round_trip_us(pool.source, view.description.data_centre)
         return _Candidate(
             view=view,
             state=state,
@@ -396,6 +443,7 @@
         if now < self._next_prune:
             return
         self._next_prune = now + PRUNE_INTERVAL
+        self._pools = {}
         self._workers = {
             worker_id: state
             for worker_id, state in self._workers.items()
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,91 @@
+"""Retry budget, backoff and deadlines."""
+
+import random
+import threading
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock
+from mulberryslip.retries import BACKOFF_LIMIT, Deadline, RetryBudget, backoff
+
+MS = timedelta(milliseconds=1)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.booleans(), max_size=600))
+def test_retries_never_exceed_their_share(steps):
+    """Guards against a budget that lets retries multiply the load of slow workers."""
+    budget = RetryBudget(share=0.1, max_saved=5, initial=2)
+    requests = retries = 0
+    for is_request in steps:
+        if is_request:
+            budget.earn()
+            requests += 1
+        elif budget.take():
+            retries += 1
+        assert retries <= 2 + 0.1 * requests + 1e-6
+        assert budget.available() <= 5
+
+
+def test_ten_requests_earn_one_retry():
+    """Guards against rounding that never lets the sum of ten tenths reach one."""
+    budget = RetryBudget(share=0.1, initial=0)
+    for _ in range(9):
+        budget.earn()
+    assert not budget.take()
+    budget.earn()
+    assert budget.take()
+    assert not budget.take()
+
+
+def test_savings_are_bounded():
+    """Guards against a quiet day that pays for a storm of retries."""
+    budget = RetryBudget(share=0.1, max_saved=3, initial=0)
+    for _ in range(1000):
+        budget.earn()
+    assert [budget.take() for _ in range(5)] == [True, True, True, False, False]
+
+
+def test_budget_is_exact_under_threads():
+    """Guards against a lost update that hands out more retries than were earned."""
+    budget = RetryBudget(share=1.0, max_saved=1000, initial=500)
+    taken = []
+
+    def take_many():
+        taken.append(sum(budget.take() for _ in range(200)))
+
+    threads = [threading.Thread(target=take_many) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sum(taken) == 500
+
+
+@pytest.mark.parametrize(
+    ("attempt", "bound"),
+    [(1, 10 * MS), (2, 20 * MS), (5, 160 * MS), (9, BACKOFF_LIMIT), (10**6, BACKOFF_LIMIT)],
+)
+def test_backoff_has_full_jitter_below_a_growing_bound(attempt, bound):
+    """Guards against retries of many callers that arrive at the same moment."""
+    rng = random.Random(3)
+    waits = [backoff(attempt, rng) for _ in range(500)]
+    assert all(timedelta() <= wait < bound for wait in waits)
+    assert min(waits) < 0.1 * bound
+    assert max(waits) > 0.9 * bound
+
+
+@pytest.mark.parametrize(
+    ("left_ms", "passed_ms", "remaining_ms", "expired"),
+    [(100, 30, 70, False), (100, 100, 0, True), (100, 500, 0, True), (1.9, 1, 0, True)],
+)
+def test_deadline_counts_down(left_ms, passed_ms, remaining_ms, expired):
+    """Guards against a deadline that is renewed with each hop or goes below zero."""
+    clock = ManualClock()
+    deadline = Deadline(clock, left_ms * MS)
+    clock.advance(passed_ms * MS)
+    assert deadline.remaining_ms() == remaining_ms
+    assert deadline.expired() is expired
+    assert deadline.sooner(5 * MS) == min(5 * MS, deadline.remaining())
--- /dev/null
+++ b/tests/test_routings.py
@@ -0,0 +1,259 @@
+"""Choice of a worker for a request."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock, Resources
+from mulberryslip.configs import parse_template
+from mulberryslip.models import WorkerDescription, WorkerLoad, WorkerView
+from mulberryslip.routings import PROBE_INTERVAL, Links, Router
+
+MS = timedelta(milliseconds=1)
+LINKS = Links({"concord/lexington": 4, "concord/salem": 8})
+CAPACITY = Resources(1000, 1000, 0, 8)
+
+
+def service(**parameters):
+    raw = {"class": "service", "account": "a", "parameters": {"objective_ms": 1, **parameters}}
+    return parse_template("check", raw)
+
+
+def view(worker_id, data_centre="concord", **load):
+    load = {"service_time_us": 5000, **load}
+    description = WorkerDescription(
+        worker_id, "1", data_centre, "rack-0", "127.0.0.1", 1, CAPACITY, ("check",)
+    )
+    return WorkerView(description, WorkerLoad(**load))
+
+
+class LeastLoadedRouter(Router):
+    """Test double without the random draw: always the worker with the smallest estimate."""
+
+    def _draw(self, pool, avoid, now):
+        return pool.workers
+
+
+class BlindRouter(LeastLoadedRouter):
+    """Test double that also ignores the requests that this process has in flight."""
+
+    def sent(self, worker_id):
+        """Do not count the request."""
+
+
+def make_router(kind=Router, seed=1):
+    clock = ManualClock()
+    return kind(clock, random.Random(seed), LINKS), clock
+
+
+def choose(router, workers, deadline=500 * MS, template=None, avoid=frozenset()):
+    return router.choose(template or service(), "concord", workers, deadline, avoid)
+
+
+def burst(kind, entries=4, requests=30):
+    """Send a burst through several entries that share one stale report of an idle worker."""
+    workers = [view("idle", in_flight=0)]
+    workers += [view(f"busy-{i}", in_flight=16, queued=2) for i in range(10)]
+    routers = [make_router(kind, seed)[0] for seed in range(entries)]
+    sent = Counter()
+    for _ in range(requests):
+        for router in routers:
+            choice = choose(router, workers)
+            router.sent(choice.worker_id)
+            sent[choice.worker_id] += 1
+    return sent["idle"] / (entries * requests)
+
+
+def test_burst_does_not_go_to_the_one_worker_that_looks_idle():
+    """Guards against a thundering herd on stale reports.
+
+    The naive choice by the smallest reported load sends every request to the same worker.
+    """
+    assert burst(BlindRouter) == 1.0
+    assert burst(LeastLoadedRouter) > 0.4
+    assert burst(Router) < 0.3
+
+
+@pytest.mark.parametrize(
+    ("far_load", "near_load", "expected"),
+    [
+        ({}, {}, "near"),
+        ({}, {"in_flight": 40}, "near"),
+        ({}, {"service_time_us": 60_000}, "far"),
+        ({}, {"in_flight": 200, "queued": 200}, "far"),
+        ({"service_time_us": 60_000}, {"service_time_us": 60_000}, "near"),
+        ({}, {"pressure_permille": 4000, "service_time_us": 10_000}, "far"),
+    ],
+)
+def test_nearest_data_centre_unless_it_is_slower_than_the_link(far_load, near_load, expected):
+    """Guards against traffic over links for no gain, and a full data centre that keeps it."""
+    router, _ = make_router()
+    workers = [view("near", **near_load), view("far", "lexington", **far_load)]
+    assert {choose(router, workers).worker_id for _ in range(20)} == {expected}
+
+
+def test_link_price_counts_more_than_its_delay():
+    """Guards against requests that change data centre for a gain within the noise."""
+    router, _ = make_router()
+    # The far worker is 10 ms faster, the round trip takes 8 ms, and the price is 8 ms more.
+    workers = [view("near", service_time_us=15_000), view("far", "lexington")]
+    choice = choose(router, workers)
+    assert choice.worker_id == "near"
+    assert "link price 8.0 ms" in choice.reason
+
+
+def test_own_requests_count_before_any_report():
+    """Guards against a burst of one entry that waits for a report to notice itself."""
+    router, _ = make_router()
+    workers = [view("a"), view("b")]
+    sent = Counter()
+    for _ in range(100):
+        choice = choose(router, workers)
+        router.sent(choice.worker_id)
+        sent[choice.worker_id] += 1
+    assert sent == {"a": 50, "b": 50}
+
+
+def test_stale_report_loses_its_weight():
+    """Guards against a worker that reported to be idle and fast and then fell silent."""
+    router, clock = make_router()
+    silent = view("silent", service_time_us=4000)
+    assert choose(router, [silent, view("fresh")]).worker_id == "silent"
+    clock.advance(timedelta(seconds=5))
+    choice = choose(router, [silent, view("fresh")])
+    assert choice.worker_id == "fresh"
+    assert "report 5000 ms old" in choice.reason
+
+
+def test_repeated_view_is_not_a_new_report():
+    """Guards against an old report that looks fresh each time it is shown."""
+    router, clock = make_router()
+    silent = view("silent", service_time_us=4000)
+    for _ in range(50):
+        choose(router, [silent, view("fresh")])
+        clock.advance(100 * MS)
+    assert choose(router, [silent, view("fresh")]).worker_id == "fresh"
+
+
+def test_report_on_a_reply_replaces_the_view():
+    """Guards against a late view that hides the newer load carried on a reply."""
+    router, _ = make_router()
+    workers = [view("a", service_time_us=4000), view("b")]
+    choice = choose(router, workers)
+    router.sent(choice.worker_id)
+    router.answered("a", "check", 5 * MS, WorkerLoad(in_flight=300, service_time_us=9000))
+    assert choose(router, workers).worker_id == "b"
+
+
+def test_request_that_cannot_be_in_time_is_refused_at_once():
+    """Guards against work that is done for a caller who has given up."""
+    router, _ = make_router()
+    workers = [view(f"w{i}", in_flight=640, service_time_us=50_000) for i in range(3)]
+    assert "as a probe" in choose(router, workers, 100 * MS).reason
+    choice = choose(router, workers, 100 * MS)
+    assert choice.worker_id == ""
+    assert "100 ms are left" in choice.reason
+    assert "1050 ms" in choice.reason
+
+
+def test_refusals_let_a_probe_through():
+    """Guards against refusals that last for ever, since answer times are measured on requests."""
+    router, clock = make_router()
+    workers = [view("w", service_time_us=900_000)]
+    choices = []
+    for _ in range(100):
+        choices.append(choose(router, workers, 500 * MS).worker_id)
+        clock.advance(PROBE_INTERVAL / 10)
+    assert choices.count("w") == 10
+
+
+def test_worker_in_time_is_found_among_slow_ones():
+    """Guards against a refusal that judged only the workers drawn."""
+    router, _ = make_router()
+    workers = [view(f"slow-{i}", service_time_us=900_000) for i in range(40)] + [view("fast")]
+    for _ in range(20):
+        assert choose(router, workers, 100 * MS).worker_id == "fast"
+
+
+def test_failing_worker_is_avoided_for_a_growing_time():
+    """Guards against requests that keep going to a worker that refuses everything fast."""
+    router, clock = make_router()
+    workers = [view("bad", service_time_us=100), view("good")]
+    sent = Counter()
+    for _ in range(200):
+        worker_id = choose(router, workers).worker_id
+        router.sent(worker_id)
+        sent[worker_id] += 1
+        if worker_id == "bad":
+            router.failed("bad")
+        else:
+            router.answered("good", "check", 5 * MS, None)
+        clock.advance(10 * MS)
+    assert sent["bad"] < 10
+    assert choose(router, [workers[0]]).worker_id == "bad"
+
+
+@pytest.mark.parametrize(
+    ("parameters", "latency_ms", "deadline_ms", "expected_ms"),
+    [
+        ({"idempotent": True, "hedge_after_ms": 50}, 5, 500, 50),
+        ({"idempotent": True, "hedge_after_ms": 50}, 80, 500, 80),
+        ({"idempotent": True, "hedge_after_ms": 0}, 5, 500, None),
+        ({"idempotent": False, "hedge_after_ms": 50}, 5, 500, None),
+        ({"idempotent": True, "hedge_after_ms": 50}, 5, 90, None),
+    ],
+)
+def test_hedging_delay(parameters, latency_ms, deadline_ms, expected_ms):
+    """Guards against hedging of requests that must run once, or earlier than usual answers."""
+    router, _ = make_router()
+    for _ in range(64):
+        router.answered("w", "check", latency_ms * MS, None)
+    choice = choose(router, [view("w")], deadline_ms * MS, service(**parameters))
+    expected = None if expected_ms is None else expected_ms * MS
+    assert choice.hedge_after == expected
+
+
+def test_tried_workers_are_left_out():
+    """Guards against a retry at the worker that has just failed."""
+    router, _ = make_router()
+    workers = [view("a"), view("b")]
+    assert choose(router, workers, avoid=frozenset({"a"})).worker_id == "b"
+    choice = choose(router, workers, avoid=frozenset({"a", "b"}))
+    assert (choice.worker_id, "2 were tried" in choice.reason) == ("", True)
+
+
+LOADS = st.builds(
+    WorkerLoad,
+    in_flight=st.integers(0, 1000),
+    queued=st.integers(0, 1000),
+    service_time_us=st.integers(0, 10**7),
+    pressure_permille=st.integers(0, 10**6),
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from(["concord", "lexington", "x"]), LOADS), max_size=12),
+    st.lists(st.integers(0, 3), max_size=30),
+)
+def test_choice_is_a_usable_worker_or_a_reasoned_refusal(described, steps):
+    """Guards against any load that makes the router fail or choose an unknown worker."""
+    router, clock = make_router()
+    workers = [
+        attrs.evolve(view(f"w{i}", centre), load=load) for i, (centre, load) in enumerate(described)
+    ]
+    known = {worker.description.worker_id for worker in workers}
+    for step in steps:
+        choice = choose(router, workers, 300 * MS)
+        assert choice.reason
+        assert choice.worker_id in known | {""}
+        router.sent(choice.worker_id)
+        if step == 1:
+            router.answered(choice.worker_id, "check", 5 * MS, None)
+        elif step == 2:
+            router.failed(choice.worker_id)
+        clock.advance(step * 700 * MS)
