--- /dev/null
+++ b/packages/core/src/mulberryslip/jobs.py
@@ -0,0 +1,515 @@
+"""Aggregates of one shard: its jobs and the claims of requests that must run at most once.
+
+State changes only in `Shard.apply`, in the order of the journal. Each event is checked against the
+state it meets there, not the state in which it was decided, so an event that was overtaken by
+another changes nothing.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from . import records
+from .configs import ConfigView, TaskParameters
+from .exceptions import InvalidMessageError, JobConflictError, JobError, ShardFullError
+from .models import Attempt, Priority, Resources, TaskClass, TaskKey
+from .submissions import Submission, check_job_id, parsed_result
+from .tasks import HELD, Task, TaskPhase
+from .transitions import (
+    MAX_ID_CHARS,
+    AttemptAssigned,
+    AttemptCheckpointed,
+    AttemptEvicted,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptLost,
+    AttemptStarted,
+    AttemptSuspended,
+    AttemptUnstarted,
+    ClaimReleased,
+    JobCancelled,
+    JobFailed,
+    JobsExpired,
+    JobSubmitted,
+    RequestClaimed,
+)
+
+RETENTION = timedelta(days=7)
+"""How long a job can be read after it ended."""
+
+CLAIM_RETENTION = timedelta(minutes=10)
+MAX_CLAIMS = 8192
+MAX_EXPIRED_PER_EVENT = 500
+
+_CLASSES = tuple(member.value for member in TaskClass)
+_PRIORITIES = tuple(member.value for member in Priority)
+
+
+@attrs.define
+class Job:
+    """A job: tasks of one template that were submitted together.
+
+    :param ended_ms: when the last task ended; 0 before.
+    :param cancelled: whether a cancellation ended at least one task.
+    """
+
+    job_id: str = records.text("j", MAX_ID_CHARS)
+    digest: str = records.text("d", 64)
+    template: str = records.text("t", MAX_ID_CHARS)
+    account: str = records.text("ac", MAX_ID_CHARS)
+    task_class: str = records.choice("k", _CLASSES)
+    priority: str = records.choice("p", _PRIORITIES)
+    cpu_millis: int = records.number("cpu")
+    memory_mb: int = records.number("mem")
+    accelerators: int = records.number("acc")
+    max_attempts: int = records.number("m")
+    submitted_ms: int = records.number("at")
+    ended_ms: int = records.number("end", 0)
+    cancelled: bool = records.flag("x", False)
+    tasks: list[Task] = attrs.field(factory=list)
+
+    @property
+    def is_terminal(self) -> bool:
+        """Return whether all tasks have ended."""
+        return all(task.is_terminal for task in self.tasks)
+
+    @property
+    def resources(self) -> Resources:
+        """Return the size of one task as declared when the job was submitted."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators, 1)
+
+    @property
+    def state(self) -> str:
+        """Return the state that callers see."""
+        phases = {task.phase for task in self.tasks}
+        if not self.is_terminal:
+            return "queued" if phases == {TaskPhase.QUEUED} else "running"
+        if self.cancelled:
+            return "cancelled"
+        return "failed" if TaskPhase.FAILED in phases else "finished"
+
+    @property
+    def reason(self) -> str:
+        """Return why the job is in its state."""
+        wanted = {"failed": TaskPhase.FAILED, "cancelled": TaskPhase.CANCELLED}.get(self.state)
+        if wanted is None:
+            return ""
+        for task in self.tasks:
+            if task.phase is wanted:
+                return f"task {task.index}: {task.reason}"
+        return ""
+
+    def task(self, index: int) -> Task | None:
+        """Return a task, or None when there is none of that index."""
+        return self.tasks[index] if 0 <= index < len(self.tasks) else None
+
+    def cancel(self, reason: str) -> bool:
+        """Cancel what has not ended; return whether there was anything."""
+        ended = [task.cancel(reason) for task in self.tasks]
+        self.cancelled = self.cancelled or any(ended)
+        return any(ended)
+
+    def summary(self) -> dict[str, object]:
+        """Return the job's state without its tasks."""
+        return {
+            "job_id": self.job_id,
+            "template": self.template,
+            "account": self.account,
+            "state": self.state,
+            "reason": self.reason,
+            "tasks": len(self.tasks),
+            "finished": sum(task.phase is TaskPhase.FINISHED for task in self.tasks),
+        }
+
+    def status(self) -> dict[str, object]:
+        """Return the job's state as callers read it."""
+        return {
+            "job_id": self.job_id,
+            "template": self.template,
+            "account": self.account,
+            "state": self.state,
+            "reason": self.reason,
+            "tasks": [_task_status(task) for task in self.tasks],
+        }
+
+
+@attrs.frozen
+class Claim:
+    """A claimed request."""
+
+    claim_id: str = records.text("q", MAX_ID_CHARS)
+    worker_id: str = records.text("w", MAX_ID_CHARS)
+    at_ms: int = records.number("at")
+
+
+class Shard:
+    """All jobs and request claims of one shard. Not thread-safe; its owner holds a lock.
+
+    Methods that decide return events and change nothing; `apply` changes the state.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.claims: OrderedDict[str, Claim] = OrderedDict()
+        # Indexes over the tasks, rebuilt by from_snapshot.
+        self._queued: dict[TaskKey, Task] = {}
+        self._held: dict[str, dict[TaskKey, Task]] = {}
+        # Jobs end in the order of the journal, so the oldest come first.
+        self._ended: OrderedDict[str, None] = OrderedDict()
+
+    # Reading
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task, or None when it is unknown."""
+        job = self.jobs.get(key.job_id)
+        return job.task(key.index) if job else None
+
+    def queued(self) -> Iterator[tuple[Job, Task]]:
+        """Yield tasks that wait for a worker, in the order in which they were queued."""
+        for key, task in self._queued.items():
+            yield self.jobs[key.job_id], task
+
+    def queued_count(self) -> int:
+        """Return the number of tasks that wait for a worker."""
+        return len(self._queued)
+
+    def held(self, worker_id: str) -> list[tuple[Attempt, Task]]:
+        """Return the current attempts on a worker."""
+        held = self._held.get(worker_id, {})
+        return [(Attempt(key, task.attempt), task) for key, task in held.items()]
+
+    def holders(self) -> list[str]:
+        """Return the workers with current attempts."""
+        return [worker_id for worker_id, held in self._held.items() if held]
+
+    def is_current(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is its task's current one and has not ended."""
+        task = self.task(attempt.key)
+        return task is not None and task.is_current(attempt.number)
+
+    # Deciding
+
+    def submit(self, job_id: str, body: bytes, config: ConfigView, at_ms: int) -> list[Any]:
+        """Decide on a submission.
+
+        :param job_id: id chosen by the caller.
+        :param body: JSON of the submission.
+        :param config: the newest configuration.
+        :param at_ms: now.
+        :returns: the event, or nothing for a resubmission with an equal body.
+        :raises JobConflictError: the id is in use for another body.
+        :raises JobError: the submission is invalid.
+        """
+        check_job_id(job_id)
+        submission = Submission.from_json(body)
+        if job_id in self.jobs:
+            self.check_digest(job_id, submission.digest)
+            return []
+        template = config.template(submission.template)
+        if template is None:
+            raise JobError(f"template {submission.template!r} is unknown")
+        if not isinstance(template.parameters, TaskParameters):
+            raise JobError(f"template {submission.template!r} is a service and takes no jobs")
+        return [
+            JobSubmitted(
+                job_id=job_id,
+                digest=submission.digest,
+                template=template.name,
+                account=template.account,
+                task_class=template.task_class.value,
+                priority=template.parameters.priority.value,
+                cpu_millis=template.parameters.cpu_millis,
+                memory_mb=template.parameters.memory_mb,
+                accelerators=template.parameters.accelerators,
+                max_attempts=template.parameters.max_attempts,
+                inputs=submission.inputs,
+                at_ms=at_ms,
+            )
+        ]
+
+    def check_digest(self, job_id: str, digest: str) -> None:
+        """Check that a job is the one that a body describes.
+
+        :raises JobConflictError: it has another body.
+        """
+        if self.jobs[job_id].digest != digest:
+            raise JobConflictError(f"job {job_id!r} exists with another body")
+
+    def assign(self, key: TaskKey, worker_id: str) -> list[Any]:
+        """Decide to start the next attempt of a queued task on a worker."""
+        task = self._queued.get(key)
+        if task is None:
+            return []
+        return [
+            AttemptAssigned(key.job_id, key.index, task.attempt + 1, worker_id, task.checkpoint)
+        ]
+
+    def cancel(self, job_id: str, reason: str, at_ms: int) -> list[Any]:
+        """Decide to cancel a job; nothing when it is unknown or has ended."""
+        job = self.jobs.get(job_id)
+        if job is None or job.is_terminal:
+            return []
+        return [JobCancelled(job_id, reason, at_ms)]
+
+    def expire(self, at_ms: int) -> list[Any]:
+        """Decide which jobs have been kept long enough."""
+        oldest = at_ms - _millis(RETENTION)
+        expired = []
+        for job_id in self._ended:
+            if self.jobs[job_id].ended_ms > oldest or len(expired) == MAX_EXPIRED_PER_EVENT:
+                break
+            expired.append(job_id)
+        return [JobsExpired(tuple(expired))] if expired else []
+
+    def claim(self, claim_id: str, worker_id: str, at_ms: int) -> list[Any]:
+        """Decide on a claim; nothing when the request is claimed already.
+
+        :raises ShardFullError: there are too many claims.
+        """
+        live = self.find_claim(claim_id, at_ms)
+        if live is not None:
+            return []
+        self._prune_claims(at_ms)
+        if len(self.claims) >= MAX_CLAIMS:
+            raise ShardFullError(f"{MAX_CLAIMS} requests were claimed in the last 10 minutes")
+        return [RequestClaimed(claim_id, worker_id, at_ms)]
+
+    def find_claim(self, claim_id: str, at_ms: int) -> Claim | None:
+        """Return a claim that is not too old, or None."""
+        claim = self.claims.get(claim_id)
+        if claim is None or claim.at_ms <= at_ms - _millis(CLAIM_RETENTION):
+            return None
+        return claim
+
+    # Applying
+
+    @singledispatchmethod
+    def apply(self, event: Any) -> bool:
+        """Apply a committed event.
+
+        :returns: whether it changed the state; an event that was overtaken does not.
+        :raises InvalidMessageError: when the kind of event is unknown.
+        """
+        raise InvalidMessageError(f"{type(event).__name__} is not a journal event")
+
+    @apply.register
+    def _(self, event: JobSubmitted) -> bool:
+        if event.job_id in self.jobs:
+            return False
+        copied = attrs.asdict(event, filter=attrs.filters.exclude("inputs", "at_ms"))
+        job = Job(**copied, submitted_ms=event.at_ms)
+        job.tasks = [Task(index, input=text) for index, text in enumerate(event.inputs)]
+        self.jobs[job.job_id] = job
+        for task in job.tasks:
+            self._queued[task.key(job.job_id)] = task
+        return True
+
+    @apply.register
+    def _(self, event: AttemptAssigned) -> bool:
+        return self._change(event, lambda task: task.assign(event))
+
+    @apply.register
+    def _(self, event: AttemptUnstarted) -> bool:
+        return self._change(event, lambda task: task.unstart(event.attempt, event.reason))
+
+    @apply.register
+    def _(self, event: AttemptStarted) -> bool:
+        return self._change(event, lambda task: task.start(event.attempt, event.at_ms))
+
+    @apply.register
+    def _(self, event: AttemptCheckpointed) -> bool:
+        return self._change(
+            event, lambda task: task.take_checkpoint(event.attempt, event.checkpoint)
+        )
+
+    @apply.register
+    def _(self, event: AttemptEvicted) -> bool:
+        return self._change(
+            event, lambda task: task.requeue(event.attempt, event.checkpoint, event.reason, True)
+        )
+
+    @apply.register
+    def _(self, event: AttemptSuspended) -> bool:
+        return self._change(
+            event, lambda task: task.requeue(event.attempt, event.checkpoint, event.reason, False)
+        )
+
+    @apply.register
+    def _(self, event: AttemptLost) -> bool:
+        return self._change(event, lambda task: task.lose(event.attempt, event.reason), event.at_ms)
+
+    @apply.register
+    def _(self, event: AttemptFinished) -> bool:
+        return self._change(
+            event, lambda task: task.finish(event.attempt, event.result), event.at_ms
+        )
+
+    @apply.register
+    def _(self, event: AttemptFailed) -> bool:
+        job = self.jobs.get(event.job_id)
+        limit = job.max_attempts if job else 0
+        return self._change(
+            event,
+            lambda task: task.fail(event.attempt, event.reason, event.counted, limit),
+            event.at_ms,
+        )
+
+    @apply.register
+    def _(self, event: JobFailed) -> bool:
+        job = self.jobs.get(event.job_id)
+        if job is None:
+            return False
+        changed = [task.give_up(event.reason) for task in job.tasks]
+        self._reindex(job, job.tasks, event.at_ms)
+        return any(changed)
+
+    @apply.register
+    def _(self, event: JobCancelled) -> bool:
+        job = self.jobs.get(event.job_id)
+        if job is None or not job.cancel(event.reason):
+            return False
+        self._reindex(job, job.tasks, event.at_ms)
+        return True
+
+    @apply.register
+    def _(self, event: JobsExpired) -> bool:
+        expired = [job_id for job_id in event.job_ids if job_id in self._ended]
+        for job_id in expired:
+            del self.jobs[job_id]
+            del self._ended[job_id]
+        return bool(expired)
+
+    @apply.register
+    def _(self, event: RequestClaimed) -> bool:
+        self._prune_claims(event.at_ms)
+        if event.claim_id in self.claims or len(self.claims) >= MAX_CLAIMS:
+            return False
+        self.claims[event.claim_id] = Claim(event.claim_id, event.worker_id, event.at_ms)
+        return True
+
+    @apply.register
+    def _(self, event: ClaimReleased) -> bool:
+        return self.claims.pop(event.claim_id, None) is not None
+
+    # Snapshots
+
+    def to_snapshot(self) -> dict[str, object]:
+        """Return the whole state as JSON-serialisable values."""
+        return {
+            "jobs": [
+                {**records.encode(job), "tasks": [records.encode(task) for task in job.tasks]}
+                for job in self.jobs.values()
+            ],
+            "queued": [[key.job_id, key.index] for key in self._queued],
+            "ended": list(self._ended),
+            "claims": [records.encode(claim) for claim in self.claims.values()],
+        }
+
+    @classmethod
+    def from_snapshot(cls, raw: object) -> "Shard":
+        """Return a shard from a snapshot.
+
+        :raises InvalidMessageError: when it is damaged or of a newer version.
+        """
+        fields = {"jobs", "queued", "ended", "claims"}
+        if not isinstance(raw, dict) or raw.keys() != fields:
+            raise InvalidMessageError(f"a snapshot has exactly the fields {sorted(fields)}")
+        if not all(isinstance(value, list) for value in raw.values()):
+            raise InvalidMessageError("the fields of a snapshot are lists")
+        shard = cls()
+        for item in raw["jobs"]:
+            shard._restore_job(item)
+        shard._restore_order(raw["queued"], raw["ended"])
+        for item in raw["claims"]:
+            claim = records.decode(Claim, item)
+            shard.claims[claim.claim_id] = claim
+        return shard
+
+    def _restore_job(self, raw: object) -> None:
+        if not isinstance(raw, dict) or not isinstance(raw.get("tasks"), list):
+            raise InvalidMessageError("a job of a snapshot is an object with tasks")
+        job = records.decode(Job, {key: raw[key] for key in raw if key != "tasks"})
+        job.tasks = [records.decode(Task, item) for item in raw["tasks"]]
+        if [task.index for task in job.tasks] != list(range(len(job.tasks))) or not job.tasks:
+            raise InvalidMessageError(f"job {job.job_id!r}: the tasks are incomplete")
+        if job.job_id in self.jobs:
+            raise InvalidMessageError(f"job {job.job_id!r} is there twice")
+        self.jobs[job.job_id] = job
+        for task in job.tasks:
+            if task.phase in HELD:
+                self._held.setdefault(task.worker_id, {})[task.key(job.job_id)] = task
+
+    def _restore_order(self, queued: list, ended: list) -> None:
+        for item in queued:
+            if not isinstance(item, list) or [type(part) for part in item] != [str, int]:
+                raise InvalidMessageError("a queued task of a snapshot is a job id and an index")
+            key = TaskKey(*item)
+            task = self.task(key)
+            if task is None or task.phase is not TaskPhase.QUEUED:
+                raise InvalidMessageError(f"{key}: the task is not queued")
+            self._queued[key] = task
+        for job_id in ended:
+            job = self.jobs.get(job_id) if isinstance(job_id, str) else None
+            if job is None or not job.is_terminal:
+                raise InvalidMessageError("an ended job of a snapshot has not ended")
+            self._ended[job_id] = None
+        waiting = sum(t.phase is TaskPhase.QUEUED for j in self.jobs.values() for t in j.tasks)
+        terminal = sum(job.is_terminal for job in self.jobs.values())
+        if waiting != len(self._queued) or terminal != len(self._ended):
+            raise InvalidMessageError("the order of tasks or jobs in the snapshot is incomplete")
+
+    # Indexes
+
+    def _change(self, event: Any, change: Any, at_ms: int = 0) -> bool:
+        job = self.jobs.get(event.job_id)
+        task = job.task(event.index) if job else None
+        if task is None or not change(task):
+            return False
+        self._reindex(job, [task], at_ms)
+        return True
+
+    def _reindex(self, job: Job, tasks: list[Task], at_ms: int) -> None:
+        for task in tasks:
+            key = task.key(job.job_id)
+            if task.phase is TaskPhase.QUEUED:
+                self._queued.setdefault(key, task)
+            else:
+                self._queued.pop(key, None)
+            if task.phase in HELD:
+                self._held.setdefault(task.worker_id, {})[key] = task
+            else:
+                self._release(key, task.worker_id)
+        if job.job_id not in self._ended and job.is_terminal:
+            job.ended_ms = at_ms
+            self._ended[job.job_id] = None
+
+    def _release(self, key: TaskKey, worker_id: str) -> None:
+        held = self._held.get(worker_id)
+        if held is not None:
+            held.pop(key, None)
+            if not held:
+                del self._held[worker_id]
+
+    def _prune_claims(self, at_ms: int) -> None:
+        oldest = at_ms - _millis(CLAIM_RETENTION)
+        while self.claims and next(iter(self.claims.values())).at_ms <= oldest:
+            self.claims.popitem(last=False)
+
+
+def _millis(duration: timedelta) -> int:
+    return int(duration.total_seconds() * 1000)
+
+
+def _task_status(task: Task) -> dict[str, object]:
+    return {
+        "index": task.index,
+        "state": task.phase_name,
+        "attempts": task.attempt,
+        "worker": task.worker_id,
+        "result": parsed_result(task.result),
+        "reason": task.reason,
+    }
--- /dev/null
+++ b/packages/core/src/mulberryslip/records.py
@@ -0,0 +1,132 @@
+"""Compact JSON form of `attrs` classes, for the journal and its snapshots.
+
+A field has a short JSON key and a rule that checks its value. Fields that hold their default are
+left out. A record with an unknown key was written by a newer version and is refused, because
+applying half of it would lose what the rest says.
+"""
+
+from collections.abc import Callable
+from functools import cache
+from typing import Any, TypeVar
+
+import attrs
+
+from .exceptions import InvalidMessageError
+
+MAX_NUMBER = 2**62
+
+_T = TypeVar("_T")
+
+
+def text(key: str, limit: int, default: Any = attrs.NOTHING) -> Any:
+    """Return a field for text.
+
+    :param key: JSON key.
+    :param limit: longest text in characters.
+    """
+
+    def is_valid(value: object) -> bool:
+        return isinstance(value, str) and len(value) <= limit and is_unicode(value)
+
+    return _field(key, is_valid, default)
+
+
+def number(key: str, default: Any = attrs.NOTHING) -> Any:
+    """Return a field for a whole number that is not negative."""
+
+    def is_valid(value: object) -> bool:
+        return type(value) is int and 0 <= value <= MAX_NUMBER
+
+    return _field(key, is_valid, default)
+
+
+def flag(key: str, default: Any = attrs.NOTHING) -> Any:
+    """Return a field for true or false."""
+    return _field(key, lambda value: type(value) is bool, default)
+
+
+def choice(key: str, values: tuple[str, ...], default: Any = attrs.NOTHING) -> Any:
+    """Return a field for one of several texts."""
+    return _field(key, lambda value: isinstance(value, str) and value in values, default)
+
+
+def texts(key: str, limit: int, default: Any = attrs.NOTHING) -> Any:
+    """Return a field for a tuple of texts.
+
+    :param key: JSON key.
+    :param limit: longest text in characters.
+    """
+
+    def is_valid(value: object) -> bool:
+        return isinstance(value, list | tuple) and all(
+            isinstance(item, str) and len(item) <= limit and is_unicode(item) for item in value
+        )
+
+    return _field(key, is_valid, default, tuple)
+
+
+def encode(record: Any) -> dict[str, object]:
+    """Return the JSON-serialisable form of a record."""
+    encoded = {}
+    for field in _record_fields(type(record)).values():
+        value = getattr(record, field.name)
+        if field.default is attrs.NOTHING or value != field.default:
+            encoded[field.metadata["key"]] = list(value) if isinstance(value, tuple) else value
+    return encoded
+
+
+def decode(kind: type[_T], raw: object) -> _T:
+    """Return a record from its JSON form.
+
+    :param kind: class of the record.
+    :param raw: parsed JSON.
+    :raises InvalidMessageError: when a field is missing, unknown or has a wrong value.
+    """
+    name = kind.__name__
+    if not isinstance(raw, dict):
+        raise InvalidMessageError(f"{name}: an object is expected, not {_shown(raw)}")
+    fields = _record_fields(kind)
+    values = {}
+    for key, value in raw.items():
+        field = fields.get(key)
+        if field is None:
+            raise InvalidMessageError(f"{name}: unknown field {_shown(key)}")
+        if not field.metadata["is_valid"](value):
+            raise InvalidMessageError(f"{name}.{field.name}: {_shown(value)} is not allowed")
+        values[field.name] = field.metadata["convert"](value)
+    for field in fields.values():
+        if field.default is attrs.NOTHING and field.name not in values:
+            raise InvalidMessageError(f"{name}.{field.name} is missing")
+    return kind(**values)
+
+
+def is_unicode(value: str) -> bool:
+    """Return whether text can be sent and stored.
+
+    JSON escapes can produce half of a surrogate pair, which no encoder accepts.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+@cache
+def _record_fields(kind: type) -> dict[str, attrs.Attribute]:
+    return {field.metadata["key"]: field for field in attrs.fields(kind) if "key" in field.metadata}
+
+
+def _field(
+    key: str,
+    is_valid: Callable[[object], bool],
+    default: Any,
+    convert: Callable[[Any], Any] = lambda value: value,
+) -> Any:
+    metadata = {"key": key, "is_valid": is_valid, "convert": convert}
+    return attrs.field(default=default, metadata=metadata)
+
+
+def _shown(value: object) -> str:
+    shown = repr(value)
+    return shown if len(shown) <= 60 else shown[:57] + "..."
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/claims.py
@@ -0,0 +1,132 @@
+"""Claims the ownership of a shard in the platform's store."""
+
+import hashlib
+import json
+import random
+from datetime import timedelta
+
+from mulberryslip.clocks import Clock
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import StoreError
+from mulberryslip.outcomes import Committed, Unknown
+from mulberryslip.stores import Store, StoredValue
+
+from .tenures import Identity, Session
+
+RANK_DELAY = timedelta(milliseconds=300)
+"""A claim takes a few store calls; the next in rank waits until the first has surely claimed."""
+
+JITTER = timedelta(milliseconds=200)
+MAX_RANK = 5
+
+
+class ShardClaim:
+    """The store key that names the owner of a shard.
+
+    Entries wait according to their rank in a rendezvous hash, so that shards spread over the
+    entries and a mass expiry does not make all of them claim at once.
+
+    :param number: number of the shard.
+    :param identity: what the key says about this entry.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        store: Store,
+        session: Session,
+        identity: Identity,
+        clock: Clock,
+        rng: random.Random | None = None,
+    ):
+        self._key = f"shards/{number}/owner"
+        self._number = number
+        self._store = store
+        self._session = session
+        self._identity = identity
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._free_since: timedelta | None = None
+        self._jitter = timedelta()
+        self._version = 0
+        self._session_id = ""
+
+    def try_claim(self) -> bool:
+        """Claim the shard if it is free and it is this entry's turn.
+
+        :returns: whether this entry now owns the shard.
+        :raises StoreError: the store did not answer.
+        """
+        if not self._session.valid():
+            return False
+        stored = self._store.get(self._key)
+        if stored is not None:
+            self._free_since = None
+            return self._is_ours(stored)
+        now = self._clock.monotonic()
+        if self._free_since is None:
+            self._free_since = now
+            self._jitter = JITTER * self._rng.random()
+        if now - self._free_since < self._rank() * RANK_DELAY + self._jitter:
+            return False
+        return self._put()
+
+    def release(self) -> None:
+        """Free the shard for others at once."""
+        if not self._version:
+            return
+        try:
+            self._store.delete(self._key, self._version)
+        except StoreError as exc:
+            # The key is deleted with the lease.
+            log(Event.STORE_UNAVAILABLE, call="release shard", reason=str(exc))
+        self._version = 0
+        self._free_since = None
+
+    def _put(self) -> bool:
+        session_id = self._session.session_id
+        value = self._value(session_id)
+        outcome = self._store.put(self._key, value, 0, session_id)
+        if isinstance(outcome, Unknown):
+            stored = self._store.get(self._key)
+            if stored is None or stored.value != value:
+                return False
+            outcome = Committed(stored.version)
+        if not isinstance(outcome, Committed):
+            return False
+        self._version = outcome.version
+        self._session_id = session_id
+        return True
+
+    def _is_ours(self, stored: StoredValue) -> bool:
+        """Return whether the key is from this process's present session.
+
+        The session continues when a renewal succeeds late, and so does the ownership. A key of
+        an earlier session is deleted with its lease.
+        """
+        same = stored.value == self._value(self._session.session_id)
+        if same:
+            self._version = stored.version
+        return same
+
+    def _value(self, session_id: str) -> bytes:
+        identity = self._identity
+        record = {
+            "entry_id": identity.entry_id,
+            "host": identity.host,
+            "port": identity.port,
+            "incarnation": identity.incarnation,
+            "session": session_id,
+        }
+        return json.dumps(record, separators=(",", ":")).encode()
+
+    def _rank(self) -> int:
+        entries = {
+            stored.key.removeprefix("entries/") for stored in self._store.list("entries/").values
+        }
+        entries.add(self._identity.entry_id)
+        order = sorted(entries, key=self._weight)
+        return min(order.index(self._identity.entry_id), MAX_RANK)
+
+    def _weight(self, entry_id: str) -> bytes:
+        return hashlib.sha256(f"{self._number}:{entry_id}".encode()).digest()
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/commits.py
@@ -0,0 +1,204 @@
+"""Group commit of shard events: one journal record holds what many threads commit together."""
+
+import threading
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
+from mulberryslip.transitions import decode_event, encode_event
+
+MAX_GROUP_EVENTS = 2000
+MAX_GROUP_CHARS = 700_000
+"""A record holds less than 900 KB; the estimate below leaves room for its frame."""
+
+EVENT_CHARS = 200
+"""Size of an event without its inputs and its result."""
+
+
+class EventJournal(Protocol):
+    """The part of `journals.Journal` that is used here."""
+
+    snapshot_due: bool
+
+    def append(self, events: list[dict]) -> int:
+        """Append one record."""
+
+    def resolve(self) -> Any:
+        """Retry an unresolved batch and return its record, or None."""
+
+    def write_snapshot(self, state: dict) -> None:
+        """Write a snapshot of the committed state."""
+
+
+@attrs.define
+class _Batch:
+    events: list[Any]
+    changed: list[bool] | None = None
+    error: Exception | None = None
+
+    @property
+    def is_done(self) -> bool:
+        return self.changed is not None or self.error is not None
+
+
+class CommitLog:
+    """Commits events and applies them in the order of the journal.
+
+    The thread that finds no write under way writes for all that wait; the others wait. `apply` is
+    called by one thread at a time, in the order of the records.
+
+    :param journal: the claimed journal.
+    :param apply: applies one event and returns whether it changed the state.
+    :param snapshot: returns the state for a snapshot.
+    """
+
+    def __init__(
+        self,
+        journal: EventJournal,
+        apply: Callable[[Any], bool],
+        snapshot: Callable[[], dict],
+    ):
+        self._journal = journal
+        self._apply = apply
+        self._snapshot = snapshot
+        self._cond = threading.Condition()
+        self._waiting: list[_Batch] = []
+        self._later: list[Any] = []
+        self._writing = False
+        self._unresolved = False
+        self._fenced: FencedError | None = None
+
+    @property
+    def is_fenced(self) -> bool:
+        """Return whether another owner has claimed the shard."""
+        return self._fenced is not None
+
+    def commit(self, events: list[Any]) -> list[bool]:
+        """Commit events and apply them.
+
+        :param events: journal events; all of them go into the same record.
+        :returns: for each event whether it changed the state.
+        :raises FencedError: another owner claimed the shard.
+        :raises JournalError: the store did not answer; `unresolved` tells whether the events may
+            have been committed. They are applied later if they were.
+        """
+        if not events:
+            return []
+        batch = _Batch(events)
+        with self._cond:
+            self._waiting.append(batch)
+            while self._writing and not batch.is_done:
+                self._cond.wait()
+            if not batch.is_done:
+                self._writing = True
+        if not batch.is_done:
+            self._lead(batch)
+        if batch.error is not None:
+            raise batch.error
+        return batch.changed
+
+    def commit_later(self, events: list[Any]) -> None:
+        """Add events to the next record; nobody waits for them and they may be lost."""
+        with self._cond:
+            self._later.extend(events)
+
+    def flush(self) -> None:
+        """Commit what `commit_later` has collected; raises as `commit` does."""
+        with self._cond:
+            events, self._later = self._later, []
+        self.commit(events)
+
+    def fence(self, reason: str) -> None:
+        """Commit nothing more: a worker knows of a newer owner."""
+        with self._cond:
+            self._fenced = self._fenced or FencedError(reason)
+
+    def _lead(self, own: _Batch) -> None:
+        try:
+            while not own.is_done:
+                self._write_group(self._take_group())
+        finally:
+            with self._cond:
+                self._writing = False
+                self._cond.notify_all()
+
+    def _take_group(self) -> list[_Batch]:
+        with self._cond:
+            group = []
+            size = count = 0
+            while self._waiting:
+                batch = self._waiting[0]
+                size += sum(_size(event) for event in batch.events)
+                count += len(batch.events)
+                if group and (size > MAX_GROUP_CHARS or count > MAX_GROUP_EVENTS):
+                    break
+                group.append(self._waiting.pop(0))
+            if self._later and size < MAX_GROUP_CHARS:
+                group.append(_Batch(self._later[:MAX_GROUP_EVENTS]))
+                del self._later[:MAX_GROUP_EVENTS]
+            return group
+
+    def _write_group(self, group: list[_Batch]) -> None:
+        try:
+            self._commit_group(group)
+        except Exception as exc:
+            if isinstance(exc, FencedError):
+                self._fenced = exc
+            if isinstance(exc, InvalidMessageError):
+                # The ring is damaged; whoever opens it next reports what is wrong.
+                self._fenced = FencedError(str(exc), unresolved=True)
+            for batch in group:
+                batch.error = batch.error or exc
+            if not isinstance(exc, JournalError | InvalidMessageError):
+                log(Event.INTERNAL_ERROR, method="commit", error=repr(exc))
+
+    def _commit_group(self, group: list[_Batch]) -> None:
+        if self._fenced is not None:
+            raise self._fenced
+        self._settle()
+        events = [event for batch in group for event in batch.events]
+        try:
+            self._journal.append([encode_event(event) for event in events])
+        except JournalError as exc:
+            self._unresolved = exc.unresolved
+            raise
+        for batch in group:
+            batch.changed = [self._apply(event) for event in batch.events]
+        self._write_snapshot()
+
+    def _settle(self) -> None:
+        """Find out what became of an earlier record, and apply it if it was committed."""
+        if self._unresolved:
+            try:
+                record = self._journal.resolve()
+            except FencedError:
+                raise
+            except JournalError as exc:
+                self._unresolved = exc.unresolved
+                # This batch was not sent, whatever became of the earlier one.
+                raise JournalError(f"an earlier record is unresolved: {exc}") from exc
+            self._unresolved = False
+            if record is not None:
+                for raw in record.events:
+                    self._apply(decode_event(raw))
+        self._write_snapshot()
+
+    def _write_snapshot(self) -> None:
+        if not self._journal.snapshot_due:
+            return
+        try:
+            self._journal.write_snapshot(self._snapshot())
+        except FencedError as exc:
+            self._fenced = exc
+        except JournalError as exc:
+            # Appending goes on until the ring is full; the next commit tries again.
+            log(Event.STORE_UNAVAILABLE, call="write snapshot", reason=str(exc))
+
+
+def _size(event: Any) -> int:
+    inputs = getattr(event, "inputs", ())
+    result = getattr(event, "result", "")
+    # Escapes can make text six times as long, but inputs and results are ASCII JSON already.
+    return EVENT_CHARS + sum(len(text) + 8 for text in inputs) + 2 * len(result)
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/supervisions.py
@@ -0,0 +1,135 @@
+"""What a shard owner decides about its running tasks about once a second."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+from mulberryslip.actions import Action, ActionKind, RunningTask
+from mulberryslip.clocks import Clock
+from mulberryslip.configs import ConfigView, TaskParameters
+from mulberryslip.events import Event, log
+from mulberryslip.fleets import Fleet
+from mulberryslip.jobs import Job
+from mulberryslip.models import Attempt, Priority, TaskClass
+from mulberryslip.tasks import Task, TaskPhase
+
+from .attempts import Attempts
+from .starters import Source, Starter
+from .tenures import Tenure
+
+MOVED_PAUSE = timedelta(seconds=60)
+"""A task that was moved away stays away long enough for the interference to change."""
+
+STARTED_BEFORE = timedelta(seconds=1)
+
+
+class Supervision:
+    """Applies policies and limits to running tasks.
+
+    :param attempts: sends the stops.
+    :param starter: keeps moved tasks away from where they were.
+    """
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        fleet: Fleet,
+        source: Source,
+        attempts: Attempts,
+        starter: Starter,
+        clock: Clock,
+    ):
+        self._tenure = tenure
+        self._fleet = fleet
+        self._source = source
+        self._attempts = attempts
+        self._starter = starter
+        self._clock = clock
+        self._decided_at: timedelta | None = None
+
+    def run(self, policies: Sequence[Any]) -> None:
+        """Stop attempts that ran too long, and carry out what the policies decide."""
+        now = self._clock.monotonic()
+        if self._decided_at is not None and now - self._decided_at < STARTED_BEFORE:
+            return
+        self._decided_at = now
+        self._fleet.expire()
+        config = self._source.view()
+        if config is not None:
+            self._fleet.apply_config(config)
+        running = self._running()
+        self._stop_overdue(running, config)
+        tasks = [task for _, task in running]
+        workers = self._fleet.workers()
+        for policy in policies:
+            for action in policy.decide(now, workers, tasks):
+                self.carry_out(action)
+
+    def carry_out(self, action: Action) -> None:
+        """Carry out one action on a running task; one on another attempt does nothing."""
+        with self._tenure.lock:
+            task = self._tenure.shard.task(action.task)
+            if task is None or task.worker_id != action.worker_id:
+                return
+            if task.phase is not TaskPhase.RUNNING:
+                return
+            attempt = Attempt(action.task, task.attempt)
+            if action.kind is ActionKind.THROTTLE:
+                self._tenure.info(attempt).wanted_permille = action.throttle_permille
+        if action.kind is ActionKind.THROTTLE:
+            log(
+                Event.TASK_THROTTLED,
+                job=action.task.job_id,
+                index=action.task.index,
+                worker=action.worker_id,
+                permille=action.throttle_permille,
+                reason=action.reason,
+            )
+            return
+        checkpoint = action.kind is ActionKind.MOVE
+        self._starter.avoid(action.task, action.worker_id, MOVED_PAUSE)
+        self._attempts.stop(action.worker_id, [attempt], action.reason, checkpoint, overdue=False)
+
+    def _running(self) -> list[tuple[Attempt, RunningTask]]:
+        running = []
+        with self._tenure.lock:
+            shard = self._tenure.shard
+            for worker_id in shard.holders():
+                for attempt, task in shard.held(worker_id):
+                    if task.phase is TaskPhase.RUNNING:
+                        job = shard.jobs[attempt.key.job_id]
+                        running.append((attempt, self._running_task(attempt, task, job)))
+        return running
+
+    def _running_task(self, attempt: Attempt, task: Task, job: Job) -> RunningTask:
+        info = self._tenure.info(attempt)
+        now = self._clock.monotonic()
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        run_time = timedelta(milliseconds=max(0, now_ms - task.started_ms))
+        return RunningTask(
+            key=attempt.key,
+            template=job.template,
+            task_class=TaskClass(job.task_class),
+            worker_id=task.worker_id,
+            resources=info.resources if info.resources.slots else job.resources,
+            usage=info.usage,
+            run_time=run_time,
+            unsaved=run_time if info.saved_at is None else now - info.saved_at,
+            throttle_permille=info.throttle_permille,
+            priority=Priority(job.priority),
+        )
+
+    def _stop_overdue(
+        self, running: list[tuple[Attempt, RunningTask]], config: ConfigView | None
+    ) -> None:
+        overdue: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
+        for attempt, task in running:
+            template = config.template(task.template) if config else None
+            if template is None or not isinstance(template.parameters, TaskParameters):
+                continue
+            limit = template.parameters.max_run_s
+            if template.task_class is TaskClass.BATCH and task.run_time.total_seconds() > limit:
+                overdue[task.worker_id, f"ran longer than max_run_s = {limit}"].append(attempt)
+        for (worker_id, reason), attempts in overdue.items():
+            self._attempts.stop(worker_id, attempts, reason, checkpoint=False, overdue=True)
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/tenures.py
@@ -0,0 +1,242 @@
+"""One period of ownership of a shard: its state, its journal, and the calls made in its name."""
+
+import threading
+import uuid
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, Protocol
+
+import attrs
+from mulberryslip.channels import Address
+from mulberryslip.clocks import Clock
+from mulberryslip.exceptions import JournalError, NotSentError
+from mulberryslip.fleets import Fleet
+from mulberryslip.jobs import Shard
+from mulberryslip.models import Attempt, Resources, TaskKey
+from mulberryslip.wire.ttypes import Header, TaskRef
+
+from .commits import CommitLog
+
+CALL_TIMEOUT = timedelta(seconds=1)
+
+
+class Session(Protocol):
+    """The part of `sessions.Session` that a shard owner needs."""
+
+    session_id: str
+
+    def valid(self) -> bool:
+        """Return whether the lease is certainly still held."""
+
+    def remaining(self) -> timedelta:
+        """Return how long the lease is certainly held."""
+
+
+class Channels(Protocol):
+    """The part of `channels.ChannelPool` that a shard owner needs."""
+
+    def call(self, address: Address, method: str, request: Any, deadline: timedelta) -> Any:
+        """Call a worker."""
+
+
+@attrs.frozen
+class Identity:
+    """How this entry presents itself.
+
+    :param entry_id: name from its settings.
+    :param incarnation: changes with each start of the process.
+    :param host: IP address of its thrift server.
+    :param port: TCP port of its thrift server.
+    """
+
+    entry_id: str
+    incarnation: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class LeaseTimes:
+    """Lifetimes that decide when a task may run elsewhere.
+
+    :param task_lease: lease of a worker for a shard, counted from the receipt of a renewal.
+    :param runtime_lease: lease of the runtime for a task.
+    :param reservation: how long a worker holds a reservation on its own clock.
+    """
+
+    task_lease: timedelta = timedelta(seconds=20)
+    runtime_lease: timedelta = timedelta(seconds=2)
+    reservation: timedelta = timedelta(seconds=3)
+
+    @property
+    def unreachable_wait(self) -> timedelta:
+        """Return how long a task of an unreachable worker may still run.
+
+        The tenth covers clocks that run at different rates.
+        """
+        return (self.task_lease + 2 * self.runtime_lease) * 1.1
+
+    @property
+    def start_wait(self) -> timedelta:
+        """Return how long a start without a reply may still take effect."""
+        return (self.reservation + self.runtime_lease) * 1.1
+
+
+@attrs.define
+class StopOrder:
+    """A stop that was requested from a worker.
+
+    :param checkpoint: whether the task is to write a checkpoint first.
+    :param overdue: whether the stop ends an attempt that ran too long, which then has failed.
+    """
+
+    reason: str
+    checkpoint: bool
+    sent_at: timedelta
+    overdue: bool = False
+
+
+@attrs.define
+class AttemptInfo:
+    """What is known about a current attempt in this tenure only.
+
+    :param assigned_at: when its reservation was requested; the claim of the shard after a takeover.
+    :param confirmed_at: when the worker was first known to hold it.
+    """
+
+    assigned_at: timedelta
+    confirmed_at: timedelta | None = None
+    saved_at: timedelta | None = None
+    usage: Resources = Resources()
+    resources: Resources = Resources()
+    throttle_permille: int = 1000
+    wanted_permille: int = 1000
+    stop: StopOrder | None = None
+
+
+class Tenure:
+    """State shared by the threads that work for one period of ownership.
+
+    :param number: number of the shard.
+    :param epoch: epoch of this ownership.
+    :param shard: the recovered state.
+    :param journal: the claimed journal.
+    :param revision: returns the newest configuration revision known here.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        epoch: int,
+        shard: Shard,
+        journal: Any,
+        session: Session,
+        identity: Identity,
+        clock: Clock,
+        revision: Callable[[], int],
+    ):
+        self.number = number
+        self.epoch = epoch
+        self.shard = shard
+        self.identity = identity
+        self.lock = threading.RLock()
+        self.claimed_at = clock.monotonic()
+        self.infos: dict[Attempt, AttemptInfo] = {}
+        self.wake = threading.Event()
+        self._session = session
+        self._session_id = session.session_id
+        self._clock = clock
+        self._revision = revision
+        self._ended = False
+        self.log = CommitLog(journal, self._apply, self._snapshot)
+
+    def is_live(self) -> bool:
+        """Return whether this process may still act as the owner."""
+        same_session = self._session.session_id == self._session_id
+        return not self._ended and not self.log.is_fenced and same_session and self._session.valid()
+
+    def end(self) -> None:
+        """Stop acting as the owner."""
+        self._ended = True
+        self.wake.set()
+
+    def commit(self, events: list[Any]) -> list[bool]:
+        """Commit events and apply them; see `CommitLog.commit`.
+
+        :raises JournalError: also when the tenure has ended.
+        """
+        if not self.is_live():
+            raise JournalError(f"shard {self.number}: this entry is no longer the owner")
+        return self.log.commit(events)
+
+    def commit_later(self, events: list[Any]) -> None:
+        """Add events to the next record; see `CommitLog.commit_later`."""
+        self.log.commit_later(events)
+
+    def info(self, attempt: Attempt) -> AttemptInfo:
+        """Return what is known about a current attempt; the lock must be held."""
+        info = self.infos.get(attempt)
+        if info is None:
+            info = self.infos[attempt] = AttemptInfo(self.claimed_at)
+        return info
+
+    def drop_ended_infos(self) -> None:
+        """Forget attempts that have ended."""
+        with self.lock:
+            oldest = self._clock.monotonic() - CALL_TIMEOUT * 10
+            for attempt, info in list(self.infos.items()):
+                # An attempt is entered just before its commit and is not current until then.
+                if info.assigned_at < oldest and not self.shard.is_current(attempt):
+                    del self.infos[attempt]
+
+    def header(self, timeout: timedelta) -> Header:
+        """Return the header of a call."""
+        return Header(
+            request_id=uuid.uuid4().hex,
+            deadline_ms=max(1, int(timeout.total_seconds() * 1000)),
+            config_revision=self._revision(),
+            sender=f"entry/{self.identity.entry_id}",
+            incarnation=self.identity.incarnation,
+        )
+
+    def timeout(self) -> timedelta:
+        """Return the longest time for a call now: it must end while the session is valid.
+
+        :raises NotSentError: the tenure has ended.
+        """
+        remaining = min(CALL_TIMEOUT, self._session.remaining())
+        if not self.is_live() or remaining <= timedelta():
+            raise NotSentError(f"shard {self.number}: this entry is no longer the owner")
+        return remaining
+
+    def _apply(self, event: Any) -> bool:
+        with self.lock:
+            changed = self.shard.apply(event)
+        if changed:
+            self.wake.set()
+        return changed
+
+    def _snapshot(self) -> dict:
+        with self.lock:
+            return self.shard.to_snapshot()
+
+
+def address_of(fleet: Fleet, worker_id: str) -> Address:
+    """Return the address of a worker.
+
+    :raises NotSentError: the worker is unknown.
+    """
+    view = fleet.worker(worker_id)
+    if view is None:
+        raise NotSentError(f"worker {worker_id} has not announced itself")
+    return Address(view.description.host, view.description.port)
+
+
+def ref_of(attempt: Attempt) -> TaskRef:
+    """Return the wire form of an attempt."""
+    return TaskRef(attempt.key.job_id, attempt.key.index, attempt.number)
+
+
+def attempt_of(ref: TaskRef) -> Attempt:
+    """Return an attempt from its wire form."""
+    return Attempt(TaskKey(ref.job_id, ref.index), ref.attempt)
