--- a/packages/core/src/mulberryslip/journals.py
+++ b/packages/core/src/mulberryslip/journals.py
@@ -10,12 +10,19 @@
 - snapshot `shards/<n>/snapshot`: `{"seq", "epoch", "slots", "snapshot_id", "state"}`
 """
 
+import collections
 import json
+import random
+import threading
 import uuid
 import zlib
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
 
 import attrs
 
+from .clocks import Clock
 from .events import Event, log
 from .exceptions import (
     FencedError,
@@ -43,6 +50,12 @@
 
 _COMPRESSION_LEVEL = 1
 
+# Attempts for a group that was certainly not written; a short excess over the store's rate passes
+# within them, and during an outage the callers learn soon that nothing was committed.
+_GROUP_ATTEMPTS = 4
+_FIRST_BACKOFF = timedelta(milliseconds=20)
+_LONGEST_BACKOFF = timedelta(milliseconds=500)
+
 
 @attrs.frozen
 class Record:
@@ -490,3 +503,229 @@
         log(Event.JOURNAL_FENCED, shard=self._shard, seq=pending.record.seq, epoch=self._epoch)
         message = f"{pending.key}: another owner wrote record {pending.record.seq} or a later one"
         return FencedError(message, unresolved)
+
+
+@attrs.frozen
+class GroupLimits:
+    """Limits of a `GroupCommitter`.
+
+    :param max_events: events in one record.
+    :param max_bytes: JSON bytes of the events in one record; a larger caller's batch goes alone.
+    :param max_waiting: callers that wait for a record.
+    :param min_interval: shortest time between two records, which bounds the shard's share of the
+        store's write rate.
+    """
+
+    max_events: int = 500
+    max_bytes: int = 256 * 1024
+    max_waiting: int = 10_000
+    min_interval: timedelta = timedelta(milliseconds=20)
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """The events of one caller."""
+
+    events: list[dict]
+    size: int
+    fut: Future
+
+
+class GroupCommitter:
+    """Appends the events of many callers in one record, from a thread of its own.
+
+    The thread is the only user of the journal after `start`. It calls `on_commit` in the order of
+    the records and before the callers are released, so that a caller finds its events applied.
+
+    :param journal: an open and claimed journal.
+    :param clock: measures intervals and timeouts.
+    :param on_commit: gets the seq and the events of each record.
+    :param on_lost: gets the error that ended the committer; the owner must give up the shard.
+    :param snapshot: returns the state after the last record given to `on_commit`.
+    :param limits: sizes of groups.
+    :param rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        clock: Clock,
+        on_commit: Callable[[int, list[dict]], None],
+        on_lost: Callable[[Exception], None],
+        snapshot: Callable[[], dict],
+        limits: GroupLimits | None = None,
+        rng: random.Random | None = None,
+    ):
+        self._journal = journal
+        self._clock = clock
+        self._on_commit = on_commit
+        self._on_lost = on_lost
+        self._snapshot = snapshot
+        self._limits = limits or GroupLimits()
+        self._rng = rng or random.Random()
+        self._queue: collections.deque[_Waiting] = collections.deque()
+        self._changed = threading.Condition()
+        self._stopping = threading.Event()
+        self._end: JournalError | None = None
+        self._next_append = clock.monotonic()
+        self._thread = threading.Thread(target=self._run, name="committer", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Commit what is waiting, if the store answers, and end the thread."""
+        with self._changed:
+            self._stopping.set()
+            self._changed.notify()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._close(JournalError("the committer is stopped"))
+
+    def commit(self, events: list[dict], timeout: timedelta) -> int:
+        """Append events and wait.
+
+        :param events: JSON-serialisable events; they are committed together.
+        :param timeout: longest wait.
+        :returns: seq of their record.
+        :raises FencedError: as for `Journal.append`.
+        :raises JournalError: as for `Journal.append`, or the time ran out; `unresolved` tells
+            whether the events may still be committed.
+        """
+        fut = self.submit(events)
+        done = threading.Event()
+        fut.add_done_callback(lambda _: done.set())
+        if not self._clock.wait(done, timeout) and fut.cancel():
+            raise JournalError("the events were not written in time")
+        if not fut.done():
+            raise JournalError("the events were written, but no answer came in time", True)
+        return fut.result()
+
+    def submit(self, events: list[dict]) -> Future:
+        """Append events without waiting.
+
+        :returns: future of the seq; cancelling it succeeds until the events are written.
+        :raises JournalError: the committer has ended, too many callers wait, or the events are not
+            serialisable.
+        """
+        try:
+            size = len(json.dumps(events))
+        except (TypeError, ValueError, RecursionError) as exc:
+            raise JournalError(f"events are not serialisable: {exc}") from exc
+        waiting = _Waiting(list(events), size, Future())
+        with self._changed:
+            if self._end is not None:
+                raise self._end
+            self._make_room()
+            self._queue.append(waiting)
+            self._changed.notify()
+        return waiting.fut
+
+    def _make_room(self) -> None:
+        if len(self._queue) < self._limits.max_waiting:
+            return
+        self._queue = collections.deque(w for w in self._queue if not w.fut.cancelled())
+        if len(self._queue) >= self._limits.max_waiting:
+            raise JournalError(f"{len(self._queue)} callers are waiting already")
+
+    def _run(self) -> None:
+        group: list[_Waiting] = []
+        try:
+            while group := self._gather():
+                self._commit_group(group)
+                group = []
+        except Exception as exc:
+            # Besides a fencing, a damaged slot or a fault in a callback leaves the state in memory
+            # behind the journal. Only a new owner that reads the journal can go on.
+            self._lost(exc, group)
+
+    def _lost(self, exc: Exception, group: list[_Waiting]) -> None:
+        if not isinstance(exc, FencedError):
+            log(Event.INTERNAL_ERROR, where="committer", reason=repr(exc))
+        _fail(group, exc if isinstance(exc, JournalError) else JournalError(repr(exc), True))
+        self._close(FencedError("the shard is given up"))
+        self._on_lost(exc)
+
+    def _close(self, exc: JournalError) -> None:
+        """Refuse all callers from now on."""
+        with self._changed:
+            self._end = self._end or exc
+            left, self._queue = list(self._queue), collections.deque()
+        _fail([w for w in left if w.fut.set_running_or_notify_cancel()], exc)
+
+    def _gather(self) -> list[_Waiting]:
+        """Wait for callers and for the interval; return no one when stopping."""
+        while True:
+            with self._changed:
+                self._changed.wait_for(lambda: self._queue or self._stopping.is_set())
+                if not self._queue:
+                    return []
+            self._clock.wait(self._stopping, self._next_append - self._clock.monotonic())
+            group = self._take()
+            if group:
+                return group
+
+    def _take(self) -> list[_Waiting]:
+        group = []
+        count = size = 0
+        with self._changed:
+            while self._queue:
+                head = self._queue[0]
+                count += len(head.events)
+                size += head.size
+                if group and (count > self._limits.max_events or size > self._limits.max_bytes):
+                    break
+                self._queue.popleft()
+                if head.fut.set_running_or_notify_cancel():
+                    group.append(head)
+        return group
+
+    def _commit_group(self, group: list[_Waiting]) -> None:
+        events = [event for waiting in group for event in waiting.events]
+        self._next_append = self._clock.monotonic() + self._limits.min_interval
+        self._write_snapshot_if_due()
+        try:
+            seq = self._append(events)
+        except FencedError:
+            raise
+        except JournalError as exc:
+            _fail(group, exc)
+            return
+        self._on_commit(seq, events)
+        for waiting in group:
+            waiting.fut.set_result(seq)
+        self._write_snapshot_if_due()
+
+    def _append(self, events: list[dict]) -> int:
+        """Append until the outcome is known; give up early only what was not written."""
+        failures = 0
+        while True:
+            try:
+                return self._journal.append(events)
+            except FencedError:
+                raise
+            except JournalError as exc:
+                failures += 1
+                may_give_up = not exc.unresolved or self._stopping.is_set()
+                if may_give_up and failures >= _GROUP_ATTEMPTS:
+                    raise
+            bound = min(_LONGEST_BACKOFF, _FIRST_BACKOFF * 2 ** min(failures, 10))
+            self._clock.sleep(bound * (0.5 + 0.5 * self._rng.random()))
+
+    def _write_snapshot_if_due(self) -> None:
+        """Write a snapshot; after a failure the next group tries again."""
+        if not self._journal.snapshot_due:
+            return
+        try:
+            self._journal.write_snapshot(self._snapshot())
+        except FencedError:
+            raise
+        except JournalError as exc:
+            log(Event.STORE_UNAVAILABLE, call="write_snapshot", reason=str(exc))
+
+
+def _fail(group: list[_Waiting], exc: JournalError) -> None:
+    for waiting in group:
+        if not waiting.fut.done():
+            waiting.fut.set_exception(exc)
