Wire both roles; the main job runs from end to end

Cause: the parts had no composition root. Change: mulberryslipd builds an entry or a worker from its settings; the command line defines its flags for each call, since absl warns when parsed flags are parsed again.

--- a/packages/cli/src/mulberryslip_cli/main.py
+++ b/packages/cli/src/mulberryslip_cli/main.py
@@ -12,26 +12,7 @@
 
 DEFAULT_ENTRIES = "127.0.0.1:7003"
 
-_FLAGS = flags.FlagValues()
-flags.DEFINE_list(
-    "entries",
-    DEFAULT_ENTRIES,
-    "Operators' addresses of the entries, IP:PORT, tried in order.",
-    flag_values=_FLAGS,
-)
-flags.DEFINE_boolean("json", False, "Print JSON instead of tables.", flag_values=_FLAGS)
-flags.DEFINE_integer(
-    "if_revision",
-    None,
-    "Refuse the change unless the configuration has this revision. Without it, the revision that"
-    " the command has just read is used.",
-    lower_bound=1,
-    flag_values=_FLAGS,
-)
-flags.DEFINE_float(
-    "timeout_s", 5.0, "Longest wait for one entry, in seconds.", 0.1, flag_values=_FLAGS
-)
-flags.DEFINE_boolean("help", False, "Print this help.", flag_values=_FLAGS)
+SHOWN_FLAGS = ("entries", "json", "if_revision", "timeout_s", "help")
 
 EXAMPLES = """\
 examples:
@@ -49,28 +30,53 @@
     sys.exit(main(sys.argv))
 
 
+def define_flags() -> flags.FlagValues:
+    """Return the flags of one command line, not yet parsed."""
+    values = flags.FlagValues()
+    flags.DEFINE_list(
+        "entries",
+        DEFAULT_ENTRIES,
+        "Operators' addresses of the entries, IP:PORT, tried in order.",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean("json", False, "Print JSON instead of tables.", flag_values=values)
+    flags.DEFINE_integer(
+        "if_revision",
+        None,
+        "Refuse the change unless the configuration has this revision. Without it, the revision"
+        " that the command has just read is used.",
+        lower_bound=1,
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "timeout_s", 5.0, "Longest wait for one entry, in seconds.", 0.1, flag_values=values
+    )
+    flags.DEFINE_boolean("help", False, "Print this help.", flag_values=values)
+    return values
+
+
 def main(argv: Sequence[str]) -> int:
     """Run one command.
 
     :param argv: program name, flags, words of the command and its arguments.
     :returns: the exit code.
     """
+    values = define_flags()
     try:
-        _FLAGS.unparse_flags()
-        words = _FLAGS(argv)[1:]
-        if _FLAGS.help or not words:
-            print(usage())
-            return 0 if _FLAGS.help else UsageError.exit_code
+        words = values(argv)[1:]
+        if values.help or not words:
+            print(usage(values))
+            return 0 if values.help else UsageError.exit_code
         command, args = find(words)
-        client = OperatorClient(_FLAGS.entries, _FLAGS.timeout_s)
-        output = command.run(client, args, _FLAGS.if_revision)
+        client = OperatorClient(values.entries, values.timeout_s)
+        output = command.run(client, args, values.if_revision)
     except flags.Error as exc:
         print(f"mulberryslip: {exc}", file=sys.stderr)
         return UsageError.exit_code
     except CommandError as exc:
         print(f"mulberryslip: {exc}", file=sys.stderr)
         return exc.exit_code
-    print(json.dumps(output.document, indent=2) if _FLAGS.json else output.text)
+    print(json.dumps(output.document, indent=2) if values.json else output.text)
     return 0
 
 
@@ -90,7 +96,7 @@
     raise UsageError(f"unknown command {' '.join(words[:2])!r}; there are: {', '.join(known)}")
 
 
-def usage() -> str:
+def usage(values: flags.FlagValues) -> str:
     """Return the help text."""
     width = max(len(" ".join((*c.words, c.arguments))) for c in COMMANDS) + 2
     lines = ["usage: mulberryslip [flags] COMMAND [arguments]", "", "commands:"]
@@ -98,6 +104,6 @@
         left = " ".join((*command.words, command.arguments))
         lines.append(f"  {left:<{width}}{command.summary}")
     lines += ["", "flags:"]
-    for name in ("entries", "json", "if_revision", "timeout_s", "help"):
-        lines.append(f"  --{name}: {_FLAGS[name].help} (default: {_FLAGS[name].default})")
+    for name in SHOWN_FLAGS:
+        lines.append(f"  --{name}: {values[name].help} (default: {values[name].default})")
     return "\n".join([*lines, "", EXAMPLES])
--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -140,6 +140,7 @@
     "renew_interval_ms": _integer(50, 60_000, 1000),
     "runtime_lease_ms": _integer(200, 60_000, 2000),
     "config_read_interval_ms": _integer(100, 60_000, 2000),
+    "announce_interval_ms": _integer(50, 60_000, 1000),
     "worker_silence_ms": _integer(300, 600_000, 5000),
     "stop_timeout_ms": _integer(500, 600_000, 10_000),
     "stop_grace_ms": _integer(0, 60_000, 1000),
@@ -168,7 +169,6 @@
     "slots": _integer(1, 1024, 8),
     "service_cpu_millis": _integer(0, 10_000_000, 0),
     "service_memory_mb": _integer(0, 100_000_000, 0),
-    "announce_interval_ms": _integer(50, 60_000, 1000),
 }
 TABLES = {"process": PROCESS_KEYS, "cluster": CLUSTER_KEYS, "timing": TIMING_KEYS}
 # Only entries use the store: its rates grow more slowly than the number of workers.
@@ -206,6 +206,14 @@
         """
         return timedelta(milliseconds=self.timing[f"{key}_ms"])
 
+    def store_timeout(self) -> timedelta:
+        """Return the longest wait for one store call of an entry."""
+        return timedelta(milliseconds=self.store["timeout_ms"])
+
+    def store_lease_ttl(self) -> timedelta:
+        """Return the life of an entry's store lease."""
+        return timedelta(milliseconds=self.store["lease_ttl_ms"])
+
     def capacity(self) -> Resources:
         """Return a worker's whole capacity."""
         return Resources(
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -0,0 +1,234 @@
+"""Entry point of `mulberryslipd`: flags, settings, and the construction of the role's parts."""
+
+import random
+import signal
+import sys
+import threading
+import uuid
+from collections.abc import Sequence
+from functools import partial
+from typing import Protocol
+
+import eliot
+from absl import flags
+from mulberryslip import settings
+from mulberryslip.channels import Address, ChannelPool
+from mulberryslip.clocks import Clock, SystemClock
+from mulberryslip.evacuations import Evacuations
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import MulberryslipError, SettingsError
+from mulberryslip.fleets import Fleet
+from mulberryslip.interferences import Interferences
+from mulberryslip.journals import Journal
+from mulberryslip.placements import Placement
+from mulberryslip.runtimes import HTTPRuntime
+from mulberryslip.settings import Settings
+from mulberryslip.stores import HTTPStore
+from mulberryslip.wire import WorkerService as WorkerWire
+
+from .entries import EntryDaemon, EntryOptions
+from .owners import ShardOwner
+from .sessions import Session
+from .sources import ConfigSource
+from .tenures import Identity, LeaseTimes
+from .workers import WorkerDaemon, WorkerOptions
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_string("config", None, "TOML file with the settings.", flag_values=_FLAGS)
+flags.DEFINE_boolean(
+    "check", False, "Check the settings, print what is wrong, and exit.", flag_values=_FLAGS
+)
+flags.DEFINE_boolean("help", False, "Print this help.", flag_values=_FLAGS)
+
+USAGE = """\
+usage: mulberryslipd --config=FILE.toml [--check]
+
+Runs one process of mulberryslip. The role, entry or worker, is a setting; docs/operating.md lists
+all settings, and examples/ holds complete files. The log goes to standard output, one JSON object a
+line. SIGTERM starts a planned stop.
+
+exit codes: 0 planned stop or settings checked, 1 failed, 2 wrong usage or settings"""
+
+
+class Daemon(Protocol):
+    """Either role."""
+
+    def start(self) -> None:
+        """Start serving in background threads."""
+
+    def stop(self) -> None:
+        """Stop as planned."""
+
+
+def run() -> None:
+    """Run the daemon of the process and exit."""
+    sys.exit(main(sys.argv))
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run one process.
+
+    :param argv: program name and flags.
+    :returns: the exit code.
+    """
+    try:
+        extra = _FLAGS(argv)[1:]
+    except flags.Error as exc:
+        return _usage_error(str(exc))
+    if _FLAGS.help:
+        print(USAGE)
+        return 0
+    if not _FLAGS.config or extra:
+        return _usage_error(
+            "--config is missing" if not extra else f"unknown argument {extra[0]!r}"
+        )
+    try:
+        cfg = settings.load(_FLAGS.config)
+    except SettingsError as exc:
+        return _settings_error(exc)
+    return 0 if _FLAGS.check else serve(cfg)
+
+
+def serve(cfg: Settings) -> int:
+    """Run the role until SIGTERM or SIGINT.
+
+    :returns: the exit code.
+    """
+    eliot.to_file(sys.stdout)
+    stop_event = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop_event.set())
+    try:
+        daemon = build(cfg, SystemClock())
+        daemon.start()
+        stop_event.wait()
+        daemon.stop()
+    except (MulberryslipError, OSError) as exc:
+        log(Event.INTERNAL_ERROR, what="the process cannot serve", reason=str(exc))
+        print(f"mulberryslipd: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+def build(cfg: Settings, clock: Clock) -> Daemon:
+    """Construct the role's parts."""
+    return {"entry": build_entry, "worker": build_worker}[cfg.process["role"]](cfg, clock)
+
+
+def build_worker(cfg: Settings, clock: Clock) -> WorkerDaemon:
+    """Construct a worker."""
+    process, own = cfg.process, cfg.role
+    options = WorkerOptions(
+        worker_id=process["id"],
+        data_centre=process["data_centre"],
+        rack=process["rack"],
+        host=process["host"],
+        listen_host=cfg.listen_host(),
+        port=own["wire_port"],
+        target_url=own["target_url"],
+        services=tuple(own["services"]),
+        entries=tuple(Address.parse(text) for text in own["entries"]),
+        capacity=cfg.capacity(),
+        service_share=cfg.service_share(),
+        connections=own["connections"],
+        queue=own["queue"],
+        shards=cfg.cluster["shards"],
+        reservation_ttl=cfg.duration("reservation"),
+        runtime_lease=cfg.duration("runtime_lease"),
+        announce_interval=cfg.duration("announce_interval"),
+        stop_timeout=cfg.duration("stop_timeout"),
+        stop_grace=cfg.duration("stop_grace"),
+    )
+    return WorkerDaemon(options, HTTPRuntime(own["runtime_url"]), clock)
+
+
+def build_entry(cfg: Settings, clock: Clock) -> EntryDaemon:
+    """Construct an entry with an owner for each shard."""
+    options = entry_options(cfg)
+    store = HTTPStore(cfg.store["url"], cfg.store_timeout())
+    session = Session(store, cfg.store_lease_ttl(), clock)
+    fleet = Fleet(clock, cfg.duration("worker_silence"))
+    source = ConfigSource(store, clock, cfg.duration("config_read_interval"))
+    channels = ChannelPool(WorkerWire.Client, clock)
+    make_owner = partial(build_owner, cfg, options, clock, store, session, fleet, source, channels)
+    owners = {shard: make_owner(shard) for shard in range(cfg.cluster["shards"])}
+    return EntryDaemon(
+        options, store, session, fleet, source, owners, clock, random.Random(), store.call_counts
+    )
+
+
+def entry_options(cfg: Settings) -> EntryOptions:
+    """Return the parameters of an entry."""
+    process, own = cfg.process, cfg.role
+    return EntryOptions(
+        entry_id=process["id"],
+        incarnation=uuid.uuid4().hex,
+        data_centre=process["data_centre"],
+        host=process["host"],
+        listen_host=cfg.listen_host(),
+        wire_port=own["wire_port"],
+        callers_port=own["callers_port"],
+        operators_port=own["operators_port"],
+        threads=own["threads"],
+        wire_connections=own["wire_connections"],
+        links=own["links"],
+        stop_grace=cfg.duration("stop_grace"),
+        stop_timeout=cfg.duration("stop_timeout"),
+    )
+
+
+def build_owner(
+    cfg: Settings,
+    options: EntryOptions,
+    clock: Clock,
+    store: HTTPStore,
+    session: Session,
+    fleet: Fleet,
+    source: ConfigSource,
+    channels: ChannelPool,
+    shard: int,
+) -> ShardOwner:
+    """Construct the owner of a shard with its own policy."""
+    # Each shard sees only its own tasks, so it may use only its part of the fleet's evictions.
+    interferences = Interferences(shard, 1 / cfg.cluster["shards"])
+    evacuations = Evacuations(clock)
+    placement = Placement(
+        clock,
+        interferences=interferences,
+        pace=evacuations,
+        source=f"shard-{shard}",
+        seed=shard,
+    )
+    times = LeaseTimes(
+        cfg.duration("task_lease"), cfg.duration("runtime_lease"), cfg.duration("reservation")
+    )
+    return ShardOwner(
+        shard,
+        store,
+        session,
+        Journal(store, shard, cfg.role["journal_slots"]),
+        fleet,
+        source,
+        placement,
+        channels,
+        clock,
+        Identity(options.entry_id, options.incarnation, options.host, options.wire_port),
+        policies=(evacuations, interferences),
+        times=times,
+        renew_interval=cfg.duration("renew_interval"),
+    )
+
+
+def _usage_error(message: str) -> int:
+    print(f"mulberryslipd: {message}\n\n{USAGE}", file=sys.stderr)
+    return EXIT_USAGE
+
+
+def _settings_error(exc: SettingsError) -> int:
+    log(Event.SETTINGS_INVALID, faults=exc.faults)
+    for fault in exc.faults:
+        print(f"mulberryslipd: {fault}", file=sys.stderr)
+    return EXIT_USAGE
