--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -36,12 +36,14 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-_FLAGS = flags.FlagValues()
-flags.DEFINE_string("config", None, "TOML file with the settings.", flag_values=_FLAGS)
+USAGE = 2
+
+values = flags.FlagValues()
+flags.DEFINE_string("config", None, "TOML file with the settings.", flag_values=values)
 flags.DEFINE_boolean(
-    "check", False, "Check the settings, print what is wrong, and exit.", flag_values=_FLAGS
+    "check", False, "Check the settings, print what is wrong, and exit.", flag_values=values
 )
-flags.DEFINE_boolean("help", False, "Print this help.", flag_values=_FLAGS)
+flags.DEFINE_boolean("help", False, "Print this help.", flag_values=values)
 
 USAGE = """\
 usage: mulberryslipd --config=FILE.toml [--check]
@@ -68,28 +70,38 @@
     sys.exit(main(sys.argv))
 
 
+def define_flags() -> flags.FlagValues:
+    """Return the flags of one command line, not yet parsed."""
+    values = flags.FlagValues()
+    flags.DEFINE_string("config", None, "TOML file with the settings.", flag_values=values)
+    flags.DEFINE_boolean("check", False, "Check the settings and exit.", flag_values=values)
+    flags.DEFINE_boolean("help", False, "Print this help.", flag_values=values)
+    return values
+
+
 def main(argv: Sequence[str]) -> int:
     """Run one process.
 
     :param argv: program name and flags.
     :returns: the exit code.
     """
+    values = define_flags()
     try:
-        extra = _FLAGS(argv)[1:]
+        extra = values(argv)[1:]
     except flags.Error as exc:
         return _usage_error(str(exc))
-    if _FLAGS.help:
+    if values.help:
         print(USAGE)
         return 0
-    if not _FLAGS.config or extra:
+    if not values.config or extra:
         return _usage_error(
             "--config is missing" if not extra else f"unknown argument {extra[0]!r}"
         )
     try:
-        cfg = settings.load(_FLAGS.config)
+        cfg = settings.load(values.config)
     except SettingsError as exc:
         return _settings_error(exc)
-    return 0 if _FLAGS.check else serve(cfg)
+    return 0 if values.check else serve(cfg)
 
 
 def serve(cfg: Settings) -> int:
