Test jobs against a naive model and the owner against takeovers and losses

Faults found and fixed: a ping of an unanswering worker counted as a renewal, so its tasks were never given up; records are at least 20 ms apart, so that four shards stay within 200 writes/s.

--- a/packages/daemon/src/mulberryslipd/commits.py
+++ b/packages/daemon/src/mulberryslipd/commits.py
@@ -1,10 +1,13 @@
 """Group commit of shard events: one journal record holds what many threads commit together."""
 
+import json
 import threading
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any, Protocol
 
 import attrs
+from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
 from mulberryslip.transitions import decode_event, encode_event
@@ -13,6 +16,9 @@
 MAX_GROUP_CHARS = 700_000
 """A record holds less than 900 KB; the estimate below leaves room for its frame."""
 
+MIN_INTERVAL = timedelta(milliseconds=20)
+"""Shortest time between two records. The store takes several hundred writes/s from all shards."""
+
 EVENT_CHARS = 200
 """Size of an event without its inputs and its result."""
 
@@ -52,6 +58,7 @@
     :param journal: the claimed journal.
     :param apply: applies one event and returns whether it changed the state.
     :param snapshot: returns the state for a snapshot.
+    :param min_interval: shortest time between two records.
     """
 
     def __init__(
@@ -59,7 +66,12 @@
         journal: EventJournal,
         apply: Callable[[Any], bool],
         snapshot: Callable[[], dict],
+        clock: Clock,
+        min_interval: timedelta = MIN_INTERVAL,
     ):
+        self._clock = clock
+        self._min_interval = min_interval
+        self._next_append = clock.monotonic()
         self._journal = journal
         self._apply = apply
         self._snapshot = snapshot
@@ -118,6 +130,11 @@
     def _lead(self, own: _Batch) -> None:
         try:
             while not own.is_done:
+                # Others join the group during the pause.
+                pause = self._next_append - self._clock.monotonic()
+                if pause > timedelta():
+                    self._clock.sleep(pause)
+                self._next_append = self._clock.monotonic() + self._min_interval
                 self._write_group(self._take_group())
         finally:
             with self._cond:
@@ -200,5 +217,4 @@
 def _size(event: Any) -> int:
     inputs = getattr(event, "inputs", ())
     result = getattr(event, "result", "")
-    # Escapes can make text six times as long, but inputs and results are ASCII JSON already.
-    return EVENT_CHARS + sum(len(text) + 8 for text in inputs) + 2 * len(result)
+    return EVENT_CHARS + len(json.dumps(inputs)) + len(json.dumps(result))
--- a/packages/daemon/src/mulberryslipd/owners.py
+++ b/packages/daemon/src/mulberryslipd/owners.py
@@ -275,6 +275,7 @@
         :raises JournalError: the journal cannot be read or was claimed by another entry.
         :raises InvalidMessageError: the journal is damaged or of a newer version.
         """
+        self._end("claimed anew")
         if not self._claim.try_claim():
             return False
         shard = self._recover()
--- a/packages/daemon/src/mulberryslipd/renewals.py
+++ b/packages/daemon/src/mulberryslipd/renewals.py
@@ -113,9 +113,9 @@
         """Renew the leases of one worker and take in what it holds."""
         line = self._line(worker_id)
         sent_at = self._clock.monotonic()
+        if sent_at - line.answered_at > UNANSWERED_LIMIT and not self._answers(worker_id):
+            return
         try:
-            if sent_at - line.answered_at > UNANSWERED_LIMIT and not self._answers(worker_id):
-                return
             reply = self._call(worker_id, line)
         except NotSentError:
             return
@@ -150,8 +150,12 @@
                     del self._lines[worker_id]
 
     def _answers(self, worker_id: str) -> bool:
-        timeout = self._tenure.timeout()
-        self._channels.call(address_of(self._fleet, worker_id), "ping", 1, timeout)
+        """Return whether the worker answers a ping, which grants no lease."""
+        try:
+            timeout = self._tenure.timeout()
+            self._channels.call(address_of(self._fleet, worker_id), "ping", 1, timeout)
+        except WireError:
+            return False
         return True
 
     def _call(self, worker_id: str, line: Line) -> Any:
--- a/packages/daemon/src/mulberryslipd/tenures.py
+++ b/packages/daemon/src/mulberryslipd/tenures.py
@@ -148,7 +148,7 @@
         self._clock = clock
         self._revision = revision
         self._ended = False
-        self.log = CommitLog(journal, self._apply, self._snapshot)
+        self.log = CommitLog(journal, self._apply, self._snapshot, clock)
 
     def is_live(self) -> bool:
         """Return whether this process may still act as the owner."""
--- a/tests/shard_doubles.py
+++ b/tests/shard_doubles.py
@@ -1,11 +1,12 @@
 """Workers, session and surroundings of a shard owner, in memory and on a manual clock."""
 
 import json
+import threading
 from datetime import timedelta
 
 import attrs
 from mulberryslip import Attempt, ManualClock, Resources, TaskKey, WorkerDescription, WorkerLoad
-from mulberryslip.exceptions import NotSentError, ReplyLostError
+from mulberryslip.exceptions import JournalError, NotSentError, ReplyLostError
 from mulberryslip.fleets import Fleet
 from mulberryslip.journals import Journal
 from mulberryslip.placements import Placement
@@ -42,6 +43,7 @@
         self.clock = clock
         self.history = history
         self.incarnation = "i1"
+        self.lock = threading.RLock()
         self.epoch = 0
         self.lease_until = timedelta()
         self.reservations = {}
@@ -62,7 +64,9 @@
         return wire.Load(0, 0, 0, wire.Resources(*self.free().amounts()), False, 0)
 
     def expire_lease(self):
-        if self.clock.monotonic() >= self.lease_until:
+        with self.lock:
+            if self.clock.monotonic() < self.lease_until:
+                return
             for held in self.held.values():
                 if held.state == wire.TaskState.RUNNING:
                     self.end(held, wire.TaskState.SUSPENDED, checkpoint=True)
@@ -76,12 +80,13 @@
         self.history.append(("end", held.attempt, self.id, self.clock.monotonic(), ""))
 
     def call(self, method, req):
-        self.expire_lease()
-        if method == "ping":
-            return req
-        stale = req.epoch < self.epoch
-        self.epoch = max(self.epoch, req.epoch)
-        return getattr(self, method)(req, stale)
+        with self.lock:
+            self.expire_lease()
+            if method == "ping":
+                return req
+            stale = req.epoch < self.epoch
+            self.epoch = max(self.epoch, req.epoch)
+            return getattr(self, method)(req, stale)
 
     def reserve(self, req, stale):
         answers = []
@@ -152,10 +157,13 @@
         self.workers = {}
         self.hooks = {}
         self.calls = []
+        self.filter = None
 
     def call(self, address, method, request, deadline):
         worker = self.workers[address.port]
         self.calls.append((method, worker.id))
+        if self.filter is not None:
+            self.filter(method, request)
         self._run(f"before {method}")
         if not worker.reachable:
             raise NotSentError("unreachable")
@@ -192,19 +200,26 @@
     """A store, workers, and owners of shard 0."""
 
     def __init__(
-        self, workers=3, data_centres=("concord",), templates=None, owner_class=ShardOwner
+        self,
+        workers=3,
+        data_centres=("concord",),
+        templates=None,
+        worker_class=FakeWorker,
+        source_class=ConfigSource,
+        clock=None,
+        channels=None,
     ):
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.store = FakeStore(self.clock)
-        self.channels = FakeChannels()
+        self.channels = channels or FakeChannels()
         self.history = []
         self.templates = templates or {"recon": {}}
-        self.owner_class = owner_class
+        self.source_class = source_class
         self.revision = 0
         self.set_config(dict.fromkeys(data_centres, "in"))
         for number in range(workers):
             data_centre = data_centres[number % len(data_centres)]
-            worker = FakeWorker(number, self.clock, self.history, data_centre)
+            worker = worker_class(number, self.clock, self.history, data_centre)
             self.channels.workers[worker.description.port] = worker
         self.workers = list(self.channels.workers.values())
         self.sessions = []
@@ -225,15 +240,15 @@
             "config/current", json.dumps(document).encode(), stored.version if stored else 0
         )
 
-    def owner(self, entry="e1", **options):
-        """Return an owner that has claimed the shard, as a new process would."""
+    def owner(self, entry="e1", claim=True, **options):
+        """Return an owner, as a new process would make it, that has claimed the shard."""
         session = FakeSession(self.store)
         self.sessions.append(session)
         self.fleet = Fleet(self.clock)
-        self.source = ConfigSource(self.store, self.clock)
+        self.source = self.source_class(self.store, self.clock)
         self.fleet.apply_config(self.source.refresh())
         self.announce()
-        owner = self.owner_class(
+        owner = ShardOwner(
             0,
             self.store,
             session,
@@ -244,13 +259,14 @@
             self.channels,
             self.clock,
             Identity(entry, "i1", "127.0.0.1", 6000),
-            make_peers=InlinePeers,
-            **options,
+            **{"make_peers": InlinePeers, **options},
         )
+        if not claim:
+            return owner
         for _ in range(20):
             if owner.acquire():
                 return owner
-            self.clock.advance(SECOND / 5)
+            self.clock.sleep(SECOND / 5)
         raise AssertionError("the shard was not claimed")
 
     def replace_owner(self, entry="e2", **options):
@@ -265,12 +281,19 @@
                 load = WorkerLoad(free=worker.free())
                 self.fleet.announce(attrs.evolve(worker.description), load)
 
-    def run(self, owner, seconds, step=SECOND):
-        """Let time pass while the owner works."""
+    def run(self, owner, seconds, step=SECOND, quiet=False):
+        """Let time pass while the owner works.
+
+        :param quiet: whether errors of the store are passed over, as the owner's loop does.
+        """
         for _ in range(int(seconds * SECOND / step)):
             self.announce()
-            owner.step()
-            owner.supervise()
+            for work in (owner.step, owner.supervise):
+                try:
+                    work()
+                except JournalError:
+                    if not quiet:
+                        raise
             self.clock.advance(step)
             for worker in self.workers:
                 worker.expire_lease()
@@ -278,9 +301,11 @@
     def finish(self, *keys):
         """Let running tasks finish."""
         for worker in self.workers:
-            for held in worker.held.values():
-                if held.state == wire.TaskState.RUNNING and (not keys or held.attempt.key in keys):
-                    worker.end(held, wire.TaskState.FINISHED, result='{"sum":1}')
+            with worker.lock:
+                for held in worker.held.values():
+                    wanted = not keys or held.attempt.key in keys
+                    if wanted and held.state == wire.TaskState.RUNNING:
+                        worker.end(held, wire.TaskState.FINISHED, result='{"sum":1}')
 
     def running(self):
         """Return the running attempts as (attempt, worker id)."""
