Test the store's faults over HTTP

Cause: no test showed that HTTPStore tells 'not written' from 'unknown' when the server or the network fails. Change: table of server faults, truncated answers, refused connects, silent connections, bounded connections, counters, a fuzz of the listing decoder, and a run of the stand-in as a process. The stand-in stops within 0.1 s. A pool that is kept after a timeout costs 4 timeouts where the replaced pool costs 1.

--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -506,6 +506,8 @@
     KEEP_ALIVE_CONNECTIONS = 1000
     IDLE_TIMEOUT_S = 30
     STOP_TIMEOUT_S = 1
+    # `stop` takes up to one interval; the default of 0.5 s dominates short tests.
+    EXPIRATION_INTERVAL_S = 0.1
 
     def __init__(
         self,
@@ -524,6 +526,7 @@
             shutdown_timeout=self.STOP_TIMEOUT_S,
         )
         self._server.keep_alive_conn_limit = self.KEEP_ALIVE_CONNECTIONS
+        self._server.expiration_interval = self.EXPIRATION_INTERVAL_S
         self._thread = threading.Thread(target=self._server.serve, name="store", daemon=True)
 
     @property
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -1,12 +1,33 @@
 """Rules of the store interface, on the fake and on the HTTP adapter with the stand-in server."""
 
+import json
+import subprocess
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
+import urllib3
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from mulberryslip import Committed, Conflict, ManualClock, Unknown
-from mulberryslip.exceptions import LeaseExpiredError, StoreUnavailableError, ValueTooLargeError
-from mulberryslip.stores import MAX_VALUE_BYTES, HTTPStore, StoredValue
+from mulberryslip.exceptions import (
+    InvalidMessageError,
+    LeaseExpiredError,
+    StoreUnavailableError,
+    ValueTooLargeError,
+)
+from mulberryslip.stores import (
+    MAX_VALUE_BYTES,
+    HTTPStore,
+    Listing,
+    StoredValue,
+    listing_from_json,
+    listing_to_json,
+)
 from mulberryslip_testing.fakes import FakeStore
+from mulberryslip_testing.proxies import Direction, Proxy
 from mulberryslip_testing.stores import StoreServer
 
 TTL = timedelta(seconds=3)
@@ -104,3 +125,185 @@
         store.get("a")
     store.set_faults(outage="drop")
     assert isinstance(store.put("a", b"2", 1), Unknown)
+
+
+@pytest.fixture
+def live_server():
+    server = StoreServer(threads=8)
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def proxy(live_server):
+    proxy = Proxy("127.0.0.1", live_server.port)
+    yield proxy
+    proxy.stop()
+
+
+@pytest.fixture
+def remote(proxy):
+    store = HTTPStore(f"http://127.0.0.1:{proxy.port}", timeout=timedelta(milliseconds=200))
+    yield store
+    store.close()
+
+
+def set_faults(server, **faults):
+    """Set faults as another process would."""
+    url = f"{server.base_url}/admin/faults"
+    resp = urllib3.request("PUT", url, body=json.dumps(faults).encode())
+    assert resp.status == 200, resp.data
+
+
+def write(store, key="a", value=b"2", version=1):
+    """Return the outcome of a write in a word."""
+    try:
+        return type(store.put(key, value, version)).__name__
+    except StoreUnavailableError:
+        return "unavailable"
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome", "value"),
+    [
+        ({"outage": "refuse"}, "unavailable", b"1"),
+        ({"outage": "drop"}, "Unknown", b"1"),
+        ({"writes_per_s": 0.001}, "unavailable", b"1"),
+        ({"lost_answer_probability": 1}, "Unknown", b"2"),
+        ({"lost_call_probability": 1}, "Unknown", b"1"),
+        ({"delay_ms": 400}, "Unknown", b"2"),
+    ],
+)
+def test_faults_of_the_server_become_true_outcomes(live_server, remote, faults, outcome, value):
+    """Guards against a write called 'not written' that took effect, and against hidden retries."""
+    assert remote.put("a", b"1", 0) == Committed(1)
+    set_faults(live_server, **faults)
+    if "writes_per_s" in faults:
+        remote.put("b", b"", 0)
+    before = remote.call_counts()["write"]
+    assert write(remote) == outcome
+    assert remote.call_counts()["write"] == before + 1
+    assert wait_until(lambda: live_server.application.state.get("a").value == value)
+
+
+def test_write_that_was_not_sent_is_not_unknown(proxy, remote):
+    """Guards against an unresolved batch after a refused connect."""
+    proxy.cut()
+    assert write(remote) == "unavailable"
+
+
+@pytest.mark.parametrize("count", [0, 10, 60, 130])
+def test_truncated_answer_leaves_a_write_unknown(proxy, remote, count):
+    """Guards against reading a version from a part of the answer."""
+    proxy.truncate(Direction.TO_CLIENT, count)
+    assert write(remote, version=0) == "Unknown"
+    with pytest.raises(StoreUnavailableError):
+        remote.list("")
+
+
+class KeepingStore(HTTPStore):
+    """A store that keeps its connections after a timeout."""
+
+    def _replace_pool(self, stale):
+        pass
+
+
+@pytest.mark.parametrize(("store_class", "timeouts"), [(HTTPStore, 1), (KeepingStore, 4)])
+def test_silent_connections_are_replaced_after_one_timeout(proxy, store_class, timeouts):
+    """Guards against a pool of silent connections that costs one timeout for each of them.
+
+    The second case shows that the check fails when the pool is kept.
+    """
+    url = f"http://127.0.0.1:{proxy.port}"
+    store = store_class(url, timeout=timedelta(milliseconds=200), max_connections=4)
+    proxy.delay(timedelta(milliseconds=20))
+    with ThreadPoolExecutor(4) as pool:
+        list(pool.map(store.get, "abcd" * 5))
+        assert proxy.accepted == 4
+        proxy.silence_open()
+        failures = int(is_unavailable(store, "a"))
+        failures += sum(pool.map(is_unavailable, [store] * 16, "abcd" * 4))
+    assert failures == timeouts
+    store.close()
+
+
+def is_unavailable(store, key):
+    """Return whether a read fails."""
+    try:
+        store.get(key)
+    except StoreUnavailableError:
+        return True
+    return False
+
+
+def test_connections_are_bounded(live_server, proxy):
+    """Guards against an entry that opens a connection per thread during a slow time."""
+    store = HTTPStore(f"http://127.0.0.1:{proxy.port}", max_connections=2)
+    set_faults(live_server, delay_ms=20)
+    with ThreadPoolExecutor(16) as pool:
+        assert list(pool.map(store.get, "abcdefghijklmnop")) == [None] * 16
+    assert proxy.accepted == 2
+    store.close()
+
+
+def test_server_counts_calls(live_server, remote):
+    """Guards against figures of store calls that miss some of them."""
+    remote.put("a b/\u00e4?", b"1", 0)
+    assert remote.get("a b/\u00e4?").value == b"1"
+    remote.list("a")
+    remote.grant_lease(TTL)
+    remote.watch("a", 0, TTL)
+    resp = urllib3.request("GET", f"{live_server.base_url}/v1/counters")
+    assert resp.json()["calls"] == {"read": 2, "write": 1, "lease": 1, "watch": 1}
+    assert resp.json()["calls"] == remote.call_counts()
+
+
+def test_server_refuses_unknown_faults_and_paths(live_server):
+    """Guards against a test that sets a misspelt fault and passes."""
+    for path, body, status in [
+        ("/admin/faults", b'{"outtage": "drop"}', 400),
+        ("/admin/faults", b'{"outage": "maybe"}', 400),
+        ("/v1/kv/a", b"", 400),
+        ("/v1/nothing", b"", 404),
+    ]:
+        assert urllib3.request("PUT", live_server.base_url + path, body=body).status == status
+
+
+def damage(position, data):
+    """Return an encoded listing with some bytes replaced."""
+    good = listing_to_json(Listing((StoredValue("a", b"xyz", 3),), 4))
+    return good[:position] + data + good[position + len(data) :]
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(body=st.binary(max_size=60) | st.builds(damage, st.integers(0, 200), st.binary(max_size=3)))
+def test_listing_decoder_raises_only_its_error(body):
+    """Guards against a damaged listing that ends a watching thread with another exception."""
+    try:
+        listing = listing_from_json(body)
+    except InvalidMessageError:
+        return
+    assert all(isinstance(value.value, bytes) for value in listing.values)
+
+
+def test_process_serves_and_stops_on_sigterm():
+    """Guards against a stand-in that cannot be started as a process."""
+    command = [sys.executable, "-m", "mulberryslip_testing.stores", "--port=0"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        url = process.stdout.readline().split()[-1]
+        store = HTTPStore(url, timeout=timedelta(seconds=5))
+        assert store.put("a", b"1", 0) == Committed(1)
+        store.close()
+        process.terminate()
+        assert process.wait(10) == 0
+
+
+def wait_until(condition, timeout_s=5.0):
+    """Return whether a condition came true within the time."""
+    never = threading.Event()
+    for _ in range(int(timeout_s / 0.01)):
+        if condition():
+            return True
+        never.wait(0.01)
+    return False
