Keep batch slowdowns from taking over the common pressure

Cause: with a similar mix on all workers the model cannot tell the common level from the slowdowns; the slowdowns grew up to 1.4 per task and batch starved. Change: estimates leak with 15 min, and one error is bounded to 0.3.

--- a/packages/core/src/mulberryslip/slowdowns.py
+++ b/packages/core/src/mulberryslip/slowdowns.py
@@ -29,6 +29,16 @@
 LAST_RATE = 0.02
 """Step for a well-known pair: noise of tens of seconds on one worker moves it little."""
 
+MAX_ERROR = 0.3
+"""Bound of the error in one update, so that a wave on one worker is not blamed on its tasks."""
+
+LEAK_TIME = timedelta(minutes=15)
+"""Time constant with which estimates shrink while they are learned.
+
+Where all workers run a similar mix, the common level and the slowdowns cannot be told apart.
+Without the leak the slowdowns take over the whole pressure and batch work starves.
+"""
+
 MAX_SLOWDOWN = 3.0
 """Bound of an estimate, so that one absurd measurement cannot exclude a pair for long."""
 
@@ -96,8 +106,9 @@
                 continue
             for service in observation.services:
                 by_service[service].append((observation, lagged))
+        leak = math.exp(-max(0.0, step / LEAK_TIME))
         for service, rows in by_service.items():
-            self._learn(now, service, rows)
+            self._learn(now, service, rows, leak)
 
     def slowdown(self, service: str, template: str) -> float:
         """Return the estimated slowdown of the service by one task of the template."""
@@ -135,7 +146,11 @@
         return lagged
 
     def _learn(
-        self, now: timedelta, service: str, rows: list[tuple[Observation, dict[str, float]]]
+        self,
+        now: timedelta,
+        service: str,
+        rows: list[tuple[Observation, dict[str, float]]],
+        leak: float,
     ) -> None:
         residuals = [
             observation.pressure
@@ -147,8 +162,11 @@
         # (0.36 for 0.30 at the 0.4 quantile).
         base = max(0.0, statistics.median(residuals))
         self._base[service] = base
+        for name in {name for _, lagged in rows for name in lagged}:
+            self._pairs[service, name].slowdown *= leak
         for residual, (_, lagged) in zip(residuals, rows, strict=True):
-            self._correct(service, residual - base, lagged)
+            error = min(MAX_ERROR, max(-MAX_ERROR, residual - base))
+            self._correct(service, error, lagged)
 
     def _correct(self, service: str, error: float, lagged: Mapping[str, float]) -> None:
         norm = 1.0 + sum(x * x for x in lagged.values())
