Raise the pressure thresholds and make them a value

Cause: with thresholds near the objective nearly all tasks were throttled to a quarter, though the router already keeps requests off the hot workers. Change: low 0.8 to 2.5, admit 0.9 to 3.0, high 1.1 to 4.0, critical 2.0 to 8.0, in one attrs value. The tests pass the former values explicitly, so they check the same behaviour as before.

--- a/packages/core/src/mulberryslip/interferences.py
+++ b/packages/core/src/mulberryslip/interferences.py
@@ -18,26 +18,14 @@
 
 __all__ = ["Action", "ActionKind", "Interferences", "RunningTask"]
 
-HIGH = 1.1
-"""Smoothed pressure above which a worker is hot; 1.0 meets the objective exactly."""
-
-LOW = 0.8
-"""Smoothed pressure below which a worker is cool; the gap to HIGH is the hysteresis."""
-
-CRITICAL = 2.0
-"""Smoothed pressure at which a task is stopped when it cannot be moved."""
-
-ADMIT_BELOW = 0.9
-"""Predicted pressure up to which another task may start on a worker."""
-
 SMOOTHING = 0.35
 """Weight of the newest pressure; about three seconds of memory at one round per second."""
 
 HOT_TIME = timedelta(seconds=3)
-"""Time above HIGH before a step; shorter bursts are noise."""
+"""Time above the high threshold before a step; shorter bursts are noise."""
 
 COOL_TIME = timedelta(seconds=10)
-"""Time below LOW before a throttle is eased."""
+"""Time below the low threshold before a throttle is eased."""
 
 SETTLE_TIME = timedelta(seconds=8)
 """Time between two steps on a worker: lag of the measurement plus smoothing."""
@@ -55,6 +43,26 @@
 """Tasks of a template per worker while its effect on the services there is unknown."""
 
 
+@attrs.frozen
+class Thresholds:
+    """Smoothed pressures of a worker at which something is done; 1.0 meets the objective.
+
+    They are above 1.0 because the router sends requests to calmer workers before that, so a
+    worker above its objective alone does not slow callers. The gap between `low` and `high` is
+    the hysteresis.
+
+    :param low: below it throttles are eased.
+    :param admit: predicted pressure up to which another task may start.
+    :param high: above it tasks are throttled and moved.
+    :param critical: above it a task that cannot be moved is stopped.
+    """
+
+    low: float = 2.5
+    admit: float = 3.0
+    high: float = 4.0
+    critical: float = 8.0
+
+
 class Step(enum.IntEnum):
     """How far the response on a worker has gone."""
 
@@ -108,11 +116,17 @@
     :param seed: seed of the exploration.
     :param fleet_share: share of the fleet's eviction limit that this process may use.
     :param selection: which tasks leave a worker.
+    :param thresholds: pressures at which something is done.
     """
 
     def __init__(
-        self, seed: int = 0, fleet_share: float = 1.0, selection: Selection = heaviest_first
+        self,
+        seed: int = 0,
+        fleet_share: float = 1.0,
+        selection: Selection = heaviest_first,
+        thresholds: Thresholds | None = None,
     ):
+        self._thresholds = thresholds or Thresholds()
         self.model = SlowdownModel()
         self.limit = EvictionLimit(fleet_share)
         self._selection = selection
@@ -127,7 +141,7 @@
         """
         with self._lock:
             added = self._added(template, view)
-            return added + max(0.0, self._pressure(view) + added - LOW)
+            return added + max(0.0, self._pressure(view) + added - self._thresholds.low)
 
     def admits(self, template: str, view: WorkerView) -> bool:
         """Return whether a task of the template may start on a worker."""
@@ -139,7 +153,7 @@
                 return False
             if self._is_responding(view):
                 return False
-            if self._pressure(view) + self._added(template, view) <= ADMIT_BELOW:
+            if self._pressure(view) + self._added(template, view) <= self._thresholds.admit:
                 return True
             return self._random.random() < EXPLORATION
 
@@ -194,8 +208,8 @@
         measured = view.load.pressure_permille / 1000.0
         state = self._states.setdefault(view.description.worker_id, _WorkerState(measured))
         state.pressure += SMOOTHING * (measured - state.pressure)
-        hot = state.pressure >= HIGH
-        cool = state.pressure <= LOW
+        hot = state.pressure >= self._thresholds.high
+        cool = state.pressure <= self._thresholds.low
         state.hot_since = _since(state.hot_since, hot, now)
         state.cool_since = _since(state.cool_since, cool, now)
         return state
@@ -210,7 +224,7 @@
         count: int,
     ) -> list[Action]:
         blames = [blame for blame in self._blames(view, tasks) if blame.relief >= MIN_RELIEF]
-        chosen = self._selection(blames, state.pressure - LOW)
+        chosen = self._selection(blames, state.pressure - self._thresholds.low)
         throttles = [
             action for blame in chosen if (action := _throttle(blame, state.pressure)) is not None
         ]
@@ -239,13 +253,24 @@
             if self.limit.refusal(now, task.key, count):
                 continue
             target = self._target(task, view, workers)
-            action = _eviction(task, blame.relief, state.pressure, target)
+            action = self._eviction(task, blame.relief, state.pressure, target)
             if action is None:
                 continue
             self.limit.count(now, task.key)
             actions.append(action)
         return actions
 
+    def _eviction(
+        self, task: RunningTask, relief: float, pressure: float, target: str
+    ) -> Action | None:
+        reason = f"pressure {pressure:.2f} though throttled, expected relief {relief:.2f}"
+        if target:
+            return Action(ActionKind.MOVE, task.key, task.worker_id, reason, target=target)
+        if pressure >= self._thresholds.critical:
+            reason += ", no worker has room"
+            return Action(ActionKind.STOP, task.key, task.worker_id, reason)
+        return None
+
     def _ease(
         self, view: WorkerView, state: _WorkerState, tasks: list[RunningTask]
     ) -> list[Action]:
@@ -269,7 +294,7 @@
             and not view.quarantined
             and not view.load.leaving
             and task.resources.fits(view.load.free)
-            and self._pressure(view) + self._added(task.template, view) <= ADMIT_BELOW
+            and self._pressure(view) + self._added(task.template, view) <= self._thresholds.admit
         ]
         if not fitting:
             return ""
@@ -343,16 +368,6 @@
     return Action(ActionKind.THROTTLE, task.key, task.worker_id, reason, speed)
 
 
-def _eviction(task: RunningTask, relief: float, pressure: float, target: str) -> Action | None:
-    reason = f"pressure {pressure:.2f} though throttled, expected relief {relief:.2f}"
-    if target:
-        return Action(ActionKind.MOVE, task.key, task.worker_id, reason, target=target)
-    if pressure >= CRITICAL:
-        reason += ", no worker has room"
-        return Action(ActionKind.STOP, task.key, task.worker_id, reason)
-    return None
-
-
 def _since(since: timedelta | None, holds: bool, now: timedelta) -> timedelta | None:
     if not holds:
         return None
--- a/tests/test_interferences.py
+++ b/tests/test_interferences.py
@@ -14,12 +14,13 @@
     interferences,
 )
 from mulberryslip.actions import ActionKind, RunningTask
-from mulberryslip.interferences import Interferences, heaviest_first
+from mulberryslip.interferences import Interferences, Thresholds, heaviest_first
 from mulberryslip.models import WorkerView
 
 CAPACITY = Resources(8000, 8000, 0, 8)
 SIZE = Resources(1000, 1000, 0, 1)
 SECOND = timedelta(seconds=1)
+TIGHT = Thresholds(low=0.8, admit=0.9, high=1.1, critical=2.0)
 
 
 def view(name, pressure, running=(), free=CAPACITY, data_centre="a"):
@@ -52,10 +53,10 @@
     return done
 
 
-def learned(noise=0.0, seed=1):
+def learned(noise=0.0, seed=1, thresholds=TIGHT):
     """Return a policy that has seen a harmful and a harmless template on ten workers."""
     draws = random.Random(seed)
-    policy = Interferences()
+    policy = Interferences(thresholds=thresholds)
     for second in range(300):
         wave = noise * (second % 40 < 15)
         views = []
@@ -145,7 +146,6 @@
     if not mechanism:
         monkeypatch.setattr(interferences, "HOT_TIME", timedelta())
         monkeypatch.setattr(interferences, "SETTLE_TIME", timedelta())
-        monkeypatch.setattr(interferences, "HIGH", 0.8)
         monkeypatch.setattr(evictions, "MIN_FLEET_LIMIT", 1000)
         monkeypatch.setattr(evictions, "TASK_INTERVAL", timedelta())
     draws = random.Random(7)
@@ -157,7 +157,8 @@
         ] + [view("w9", 0.1)]
 
     tasks = [task(2 * n + k, name, f"w{n}") for n in range(9) for k, name in enumerate(("bad",))]
-    done = run(learned(), 1200, workers, tasks, start=300)
+    thresholds = TIGHT if mechanism else Thresholds(low=0.8, admit=0.9, high=0.8, critical=2.0)
+    done = run(learned(thresholds=thresholds), 1200, workers, tasks, start=300)
     return [second for second, action in done if action.kind is not ActionKind.THROTTLE]
 
 
