End waiting watches in an outage; fuzz the store adapter with damaged answers

Cause: a watch that waited when an outage began was still answered, so a watcher could learn of expired leases through a store that was down. A committer stopped from its own on_lost callback would wait for itself. Change: the stand-in fails such a watch; stop() skips the join in its own thread; repeated refusals raise new instances. wait_until moves to the testing package. New test: damaged HTTP answers. Conclusion: damaged answers lead to store errors or Unknown only.

--- a/packages/core/src/mulberryslip/journals.py
+++ b/packages/core/src/mulberryslip/journals.py
@@ -575,11 +575,14 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Commit what is waiting, if the store answers, and end the thread."""
+        """Commit what is waiting, if the store answers, and end the thread.
+
+        From `on_lost` it only refuses callers, since the thread cannot wait for itself.
+        """
         with self._changed:
             self._stopping.set()
             self._changed.notify()
-        if self._thread.is_alive():
+        if self._thread.is_alive() and self._thread is not threading.current_thread():
             self._thread.join()
         self._close(JournalError("the committer is stopped"))
 
@@ -616,7 +619,8 @@
         waiting = _Waiting(list(events), size, Future())
         with self._changed:
             if self._end is not None:
-                raise self._end
+                # Raising one instance again and again would let its traceback grow.
+                raise type(self._end)(str(self._end))
             self._make_room()
             self._queue.append(waiting)
             self._changed.notify()
--- a/packages/testing/src/mulberryslip_testing/fakes.py
+++ b/packages/testing/src/mulberryslip_testing/fakes.py
@@ -97,11 +97,12 @@
 
     def _answer(self, kind: CallKind, call: Callable[[], Any]) -> Any:
         fate = self._fate(kind)
-        if fate is Fate.ANSWER_LOST:
-            call()
+        answer = call() if fate in (Fate.NORMAL, Fate.ANSWER_LOST) else None
+        if fate is Fate.NORMAL and kind is CallKind.WATCH:
+            fate = self._injector.outage_fate()
         if fate is not Fate.NORMAL:
             raise StoreUnavailableError(f"store call failed: {fate.value}")
-        return call()
+        return answer
 
     def _write(self, call: Callable[[], WriteOutcome]) -> WriteOutcome:
         fate = self._fate(CallKind.WRITE)
--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -309,6 +309,11 @@
             self._writes.set(faults.writes_per_s)
             self._reads.set(faults.reads_per_s)
 
+    def outage_fate(self) -> Fate:
+        """Return what an outage does to a call that is waiting; `NORMAL` without an outage."""
+        fates = {"": Fate.NORMAL, "refuse": Fate.REFUSED, "drop": Fate.CALL_LOST}
+        return fates[self._faults.outage]
+
     def fate(self, kind: CallKind) -> Fate:
         """Wait for the delay of one call and decide its fate."""
         faults = self._faults
@@ -318,7 +323,7 @@
         if delay_ms > 0:
             self._clock.sleep(timedelta(milliseconds=delay_ms))
         if faults.outage:
-            return Fate.REFUSED if faults.outage == "refuse" else Fate.CALL_LOST
+            return self.outage_fate()
         changing = kind in (CallKind.WRITE, CallKind.LEASE)
         if not (self._writes if changing else self._reads).take():
             return Fate.OVER_RATE
@@ -401,19 +406,12 @@
         fate = self.injector.fate(kind)
         with self._lock:
             self._fates[fate.value] += 1
-        return self._act(req, fate)
-
-    def _act(self, req: _Request, fate: Fate) -> _Answer:
-        if fate is Fate.REFUSED:
-            return _json_answer("503 Service Unavailable", {"error": fate.value})
-        if fate is Fate.OVER_RATE:
-            return _json_answer("429 Too Many Requests", {"error": fate.value})
-        if fate is Fate.CALL_LOST:
-            raise ConnectionResetError(errno.ECONNRESET, fate.value)
+        if fate not in (Fate.NORMAL, Fate.ANSWER_LOST):
+            return _failure(fate)
         answer = self._execute(req)
-        if fate is Fate.ANSWER_LOST:
-            raise ConnectionResetError(errno.ECONNRESET, fate.value)
-        return answer
+        if fate is Fate.NORMAL and kind is CallKind.WATCH:
+            fate = self.injector.outage_fate()
+        return answer if fate is Fate.NORMAL else _failure(fate)
 
     def _admin(self, req: _Request) -> _Answer:
         if req.method == "PUT":
@@ -470,6 +468,14 @@
         return self.state.revoke_lease(lease_id)
 
 
+def _failure(fate: Fate) -> _Answer:
+    if fate is Fate.REFUSED:
+        return _json_answer("503 Service Unavailable", {"error": fate.value})
+    if fate is Fate.OVER_RATE:
+        return _json_answer("429 Too Many Requests", {"error": fate.value})
+    raise ConnectionResetError(errno.ECONNRESET, fate.value)
+
+
 def _read_request(environ: dict) -> _Request:
     length = min(int(environ.get("CONTENT_LENGTH") or 0), _BODY_LIMIT_BYTES)
     fields = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,6 +7,7 @@
 import pytest
 from mulberryslip import ManualClock, SystemClock
 from mulberryslip_testing.fakes import FakeStore
+from mulberryslip_testing.waits import wait_until
 from mulberryslipd.sessions import Session
 
 TTL = timedelta(seconds=3)
@@ -152,13 +153,3 @@
     assert wait_until(session.valid)
     session.stop()
     assert store.state.lease_ids() == set()
-
-
-def wait_until(condition, timeout_s=5.0):
-    """Return whether a condition came true within the time."""
-    never = threading.Event()
-    for _ in range(int(timeout_s / 0.01)):
-        if condition():
-            return True
-        never.wait(0.01)
-    return False
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -1,6 +1,8 @@
 """Rules of the store interface, on the fake and on the HTTP adapter with the stand-in server."""
 
+import contextlib
 import json
+import socketserver
 import subprocess
 import sys
 import threading
@@ -11,10 +13,11 @@
 import urllib3
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mulberryslip import Committed, Conflict, ManualClock, Unknown
+from mulberryslip import Committed, Conflict, ManualClock, SystemClock, Unknown
 from mulberryslip.exceptions import (
     InvalidMessageError,
     LeaseExpiredError,
+    StoreError,
     StoreUnavailableError,
     ValueTooLargeError,
 )
@@ -29,6 +32,7 @@
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslip_testing.proxies import Direction, Proxy
 from mulberryslip_testing.stores import StoreServer
+from mulberryslip_testing.waits import wait_until
 
 TTL = timedelta(seconds=3)
 
@@ -287,6 +291,59 @@
     assert all(isinstance(value.value, bytes) for value in listing.values)
 
 
+def test_watch_that_waits_fails_with_an_outage():
+    """Guards against a watcher that learns of expired leases through a store that is down."""
+    store = FakeStore(SystemClock())
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(store.watch, "p/", 0, timedelta(milliseconds=300))
+        assert wait_until(lambda: store.call_counts()["watch"])
+        store.set_faults(outage="refuse")
+        with pytest.raises(StoreUnavailableError):
+            fut.result(5)
+
+
+class RawHandler(socketserver.StreamRequestHandler):
+    """Answers each connection with the server's bytes."""
+
+    def handle(self):
+        self.request.recv(65536)
+        self.request.sendall(self.server.answer)
+
+
+ANSWERS = st.binary(max_size=60) | st.builds(
+    lambda status, name, value, body: (
+        b"HTTP/1.1 %d X\r\n%s: %s\r\n\r\n%s" % (status, name, value, body)
+    ),
+    st.sampled_from([100, 200, 204, 301, 404, 409, 418, 429, 500]),
+    st.sampled_from([b"Version", b"Content-Length", b"Transfer-Encoding", b"Content-Encoding"]),
+    st.sampled_from([b"1", b"-1", b"x", b"12", b"chunked", b"gzip", b"\xff"]),
+    st.sampled_from(
+        [b"", b"{}", b"[]", b'{"version": "1"}', b'{"version": 1}', b"\xff", b"x" * 99]
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(answer=ANSWERS)
+def test_damaged_answers_raise_only_store_errors(answer):
+    """Guards against a thread that ends with another exception after a damaged answer."""
+    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), RawHandler) as server:
+        server.answer = answer
+        threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
+        url = f"http://127.0.0.1:{server.server_address[1]}"
+        store = HTTPStore(url, timeout=timedelta(milliseconds=200))
+        with contextlib.suppress(StoreUnavailableError, LeaseExpiredError):
+            assert isinstance(store.put("a", b"1", 0), Committed | Conflict | Unknown)
+        for call in (
+            lambda: store.get("a"),
+            lambda: store.list("a"),
+            lambda: store.renew_lease("a"),
+        ):
+            with contextlib.suppress(StoreError):
+                call()
+        server.shutdown()
+
+
 def test_process_serves_and_stops_on_sigterm():
     """Guards against a stand-in that cannot be started as a process."""
     command = [sys.executable, "-m", "mulberryslip_testing.stores", "--port=0"]
@@ -297,13 +354,3 @@
         store.close()
         process.terminate()
         assert process.wait(10) == 0
-
-
-def wait_until(condition, timeout_s=5.0):
-    """Return whether a condition came true within the time."""
-    never = threading.Event()
-    for _ in range(int(timeout_s / 0.01)):
-        if condition():
-            return True
-        never.wait(0.01)
-    return False
