--- a/packages/testing/src/mulberryslip_testing/clusters.py
+++ b/packages/testing/src/mulberryslip_testing/clusters.py
@@ -14,6 +14,8 @@
 import attrs
 import urllib3
 
+from .proxies import Proxy
+
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
@@ -107,7 +109,7 @@
         self.layout = layout or Layout()
         self.processes: dict[str, Process] = {}
         self.ports: dict[str, int] = {}
-        self.http = urllib3.PoolManager(timeout=urllib3.Timeout(5.0), retries=False)
+        self.http = urllib3.PoolManager(timeout=urllib3.Timeout(5.0), retries=False, maxsize=16)
         self._add_stand_in("store", "stores")
         self._add_stand_in("runtime", "runtimes")
         for name in self.worker_names():
@@ -327,6 +329,46 @@
         }
 
 
+class ProxiedCluster(Cluster):
+    """A cluster whose daemons reach each other and the store through fault-injecting proxies.
+
+    Each daemon has an IP address of its own on loopback; its proxy listens there on the daemon's
+    port. `wires` holds the proxy in front of each daemon, `store_links` that of each entry to the
+    store, both by the daemon's name.
+    """
+
+    def __init__(self, directory: Path, layout: Layout | None = None):
+        self.wires: dict[str, Proxy] = {}
+        self.store_links: dict[str, Proxy] = {}
+        super().__init__(directory, layout)
+
+    def store_url(self, name: str) -> str:
+        """Return the address of the entry's own proxy to the store."""
+        if name not in self.store_links:
+            self.store_links[name] = Proxy(LOOPBACK, self.ports["store"])
+        return f"http://{LOOPBACK}:{self.store_links[name].port}"
+
+    def advertised_host(self, name: str) -> str:
+        """Return the IP address of the daemon's proxy."""
+        kind, _, number = name.rpartition("-")
+        network = 1 if kind == "entry" else 2
+        return f"127.0.{network}.{number}"
+
+    def start(self) -> None:
+        """Start the proxies, then as `Cluster.start`."""
+        for name in (*self.entry_names(), *self.worker_names()):
+            port = self.ports[f"{name}.wire"]
+            host = self.advertised_host(name)
+            self.wires[name] = Proxy(LOOPBACK, port, listen_port=port, listen_host=host)
+        super().start()
+
+    def stop(self) -> None:
+        """Kill every process and stop the proxies."""
+        super().stop()
+        for proxy in (*self.wires.values(), *self.store_links.values()):
+            proxy.stop()
+
+
 def to_toml(tables: dict[str, dict[str, Any]]) -> str:
     """Return tables of strings, numbers, booleans and lists as TOML text."""
     lines = []
--- a/packages/testing/src/mulberryslip_testing/proxies.py
+++ b/packages/testing/src/mulberryslip_testing/proxies.py
@@ -108,6 +108,7 @@
     :param clock: used for delays.
     :param seed: start of the random numbers for jitter.
     :param listen_port: TCP port of the proxy; 0 chooses a free one.
+    :param listen_host: loopback address of the proxy.
     """
 
     def __init__(
@@ -117,6 +118,7 @@
         clock: Clock | None = None,
         seed: int = 1,
         listen_port: int = 0,
+        listen_host: str = "127.0.0.1",
     ):
         self._server = (host, port)
         self._clock = clock or SystemClock()
@@ -128,7 +130,7 @@
         self._connections: set[_Connection] = set()
         self._accepted = 0
         self._listener: socket.socket | None = None
-        self._address = ("127.0.0.1", listen_port)
+        self._address = (listen_host, listen_port)
         self._listen()
 
     @property
