Bound one service's share of the threads; explain choices; check announcements

Cause: one service with slow targets could hold every thread of an entry, health check included. The entry and the worker had the same deadline, so a missed one also dropped the entry's connections. Change: one service takes at most 75 % of the threads; a worker gets 10 ms less than the entry waits; refusals are counted but no longer among the latencies; /v1/explain/service/NAME shows the newest choices; an announcement with a bad name, port or capacity is refused; an outage of the store is logged once with its end. Conclusion: thread count and switch interval are still to be measured.

--- a/packages/core/src/mulberryslip/routings.py
+++ b/packages/core/src/mulberryslip/routings.py
@@ -54,6 +54,8 @@
 LATENCY_REFRESH = 32
 HEDGE_PERCENTILE = 0.95
 
+REASONS_KEPT = 20
+
 STATE_KEPT = timedelta(minutes=5)
 PRUNE_INTERVAL = timedelta(seconds=30)
 
@@ -135,6 +137,7 @@
     latencies: deque = attrs.field(factory=lambda: deque(maxlen=LATENCY_WINDOW))
     unsorted: int = 0
     hedge_us: float = 0.0
+    reasons: deque = attrs.field(factory=lambda: deque(maxlen=REASONS_KEPT))
     last_probe: timedelta = -PROBE_INTERVAL
 
 
@@ -226,8 +229,11 @@
             drawn = self._draw(pool, avoid, now)
             if not drawn:
                 tried = f"; {len(avoid)} were tried" if avoid else ""
-                return _refusal(f"no worker in service answers {service.name}{tried}")
-            return self._compare(service, pool, drawn, deadline, avoid, now)
+                choice = _refusal(f"no worker in service answers {service.name}{tried}")
+            else:
+                choice = self._compare(service, pool, drawn, deadline, avoid, now)
+            self._service(service.name).reasons.append(choice.reason)
+            return choice
 
     def sent(self, worker_id: str) -> None:
         """Count a request that is about to be sent to a worker."""
@@ -270,6 +276,12 @@
             state = self._workers.get(worker_id)
             return state.own if state is not None else 0
 
+    def explain(self, service: str) -> list[str]:
+        """Return the reasons of the newest choices for a service, oldest first."""
+        with self._lock:
+            known = self._services.get(service)
+            return list(known.reasons) if known is not None else []
+
     def _compare(
         self,
         service: Template,
--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -36,6 +36,10 @@
 DIRECTORY_INTERVAL = timedelta(seconds=2)
 FLEET_INTERVAL = timedelta(seconds=1)
 OPERATOR_THREADS = 4
+SERVICE_SHARE_PERCENT = 75
+"""Share of the threads that one service may take; the rest is left for other services, jobs and
+health checks."""
+
 SERVER_GRACE = timedelta(seconds=1)
 OWNER_STOP_TIMEOUT = timedelta(seconds=2)
 STOP_RESERVE = timedelta(seconds=2)
@@ -235,6 +239,7 @@
             source.revision,
             clock,
             rng,
+            max_per_service=max(1, options.threads * SERVICE_SHARE_PERCENT // 100),
         )
         reports = EntryReports(fleet, router, self._calls, self.metrics, clock, store_calls)
         callers = Callers(self._requests, self._calls, source.view, self.drain, clock)
--- a/packages/daemon/src/mulberryslipd/listeners.py
+++ b/packages/daemon/src/mulberryslipd/listeners.py
@@ -49,6 +49,7 @@
             (host, port),
             application,
             numthreads=threads,
+            server_name="mulberryslip",
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
             timeout=IDLE_TIMEOUT.total_seconds(),
--- a/packages/daemon/src/mulberryslipd/operators.py
+++ b/packages/daemon/src/mulberryslipd/operators.py
@@ -80,6 +80,9 @@
     def explain_worker(self, worker_id: str) -> list[str]:
         """Return why a worker is given work or not; raises `HTTPError`."""
 
+    def explain_service(self, name: str) -> list[str]:
+        """Return why the newest requests of a service were sent where they were."""
+
 
 def _set_template(name: str, call: Call) -> Change:
     return SetTemplate(parse_template(name, call.json_object()))
@@ -159,6 +162,8 @@
             )
         if kind == "worker":
             return lambda call: json_response({"reasons": self._reports.explain_worker(name)})
+        if kind == "service":
+            return lambda call: json_response({"reasons": self._reports.explain_service(name)})
         return None
 
     def _show_config(self, call: Call) -> Response:
--- a/packages/daemon/src/mulberryslipd/reports.py
+++ b/packages/daemon/src/mulberryslipd/reports.py
@@ -101,6 +101,10 @@
         quarantine = self._fleet.quarantine_reason(worker_id)
         return lines + ([f"quarantined: {quarantine}"] if quarantine else [])
 
+    def explain_service(self, name: str) -> list[str]:
+        """Return why this entry sent the newest requests of a service where it did."""
+        return self._router.explain(name)
+
     def _worker(self, view: WorkerView) -> dict[str, object]:
         return {
             "worker_id": view.description.worker_id,
--- a/packages/daemon/src/mulberryslipd/requests.py
+++ b/packages/daemon/src/mulberryslipd/requests.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import zlib
+from collections import Counter
 from collections.abc import Callable, Mapping
 from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
 from dataclasses import dataclass, field, replace
@@ -32,6 +33,11 @@
 from mulberryslip.wire.ttypes import Resources as WireResources
 
 MAX_ATTEMPTS = 4
+MAX_PER_SERVICE = 48
+DEADLINE_MARGIN = timedelta(milliseconds=10)
+"""A worker is given this much less time than the entry waits, at most a tenth of it, so that its
+own answer about a missed deadline arrives first. Otherwise the entry closes the connection."""
+
 VIEWS_KEPT = timedelta(milliseconds=200)
 """Making the views takes 6 ms with 800 workers; a worker that leaves may get requests for
 this much longer."""
@@ -40,6 +46,9 @@
 """Threads for idempotent requests with hedging; beyond them requests are sent without hedging."""
 
 
+_MS = timedelta(milliseconds=1)
+
+
 class Channels(Protocol):
     """The part of `channels.ChannelPool` that forwarding needs."""
 
@@ -127,6 +136,8 @@
     :param channels: connections to workers.
     :param claims: claims of request ids.
     :param revision: returns the configuration revision for message headers.
+    :param max_per_service: requests of one service at a time; more are refused, so that a service
+        whose targets are slow cannot take all threads of the entry.
     """
 
     def __init__(
@@ -142,6 +153,7 @@
         clock: Clock,
         rng: random.Random,
         hedge_threads: int = HEDGE_THREADS,
+        max_per_service: int = MAX_PER_SERVICE,
     ):
         self._identity = identity
         self._fleet = fleet
@@ -153,6 +165,9 @@
         self._revision = revision
         self._clock = clock
         self._rng = rng
+        self._max_per_service = max_per_service
+        self._lock = threading.Lock()
+        self._in_flight: Counter[str] = Counter()
         self._known_views: dict[str, _KnownViews] = {}
         self._executor = ThreadPoolExecutor(hedge_threads, thread_name_prefix="hedge")
         self._threads = threading.BoundedSemaphore(hedge_threads)
@@ -162,9 +177,18 @@
 
         :returns: `NotRun` only if no target received it.
         """
-        self._budget.earn()
+        name = req.template.name
         begun = self._clock.monotonic()
-        outcome = self._run(req)
+        if not self._enter(name):
+            outcome: RequestOutcome = NotRun(
+                f"{self._max_per_service} requests of {name} are in flight at this entry"
+            )
+        else:
+            try:
+                self._budget.earn()
+                outcome = self._run(req)
+            finally:
+                self._leave(name)
         self._record(req, outcome, self._clock.monotonic() - begun)
         return outcome
 
@@ -172,6 +196,19 @@
         """Stop the threads for hedging once their calls have ended."""
         self._executor.shutdown(wait=False, cancel_futures=True)
 
+    def _enter(self, service: str) -> bool:
+        with self._lock:
+            if self._in_flight[service] >= self._max_per_service:
+                return False
+            self._in_flight[service] += 1
+            return True
+
+    def _leave(self, service: str) -> None:
+        with self._lock:
+            self._in_flight[service] -= 1
+            if not self._in_flight[service]:
+                del self._in_flight[service]
+
     def _run(self, req: ServiceRequest) -> RequestOutcome:
         trail = _Trail()
         while True:
@@ -327,9 +364,10 @@
         return self._channels.call(address, "forward", message, req.deadline.remaining())
 
     def _message(self, req: ServiceRequest, resent: bool) -> ForwardRequest:
+        remaining = req.deadline.remaining()
         header = Header(
             request_id=req.request_id,
-            deadline_ms=req.deadline.remaining_ms(),
+            deadline_ms=(remaining - min(DEADLINE_MARGIN, remaining / 10)) // _MS,
             config_revision=self._revision(),
             sender=self._identity.entry_id,
             incarnation=self._identity.incarnation,
@@ -366,16 +404,18 @@
         return OutcomeUnknown(f"{worker_id}: {reply.reason}")
 
     def _record(self, req: ServiceRequest, outcome: RequestOutcome, latency: timedelta) -> None:
-        template = req.template
-        self._metrics.record(template.account, template.task_class.value, template.name, latency)
+        name, account = req.template.name, req.template.account
         if isinstance(outcome, NotRun):
-            self._metrics.count("requests_not_run")
+            # Refusals are fast; among the latencies they would hide slow answers.
+            self._metrics.count(f"requests_not_run.{name}")
             log(Event.REQUEST_NOT_RUN, request_id=req.request_id, reason=outcome.reason)
-        elif isinstance(outcome, OutcomeUnknown):
-            self._metrics.count("requests_outcome_unknown")
+            return
+        self._metrics.record(account, req.template.task_class.value, name, latency)
+        if isinstance(outcome, OutcomeUnknown):
+            self._metrics.count(f"requests_outcome_unknown.{name}")
             log(Event.REQUEST_OUTCOME_UNKNOWN, request_id=req.request_id, reason=outcome.reason)
         else:
-            self._metrics.count("requests_answered")
+            self._metrics.count(f"requests_answered.{name}")
 
 
 def load_from_wire(load: Load) -> WorkerLoad:
--- a/packages/daemon/src/mulberryslipd/services.py
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -11,6 +11,7 @@
 import attrs
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
+from mulberryslip.configs import NAME_PATTERN
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import NotSentError, StoreError, WireError
 from mulberryslip.fleets import Fleet
@@ -43,6 +44,8 @@
 OWNER_SEARCH = timedelta(seconds=3)
 """Longest search for an owner; a shard is claimed anew within about this time."""
 
+MAX_PORT = 65535
+
 _OWNER_METHODS = {"job_status": "status", "explain_job": "explain"}
 _NOT_OWNER = "this entry does not own the shard"
 
@@ -296,6 +299,10 @@
 
     def announce(self, req: AnnounceRequest) -> AnnounceReply:
         """Take in a worker's announcement; the reply carries the configuration if it is newer."""
+        fault = _worker_fault(req.worker)
+        if fault:
+            log(Event.MESSAGE_INVALID, what="announcement", reason=fault)
+            return AnnounceReply(Outcome.INVALID, self._source.revision(), b"", [])
         known = self._fleet.announce(description_from_wire(req.worker), load_from_wire(req.load))
         view = self._source.view()
         newer = view is not None and view.revision > req.header.config_revision
@@ -338,6 +345,18 @@
         return self._calls.serve(shard_of(req.job_id, self._calls.shards), method, req)
 
 
+def _worker_fault(worker: WireDescription) -> str:
+    """Return what is wrong with an announced description, or an empty string."""
+    for field in ("worker_id", "data_centre", "rack"):
+        if not NAME_PATTERN.fullmatch(getattr(worker, field)):
+            return f"{field}: {getattr(worker, field)[:80]!r} is not a name"
+    if not 1 <= worker.port <= MAX_PORT:
+        return f"port: {worker.port} is not allowed; allowed: 1 to {MAX_PORT}"
+    if min(resources_from_wire(worker.capacity).amounts()) < 0:
+        return f"capacity: {worker.capacity} has a negative amount"
+    return ""
+
+
 def description_from_wire(worker: WireDescription) -> WorkerDescription:
     """Return a worker's description as the model has it."""
     return WorkerDescription(
--- a/packages/daemon/src/mulberryslipd/sources.py
+++ b/packages/daemon/src/mulberryslipd/sources.py
@@ -91,24 +91,28 @@
 
     def run_reads(self, stop: threading.Event) -> None:
         """Read the store periodically until stopped."""
+        outage = _Outage("read config")
         while not stop.is_set():
-            self._try(self.refresh)
+            try:
+                self.refresh()
+                outage.end()
+            except (StoreError, ConfigError) as exc:
+                outage.note(exc)
             self._clock.wait(stop, self._read_interval)
 
     def run_watch(self, stop: threading.Event) -> None:
         """Watch the store until stopped."""
+        outage = _Outage("watch config")
         revision = 0
-        failures = 0
         while not stop.is_set():
             try:
                 revision = self._watch_once(revision)
-                failures = 0
+                outage.end()
             except (StoreError, ConfigError) as exc:
-                failures += 1
-                log(Event.STORE_UNAVAILABLE, call="watch config", reason=str(exc))
+                outage.note(exc)
                 # The store may have restarted its revisions; a new listing gives the current one.
                 revision = 0
-                pause = backoff(failures, self._rng, timedelta(milliseconds=100))
+                pause = backoff(outage.failures, self._rng, timedelta(milliseconds=100))
                 self._clock.wait(stop, pause)
 
     def _watch_once(self, revision: int) -> int:
@@ -121,11 +125,23 @@
                 self.offer(parse_stored(stored))
         return listing.revision
 
-    def _try(self, read: Callable[[], object]) -> None:
-        try:
-            read()
-        except (StoreError, ConfigError) as exc:
-            log(Event.STORE_UNAVAILABLE, call="read config", reason=str(exc))
+
+class _Outage:
+    """Logs the first of several failures in a row, and the recovery."""
+
+    def __init__(self, call: str):
+        self._call = call
+        self.failures = 0
+
+    def note(self, exc: Exception) -> None:
+        self.failures += 1
+        if self.failures == 1:
+            log(Event.STORE_UNAVAILABLE, call=self._call, reason=str(exc))
+
+    def end(self) -> None:
+        if self.failures:
+            log(Event.STORE_RECOVERED, call=self._call, failures=self.failures)
+        self.failures = 0
 
 
 @dataclass(frozen=True)
