--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -100,12 +100,17 @@
             validate(key, f"{path} key")
             validate(item, f"{path}[{key!r}]")
         return
-    spec = getattr(value, "thrift_spec", None)
-    if spec is None:
+    if not hasattr(value, "thrift_spec"):
         return
-    for field in filter(None, spec):
+    try:
+        value.validate()
+    except TProtocolException as exc:
+        raise InvalidMessageError(f"{path}: {exc.message}") from exc
+    for field in filter(None, value.thrift_spec):
         name = field[2]
         item = getattr(value, name)
+        if item is None:
+            continue
         validate(item, f"{path}.{name}")
         values = _ENUM_FIELDS.get(name)
         if values is not None and item not in values._VALUES_TO_NAMES:
