Carry throttles to workers and usage to the quotas; test moves out of a data centre

Cause: a throttle that a policy decided had no way to the worker, and nobody reported usage to Quotas. Change: RenewRequest carries the shares of speed that the worker has not reported yet (field 9, empty by default); the owner reports used and waiting amounts per account each second when it is given Quotas, and the run times of finished tasks to a callback. Workers do not apply the throttles yet. Conclusion: the policies reach running tasks; the worker's side of the throttle remains.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -146,6 +146,11 @@
   7: required i32 throttle_permille, // 1000: not throttled
 }
 
+struct Throttle {
+  1: required TaskRef task,
+  2: required i32 permille,          // share of its speed that the task is to keep; 1000: all
+}
+
 struct RenewRequest {
   1: required Header header,
   2: required i32 shard,
@@ -155,6 +160,7 @@
   6: required binary config,         // configuration view for this worker, or empty when it is up to date
   7: required string owner_host,
   8: required i32 owner_port,
+  9: required list<Throttle> throttles = [], // tasks whose share differs from what was last reported
 }
 
 struct RenewReply {
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -1951,6 +1951,79 @@
         return not (self == other)
 
 
+class Throttle(object):
+    """
+    Attributes:
+     - task
+     - permille
+
+    """
+
+
+    def __init__(self, task=None, permille=None,):
+        self.task = task
+        self.permille = permille
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.task = TaskRef()
+                    self.task.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Throttle')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRUCT, 1)
+            self.task.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permille is not None:
+            oprot.writeFieldBegin('permille', TType.I32, 2)
+            oprot.writeI32(self.permille)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.task is None:
+            raise TProtocolException(message='Required field task is unset!')
+        if self.permille is None:
+            raise TProtocolException(message='Required field permille is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RenewRequest(object):
     """
     Attributes:
@@ -1962,11 +2035,13 @@
      - config
      - owner_host
      - owner_port
+     - throttles
 
     """
 
 
-    def __init__(self, header=None, shard=None, epoch=None, lease_ms=None, acknowledged=None, config=None, owner_host=None, owner_port=None,):
+    def __init__(self, header=None, shard=None, epoch=None, lease_ms=None, acknowledged=None, config=None, owner_host=None, owner_port=None, throttles=[
+    ],):
         self.header = header
         self.shard = shard
         self.epoch = epoch
@@ -1975,6 +2050,10 @@
         self.config = config
         self.owner_host = owner_host
         self.owner_port = owner_port
+        if throttles is self.thrift_spec[9][4]:
+            throttles = [
+            ]
+        self.throttles = throttles
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2032,6 +2111,17 @@
                     self.owner_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.throttles = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = Throttle()
+                        _elem64.read(iprot)
+                        self.throttles.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2061,8 +2151,8 @@
         if self.acknowledged is not None:
             oprot.writeFieldBegin('acknowledged', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.acknowledged))
-            for iter59 in self.acknowledged:
-                iter59.write(oprot)
+            for iter65 in self.acknowledged:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config is not None:
@@ -2077,6 +2167,13 @@
             oprot.writeFieldBegin('owner_port', TType.I32, 8)
             oprot.writeI32(self.owner_port)
             oprot.writeFieldEnd()
+        if self.throttles is not None:
+            oprot.writeFieldBegin('throttles', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.throttles))
+            for iter66 in self.throttles:
+                iter66.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2097,6 +2194,8 @@
             raise TProtocolException(message='Required field owner_host is unset!')
         if self.owner_port is None:
             raise TProtocolException(message='Required field owner_port is unset!')
+        if self.throttles is None:
+            raise TProtocolException(message='Required field throttles is unset!')
         return
 
     def __repr__(self):
@@ -2161,11 +2260,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = TaskReport()
-                        _elem65.read(iprot)
-                        self.tasks.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = TaskReport()
+                        _elem72.read(iprot)
+                        self.tasks.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2210,8 +2309,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter66 in self.tasks:
-                iter66.write(oprot)
+            for iter73 in self.tasks:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -2307,11 +2406,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = TaskRef()
-                        _elem72.read(iprot)
-                        self.tasks.append(_elem72)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = TaskRef()
+                        _elem79.read(iprot)
+                        self.tasks.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2350,8 +2449,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter73 in self.tasks:
-                iter73.write(oprot)
+            for iter80 in self.tasks:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.checkpoint is not None:
@@ -2429,11 +2528,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = TaskReport()
-                        _elem79.read(iprot)
-                        self.tasks.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = TaskReport()
+                        _elem86.read(iprot)
+                        self.tasks.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2458,8 +2557,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter80 in self.tasks:
-                iter80.write(oprot)
+            for iter87 in self.tasks:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2618,10 +2717,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.entries.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.entries.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2650,8 +2749,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.entries))
-            for iter87 in self.entries:
-                oprot.writeString(iter87.encode('utf-8') if sys.version_info[0] == 2 else iter87)
+            for iter94 in self.entries:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2718,11 +2817,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = TaskReport()
-                        _elem93.read(iprot)
-                        self.tasks.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = TaskReport()
+                        _elem100.read(iprot)
+                        self.tasks.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2747,8 +2846,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter94 in self.tasks:
-                iter94.write(oprot)
+            for iter101 in self.tasks:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2805,11 +2904,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.acknowledged = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = TaskRef()
-                        _elem100.read(iprot)
-                        self.acknowledged.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = TaskRef()
+                        _elem107.read(iprot)
+                        self.acknowledged.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2830,8 +2929,8 @@
         if self.acknowledged is not None:
             oprot.writeFieldBegin('acknowledged', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.acknowledged))
-            for iter101 in self.acknowledged:
-                iter101.write(oprot)
+            for iter108 in self.acknowledged:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3415,6 +3514,12 @@
     (6, TType.STRUCT, 'usage', [Resources, None], None, ),  # 6
     (7, TType.I32, 'throttle_permille', None, None, ),  # 7
 )
+all_structs.append(Throttle)
+Throttle.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'task', [TaskRef, None], None, ),  # 1
+    (2, TType.I32, 'permille', None, None, ),  # 2
+)
 all_structs.append(RenewRequest)
 RenewRequest.thrift_spec = (
     None,  # 0
@@ -3426,6 +3531,8 @@
     (6, TType.STRING, 'config', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'owner_host', 'UTF8', None, ),  # 7
     (8, TType.I32, 'owner_port', None, None, ),  # 8
+    (9, TType.LIST, 'throttles', (TType.STRUCT, [Throttle, None], False), [
+    ], ),  # 9
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/attempts.py
+++ b/packages/daemon/src/mulberryslipd/attempts.py
@@ -1,5 +1,6 @@
 """What workers report about attempts, and the stops that are sent to them."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -52,6 +53,8 @@
     """Turns reports on attempts into events, and sends stops.
 
     :param placement: learns sizes from reported usage by its `observe`.
+    :param finished: called with the template and the run time of each task that finished in its
+        first attempt; later attempts do not tell the whole run time.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         peers: Peers,
         explanations: Explanations,
         clock: Clock,
+        finished: Callable[[str, timedelta], None],
     ):
+        self._finished = finished
         self._tenure = tenure
         self._fleet = fleet
         self._placement = placement
@@ -194,6 +199,9 @@
         elif isinstance(event, AttemptFinished | AttemptCheckpointed):
             finished = isinstance(event, AttemptFinished)
             self._fleet.record_progress(worker_id, key, job.template, finished)
+            if finished and event.attempt == 1 and task.started_ms:
+                run_time = timedelta(milliseconds=max(0, event.at_ms - task.started_ms))
+                self._finished(job.template, run_time)
         number = _EVENTS.get(type(event))
         if number is None:
             return
--- a/packages/daemon/src/mulberryslipd/owners.py
+++ b/packages/daemon/src/mulberryslipd/owners.py
@@ -23,6 +23,7 @@
 from mulberryslip.jobs import Shard
 from mulberryslip.journals import Journal
 from mulberryslip.models import Attempt, TaskKey, WorkerView
+from mulberryslip.quotas import Quotas
 from mulberryslip.stores import Store
 from mulberryslip.submissions import Submission
 from mulberryslip.transitions import ClaimReleased, decode_event
@@ -81,6 +82,8 @@
     :param placement: chooses workers for tasks.
     :param channels: connections to workers.
     :param policies: decide on running tasks each second; none by default.
+    :param quotas: gets the shard's usage of the accounts each second; shared by the shards.
+    :param finished: called with template and run time of tasks that finished.
     :param make_peers: makes what runs the calls to workers for one ownership.
     """
 
@@ -101,7 +104,11 @@
         renew_interval: timedelta = timedelta(seconds=1),
         make_peers: Callable[[], Peers] | None = None,
         rng: random.Random | None = None,
+        quotas: Quotas | None = None,
+        finished: Callable[[str, timedelta], None] | None = None,
     ):
+        self._quotas = quotas
+        self._finished = finished or (lambda template, run_time: None)
         self._number = shard
         self._session = session
         self._journal = journal
@@ -346,7 +353,7 @@
     def _build(self, tenure: Tenure) -> None:
         peers = self._make_peers()
         shared = (self._channels, peers, self._explanations, self._clock)
-        attempts = Attempts(tenure, self._fleet, self._placement, *shared)
+        attempts = Attempts(tenure, self._fleet, self._placement, *shared, self._finished)
         renewals = Renewals(
             tenure,
             self._fleet,
@@ -362,7 +369,7 @@
             tenure, self._fleet, self._source, self._placement, *shared, renewals.touch
         )
         self._supervision = Supervision(
-            tenure, self._fleet, self._source, attempts, self._starter, self._clock
+            tenure, self._fleet, self._source, attempts, self._starter, self._clock, self._quotas
         )
         self._peers = peers
         self._renewals = renewals
--- a/packages/daemon/src/mulberryslipd/renewals.py
+++ b/packages/daemon/src/mulberryslipd/renewals.py
@@ -12,7 +12,7 @@
 from mulberryslip.models import Attempt
 from mulberryslip.tasks import Task, TaskPhase
 from mulberryslip.transitions import AttemptLost, AttemptUnstarted
-from mulberryslip.wire.ttypes import Outcome, RenewRequest, TaskRef
+from mulberryslip.wire.ttypes import Outcome, RenewRequest, TaskRef, Throttle
 
 from .attempts import Attempts
 from .peers import Peers
@@ -173,6 +173,7 @@
             config=view.to_json() if is_newer else b"",
             owner_host=self._tenure.identity.host,
             owner_port=self._tenure.identity.port,
+            throttles=self._throttles(worker_id),
         )
         reply = self._channels.call(address_of(self._fleet, worker_id), "renew", req, timeout)
         if reply.outcome == Outcome.OK:
@@ -181,6 +182,19 @@
                     line.acknowledged.pop(attempt, None)
         return reply
 
+    def _throttles(self, worker_id: str) -> list[Throttle]:
+        """Return the shares of speed that the worker has not reported yet."""
+        with self._tenure.lock:
+            infos = [
+                (attempt, self._tenure.info(attempt))
+                for attempt, _ in self._tenure.shard.held(worker_id)
+            ]
+            return [
+                Throttle(ref_of(attempt), info.wanted_permille)
+                for attempt, info in infos
+                if info.wanted_permille not in (None, info.throttle_permille)
+            ]
+
     def _reconcile(self, worker_id: str, reply: Any, sent_at: timedelta) -> None:
         try:
             acknowledged = self._attempts.take(worker_id, reply.tasks)
--- a/packages/daemon/src/mulberryslipd/supervisions.py
+++ b/packages/daemon/src/mulberryslipd/supervisions.py
@@ -11,7 +11,8 @@
 from mulberryslip.events import Event, log
 from mulberryslip.fleets import Fleet
 from mulberryslip.jobs import Job
-from mulberryslip.models import Attempt, Priority, TaskClass
+from mulberryslip.models import Attempt, Priority, Resources, TaskClass
+from mulberryslip.quotas import AccountQuota, AccountUse, Quotas
 from mulberryslip.tasks import Task, TaskPhase
 
 from .attempts import Attempts
@@ -28,6 +29,7 @@
     """Applies policies and limits to running tasks.
 
     :param attempts: sends the stops.
+    :param quotas: gets the shard's usage of the accounts.
     :param starter: keeps moved tasks away from where they were.
     """
 
@@ -39,7 +41,9 @@
         attempts: Attempts,
         starter: Starter,
         clock: Clock,
+        quotas: Quotas | None = None,
     ):
+        self._quotas = quotas
         self._tenure = tenure
         self._fleet = fleet
         self._source = source
@@ -58,6 +62,7 @@
         config = self._source.view()
         if config is not None:
             self._fleet.apply_config(config)
+            self._report_quotas(config)
         running = self._running()
         self._stop_overdue(running, config)
         tasks = [task for _, task in running]
@@ -91,6 +96,33 @@
         self._starter.avoid(action.task, action.worker_id, MOVED_PAUSE)
         self._attempts.stop(action.worker_id, [attempt], action.reason, checkpoint, overdue=False)
 
+    def _report_quotas(self, config: ConfigView) -> None:
+        if self._quotas is None:
+            return
+        quotas = {
+            name: AccountQuota(a.cpu_millis, a.memory_mb, a.accelerators, a.weight)
+            for name, a in config.accounts.items()
+        }
+        capacities = (view.description.capacity for view in self._fleet.placement_views())
+        self._quotas.configure(quotas, sum(capacities, Resources()))
+        self._quotas.report(f"shard-{self._tenure.number}", self._uses())
+
+    def _uses(self) -> dict[str, AccountUse]:
+        used: dict[str, Resources] = defaultdict(Resources)
+        waiting: dict[str, Resources] = defaultdict(Resources)
+        with self._tenure.lock:
+            shard = self._tenure.shard
+            for job, _ in shard.queued():
+                waiting[job.account] += job.resources
+            for worker_id in shard.holders():
+                for attempt, _ in shard.held(worker_id):
+                    job = shard.jobs[attempt.key.job_id]
+                    reserved = self._tenure.info(attempt).resources
+                    used[job.account] += reserved if reserved.slots else job.resources
+        return {
+            account: AccountUse(used[account], waiting[account]) for account in [*{*used, *waiting}]
+        }
+
     def _running(self) -> list[tuple[Attempt, RunningTask]]:
         running = []
         with self._tenure.lock:
--- a/packages/daemon/src/mulberryslipd/tenures.py
+++ b/packages/daemon/src/mulberryslipd/tenures.py
@@ -102,6 +102,12 @@
 
     :param assigned_at: when its reservation was requested; the claim of the shard after a takeover.
     :param confirmed_at: when the worker was first known to hold it.
+    :param saved_at: when a checkpoint was last reported.
+    :param usage: last reported usage.
+    :param resources: reserved size; zero when an earlier owner reserved it.
+    :param throttle_permille: last reported share of speed.
+    :param wanted_permille: share of speed that a policy decided; None when none did.
+    :param stop: the stop that was requested.
     """
 
     assigned_at: timedelta
@@ -110,7 +116,7 @@
     usage: Resources = Resources()
     resources: Resources = Resources()
     throttle_permille: int = 1000
-    wanted_permille: int = 1000
+    wanted_permille: int | None = None
     stop: StopOrder | None = None
 
 
--- a/tests/shard_doubles.py
+++ b/tests/shard_doubles.py
@@ -33,6 +33,7 @@
     checkpoint: str = ""
     result: str = ""
     reason: str = ""
+    permille: int = 1000
 
 
 class FakeWorker:
@@ -358,5 +359,5 @@
         held.result,
         held.reason,
         wire.Resources(0, 0, 0, 0),
-        1000,
+        held.permille,
     )
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -7,7 +7,9 @@
 import pytest
 from mulberryslip import SystemClock
 from mulberryslip.actions import Action, ActionKind
+from mulberryslip.evacuations import Evacuations
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError
+from mulberryslip.quotas import Quotas
 from mulberryslip.wire import ttypes as wire
 from mulberryslipd.sources import ConfigSource
 from mulberryslipd.tenures import LeaseTimes
@@ -435,6 +437,66 @@
     assert after["read"] - before["read"] == 1
 
 
+def test_throttle_is_sent_until_the_worker_reports_it():
+    """Guards against a decision of the policy that never reaches the worker."""
+    cluster = Cluster(workers=1)
+    owner = cluster.owner()
+    submit(owner)
+    cluster.run(owner, 2)
+    sent = []
+    cluster.channels.filter = lambda method, req: sent.append(
+        [(t.task.index, t.permille) for t in req.throttles] if method == "renew" else None
+    )
+    key = cluster.running()[0][0].key
+    action = Action(ActionKind.THROTTLE, key, "w0", "test", throttle_permille=500)
+    owner._supervision.carry_out(action)
+    cluster.run(owner, 2)
+    cluster.workers[0].held[cluster.running()[0][0]].permille = 500
+    cluster.run(owner, 2)
+    renewed = [item for item in sent if item is not None]
+    assert renewed[0] == [(0, 500)]
+    assert renewed[-1] == []
+
+
+def test_tasks_leave_a_data_centre_at_a_limited_rate_and_resume():
+    """Guards against tasks that stay in a data centre that is out, or that all stop at once."""
+    cluster = Cluster(workers=8, data_centres=("yes", "no"))
+    owner = cluster.owner(policies=[Evacuations(cluster.clock)])
+    submit(owner, tasks=24)
+    cluster.run(owner, 4)
+    leaving = {w.id for w in cluster.workers if w.description.data_centre == "no"}
+    there = [attempt for attempt, worker in cluster.running() if worker in leaving]
+    assert len(there) > 4
+    cluster.set_config({"yes": "in", "no": "out"})
+    owner._source.refresh()
+    moved = []
+    for _ in range(60):
+        before = len(cluster.history)
+        cluster.run(owner, 1)
+        moved.append(sum(event[0] == "end" for event in cluster.history[before:]))
+    assert len(cluster.running()) == 24
+    assert not [worker for _, worker in cluster.running() if worker in leaving]
+    assert sum(moved) == len(there)
+    assert max(moved) <= 2
+    resumed = [event for event in cluster.history if event[0] == "start" and event[1].number == 2]
+    assert all(checkpoint for *_, checkpoint in resumed)
+    cluster.check_history()
+
+
+def test_quotas_get_the_usage_of_each_account():
+    """Guards against quotas that are never applied because nobody reports usage."""
+    cluster = Cluster(workers=2)
+    quotas = Quotas(cluster.clock)
+    reports = []
+    quotas.report = lambda source, uses: reports.append((source, uses))
+    owner = cluster.owner(quotas=quotas)
+    submit(owner, tasks=20)
+    cluster.run(owner, 3)
+    source, uses = reports[-1]
+    assert source == "shard-0"
+    assert (uses["acct"].used.slots, uses["acct"].waiting.slots) == (16, 4)
+
+
 class SilentChannels(FakeChannels):
     """Takes the whole deadline to find out that one worker is silent."""
 
