Keep silent connections from holding the threads of an entry

Cause: cheroot gives each new connection to a thread at once, so that as many silent connections as there are threads stop the server for up to its timeout; and a request's deadline began only when a thread was free. Change: a connection without data waits in the selector; a thread waits 5 s for the next bytes of a request; the time that a request has waited is taken off its deadline. Conclusion: idle connections are bounded by 512, waiting requests by 128.

--- a/packages/daemon/src/mulberryslipd/callers.py
+++ b/packages/daemon/src/mulberryslipd/callers.py
@@ -8,7 +8,7 @@
 from mulberryslip.clocks import Clock
 from mulberryslip.configs import ConfigView, Template
 from mulberryslip.models import TaskClass
-from mulberryslip.outcomes import Answered, NotRun, RequestOutcome
+from mulberryslip.outcomes import Answered, NotClaimed, NotRun, RequestOutcome
 from mulberryslip.retries import Deadline
 from mulberryslip.wire.ttypes import JobReply, Outcome
 
@@ -27,6 +27,7 @@
     not_allowed,
     not_found,
     outcome_error,
+    refusal,
 )
 
 MAX_DEADLINE_MS = 600_000
@@ -102,7 +103,7 @@
         return json_response({"status": "ok"})
 
     def _service(self, call: Call, name: str, path: str) -> Response:
-        template = self._template(unquote(name))
+        template = self._template(unquote(name), call)
         deadline = self._deadline(call, template)
         outcome = self._requests.run(
             ServiceRequest(
@@ -118,11 +119,11 @@
         )
         return _answer(outcome, call.request_id)
 
-    def _template(self, name: str) -> Template:
+    def _template(self, name: str, call: Call) -> Template:
         view = self._config()
         if view is None:
             message = "this entry has not read the configuration yet; nothing was done"
-            raise HTTPError(503, "not_run", message)
+            raise refusal(call.method, call.caller_chosen, message)
         template = view.template(name)
         if template is None or template.task_class is not TaskClass.SERVICE:
             raise not_found(f"no service is named {name[:80]!r}")
@@ -131,13 +132,13 @@
     def _deadline(self, call: Call, template: Template) -> Deadline:
         text = call.header("Request-Deadline-Ms")
         if text is None:
-            return Deadline(self._clock, template.parameters.deadline_ms * _MS)
+            return Deadline(self._clock, template.parameters.deadline_ms * _MS - call.waited)
         # The length is checked first, since the conversion of a long number is slow.
         valid = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_DEADLINE_MS))
         if not valid or not 1 <= int(text) <= MAX_DEADLINE_MS:
             allowed = f"a whole number from 1 to {MAX_DEADLINE_MS}"
             raise invalid("Request-Deadline-Ms", text, allowed)
-        return Deadline(self._clock, int(text) * _MS)
+        return Deadline(self._clock, int(text) * _MS - call.waited)
 
     def _job(self, call: Call, job_id: str) -> Response:
         method = _JOB_METHODS.get(call.method)
@@ -156,6 +157,8 @@
 def _answer(outcome: RequestOutcome, request_id: str) -> Response:
     if isinstance(outcome, NotRun):
         raise HTTPError(503, "not_run", outcome.reason)
+    if isinstance(outcome, NotClaimed):
+        raise HTTPError(503, "not_claimed", outcome.reason)
     if not isinstance(outcome, Answered):
         raise HTTPError(504, "outcome_unknown", outcome.reason)
     if not 200 <= outcome.status <= 599:
--- a/packages/daemon/src/mulberryslipd/listeners.py
+++ b/packages/daemon/src/mulberryslipd/listeners.py
@@ -1,40 +1,86 @@
 """HTTP servers of an entry."""
 
+import select
 import threading
+import time
 from datetime import timedelta
 from typing import Any
 
-from cheroot import wsgi
+from cheroot import server, wsgi
 from mulberryslip.events import Event, log
 
-from .responses import CLOSE, MAX_BODY_BYTES, Application
+from .responses import CLOSE, MAX_BODY_BYTES, WAITED, Application
 
 MAX_HEADER_BYTES = 32 * 1024
 IDLE_TIMEOUT = timedelta(seconds=30)
+TRANSFER_TIMEOUT = timedelta(seconds=5)
+"""Longest wait for the next bytes of a request, during which it holds a thread."""
+
 LISTEN_BACKLOG = 128
 MAX_IDLE_CONNECTIONS = 512
-MAX_WAITING_REQUESTS = 256
+MAX_WAITING_REQUESTS = 128
 WAITING_TIMEOUT = timedelta(milliseconds=10)
 
 _CLOSE = next(iter(CLOSE.items()))
 
 
 class _Gateway(wsgi.Gateway_10):
-    """Closes the connection after a response that says so; cheroot only passes the header on."""
+    """Tells the application how long a request has waited, and closes connections for it."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[WAITED] = timedelta(seconds=time.monotonic() - self.req.conn.ready_at)
+        return environ
 
     def start_response(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None):
+        # cheroot passes this header on without closing the connection.
         if _CLOSE in headers:
             self.req.close_connection = True
         return super().start_response(status, headers, exc_info)
 
 
+class _Connection(server.HTTPConnection):
+    """Connection that knows when its request arrived.
+
+    :param ready_at: monotonic time in seconds; 0 before anything was received.
+    """
+
+    ready_at = 0.0
+
+
 class _Server(wsgi.Server):
-    """Server that writes its errors to the event log."""
+    """Server whose threads wait for no connection that has sent nothing yet."""
+
+    ConnectionClass = _Connection
+
+    def process_conn(self, conn: _Connection) -> None:
+        """Pass a connection on to a thread once it has data.
+
+        cheroot gives a new connection to a thread at once, so that as many silent connections as
+        there are threads would stop the server.
+        """
+        is_new = conn.ready_at == 0
+        conn.ready_at = time.monotonic()
+        if is_new:
+            conn.socket.settimeout(TRANSFER_TIMEOUT.total_seconds())
+        if not is_new or _has_data(conn):
+            super().process_conn(conn)
+        elif self.can_add_keepalive_connection:
+            self.put_conn(conn)
+        else:
+            conn.close()
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Write to the event log."""
         log(Event.CONNECTION_DROPPED, peer="", reason=str(msg), level=level)
 
 
+def _has_data(conn: _Connection) -> bool:
+    poll = select.poll()
+    poll.register(conn.socket, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class HTTPListener:
     """One cheroot server in a background thread.
 
--- a/packages/daemon/src/mulberryslipd/responses.py
+++ b/packages/daemon/src/mulberryslipd/responses.py
@@ -25,9 +25,13 @@
 ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 ID_WORDS = "1 to 128 characters of A-Z, a-z, 0-9, '.', '_', ':' and '-'"
 
+_SAFE_METHODS = ("GET", "HEAD")
 CLOSE = {"Connection": "close"}
 """Header of the last response on a connection."""
 
+WAITED = "mulberryslip.waited"
+"""Key of the WSGI environment: time from the arrival of a request to its processing."""
+
 _CHEROOT_TOO_LARGE = "Request Entity Too Large"
 _POLL = timedelta(milliseconds=20)
 _HOP_BY_HOP = frozenset(
@@ -84,6 +88,7 @@
     :param request_id: from the header `Request-Id`, or made here.
     :param caller_chosen: whether the caller sent the id.
     :param body: whole body.
+    :param waited: time that the request has waited for a thread.
     """
 
     method: str
@@ -93,6 +98,7 @@
     request_id: str
     caller_chosen: bool
     body: bytes = b""
+    waited: timedelta = timedelta()
 
     def header(self, name: str) -> str | None:
         """Return a request header, or None when it is absent."""
@@ -202,7 +208,8 @@
         request_id = environ.get("HTTP_REQUEST_ID", "")
         if not self._drain.enter():
             message = "this entry is stopping; nothing was done"
-            return error_response(HTTPError(503, "not_run", message, headers=CLOSE), request_id)
+            error = refusal(environ["REQUEST_METHOD"], bool(request_id), message, CLOSE)
+            return error_response(error, request_id)
         try:
             call = _call(environ)
             request_id = call.request_id
@@ -282,6 +289,20 @@
     return HTTPError(status, code, reason)
 
 
+def refusal(
+    method: str, caller_chosen: bool, message: str, headers: Mapping[str, str] | None = None
+) -> HTTPError:
+    """Return the 503 error for a request that the entry does not look at.
+
+    A request with an id of the caller may be a resend of one that ran through another entry, so
+    the entry must not say that it has not run.
+
+    :param caller_chosen: whether the caller sent the request id.
+    """
+    may_be_resent = caller_chosen and method not in _SAFE_METHODS
+    return HTTPError(503, "not_claimed" if may_be_resent else "not_run", message, headers=headers)
+
+
 def _call(environ: Mapping[str, Any]) -> Call:
     body = _read_body(environ)
     request_id = environ.get("HTTP_REQUEST_ID")
@@ -296,6 +317,7 @@
         request_id=request_id or uuid.uuid4().hex,
         caller_chosen=request_id is not None,
         body=body,
+        waited=environ.get(WAITED, timedelta()),
     )
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,12 +3,14 @@
 import http.client
 import json
 import socket
+import threading
+import time
 from datetime import timedelta
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mulberryslip import Answered, NotRun, OutcomeUnknown, SystemClock
+from mulberryslip import Answered, NotClaimed, NotRun, OutcomeUnknown, SystemClock
 from mulberryslip.configs import ConfigView
 from mulberryslip.wire.ttypes import JobReply, Outcome
 from mulberryslip_testing.applications import call_application
@@ -149,6 +151,7 @@
     ("outcome", "status", "code"),
     [
         (NotRun("queue full"), 503, "not_run"),
+        (NotClaimed("no owner"), 503, "not_claimed"),
         (OutcomeUnknown("cut"), 504, "outcome_unknown"),
         (Answered(99, {}, b"", "w1"), 504, "outcome_unknown"),
         (Answered(999, {}, b"", "w1"), 504, "outcome_unknown"),
@@ -215,6 +218,8 @@
     result = interface.call("GET", "/v1/services/check/x")
     assert (result.status, result.json()["error"]["code"]) == (503, "not_run")
     assert result.headers["Connection"] == "close"
+    resent = interface.call("POST", "/v1/services/check/x", Request_Id="r-1")
+    assert (resent.status, resent.json()["error"]["code"]) == (503, "not_claimed")
     assert len(interface.requests.seen) == 1
 
 
@@ -327,3 +332,36 @@
     received, closed = exchange(listener.port, request)
     assert received.startswith(b"HTTP/1.1 200")
     assert closed
+
+
+def test_silent_connections_do_not_hold_the_threads(interface, listener):
+    """Guards against clients that connect, send nothing, and stop the entry for all others."""
+    silent = [socket.create_connection(("127.0.0.1", listener.port), 5) for _ in range(12)]
+    received, _ = exchange(listener.port, b"GET /v1/services/check/x HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 200")
+    silent[0].sendall(b"GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert silent[0].recv(4096).startswith(b"HTTP/1.1 200")
+    for conn in silent:
+        conn.close()
+
+
+def test_time_spent_waiting_for_a_thread_counts(interface, listener):
+    """Guards against a request that starts its whole deadline after it has waited in the queue."""
+    release = threading.Event()
+    interface.requests.run = lambda req: release.wait(5) and Answered(200)
+    held = [socket.create_connection(("127.0.0.1", listener.port), 5) for _ in range(4)]
+    request = b"GET /v1/services/check/x HTTP/1.1\r\nHost: x\r\n\r\n"
+    for conn in held:
+        conn.sendall(request)
+    time.sleep(0.2)
+    seen = []
+    with socket.create_connection(("127.0.0.1", listener.port), 5) as waiting:
+        waiting.sendall(request)
+        time.sleep(0.3)
+        left = seen.append
+        interface.requests.run = lambda req: left(req.deadline.remaining_ms()) or Answered(200)
+        release.set()
+        assert waiting.recv(4096).startswith(b"HTTP/1.1 200")
+    assert 0 < seen[0] <= 400
+    for conn in held:
+        conn.close()
