Answer "not claimed" where an earlier send may have run

Ruled out: a late run after the refusal; the target's record shows the run before the refusal. Conclusion: "not run" is said only where the entry holds the claim or no claim is needed.

--- a/packages/core/src/mulberryslip/outcomes.py
+++ b/packages/core/src/mulberryslip/outcomes.py
@@ -72,4 +72,16 @@
     reason: str
 
 
-RequestOutcome = Answered | NotRun | OutcomeUnknown
+@dataclass(frozen=True)
+class NotClaimed:
+    """The send reached no target, but an earlier send under the same request id may have.
+
+    Sending the request again under the same id is safe.
+
+    :param reason: why the claim of the request id could not be made or checked.
+    """
+
+    reason: str
+
+
+RequestOutcome = Answered | NotRun | NotClaimed | OutcomeUnknown
--- a/packages/daemon/src/mulberryslipd/requests.py
+++ b/packages/daemon/src/mulberryslipd/requests.py
@@ -19,7 +19,7 @@
 from mulberryslip.fleets import Fleet
 from mulberryslip.metrics import Metrics
 from mulberryslip.models import Resources, WorkerLoad, WorkerView
-from mulberryslip.outcomes import Answered, NotRun, OutcomeUnknown, RequestOutcome
+from mulberryslip.outcomes import Answered, NotClaimed, NotRun, OutcomeUnknown, RequestOutcome
 from mulberryslip.retries import Deadline, RetryBudget, backoff
 from mulberryslip.routings import RouteChoice, Router
 from mulberryslip.wire.ttypes import (
@@ -106,12 +106,14 @@
     :param attempts: times that it was sent.
     :param unknown: why an earlier attempt may have run, or empty.
     :param retriable: whether another worker could make a difference.
+    :param claimed: whether this entry has claimed the request id.
     """
 
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
     unknown: str = ""
     retriable: bool = True
+    claimed: bool = False
 
     def final(self, outcome: RequestOutcome) -> RequestOutcome:
         """Return the outcome of the request, given that of its last attempt."""
@@ -180,9 +182,8 @@
         name = req.template.name
         begun = self._clock.monotonic()
         if not self._enter(name):
-            outcome: RequestOutcome = NotRun(
-                f"{self._max_per_service} requests of {name} are in flight at this entry"
-            )
+            reason = f"{self._max_per_service} requests of {name} are in flight at this entry"
+            outcome = _refusal(req, reason)
         else:
             try:
                 self._budget.earn()
@@ -214,7 +215,7 @@
         while True:
             choice = self._choose(req, trail)
             if not choice.worker_id:
-                return trail.final(NotRun(choice.reason))
+                return trail.final(_refusal(req, choice.reason, trail.claimed))
             outcome = self._attempt(req, choice, trail)
             if isinstance(outcome, Answered):
                 return outcome
@@ -267,10 +268,10 @@
     def _attempt(self, req: ServiceRequest, choice: RouteChoice, trail: _Trail) -> RequestOutcome:
         trail.attempts += 1
         trail.tried.add(choice.worker_id)
-        claims = req.caller_chosen and not req.template.parameters.idempotent
-        if not claims:
+        if not _needs_claim(req):
             return self._send_hedged(req, choice, trail)
         refused = self._claim(req, choice.worker_id)
+        trail.claimed = refused is None
         if refused is not None:
             trail.retriable = False
             return refused
@@ -286,8 +287,7 @@
             return None
         if reply.outcome == Outcome.CONFLICT:
             return self._ask_again(req, reply.worker_id)
-        # Nothing was sent to a target, whether or not the claim was recorded.
-        return NotRun(f"the request id could not be claimed: {reply.reason}")
+        return NotClaimed(f"the request id could not be claimed: {reply.reason}")
 
     def _ask_again(self, req: ServiceRequest, worker_id: str) -> RequestOutcome:
         """Fetch the answer that a worker remembers for a request that was sent before."""
@@ -405,7 +405,7 @@
 
     def _record(self, req: ServiceRequest, outcome: RequestOutcome, latency: timedelta) -> None:
         name, account = req.template.name, req.template.account
-        if isinstance(outcome, NotRun):
+        if isinstance(outcome, NotRun | NotClaimed):
             # Refusals are fast; among the latencies they would hide slow answers.
             self._metrics.count(f"requests_not_run.{name}")
             log(Event.REQUEST_NOT_RUN, request_id=req.request_id, reason=outcome.reason)
@@ -447,3 +447,15 @@
 def _preference(outcome: RequestOutcome) -> int:
     # If either attempt may have run, the request may have run.
     return (Answered, OutcomeUnknown, NotRun).index(type(outcome))
+
+
+def _needs_claim(req: ServiceRequest) -> bool:
+    return req.caller_chosen and not req.template.parameters.idempotent
+
+
+def _refusal(req: ServiceRequest, reason: str, claimed: bool = False) -> RequestOutcome:
+    """Return the outcome of a request that was sent to no worker.
+
+    Without the claim, an earlier send under the same id may have run through another entry.
+    """
+    return NotClaimed(reason) if _needs_claim(req) and not claimed else NotRun(reason)
