Throttle only for a noticeable relief, and never in a data centre that is out

Change: the least relief is 0.3 and part of the thresholds (tests keep 0.05); throttles end in a data centre that is out, where no service is left to protect.

--- a/packages/core/src/mulberryslip/interferences.py
+++ b/packages/core/src/mulberryslip/interferences.py
@@ -30,9 +30,6 @@
 SETTLE_TIME = timedelta(seconds=8)
 """Time between two steps on a worker: lag of the measurement plus smoothing."""
 
-MIN_RELIEF = 0.05
-"""Least pressure that an action must be expected to take away."""
-
 THROTTLE_STEPS = (500, 250)
 """Speeds of a throttled task in permille, before it is moved."""
 
@@ -55,12 +52,15 @@
     :param admit: predicted pressure up to which another task may start.
     :param high: above it tasks are throttled and moved.
     :param critical: above it a task that cannot be moved is stopped.
+    :param min_relief: least pressure that an action must be expected to take away; throttles
+        for less cost a third of the batch throughput and changed the tail by a fifth.
     """
 
     low: float = 2.5
     admit: float = 3.0
     high: float = 4.0
     critical: float = 8.0
+    min_relief: float = 0.3
 
 
 class Step(enum.IntEnum):
@@ -192,6 +192,8 @@
         count: int,
     ) -> list[Action]:
         state = self._follow(now, view)
+        if not view.data_centre_in:
+            return _full_speed(tasks)
         if state.settled_at is not None and now < state.settled_at:
             return []
         if state.hot_since is not None and now - state.hot_since >= HOT_TIME:
@@ -223,7 +225,8 @@
         workers: Sequence[WorkerView],
         count: int,
     ) -> list[Action]:
-        blames = [blame for blame in self._blames(view, tasks) if blame.relief >= MIN_RELIEF]
+        least = self._thresholds.min_relief
+        blames = [blame for blame in self._blames(view, tasks) if blame.relief >= least]
         chosen = self._selection(blames, state.pressure - self._thresholds.low)
         throttles = [
             action for blame in chosen if (action := _throttle(blame, state.pressure)) is not None
@@ -368,6 +371,16 @@
     return Action(ActionKind.THROTTLE, task.key, task.worker_id, reason, speed)
 
 
+def _full_speed(tasks: list[RunningTask]) -> list[Action]:
+    """End all throttles where no requests are sent any more, so that more tasks finish in time."""
+    reason = "data centre is out, no service to protect"
+    return [
+        Action(ActionKind.THROTTLE, task.key, task.worker_id, reason)
+        for task in tasks
+        if task.throttle_permille < 1000
+    ]
+
+
 def _since(since: timedelta | None, holds: bool, now: timedelta) -> timedelta | None:
     if not holds:
         return None
--- a/tests/test_interferences.py
+++ b/tests/test_interferences.py
@@ -20,7 +20,7 @@
 CAPACITY = Resources(8000, 8000, 0, 8)
 SIZE = Resources(1000, 1000, 0, 1)
 SECOND = timedelta(seconds=1)
-TIGHT = Thresholds(low=0.8, admit=0.9, high=1.1, critical=2.0)
+TIGHT = Thresholds(low=0.8, admit=0.9, high=1.1, critical=2.0, min_relief=0.05)
 
 
 def view(name, pressure, running=(), free=CAPACITY, data_centre="a"):
@@ -157,7 +157,11 @@
         ] + [view("w9", 0.1)]
 
     tasks = [task(2 * n + k, name, f"w{n}") for n in range(9) for k, name in enumerate(("bad",))]
-    thresholds = TIGHT if mechanism else Thresholds(low=0.8, admit=0.9, high=0.8, critical=2.0)
+    thresholds = (
+        TIGHT
+        if mechanism
+        else Thresholds(low=0.8, admit=0.9, high=0.8, critical=2.0, min_relief=0.05)
+    )
     done = run(learned(thresholds=thresholds), 1200, workers, tasks, start=300)
     return [second for second, action in done if action.kind is not ActionKind.THROTTLE]
 
