Let tasks run through the first half of the notice of a data centre

Cause: moves were spread from the first second, so tasks that would have finished were moved and, in a full fleet, only waited in the queue. Change: moves start at half of the notice and end at 0.8 of it, one checkpoint at a time per worker, workers with the most tasks first.

--- a/packages/core/src/mulberryslip/evacuations.py
+++ b/packages/core/src/mulberryslip/evacuations.py
@@ -18,10 +18,16 @@
 NOTICE = timedelta(seconds=60)
 """Time after which a data centre that was taken out may lose power."""
 
-MOVING_SHARE = 0.7
-"""Share of the notice used for moves; the rest covers slow checkpoints and retries."""
+WAITING_SHARE = 0.5
+"""Share of the notice in which tasks go on where they are.
 
-FINISH_MARGIN = timedelta(seconds=10)
+In a full fleet a task that leaves early only waits in the queue, and more tasks finish by then.
+"""
+
+MOVING_SHARE = 0.8
+"""Share of the notice after which all moves are ordered; the rest covers slow checkpoints."""
+
+FINISH_MARGIN = timedelta(seconds=5)
 """Time before the end of the notice by which a task must be expected to finish to be left."""
 
 MAX_MOVES_PER_ROUND = 40
@@ -30,7 +36,7 @@
 RETURN_TIME = timedelta(seconds=30)
 """Time over which a data centre that returned is filled again."""
 
-RETRY_AFTER = timedelta(seconds=10)
+RETRY_AFTER = timedelta(seconds=20)
 """A task that still runs this long after its move was ordered is ordered again."""
 
 
@@ -127,19 +133,34 @@
         changed = self._data_centres[name].changed
         elapsed = now - changed if changed is not None else timedelta()
         left = self._notice - elapsed
-        movable = [
-            task
-            for task in tasks
-            if not self._is_ordered(now, task) and not self._may_finish(task, left)
-        ]
+        if elapsed < self._notice * WAITING_SHARE:
+            return []
+        movable = [task for task in tasks if not self._may_finish(task, left)]
         movable.sort(key=self._urgency, reverse=True)
+        by_worker: dict[str, list[RunningTask]] = defaultdict(list)
+        for task in movable:
+            by_worker[task.worker_id].append(task)
+        due = []
+        # The worker with the most tasks takes longest, since it writes one checkpoint at a time.
+        for held in sorted(by_worker.values(), key=len, reverse=True):
+            due += self._next(now, held)
         actions = []
-        for task in movable[: self._pace(len(movable), elapsed)]:
+        for task in due[: self._pace(len(movable), elapsed)]:
             self._ordered[task.key] = now
             reason = f"data centre {name} is out; {left.total_seconds():.0f} s of notice left"
             actions.append(Action(ActionKind.MOVE, task.key, task.worker_id, reason))
         return actions
 
+    def _next(self, now: timedelta, tasks: list[RunningTask]) -> list[RunningTask]:
+        """Return the next task of a worker, one checkpoint at a time.
+
+        Checkpoints that share the worker's rate would all be late; one after the other, the
+        first ones are safe even when the notice is shorter than assumed.
+        """
+        if any(self._is_ordered(now, task) for task in tasks):
+            return []
+        return tasks[:1]
+
     def _pace(self, count: int, elapsed: timedelta) -> int:
         """Return how many tasks leave in this round, so that all have left in the moving time."""
         rounds = (self._notice * MOVING_SHARE - elapsed).total_seconds()
@@ -195,5 +216,8 @@
 
 def checkpoint_cost(task: RunningTask) -> float:
     """Return the relative cost of a checkpoint: it grows with the memory to be saved."""
-    memory_mb = task.usage.memory_mb or task.resources.memory_mb
-    return 256.0 + memory_mb
+    return 256.0 + _memory_mb(task)
+
+
+def _memory_mb(task: RunningTask) -> int:
+    return task.usage.memory_mb or task.resources.memory_mb
