Test leases, restart, forwarding and planned stop of the worker; fix findings

Cause: under steady load a planned stop took its whole timeout and then cut off calls, because connections were never quiet. One slow answer could also raise the moving average above every deadline, and nothing ran any more to lower it. Lease renewals waited behind slow calls for checkpoints.

Change: the pool closes a connection after a reply that says the worker is leaving; an idle target always gets a request; renewals run in their own thread; bodies pass undecoded with their Content-Encoding; the pressure is cached for 250 ms; owners' throttles are applied, the lower share wins.

One pressure calculation takes 0.4 ms.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -262,6 +262,11 @@
         self._socket.close()
 
 
+def _is_leaving(reply: Any) -> bool:
+    """Return whether the peer says in its reply that it takes no new work."""
+    return bool(getattr(getattr(reply, "load", None), "leaving", False))
+
+
 class ChannelPool:
     """Client connections to any number of peers, with liveness checks.
 
@@ -329,7 +334,11 @@
         except BaseException:
             self._discard(address, conn)
             raise
-        self._give_back(address, conn)
+        if _is_leaving(reply):
+            # The server closes soon; a further call on this connection could be cut off.
+            self._discard(address, conn)
+        else:
+            self._give_back(address, conn)
         return reply
 
     def close(self) -> None:
--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -89,6 +89,7 @@
     reason: str = ""
     usage: Resources = Resources()
     throttle_permille: int = FULL_PERMILLE
+    owner_permille: int = FULL_PERMILLE
     is_confirmed: bool = False
     order: StopOrder | None = None
     checkpoint_due: timedelta | None = None
@@ -217,6 +218,14 @@
         with self._lock:
             return [self._report_or_absent(attempt, order) for attempt in attempts]
 
+    def limit(self, permilles: dict[Attempt, int]) -> None:
+        """Take over the shares of processor time that an owner wants tasks to keep."""
+        with self._lock:
+            for attempt, permille in permilles.items():
+                held = self._held.get(attempt)
+                if held is not None:
+                    held.owner_permille = max(0, min(FULL_PERMILLE, permille))
+
     def acknowledge(self, attempts: Iterable[Attempt]) -> None:
         """Forget attempts whose end the owner has committed; running ones are passed over."""
         with self._lock:
@@ -262,16 +271,22 @@
 
     # Periodic work.
 
+    def renew_leases(self) -> None:
+        """Renew the runtime session and the leases of tasks whose shard lease is valid.
+
+        :raises RuntimeAdapterError: the runtime did not answer; the next call repeats.
+        """
+        self._renew_session()
+        self._renew_tasks()
+
     def tick(self, batch_permille: int = FULL_PERMILLE) -> None:
-        """Renew leases, take over the runtime's states, suspend and checkpoint.
+        """Take over the runtime's states, suspend, checkpoint and throttle.
 
         :param batch_permille: share of processor time that batch tasks keep.
         :raises RuntimeAdapterError: the runtime did not answer; the next call repeats.
         """
-        self._renew_session()
         if not self._is_recovered:
             self._recover()
-        self._renew_tasks()
         self._suspend_unleased()
         self._carry_out_orders()
         self._take_checkpoints()
@@ -510,17 +525,15 @@
                 held.checkpoint = handle
                 held.version += 1
 
-    def _throttle(self, permille: int) -> None:
+    def _throttle(self, batch_permille: int) -> None:
         with self._lock:
             changed = [
-                held
+                (held, permille)
                 for held in self._held.values()
-                if held.is_running
-                and held.is_confirmed
-                and held.task_class is TaskClass.BATCH
-                and held.throttle_permille != permille
+                if held.is_running and held.is_confirmed and held.order is None
+                if (permille := _share(held, batch_permille)) != held.throttle_permille
             ]
-        for held in changed:
+        for held, permille in changed:
             self._throttle_one(held, permille)
 
     def _throttle_one(self, held: Held, permille: int) -> None:
@@ -573,5 +586,12 @@
     return Attempt(TaskKey(parts[0], int(parts[1])), int(parts[2]))
 
 
+def _share(held: Held, batch_permille: int) -> int:
+    """Return the lower of the owner's share and, for batch tasks, the worker's own."""
+    if held.task_class is TaskClass.BATCH:
+        return min(held.owner_permille, batch_permille)
+    return held.owner_permille
+
+
 def _copy(held: Held) -> ReportCopy:
     return ReportCopy(attrs.evolve(held), held.version)
--- a/packages/daemon/src/mulberryslipd/forwarders.py
+++ b/packages/daemon/src/mulberryslipd/forwarders.py
@@ -251,8 +251,12 @@
         has_room = self._has_room(template)
         if not has_room and self._queued >= self._max_queue:
             return f"the queue of {self._queued} requests is full"
-        waiting = self._average * (self._queued / self._max_connections) if not has_room else 0
-        if self._clock.monotonic() + self._average + (waiting or timedelta()) >= expires:
+        # An idle target gets a request even after slow ones; without new samples the average
+        # would stay high and refuse everything from then on.
+        needed = self._average if self._in_flight else timedelta()
+        if not has_room:
+            needed += self._average * (self._queued / self._max_connections)
+        if self._clock.monotonic() + needed >= expires:
             return "the deadline is too close"
         return ""
 
@@ -288,15 +292,15 @@
                 headers=_request_headers(req, remaining),
                 timeout=urllib3.Timeout(total=max(0.001, remaining.total_seconds())),
                 preload_content=False,
+                # The body passes as it is, with its Content-Encoding header.
+                decode_content=False,
                 redirect=False,
             )
             return self._read(resp, expires)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             # No connection means that the target received nothing.
             return NotRun("the target refuses connections")
-        except (urllib3.exceptions.LocationValueError, ValueError) as exc:
-            return NotRun(f"the request cannot be written: {exc}")
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
             log(
                 Event.REQUEST_OUTCOME_UNKNOWN,
                 request_id=req.header.request_id,
--- a/packages/daemon/src/mulberryslipd/pressures.py
+++ b/packages/daemon/src/mulberryslipd/pressures.py
@@ -9,6 +9,8 @@
 
 WINDOW = timedelta(seconds=10)
 WINDOW_PARTS = 5
+# Every reply carries the pressure, and merging one template's histograms takes 0.4 ms.
+CACHE_TIME = timedelta(milliseconds=250)
 MIN_SAMPLES = 20
 TAIL_PERCENTILE = 99.0
 MAX_SERVICE_TIME_US = 600_000_000
@@ -57,6 +59,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._windows: dict[str, _Window] = {}
+        self._cached = 0
+        self._cached_until = clock.monotonic()
 
     def record(self, template: str, duration: timedelta) -> None:
         """Record one answer time; a missed deadline counts with the time waited."""
@@ -67,8 +71,12 @@
     def permille(self) -> int:
         """Return the highest ratio of tail to objective over all templates; 1000 meets it."""
         with self._lock:
-            ratios = [self._ratio(name, window) for name, window in self._windows.items()]
-        return max(ratios, default=0)
+            now = self._clock.monotonic()
+            if now >= self._cached_until:
+                ratios = [self._ratio(name, window) for name, window in self._windows.items()]
+                self._cached = max(ratios, default=0)
+                self._cached_until = now + CACHE_TIME
+            return self._cached
 
     def _ratio(self, template: str, window: _Window) -> int:
         objective = self._objective(template)
--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -210,6 +210,7 @@
             self._executions.grant(req.shard, req.epoch, duration, owner)
         except AdmissionError as exc:
             return self._renew_reply(req, wire.Outcome.CONFLICT, str(exc))
+        self._executions.limit({attempt_from_wire(t.task): t.permille for t in req.throttles})
         self._executions.acknowledge(map(attempt_from_wire, req.acknowledged))
         self._report_soon(req.shard)
         return self._renew_reply(req, wire.Outcome.OK, "")
@@ -378,9 +379,15 @@
 
     def start(self) -> None:
         """Start all threads; tasks of the runtime are taken over before calls are accepted."""
-        self._tick()
+        self._attempt(self.executions.renew_leases)
+        self._attempt(self._tick)
         self._server.start()
-        threading.Thread(target=self._run_ticks, name="tick", daemon=True).start()
+        interval = self._options.runtime_lease / RENEWALS_PER_LEASE
+        # Separate threads, so that slow calls for states and checkpoints delay no renewal.
+        for name, step in (("renew", self.executions.renew_leases), ("tick", self._tick)):
+            threading.Thread(
+                target=self._repeat, args=(step, interval), name=name, daemon=True
+            ).start()
         for entry in self._options.entries:
             self._add_announcer(entry)
         log(Event.PROCESS_STARTED, worker=self._options.worker_id, incarnation=self.incarnation)
@@ -429,20 +436,22 @@
 
     # Runtime.
 
-    def _run_ticks(self) -> None:
-        interval = self._options.runtime_lease / RENEWALS_PER_LEASE
+    def _repeat(self, step: Callable[[], None], interval: timedelta) -> None:
         while not self._clock.wait(self._stopping, interval):
-            self._tick()
+            self._attempt(step)
 
-    def _tick(self) -> None:
+    def _attempt(self, step: Callable[[], None]) -> None:
         try:
-            permille = self._throttle.update(self._gauge.permille())
-            self.executions.tick(permille)
+            step()
         except RuntimeAdapterError as exc:
             log(Event.INTERNAL_ERROR, what="runtime", reason=str(exc))
         except Exception as exc:
             # The thread must outlive a fault in one round: without it every lease lapses.
-            log(Event.INTERNAL_ERROR, what="tick", reason=repr(exc))
+            log(Event.INTERNAL_ERROR, what=step.__name__, reason=repr(exc))
+
+    def _tick(self) -> None:
+        permille = self._throttle.update(self._gauge.permille())
+        self.executions.tick(permille)
         self._wake_reporters()
 
     # Announcements, one thread for each entry.
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,19 +1,29 @@
 """The worker role against stand-ins of the runtime, the target and the entries."""
 
 import json
+import signal
+import subprocess
+import sys
+import threading
 import time
 from datetime import timedelta
 
 import attrs
 import pytest
-from mulberryslip import Resources, SystemClock
+from mulberryslip import Attempt, ManualClock, Resources, SystemClock, TaskClass, TaskKey, runtimes
+from mulberryslip.admissions import Admission
 from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.exceptions import NotSentError, RuntimeAdapterError, WireError
+from mulberryslip.outcomes import Answered, NotRun, OutcomeUnknown
 from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.wire import EntryService
 from mulberryslip.wire import WorkerService as WireWorkerService
 from mulberryslip.wire import ttypes as wire
-from mulberryslip_testing.runtimes import RuntimeServer
-from mulberryslip_testing.targets import TargetServer
+from mulberryslip_testing.runtimes import RuntimeServer, RuntimeStandIn
+from mulberryslip_testing.targets import Faults, TargetServer
+from mulberryslipd.executions import Executions, StartOrder, StopOrder
+from mulberryslipd.forwarders import AnswerMemory
+from mulberryslipd.pressures import PressureGauge, ThrottleControl
 from mulberryslipd.workers import WorkerDaemon, WorkerOptions
 
 MS = timedelta(milliseconds=1)
@@ -243,3 +253,644 @@
     stopped = eventually(lambda: site.history("stopped") or site.history("lapsed"))
     started = site.history("start")[0]
     assert stopped[0]["at"] - started["at"] < 4 * LEASE.total_seconds()
+
+
+def test_named_entries_get_announcements(site):
+    """Guards against a worker that knows only the entries of its settings file."""
+    other = Entry()
+    site.entry.names = [str(other.address)]
+    site.worker()
+    announced = eventually(lambda: other.announced)[-1]
+    assert announced.worker.worker_id == "w-1"
+    assert announced.header.config_revision == 1
+    other.server.stop(timedelta())
+
+
+# Requests.
+
+
+def test_concurrent_requests_each_get_their_own_answer(site):
+    """Guards against answers that are mixed up between callers."""
+    worker = site.worker()
+    site.target.set_faults(Faults(jitter_ms=20))
+    replies = {}
+
+    def run(number):
+        reply = site.entry.forward(worker.port, f"q-{number}", 3000)
+        replies[f"q-{number}"] = json.loads(reply.body)["request_id"]
+
+    in_threads(run, 40)
+    assert len(replies) == 40
+    assert all(asked == answered for asked, answered in replies.items())
+
+
+def in_threads(run, count):
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def test_refusals_as_not_run_reach_no_target(site):
+    """Guards against a request that was refused as not run but ran.
+
+    The template allows 4 requests at the target; the queue takes 2.
+    """
+    worker = site.worker(queue=2)
+    site.target.set_faults(Faults(delay_ms=150))
+    replies = {}
+    in_threads(lambda n: replies.update({n: site.entry.forward(worker.port, f"q-{n}", 2000)}), 12)
+    refused = {f"q-{n}" for n, r in replies.items() if r.outcome == wire.Outcome.NOT_RUN}
+    ran = {record["request_id"] for record in site.target.requests()}
+    assert len(refused) == 6
+    assert all("queue" in r.reason for r in replies.values() if r.outcome == wire.Outcome.NOT_RUN)
+    assert not refused & ran
+    assert len(ran) == 6
+
+
+def test_deadline_too_close_is_refused_and_the_average_recovers(site):
+    """Guards against late work, and against an average that refuses everything for ever."""
+    worker = site.worker()
+    site.target.set_faults(Faults(delay_ms=120))
+    site.entry.forward(worker.port, "slow")
+    held = threading.Thread(target=site.entry.forward, args=(worker.port, "busy"))
+    held.start()
+    time.sleep(0.04)
+    reply = site.entry.forward(worker.port, "late", 60)
+    assert (reply.outcome, reply.reason) == (wire.Outcome.NOT_RUN, "the deadline is too close")
+    held.join()
+    site.target.set_faults(Faults())
+    assert site.entry.forward(worker.port, "again", 60).outcome == wire.Outcome.OK
+
+
+@pytest.mark.parametrize(
+    ("faults", "text"),
+    [
+        pytest.param(Faults(truncate=True), "no whole answer", id="truncated"),
+        pytest.param(Faults(hang=True), "no whole answer", id="hanging"),
+    ],
+)
+def test_failure_after_hand_over_is_outcome_unknown(site, faults, text):
+    """Guards against "not run" for a request that the target received, and a partial answer."""
+    worker = site.worker()
+    site.target.set_faults(faults)
+    started = time.monotonic()
+    reply = site.entry.forward(worker.port, "q", 300)
+    assert reply.outcome == wire.Outcome.OUTCOME_UNKNOWN
+    assert text in reply.reason
+    assert time.monotonic() - started < 0.8
+    assert [r["request_id"] for r in site.target.requests()] == ["q"]
+    site.target.set_faults(Faults())
+    resent = site.entry.forward(worker.port, "q", resent=True)
+    assert resent.outcome == wire.Outcome.OUTCOME_UNKNOWN
+
+
+def test_refused_connection_to_the_target_is_not_run(site):
+    """Guards against an unknown outcome where the target received nothing."""
+    unused = TargetServer()
+    unused._server.stop()
+    worker = site.worker(target_url=f"http://127.0.0.1:{unused.port}")
+    assert site.entry.forward(worker.port, "q").outcome == wire.Outcome.NOT_RUN
+
+
+def test_non_idempotent_request_runs_once(site):
+    """Guards against a request that runs again when it is delivered or sent twice."""
+    worker = site.worker()
+    first = site.entry.forward(worker.port, "q")
+    again = site.entry.forward(worker.port, "q")
+    resent = site.entry.forward(worker.port, "q", resent=True)
+    assert first.body == again.body == resent.body
+    assert len(site.target.requests()) == 1
+
+
+def test_restarted_worker_never_says_not_run_to_a_resent_id(site):
+    """Guards against a second run of a request that ran before the worker's restart."""
+    worker = site.worker()
+    site.entry.forward(worker.port, "q")
+    site.abandon(worker)
+    again = site.worker()
+    assert again.incarnation != worker.incarnation
+    reply = site.entry.forward(again.port, "q", resent=True)
+    assert reply.outcome == wire.Outcome.OUTCOME_UNKNOWN
+    assert len(site.target.requests()) == 1
+
+
+def test_data_centre_out_takes_no_new_work(site):
+    """Guards against requests, reservations and starts in a data centre that is out."""
+    worker = site.worker()
+    reservation = site.entry.reserve(worker.port, REF).reservations[0]
+    assert reservation.granted
+    site.entry.renew(worker.port, config=document(2, "out"))
+    started = site.entry.start(worker.port, REF, reservation.reservation_id, task_input(1))
+    assert started.results[0].outcome == wire.Outcome.NOT_RUN
+    other = site.entry.reserve(worker.port, wire.TaskRef("job", 1, 1)).reservations[0]
+    assert (other.granted, other.reason) == (False, "the data centre is out")
+    assert site.entry.forward(worker.port, "q").outcome == wire.Outcome.NOT_RUN
+    site.entry.renew(worker.port, config=document(1, "in"))
+    assert site.entry.forward(worker.port, "q").outcome == wire.Outcome.NOT_RUN
+    assert not site.history("start")
+    assert not site.target.requests()
+
+
+def test_lower_epoch_is_refused(site):
+    """Guards against an owner that lost its shard and still renews, starts or stops."""
+    worker = site.worker()
+    entry = site.entry
+    entry.renew(worker.port, epoch=5)
+    reservation = entry.reserve(worker.port, REF, epoch=5).reservations[0]
+    assert entry.renew(worker.port, epoch=4).outcome == wire.Outcome.CONFLICT
+    assert entry.renew(worker.port, epoch=4).epoch == 5
+    assert entry.reserve(worker.port, REF, epoch=4).outcome == wire.Outcome.CONFLICT
+    reply = entry.start(worker.port, REF, reservation.reservation_id, task_input(1), epoch=4)
+    assert reply.outcome == wire.Outcome.CONFLICT
+    entry.epoch = 4
+    req = wire.StopRequest(header(), 0, 4, [REF], True, "late")
+    assert entry.call(worker.port, "stop", req).outcome == wire.Outcome.CONFLICT
+    assert not site.history("start")
+
+
+@pytest.mark.parametrize("shard", [-1, 1, 10**6])
+def test_unknown_shard_is_refused(site, shard):
+    """Guards against a damaged shard number that creates state and threads."""
+    worker = site.worker()
+    req = wire.RenewRequest(header(), shard, 1, 1000, [], b"", "127.0.0.1", 1)
+    req.throttles = []
+    assert site.entry.call(worker.port, "renew", req).outcome == wire.Outcome.INVALID
+    reserve = wire.ReserveRequest(header(), shard, 1, [])
+    assert site.entry.call(worker.port, "reserve", reserve).outcome == wire.Outcome.CONFLICT
+
+
+# Restart, eviction, planned stop.
+
+
+def test_restarted_worker_adopts_the_runtimes_tasks(site):
+    """Guards against a task that is lost, or run beside new ones, after a restart."""
+    worker = site.worker()
+    site.entry.renew(worker.port)
+    site.entry.run(worker.port, REF, task_input(1000))
+    site.abandon(worker)
+    again = site.worker()
+    tasks = site.entry.renew(again.port).tasks
+    assert [(t.task.job_id, t.state) for t in tasks] == [("job", wire.TaskState.RUNNING)]
+    assert again.admission.used().slots == 1
+    time.sleep(3 * LEASE.total_seconds())
+    assert site.entry.renew(again.port).tasks[0].state == wire.TaskState.RUNNING
+    assert not site.history("lapsed")
+
+
+def test_eviction_resumes_from_the_checkpoint(site):
+    """Guards against evicted work that starts again from the beginning or is run twice."""
+    worker = site.worker()
+    site.entry.renew(worker.port)
+    site.entry.run(worker.port, REF, task_input(60))
+    time.sleep(0.2)
+    report = site.entry.stop(worker.port, REF)
+    assert report.state == wire.TaskState.STOPPED
+    assert report.checkpoint
+    again = wire.TaskRef("job", 0, 2)
+    assert site.entry.run(worker.port, again, task_input(60), report.checkpoint).outcome == 0
+    third = wire.TaskRef("job", 1, 1)
+    refused = site.entry.run(worker.port, third, task_input(60), report.checkpoint)
+    assert refused.outcome == wire.Outcome.NOT_RUN
+    done = eventually(lambda: site.entry.reported(wire.TaskState.FINISHED))
+    assert json.loads(done[0].result)["items"] == 60
+    starts = site.history("start")
+    assert [s["items_done"] > 0 for s in starts] == [False, True]
+    # A resumed task saves its progress at once, as its own checkpoint is consumed.
+    assert [t for t in site.entry.reported(wire.TaskState.RUNNING) if t.task.attempt == 2]
+
+
+def test_planned_stop_cuts_off_no_request_and_suspends_tasks(site):
+    """Guards against a planned stop that loses requests, progress or reports."""
+    worker = site.worker()
+    site.entry.renew(worker.port)
+    site.entry.run(worker.port, REF, task_input(1000))
+    site.target.set_faults(Faults(delay_ms=10, jitter_ms=60))
+    outcomes = []
+    lost = []
+    halt = threading.Event()
+
+    def load(number):
+        count = 0
+        while not halt.is_set():
+            count += 1
+            request_id = f"{number}-{count}"
+            try:
+                outcomes.append((request_id, site.entry.forward(worker.port, request_id)))
+            except NotSentError:
+                halt.wait(0.02)
+            except WireError:
+                lost.append(request_id)
+
+    threads = [threading.Thread(target=load, args=(n,)) for n in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    started = time.monotonic()
+    worker.stop()
+    took = time.monotonic() - started
+    halt.set()
+    for thread in threads:
+        thread.join()
+    assert not lost
+    kinds = {reply.outcome for _, reply in outcomes}
+    assert kinds == {wire.Outcome.OK, wire.Outcome.NOT_RUN}
+    ran = {record["request_id"] for record in site.target.requests()}
+    assert ran == {i for i, reply in outcomes if reply.outcome == wire.Outcome.OK}
+    assert took < 2
+    suspended = site.entry.reported(wire.TaskState.SUSPENDED)
+    assert suspended and suspended[0].checkpoint
+    assert site.entry.announced[-1].load.leaving
+    assert not site.history("lapsed")
+
+
+def test_planned_stop_ends_in_time_when_nothing_answers(site):
+    """Guards against a worker that never exits because no owner acknowledges its reports."""
+    site.entry.acknowledges = False
+    worker = site.worker(stop_timeout=1500 * MS)
+    site.entry.renew(worker.port)
+    site.entry.run(worker.port, REF, task_input(1000))
+    site.target.set_faults(Faults(hang=True))
+    hanging = threading.Thread(target=lambda: site.entry.forward(worker.port, "q", 900))
+    hanging.start()
+    time.sleep(0.1)
+    started = time.monotonic()
+    worker.stop()
+    assert time.monotonic() - started < 1.6
+    hanging.join()
+
+
+# Leases, in steps of a manual clock.
+
+
+class DirectRuntime(HTTPRuntime):
+    """Runtime adapter that calls the stand-in without a network.
+
+    `lost` names a path whose answers are lost: "before" the call takes effect, or "after".
+    """
+
+    def __init__(self, stand_in):
+        super().__init__("http://unused")
+        self.stand_in = stand_in
+        self.lost = {}
+        self.before_start = lambda: None
+
+    def _call(self, method, path, body=None):
+        if (method, path) == ("POST", "/tasks"):
+            self.before_start()
+        last = path.rsplit("/", 1)[-1]
+        if self.lost.get(last) == "before":
+            raise RuntimeAdapterError("the answer was lost")
+        data = b"" if body is None else json.dumps(body).encode()
+        status, answer = self.stand_in.handle(method, f"/workers/w-1{path}", "", data)
+        if self.lost.get(last) == "after":
+            raise RuntimeAdapterError("the answer was lost")
+        if status >= 300:
+            raise runtimes._error(f"{method} {path}", status, answer)
+        return answer
+
+
+OWNER = Address("127.0.0.1", 1)
+TASK = Attempt(TaskKey("job", 0), 1)
+
+
+class Bench:
+    """Executions over a manual clock; the runtime lease is 2 s and the shard lease 20 s."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        seconds = lambda: self.clock.monotonic().total_seconds() + 1000  # noqa: E731
+        self.stand_in = RuntimeStandIn(now=seconds)
+        self.runtime = DirectRuntime(self.stand_in)
+        self.admission = Admission(CAPACITY, Resources(), self.clock, "i-1")
+        self.admission.apply_config(1, True)
+        self.executions = Executions(
+            self.runtime,
+            self.admission,
+            lambda job_id: 0,
+            lambda template: TaskClass.BATCH,
+            lambda template: 60 * SECOND,
+            self.clock,
+            2 * SECOND,
+        )
+        self.step(timedelta())
+
+    def step(self, duration=500 * MS, permille=1000):
+        self.clock.advance(duration)
+        self.executions.renew_leases()
+        self.executions.tick(permille)
+
+    def run(self, text=None, attempt=TASK, task_class=TaskClass.BATCH, checkpoint=""):
+        reservation = self.admission.reserve(
+            0, 1, attempt, "recon", task_class, Resources(1000, 512, 0, 1)
+        )
+        order = StartOrder(
+            attempt, reservation.reservation_id, "acct", text or task_input(10_000), checkpoint
+        )
+        return self.executions.start(0, 1, order)
+
+    def grant(self, lease=20 * SECOND):
+        self.executions.grant(0, 1, lease, OWNER)
+
+    def report(self):
+        reports = self.executions.reports(0)
+        return reports[0].held if reports else None
+
+    def events(self, *names):
+        return [h["event"] for h in self.stand_in.history() if h["event"] in names]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_task_stops_with_a_checkpoint_when_its_shard_lease_lapses(bench):
+    """Guards against a task that outlives the owner's lease, or loses its progress by it."""
+    bench.grant()
+    bench.run()
+    for _ in range(39):
+        bench.step()
+    assert bench.report().is_running
+    bench.step()
+    assert bench.report().state == wire.TaskState.SUSPENDED
+    assert bench.report().checkpoint
+    assert bench.events("stopped", "lapsed") == ["stopped"]
+    assert bench.admission.used() == Resources()
+
+
+@pytest.mark.parametrize("checked", [True, False])
+def test_nothing_is_renewed_after_the_shard_lease(bench, monkeypatch, checked):
+    """Guards against a resumed process that renews before it looks at its shard lease.
+
+    Without the check at the renewal the runtime lease of the task is extended.
+    """
+    bench.grant(3 * SECOND)
+    bench.run()
+    for advance_ms in (1500, 1600, 1000):
+        bench.clock.advance(advance_ms * MS)
+        if not checked:
+            monkeypatch.setattr(bench.executions, "is_leased", lambda shard: True)
+        bench.executions.renew_leases()
+    bench.stand_in.sweep()
+    assert bench.events("lapsed") == (["lapsed"] if checked else [])
+
+
+def test_process_frozen_beyond_its_leases_finds_its_task_stopped(bench):
+    """Guards against a frozen worker whose task runs on, or that revives it afterwards."""
+    bench.grant()
+    bench.run()
+    bench.step()
+    bench.clock.advance(30 * SECOND)
+    bench.step(timedelta())
+    bench.step()
+    assert bench.events("start", "lapsed", "stopped") == ["start", "lapsed"]
+    assert bench.report().state == wire.TaskState.SUSPENDED
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_start_decided_before_a_freeze_is_refused(bench, monkeypatch, early):
+    """Guards against a start that is carried out long after its reservation was checked.
+
+    With a session that is read after the freeze, the runtime accepts the late start.
+    """
+
+    def freeze():
+        bench.clock.advance(5 * SECOND)
+        bench.executions._renew_session()
+
+    bench.runtime.before_start = freeze
+    if not early:
+        start = bench.runtime.start
+        monkeypatch.setattr(
+            bench.runtime,
+            "start",
+            lambda session, spec: (freeze(), start(bench.executions._session_id, spec))[1],
+        )
+        bench.runtime.before_start = lambda: None
+    outcome, reason = bench.run()
+    if early:
+        assert outcome == wire.Outcome.NOT_RUN
+        assert "session_expired" in reason
+        assert bench.admission.used() == Resources()
+        assert not bench.events("start")
+    else:
+        assert outcome == wire.Outcome.OK
+
+
+@pytest.mark.parametrize("lost", ["before", "after"])
+def test_start_without_an_answer_is_resolved_by_the_runtimes_list(bench, lost):
+    """Guards against a start that is reported as not run while the task runs."""
+    bench.grant()
+    bench.runtime.lost = {"tasks": lost}
+    outcome, _ = bench.run()
+    assert outcome == wire.Outcome.OUTCOME_UNKNOWN
+    assert bench.admission.used().slots == 1
+    assert bench.report().is_running
+    bench.runtime.lost = {}
+    for _ in range(10):
+        bench.step()
+    if lost == "after":
+        assert bench.report().is_running and bench.report().is_confirmed
+    else:
+        assert bench.report().state == wire.TaskState.SUSPENDED
+        assert bench.admission.used() == Resources()
+
+
+def test_stop_is_repeated_until_the_runtime_confirms_it(bench):
+    """Guards against capacity that is freed while the task still runs."""
+    bench.grant()
+    bench.run()
+    bench.step()
+    bench.runtime.lost = {"stop": "before"}
+    order = StopOrder(wire.TaskState.STOPPED, False, "cancelled")
+    assert bench.executions.stop([TASK], order)[0].held.is_running
+    assert bench.admission.used().slots == 1
+    bench.runtime.lost = {}
+    bench.step()
+    assert bench.report().state == wire.TaskState.STOPPED
+    assert bench.report().reason == "cancelled"
+    assert bench.admission.used() == Resources()
+
+
+def test_task_that_finishes_before_its_stop_is_finished(bench):
+    """Guards against a finished task that is reported as stopped and run again."""
+    bench.grant()
+    bench.run(task_input(10))
+    bench.clock.advance(150 * MS)
+    order = StopOrder(wire.TaskState.STOPPED, True, "moved")
+    report = bench.executions.stop([TASK], order)[0].held
+    assert report.state == wire.TaskState.FINISHED
+    assert json.loads(report.result)["items"] == 10
+
+
+def test_stop_of_an_unknown_attempt_bars_its_start(bench):
+    """Guards against a start that overtakes the stop of the same attempt."""
+    order = StopOrder(wire.TaskState.STOPPED, False, "cancelled")
+    reservation = bench.admission.reserve(0, 1, TASK, "t", TaskClass.BATCH, Resources(1, 1, 0, 1))
+    assert bench.executions.stop([TASK], order)[0].held.state == wire.TaskState.STOPPED
+    start = StartOrder(TASK, reservation.reservation_id, "acct", task_input(1), "")
+    assert bench.executions.start(0, 1, start)[0] == wire.Outcome.NOT_RUN
+
+
+def test_repeated_start_runs_once(bench):
+    """Guards against a start that is delivered twice."""
+    reservation = bench.admission.reserve(0, 1, TASK, "t", TaskClass.BATCH, Resources(1, 1, 0, 1))
+    start = StartOrder(TASK, reservation.reservation_id, "acct", task_input(1000), "")
+    assert [bench.executions.start(0, 1, start)[0] for _ in range(2)] == [0, 0]
+    assert bench.events("start") == ["start"]
+
+
+def test_running_task_is_not_forgotten_by_an_acknowledgement(bench):
+    """Guards against a finish that is dropped by the acknowledgement of an older report."""
+    bench.grant()
+    bench.run()
+    bench.executions.acknowledge([TASK])
+    assert bench.report().is_running
+    old = bench.executions.reports(0)
+    bench.executions.stop([TASK], StopOrder(wire.TaskState.STOPPED, True, "moved"))
+    bench.executions.acknowledge_reports(old)
+    assert bench.report().state == wire.TaskState.STOPPED
+    bench.executions.acknowledge_reports(bench.executions.reports(0))
+    assert bench.report() is None
+
+
+def test_task_that_nobody_holds_is_stopped(bench):
+    """Guards against a late start in the runtime that runs beside the next attempt."""
+    body = {
+        "session_id": bench.executions._session_id,
+        "task_id": "other/0/1",
+        "account": "a",
+        "template": "t",
+        "input": task_input(1000),
+        "checkpoint": "",
+        "resources": {},
+        "lease_ttl_ms": 60_000,
+    }
+    bench.runtime._call("POST", "/tasks", body)
+    bench.step()
+    assert bench.events("stopped") == ["stopped"]
+    assert not bench.runtime.tasks()
+
+
+def test_nothing_is_admitted_before_the_runtimes_tasks_are_known(bench):
+    """Guards against a restarted worker that overcommits while the runtime is silent."""
+    restarted = Bench.__new__(Bench)
+    restarted.__dict__.update(bench.__dict__)
+    restarted.admission = Admission(CAPACITY, Resources(), bench.clock, "i-2")
+    restarted.admission.apply_config(1, True)
+    with pytest.raises(Exception, match="not known yet"):
+        restarted.run()
+
+
+def test_lower_share_of_owner_and_worker_throttles_a_batch_task(bench):
+    """Guards against a watch that is throttled with the batch tasks, and lost shares."""
+    bench.grant()
+    watch = Attempt(TaskKey("watch", 0), 1)
+    bench.run()
+    bench.run(attempt=watch, task_class=TaskClass.WATCH)
+    bench.step(permille=500)
+    shares = {r.held.attempt: r.held.throttle_permille for r in bench.executions.reports(0)}
+    assert shares == {TASK: 500, watch: 1000}
+    bench.executions.limit({TASK: 250, watch: 750})
+    bench.step(permille=1000)
+    shares = {r.held.attempt: r.held.throttle_permille for r in bench.executions.reports(0)}
+    assert shares == {TASK: 250, watch: 750}
+
+
+# Pressure, throttling, memory of answers.
+
+
+def test_pressure_is_the_tail_against_the_objective_over_a_window():
+    """Guards against a pressure that follows the mean, or never falls again."""
+    clock = ManualClock()
+    gauge = PressureGauge(lambda name: 50 * MS if name == "check" else None, clock)
+    for number in range(100):
+        gauge.record("check", (100 if number < 3 else 5) * MS)
+        gauge.record("unknown", 900 * MS)
+    assert gauge.permille() == pytest.approx(2000, rel=0.02)
+    clock.advance(11 * SECOND)
+    assert gauge.permille() == 0
+
+
+def test_throttle_moves_in_steps_with_hysteresis():
+    """Guards against throttling that follows every small change of the pressure."""
+    clock = ManualClock()
+    control = ThrottleControl(clock)
+    shares = []
+    for pressure in [1200] * 8 + [900] * 8 + [700] * 16:
+        shares.append(control.update(pressure))
+        clock.advance(SECOND)
+    assert shares[:8] == [750, 750, 500, 500, 250, 250, 250, 250]
+    assert shares[8:16] == [250] * 8
+    assert shares[16:] == [500] * 5 + [750] * 5 + [1000] * 6
+
+
+def test_answer_memory_is_bounded_and_never_forgets_that_a_request_ran():
+    """Guards against unbounded memory, and against a second run after an answer was dropped."""
+    memory = AnswerMemory(max_ids=10, max_bytes=100)
+    for number in range(8):
+        assert memory.begin(f"q-{number}", number) is None
+        memory.end(f"q-{number}", Answered(200, {}, b"x" * 40))
+    assert memory._bytes <= 100
+    assert isinstance(memory.begin("q-0", 0), OutcomeUnknown)
+    assert isinstance(memory.begin("q-7", 7), Answered)
+    assert isinstance(memory.begin("q-7", 8), OutcomeUnknown), "an id for another request"
+    assert memory.begin("refused", 1) is None
+    memory.end("refused", NotRun("full"))
+    assert memory.begin("refused", 1) is None, "a refused id may be tried again"
+    for number in range(20):
+        memory.begin(f"r-{number}", number)
+    assert len(memory._entries) <= 10
+
+
+# A real process, suspended by SIGSTOP.
+
+PROCESS = """
+import sys, threading
+from datetime import timedelta
+from mulberryslip import Resources, SystemClock
+from mulberryslip.channels import Address
+from mulberryslip.runtimes import HTTPRuntime
+from mulberryslipd.workers import WorkerDaemon, WorkerOptions
+runtime, target, entry = sys.argv[1:]
+options = WorkerOptions(
+    worker_id="w-1", data_centre="concord", rack="r", host="127.0.0.1", port=0, target_url=target,
+    services=("check",), entries=(Address.parse(entry),), capacity=Resources(8000, 16000, 0, 8),
+    shards=1, runtime_lease=timedelta(milliseconds=400),
+    reservation_ttl=timedelta(milliseconds=600),
+    announce_interval=timedelta(milliseconds=100),
+)
+WorkerDaemon(options, HTTPRuntime(runtime), SystemClock()).run(threading.Event())
+"""
+
+
+def test_suspended_process_leaves_no_task_running_and_revives_none(site):
+    """Guards against a frozen worker that goes on with what it decided before the freeze."""
+    command = [sys.executable, "-c", PROCESS, site.runtime.base_url("w-1")]
+    command += [f"http://127.0.0.1:{site.target.port}", str(site.entry.address)]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+    try:
+        eventually(lambda: [a for a in site.entry.announced if a.header.config_revision], 10)
+        port = site.entry.announced[-1].worker.port
+        site.entry.renew(port)
+        assert site.entry.run(port, REF, task_input(100_000)).outcome == wire.Outcome.OK
+        time.sleep(0.6)
+        assert not site.history("lapsed")
+        late = wire.TaskRef("job", 1, 1)
+        reservation = site.entry.reserve(port, late).reservations[0]
+        assert reservation.granted
+        process.send_signal(signal.SIGSTOP)
+        frozen_at = time.time()
+        with pytest.raises(WireError):
+            site.entry.start(port, late, reservation.reservation_id, task_input(1))
+        lapsed = eventually(lambda: site.history("lapsed"))
+        assert lapsed[0]["at"] - frozen_at < 0.6
+        process.send_signal(signal.SIGCONT)
+        eventually(lambda: site.entry.reported(wire.TaskState.SUSPENDED))
+        time.sleep(0.5)
+        assert len(site.history("start")) == 1
+    finally:
+        process.kill()
+        process.wait()
