Learn sizes more exactly and share processor time

Cause: learned sizes were above the true ones (52333 MB for tasks of at most 46000), which left memory idle, and processor time was reserved for its 0.9 quantile. Change: bucket ratio 1.1 to 1.05, memory margin 1.1 to 1.05, processor quantile 0.9 to 0.5.

--- a/packages/core/src/mulberryslip/sizes.py
+++ b/packages/core/src/mulberryslip/sizes.py
@@ -6,8 +6,8 @@
 
 from .models import Resources
 
-BUCKET_RATIO = 1.1
-"""Width of a histogram bucket; estimates are exact to 10 %."""
+BUCKET_RATIO = 1.05
+"""Width of a histogram bucket; estimates are exact to 5 %."""
 
 HALF_LIFE_SAMPLES = 400
 """Samples after which evidence counts half, so that a changed template is relearned."""
@@ -15,13 +15,13 @@
 MIN_SAMPLES = 5
 """Below this many samples the declared size applies."""
 
-CPU_QUANTILE = 0.9
-"""Processor time can be shared for a moment, so its rare peaks are not reserved."""
+CPU_QUANTILE = 0.5
+"""Processor time can be shared for a moment, so peaks of the tasks of a worker average out."""
 
 MEMORY_QUANTILE = 0.99
 """Memory cannot be shared; a task beyond it is killed."""
 
-MEMORY_MARGIN = 1.1
+MEMORY_MARGIN = 1.05
 """Covers the peaks between two reports of usage."""
 
 
