--- a/packages/core/src/mulberryslip/jobs.py
+++ b/packages/core/src/mulberryslip/jobs.py
@@ -5,6 +5,8 @@
 another changes nothing.
 """
 
+import json
+import zlib
 from collections import OrderedDict
 from collections.abc import Iterator
 from datetime import timedelta
@@ -71,6 +73,9 @@
     ended_ms: int = records.number("end", 0)
     cancelled: bool = records.flag("x", False)
     tasks: list[Task] = attrs.field(factory=list)
+    # An ended job never changes. Most jobs of a snapshot have ended, and encoding them anew took
+    # most of the time of a snapshot.
+    _encoded: dict[str, object] | None = attrs.field(default=None, init=False, eq=False)
 
     @property
     def is_terminal(self) -> bool:
@@ -113,6 +118,16 @@
         self.cancelled = self.cancelled or any(ended)
         return any(ended)
 
+    def to_snapshot(self) -> dict[str, object]:
+        """Return the job as JSON-serialisable values, which must not be changed."""
+        if self._encoded is not None:
+            return self._encoded
+        tasks = [records.encode(task) for task in self.tasks]
+        encoded = {**records.encode(self), "tasks": tasks}
+        if self.ended_ms:
+            self._encoded = encoded
+        return encoded
+
     def summary(self) -> dict[str, object]:
         """Return the job's state without its tasks."""
         return {
@@ -265,6 +280,20 @@
             expired.append(job_id)
         return [JobsExpired(tuple(expired))] if expired else []
 
+    def oldest_ended(self, stored_bytes: int) -> tuple[str, ...]:
+        """Return ended jobs, oldest first, that take up at most so many bytes of a snapshot.
+
+        Each is compressed alone, which takes more bytes than among others.
+        """
+        chosen = []
+        for job_id in self._ended:
+            if stored_bytes <= 0:
+                break
+            text = json.dumps(self.jobs[job_id].to_snapshot())
+            stored_bytes -= len(zlib.compress(text.encode(), 1))
+            chosen.append(job_id)
+        return tuple(chosen)
+
     def claim(self, claim_id: str, worker_id: str, at_ms: int) -> list[Any]:
         """Decide on a claim; nothing when the request is claimed already.
 
@@ -397,15 +426,15 @@
 
     # Snapshots
 
-    def to_snapshot(self) -> dict[str, object]:
-        """Return the whole state as JSON-serialisable values."""
+    def to_snapshot(self, without: frozenset[str] = frozenset()) -> dict[str, object]:
+        """Return the state as JSON-serialisable values.
+
+        :param without: ended jobs to leave out.
+        """
         return {
-            "jobs": [
-                {**records.encode(job), "tasks": [records.encode(task) for task in job.tasks]}
-                for job in self.jobs.values()
-            ],
+            "jobs": [job.to_snapshot() for job in self.jobs.values() if job.job_id not in without],
             "queued": [[key.job_id, key.index] for key in self._queued],
-            "ended": list(self._ended),
+            "ended": [job_id for job_id in self._ended if job_id not in without],
             "claims": [records.encode(claim) for claim in self.claims.values()],
         }
 
--- a/packages/daemon/src/mulberryslipd/commits.py
+++ b/packages/daemon/src/mulberryslipd/commits.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import zlib
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
@@ -10,7 +11,7 @@
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
-from mulberryslip.transitions import decode_event, encode_event
+from mulberryslip.transitions import JobsExpired, decode_event, encode_event
 
 MAX_GROUP_EVENTS = 2000
 MAX_GROUP_CHARS = 700_000
@@ -19,6 +20,12 @@
 MIN_INTERVAL = timedelta(milliseconds=20)
 """Shortest time between two records. The store takes several hundred writes/s from all shards."""
 
+SNAPSHOT_TARGET_BYTES = 850_000
+"""The journal refuses snapshots over 900 KB; the measured size has no frame around the state."""
+
+MIN_DROPPED_BYTES = 50_000
+"""Fewer rounds of compression, each of which takes about 0.1 s."""
+
 EVENT_CHARS = 200
 """Size of an event without its inputs and its result."""
 
@@ -27,6 +34,7 @@
     """The part of `journals.Journal` that is used here."""
 
     snapshot_due: bool
+    snapshot_bytes: int
 
     def append(self, events: list[dict]) -> int:
         """Append one record."""
@@ -57,7 +65,8 @@
 
     :param journal: the claimed journal.
     :param apply: applies one event and returns whether it changed the state.
-    :param snapshot: returns the state for a snapshot.
+    :param snapshot: returns the state for a snapshot, without the jobs of the given ids.
+    :param oldest: returns ended jobs, oldest first, that take up about so many stored bytes.
     :param min_interval: shortest time between two records.
     """
 
@@ -65,7 +74,8 @@
         self,
         journal: EventJournal,
         apply: Callable[[Any], bool],
-        snapshot: Callable[[], dict],
+        snapshot: Callable[[tuple[str, ...]], dict],
+        oldest: Callable[[int], tuple[str, ...]],
         clock: Clock,
         min_interval: timedelta = MIN_INTERVAL,
     ):
@@ -75,12 +85,14 @@
         self._journal = journal
         self._apply = apply
         self._snapshot = snapshot
+        self._oldest = oldest
         self._cond = threading.Condition()
         self._waiting: list[_Batch] = []
         self._later: list[Any] = []
         self._writing = False
         self._unresolved = False
         self._fenced: FencedError | None = None
+        self._chars_since_snapshot = 0
 
     @property
     def is_fenced(self) -> bool:
@@ -183,6 +195,7 @@
             raise
         for batch in group:
             batch.changed = [self._apply(event) for event in batch.events]
+        self._chars_since_snapshot += sum(_size(event) for event in events)
         self._write_snapshot()
 
     def _settle(self) -> None:
@@ -205,13 +218,46 @@
     def _write_snapshot(self) -> None:
         if not self._journal.snapshot_due:
             return
+        state, dropped = self._fitting_state()
         try:
-            self._journal.write_snapshot(self._snapshot())
+            self._journal.write_snapshot(state)
         except FencedError as exc:
             self._fenced = exc
+            return
         except JournalError as exc:
             # Appending goes on until the ring is full; the next commit tries again.
             log(Event.STORE_UNAVAILABLE, call="write snapshot", reason=str(exc))
+            return
+        self._chars_since_snapshot = 0
+        if dropped:
+            # Only now, so that the state in memory has all that an older snapshot leads to.
+            self._apply(JobsExpired(dropped))
+
+    def _fitting_state(self) -> tuple[dict, tuple[str, ...]]:
+        """Return the state without the oldest ended jobs that do not fit into a snapshot.
+
+        Without a snapshot the ring fills up and the shard can commit nothing more. Results are
+        kept for 7 days otherwise.
+
+        :returns: the state and the ids of the jobs left out.
+        """
+        dropped: tuple[str, ...] = ()
+        state = self._snapshot(dropped)
+        if self._journal.snapshot_bytes + self._chars_since_snapshot <= SNAPSHOT_TARGET_BYTES:
+            return state, dropped
+        wanted = 0
+        while (excess := _stored_bytes(state) - SNAPSHOT_TARGET_BYTES) > 0:
+            wanted += max(excess, MIN_DROPPED_BYTES)
+            more = self._oldest(wanted)
+            if len(more) == len(dropped):
+                break
+            dropped = more
+            state = self._snapshot(dropped)
+        return state, dropped
+
+
+def _stored_bytes(state: dict) -> int:
+    return len(zlib.compress(json.dumps(state, separators=(",", ":")).encode(), 1))
 
 
 def _size(event: Any) -> int:
--- a/packages/daemon/src/mulberryslipd/renewals.py
+++ b/packages/daemon/src/mulberryslipd/renewals.py
@@ -242,9 +242,14 @@
         """Give up the tasks of a worker once all its leases have certainly expired."""
         now = self._clock.monotonic()
         with self._tenure.lock:
-            if now - self._line(worker_id).lease_base <= self._times.unreachable_wait:
+            lease_base = self._line(worker_id).lease_base
+            if now - lease_base <= self._times.unreachable_wait:
                 return
-            held = self._tenure.shard.held(worker_id)
+            held = [
+                (attempt, task)
+                for attempt, task in self._tenure.shard.held(worker_id)
+                if now - self._latest_lease(attempt) > self._times.unreachable_wait
+            ]
         reason = f"{worker_id} was unreachable for {self._times.unreachable_wait}"
         events = [
             AttemptLost(a.key.job_id, a.key.index, a.number, reason, self._now_ms())
@@ -259,6 +264,17 @@
             return
         log(Event.WORKER_LOST, worker=worker_id, shard=self._tenure.number, tasks=sum(changed))
 
+    def _latest_lease(self, attempt: Attempt) -> timedelta:
+        """Return the latest time at which a start may have given the attempt a lease.
+
+        A start on a worker that was unreachable until now may be on its way while the worker's
+        last renewal is already too old.
+        """
+        info = self._tenure.info(attempt)
+        if info.confirmed_at is not None:
+            return info.confirmed_at
+        return info.assigned_at + self._times.start_wait
+
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
 
--- a/packages/daemon/src/mulberryslipd/tenures.py
+++ b/packages/daemon/src/mulberryslipd/tenures.py
@@ -154,7 +154,7 @@
         self._clock = clock
         self._revision = revision
         self._ended = False
-        self.log = CommitLog(journal, self._apply, self._snapshot, clock)
+        self.log = CommitLog(journal, self._apply, self._snapshot, self._oldest, clock)
 
     def is_live(self) -> bool:
         """Return whether this process may still act as the owner."""
@@ -222,9 +222,13 @@
             self.wake.set()
         return changed
 
-    def _snapshot(self) -> dict:
+    def _snapshot(self, without: tuple[str, ...]) -> dict:
         with self.lock:
-            return self.shard.to_snapshot()
+            return self.shard.to_snapshot(frozenset(without))
+
+    def _oldest(self, stored_bytes: int) -> tuple[str, ...]:
+        with self.lock:
+            return self.shard.oldest_ended(stored_bytes)
 
 
 def address_of(fleet: Fleet, worker_id: str) -> Address:
--- a/tests/shard_doubles.py
+++ b/tests/shard_doubles.py
@@ -299,14 +299,14 @@
             for worker in self.workers:
                 worker.expire_lease()
 
-    def finish(self, *keys):
+    def finish(self, *keys, result=lambda: '{"sum":1}'):
         """Let running tasks finish."""
         for worker in self.workers:
             with worker.lock:
                 for held in worker.held.values():
                     wanted = not keys or held.attempt.key in keys
                     if wanted and held.state == wire.TaskState.RUNNING:
-                        worker.end(held, wire.TaskState.FINISHED, result='{"sum":1}')
+                        worker.end(held, wire.TaskState.FINISHED, result=result())
 
     def running(self):
         """Return the running attempts as (attempt, worker id)."""
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -1,6 +1,7 @@
 """The shard owner against workers in memory: starts, takeovers, losses, moves."""
 
 import json
+import random
 import threading
 import time
 
@@ -9,6 +10,7 @@
 from mulberryslip.actions import Action, ActionKind
 from mulberryslip.evacuations import Evacuations
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError
+from mulberryslip.jobs import Shard
 from mulberryslip.quotas import Quotas
 from mulberryslip.wire import ttypes as wire
 from mulberryslipd.sources import ConfigSource
@@ -497,6 +499,36 @@
     assert (uses["acct"].used.slots, uses["acct"].waiting.slots) == (16, 4)
 
 
+def outgrow_snapshot():
+    """Return what a shard can still do after its results exceed the size of a snapshot."""
+    cluster = Cluster(workers=8)
+    owner = cluster.owner()
+    rng = random.Random(1)
+    for number in range(30):
+        assert submit(owner, f"j{number}", tasks=10).outcome == wire.Outcome.OK
+    for _ in range(7):
+        cluster.run(owner, 1, quiet=True)
+        cluster.finish(result=lambda: json.dumps(f"{rng.getrandbits(64_000):x}"))
+    assert submit(owner, "refused").outcome == wire.Outcome.NOT_RUN
+    outcome = owner.claim_request(wire.ClaimRequest(header(), "q", "w0")).outcome
+    return outcome, [status(owner, f"j{number}") for number in range(30)]
+
+
+def test_shard_that_outgrows_its_snapshot_drops_its_oldest_results():
+    """Guards against a shard that can commit nothing more because its snapshot is too large."""
+    outcome, states = outgrow_snapshot()
+    assert outcome == wire.Outcome.OK
+    assert {state["state"] for state in states if state} == {"finished"}
+    assert states[-1] is not None
+
+
+def test_outgrown_snapshot_test_finds_a_shard_that_keeps_all_results(monkeypatch):
+    """Shows that the test above depends on dropping results."""
+    monkeypatch.setattr(Shard, "oldest_ended", lambda shard, stored_bytes: ())
+    outcome, _ = outgrow_snapshot()
+    assert outcome == wire.Outcome.NOT_RUN
+
+
 class SilentChannels(FakeChannels):
     """Takes the whole deadline to find out that one worker is silent."""
 
@@ -538,3 +570,25 @@
         thread.join()
     assert max(delays) < 1
     cluster.check_history()
+
+
+@pytest.mark.parametrize("point", ["before start", "after start"])
+def test_start_on_a_worker_without_recent_renewals_is_not_given_up(point):
+    """Guards against a second start while the first, on a worker that is back, is under way."""
+    cluster = Cluster()
+    owner = cluster.owner()
+
+    def lose_renewals(method, req):
+        if method == "renew":
+            raise NotSentError("cut off")
+
+    cluster.channels.filter = lose_renewals
+    cluster.run(owner, 60)
+    submit(owner)
+    cluster.channels.hooks[point] = owner.supervise
+    cluster.run(owner, 1)
+    cluster.channels.hooks.clear()
+    cluster.channels.filter = None
+    cluster.run(owner, 10)
+    assert [attempt.number for attempt, _ in cluster.running()] == [1]
+    cluster.check_history()
