End a planned stop in time whatever a request does

Cause: threads of cheroot and of an executor keep a process from ending while they wait for a worker, up to the deadline of a request; the waits for the shards and servers were added up. Change: all threads of the entry are daemon threads; hedged sends have a thread each, bounded as before; the waits share one limit. Before/after: an entry with two 9 s requests left their threads behind; now stop returns within its timeout (test with 4 s) and leaves none.

--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -3,7 +3,7 @@
 import json
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -314,35 +314,29 @@
 
     def _release(self) -> None:
         # An owner's loop must have ended before its shard is given up.
-        for thread in self._shard_threads:
-            thread.join(OWNER_STOP_TIMEOUT.total_seconds())
-        threads = [
-            threading.Thread(target=owner.release, name=f"release-{shard}", daemon=True)
-            for shard, owner in self._owners.items()
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        self._join(self._shard_threads, OWNER_STOP_TIMEOUT)
+        self._run_all([owner.release for owner in self._owners.values()], OWNER_STOP_TIMEOUT)
         # Ends the lease, which deletes the registration.
         self._session.stop()
 
     def _close_servers(self) -> None:
-        servers = [
-            threading.Thread(target=self._callers.stop, name="stop-callers", daemon=True),
-            threading.Thread(target=self._operators.stop, name="stop-operators", daemon=True),
-            threading.Thread(
-                target=lambda: self._wire.stop(SERVER_GRACE), name="stop-wire", daemon=True
-            ),
-        ]
-        for thread in servers:
-            thread.start()
-        for thread in servers:
-            thread.join(SERVER_GRACE.total_seconds())
-        self._requests.close()
+        stops = [self._callers.stop, self._operators.stop, lambda: self._wire.stop(SERVER_GRACE)]
+        self._run_all(stops, SERVER_GRACE)
         self._worker_channels.close()
         self._entry_channels.close()
 
+    def _run_all(self, targets: Sequence[Callable[[], None]], timeout: timedelta) -> None:
+        threads = [threading.Thread(target=target, daemon=True) for target in targets]
+        for thread in threads:
+            thread.start()
+        self._join(threads, timeout)
+
+    def _join(self, threads: Sequence[threading.Thread], timeout: timedelta) -> None:
+        expires = self._clock.monotonic() + timeout
+        for thread in threads:
+            left = expires - self._clock.monotonic()
+            thread.join(max(0.0, left.total_seconds()))
+
     def _run_fleet(self) -> None:
         while not self._stop.is_set():
             self._fleet.expire()
--- a/packages/daemon/src/mulberryslipd/listeners.py
+++ b/packages/daemon/src/mulberryslipd/listeners.py
@@ -107,11 +107,31 @@
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = MAX_BODY_BYTES + 1
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-        self._server.prepare()
+        self._prepare()
         self.port: int = self._server.bind_addr[1]
         self._thread = threading.Thread(target=self._server.serve, name=f"http-{self.port}")
         self._thread.daemon = True
 
+    def _prepare(self) -> None:
+        """Open the socket and start the threads.
+
+        Threads inherit the daemon flag. cheroot's own would otherwise keep the process from ending
+        while one of them waits for a worker.
+        """
+        failures: list[BaseException] = []
+
+        def prepare() -> None:
+            try:
+                self._server.prepare()
+            except BaseException as exc:
+                failures.append(exc)
+
+        thread = threading.Thread(target=prepare, name="http-prepare", daemon=True)
+        thread.start()
+        thread.join()
+        if failures:
+            raise failures[0]
+
     def start(self) -> None:
         """Serve in a background thread."""
         self._thread.start()
--- a/packages/daemon/src/mulberryslipd/requests.py
+++ b/packages/daemon/src/mulberryslipd/requests.py
@@ -5,9 +5,10 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Mapping
-from concurrent.futures import FIRST_COMPLETED, Future, ThreadPoolExecutor, wait
+from concurrent.futures import FIRST_COMPLETED, Future, wait
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 import attrs
@@ -32,6 +33,8 @@
 )
 from mulberryslip.wire.ttypes import Resources as WireResources
 
+from .peers import run_call
+
 MAX_ATTEMPTS = 4
 MAX_PER_SERVICE = 48
 DEADLINE_MARGIN = timedelta(milliseconds=10)
@@ -171,7 +174,6 @@
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
         self._known_views: dict[str, _KnownViews] = {}
-        self._executor = ThreadPoolExecutor(hedge_threads, thread_name_prefix="hedge")
         self._threads = threading.BoundedSemaphore(hedge_threads)
 
     def run(self, req: ServiceRequest) -> RequestOutcome:
@@ -193,10 +195,6 @@
         self._record(req, outcome, self._clock.monotonic() - begun)
         return outcome
 
-    def close(self) -> None:
-        """Stop the threads for hedging once their calls have ended."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
-
     def _enter(self, service: str) -> bool:
         with self._lock:
             if self._in_flight[service] >= self._max_per_service:
@@ -338,8 +336,16 @@
         """Send in another thread; None when all of them are busy."""
         if not self._threads.acquire(blocking=False):
             return None
-        fut = self._executor.submit(self._send, req, worker_id)
+        fut: Future[RequestOutcome] = Future()
         fut.add_done_callback(lambda _: self._threads.release())
+        # Threads of an executor would keep the process from ending while they wait for a worker.
+        target = partial(run_call, fut, partial(self._send, req, worker_id))
+        thread = threading.Thread(target=target, name="hedge", daemon=True)
+        try:
+            thread.start()
+        except RuntimeError:
+            fut.cancel()
+            return None
         return fut
 
     def _send(self, req: ServiceRequest, worker_id: str, resent: bool = False) -> RequestOutcome:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -226,6 +226,29 @@
     assert store.get("entries/entry-1") is None
 
 
+def test_stop_ends_in_time_despite_a_long_request(store):
+    """Guards against a process that lives on because one of its threads waits for a worker."""
+    before = {thread for thread in threading.enumerate() if not thread.daemon}
+    entry = start_entry(store, stop_timeout=timedelta(seconds=4))
+    worker = WireWorker()
+    worker.delay_s = 8
+    add_worker(entry, worker)
+    headers = {"Request-Deadline-Ms": "9000"}
+
+    def call(service):
+        entry.caller("POST", f"/v1/services/{service}/x", headers=headers)
+
+    for service in ("check", "lookup"):
+        threading.Thread(target=call, args=(service,), daemon=True).start()
+    wait_until(lambda: len(worker.ran) >= 2)
+    others = {thread for thread in threading.enumerate() if not thread.daemon}
+    begun = time.monotonic()
+    entry.daemon.stop()
+    assert time.monotonic() - begun < 4.5
+    assert store.get("entries/entry-1") is None
+    assert others == before
+
+
 def own_all(store, entry, entry_id):
     """Record an entry as the owner of every shard."""
     address = entry.daemon.wire_address()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -317,7 +317,6 @@
     )
     took = time.monotonic() - begun
     release.set()
-    service.close()
     assert (result.body, len(channels.calls)) == (b"answer", 2)
     assert 0.03 <= took < 2
 
@@ -334,7 +333,6 @@
     service = make_service(channels, clock=clock, budget=RetryBudget(initial=1))
     for _ in range(15):
         service.run(make_request(clock, idempotent=True, hedge_ms=1))
-    service.close()
     assert len(channels.calls) == 15 + 2
 
 
