Keep late calls from being carried out

Cause: after a missed deadline the kernel goes on to retransmit the call, and a process that was suspended finds it in its buffers. A renewal that arrives late extends a lease beyond the time that a new owner waits.

Change: the client resets a connection whose call failed, unacknowledged data is given up after 3 s, and the server runs no call whose caller has gone.

Before/after: a call sent and closed before the server read it was run; now it is not.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import socket
+import struct
 import threading
 from collections.abc import Callable
 from datetime import timedelta
@@ -34,6 +35,7 @@
 # Longer than the client keeps an idle connection, so that normally the client closes first.
 SERVER_IDLE_TIMEOUT = timedelta(seconds=60)
 SERVER_TRANSFER_TIMEOUT = timedelta(seconds=5)
+UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=3)
 STOP_QUIET_TIME = timedelta(milliseconds=200)
 STOP_POLL_INTERVAL = timedelta(milliseconds=20)
 LISTEN_BACKLOG = 128
@@ -162,6 +164,28 @@
             return False
         return False
 
+    def is_gone(self) -> bool:
+        """Return whether the peer has closed or reset the connection."""
+        try:
+            self.handle.settimeout(0)
+            return not self.handle.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def abort(self) -> None:
+        """Close and discard what the kernel has not delivered yet.
+
+        After a normal close the kernel goes on to retransmit for minutes, and the peer would
+        receive the call long after its deadline.
+        """
+        if self.handle is not None:
+            linger = struct.pack("ii", 1, 0)
+            with contextlib.suppress(OSError):
+                self.handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
     def _arm(self) -> None:
         if self.handle is None:
             raise TTransportException(TTransportException.NOT_OPEN, "connection is closed")
@@ -226,6 +250,9 @@
     def __init__(self, client_class: type, address: Address, clock: Clock, timeout: timedelta):
         handle = socket.create_connection((address.host, address.port), timeout.total_seconds())
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Holds while this process is suspended, when it cannot abort a call that is late.
+        user_timeout = UNACKNOWLEDGED_TIMEOUT // timedelta(milliseconds=1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout)
         self._socket = DeadlineSocket(handle, clock)
         self._reply = _ReplyProtocol(_FrameReader(self._socket))
         self._client = client_class(
@@ -261,6 +288,9 @@
     def close(self) -> None:
         self._socket.close()
 
+    def abort(self) -> None:
+        self._socket.abort()
+
 
 def _is_leaving(reply: Any) -> bool:
     """Return whether the peer says in its reply that it takes no new work."""
@@ -325,6 +355,7 @@
             self._give_back(address, conn)
             raise ReplyLostError(f"{method} to {address} failed there: {exc.message}") from exc
         except (*_DECODE_ERRORS, TException, InvalidMessageError) as exc:
+            conn.abort()
             self._discard(address, conn)
             if getattr(exc, "type", None) == TTransportException.TIMED_OUT:
                 self._discard_idle(address)
@@ -533,6 +564,9 @@
     def _serve_one(self) -> None:
         self._socket.set_deadline(self._server.transfer_timeout)
         iprot = _Protocol(self._reader.read())
+        # A process that was suspended finds calls in its buffers whose callers gave up.
+        if self._socket.is_gone():
+            raise TTransportException(TTransportException.END_OF_FILE, "the caller has gone")
         oprot = _Protocol(TMemoryBuffer())
         self._process(iprot, oprot)
         self._socket.set_deadline(self._server.transfer_timeout)
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -364,6 +364,49 @@
     server.stop(timedelta())
 
 
+def test_call_whose_caller_has_gone_is_not_run(pool):
+    """Guards against a resumed process that carries out calls which were given up long ago."""
+    handler = Handler()
+    handler.reasons = []
+    handler.stop = lambda req: handler.reasons.append(req.reason) or StopReply(0, "", [])
+    server = Server(WorkerService.Processor(handler), "127.0.0.1", 0)
+    frame = struct.pack("!i", len(WHOLE)) + WHOLE
+    with socket.create_connection(("127.0.0.1", server.port), 2) as conn:
+        conn.sendall(frame)
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.port), 2) as conn:
+        conn.sendall(frame)
+        assert b"stop" in conn.recv(65536)
+    server.stop(SECOND)
+    assert handler.reasons == ["x"], "only the call of the waiting caller was run"
+
+
+class RecordingPeer(Peer):
+    """Answers pings only, and records how each connection ended."""
+
+    def __init__(self):
+        super().__init__(lambda number, calls, reply: [] if calls else [reply])
+        self.ends = []
+
+    def serve(self, handle, number):
+        try:
+            self.answer(handle, number, handle.makefile("rb"))
+            self.ends.append("closed")
+        except ConnectionResetError:
+            self.ends.append("reset")
+
+
+def test_late_call_is_aborted(pool):
+    """Guards against a call that the kernel delivers long after its deadline."""
+    peer = RecordingPeer()
+    with pytest.raises(ReplyLostError):
+        ask(pool, peer.address, "x", 100 * MS)
+    deadline = time.monotonic() + 2
+    while not peer.ends and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert peer.ends == ["reset"]
+
+
 def test_stop_answers_running_calls_and_refuses_new_ones(server, pool):
     """Guards against a planned stop that cuts off a request."""
     server.handler.delay_s = 0.4
