Decide on running tasks only with a configuration; explain refusals as what they are

Cause: the demo showed 'data centre is returning' just after a start, because policies ran before the first configuration was read, and 'task failed there' for a worker that had refused a reservation. Conclusion: explanations name the true reason.

--- a/packages/daemon/src/mulberryslipd/starters.py
+++ b/packages/daemon/src/mulberryslipd/starters.py
@@ -173,16 +173,19 @@
         if not items:
             return []
         by_id = {view.description.worker_id: view for view in views}
-        blocked: set[tuple[str, frozenset[str]]] = set()
+        with self._tenure.lock:
+            recent = self._recently_avoided()
+        blocked: set[tuple[str, frozenset[str], frozenset[str]]] = set()
         candidates: list[_Candidate] = []
         for item in self._placement.order(items):
             if len(candidates) == MAX_GROUP:
                 break
             # Tasks of a job are alike: where one finds no room, the next does not either.
-            kind = (item.key.job_id, item.avoid)
+            shunned = recent.get(item.key, frozenset())
+            kind = (item.key.job_id, item.avoid, shunned)
             if kind in blocked:
                 continue
-            candidate = self._candidate(item, by_id)
+            candidate = self._candidate(item, by_id, shunned)
             if candidate is None:
                 blocked.add(kind)
             else:
@@ -203,23 +206,25 @@
         items = []
         per_job: dict[str, int] = defaultdict(int)
         with self._tenure.lock:
-            recent = self._recently_avoided()
             for job, task in self._tenure.shard.queued():
                 per_job[job.job_id] += 1
                 if per_job[job.job_id] <= MAX_TASKS_PER_JOB:
-                    items.append(_item(job, task, config, recent.get(task.key(job.job_id), ())))
+                    items.append(_item(job, task, config))
         return items
 
-    def _recently_avoided(self) -> dict[TaskKey, set[str]]:
+    def _recently_avoided(self) -> dict[TaskKey, frozenset[str]]:
         now = self._clock.monotonic()
         self._avoided = {pair: until for pair, until in self._avoided.items() if until > now}
-        recent = defaultdict(set)
+        recent: dict[TaskKey, frozenset[str]] = {}
         for key, worker_id in self._avoided:
-            recent[key].add(worker_id)
+            recent[key] = recent.get(key, frozenset()) | {worker_id}
         return recent
 
-    def _candidate(self, item: PlacementItem, by_id: dict[str, WorkerView]) -> _Candidate | None:
-        views = list(by_id.values())
+    def _candidate(
+        self, item: PlacementItem, by_id: dict[str, WorkerView], shunned: frozenset[str]
+    ) -> _Candidate | None:
+        views = [view for worker_id, view in by_id.items() if worker_id not in shunned]
+        views = views or list(by_id.values())
         if item.avoid and item.avoid.issuperset(by_id):
             # With fewer workers than tries, a worker where the task failed is tried again.
             item = attrs.evolve(item, avoid=frozenset())
@@ -455,7 +460,7 @@
             log(Event.STORE_UNAVAILABLE, call="commit refused starts", reason=str(exc))
 
 
-def _item(job: Job, task: Task, config: ConfigView | None, recent: Iterable[str]) -> PlacementItem:
+def _item(job: Job, task: Task, config: ConfigView | None) -> PlacementItem:
     """Return a queued task for the placement, with the template's current parameters."""
     resources = job.resources
     priority = Priority(job.priority)
@@ -470,7 +475,7 @@
         task_class=TaskClass(job.task_class),
         priority=priority,
         resources=resources,
-        avoid=frozenset((*task.failed_on, *recent)),
+        avoid=frozenset(task.failed_on),
     )
 
 
--- a/packages/daemon/src/mulberryslipd/supervisions.py
+++ b/packages/daemon/src/mulberryslipd/supervisions.py
@@ -60,9 +60,11 @@
         self._decided_at = now
         self._fleet.expire()
         config = self._source.view()
-        if config is not None:
-            self._fleet.apply_config(config)
-            self._report_quotas(config)
+        if config is None:
+            # Every data centre would look as if operators had taken it out.
+            return
+        self._fleet.apply_config(config)
+        self._report_quotas(config)
         running = self._running()
         self._stop_overdue(running, config)
         tasks = [task for _, task in running]
@@ -152,12 +154,10 @@
             priority=Priority(job.priority),
         )
 
-    def _stop_overdue(
-        self, running: list[tuple[Attempt, RunningTask]], config: ConfigView | None
-    ) -> None:
+    def _stop_overdue(self, running: list[tuple[Attempt, RunningTask]], config: ConfigView) -> None:
         overdue: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
         for attempt, task in running:
-            template = config.template(task.template) if config else None
+            template = config.template(task.template)
             if template is None or not isinstance(template.parameters, TaskParameters):
                 continue
             limit = template.parameters.max_run_s
