Give larger tasks a bounded head start in the queue

Cause: slots run out before processors do, and go to whatever small task is oldest. Change: a task may overtake up to 60 positions in proportion to its processors.

--- a/packages/core/src/mulberryslip/placements.py
+++ b/packages/core/src/mulberryslip/placements.py
@@ -32,6 +32,13 @@
 RESERVATION_LIFETIME = timedelta(seconds=120)
 """A reservation that has not brought room by then is released, so it cannot idle a worker."""
 
+SIZE_HEAD_START = 60
+"""Positions in the queue that the largest task may overtake, smaller ones in proportion.
+
+Slots are scarce, so a slot should get as much work as fits; the bound keeps small tasks from
+starving.
+"""
+
 LOAD_PRICE = 0.3
 """Price of a full worker against an empty one."""
 
@@ -160,22 +167,31 @@
         """Return waiting tasks in the order to place them.
 
         Urgent tasks come first, then the holder of the reservation, then accounts by used share
-        of their quota; otherwise the given order (oldest first) is kept.
+        of their quota, then the oldest; larger tasks have a bounded head start.
         """
+        items = list(items)
         with self._lock:
             shares: dict[str, float] = {}
             for item in items:
                 if item.account not in shares and self._quotas is not None:
                     shares[item.account] = self._quotas.deficit(item.account)
             holder = self._reservation.key if self._reservation else None
-            return sorted(
-                items,
-                key=lambda item: (
+            largest = max((self._cpu_millis(item) for item in items), default=0) or 1
+
+            def sort_key(entry: tuple[int, PlacementItem]) -> tuple[bool, bool, float, float]:
+                position, item = entry
+                head_start = SIZE_HEAD_START * self._cpu_millis(item) / largest
+                return (
                     item.priority is not Priority.URGENT,
                     item.key != holder,
                     shares.get(item.account, 0.0),
-                ),
-            )
+                    position - head_start,
+                )
+
+            return [item for _, item in sorted(enumerate(items), key=sort_key)]
+
+    def _cpu_millis(self, item: PlacementItem) -> int:
+        return self.sizes.size(item.template, item.resources).cpu_millis
 
     def rank(self, item: PlacementItem, workers: Sequence[WorkerView]) -> list[Ranked]:
         """Order workers on which to try a reservation, best first.
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -16,6 +16,7 @@
 from mulberryslip.placements import (
     LARGE_WAIT,
     RESERVATION_LIFETIME,
+    SIZE_HEAD_START,
     Placement,
     PlacementItem,
 )
@@ -112,6 +113,16 @@
     assert [entry.key.index for entry in ordered] == [1, 0, 2]
 
 
+def test_larger_tasks_have_a_bounded_head_start():
+    """Guards against slots that go to small tasks only, and against small tasks that starve."""
+    large = Resources(8000, 1000, 0, 1)
+    items = [item(index, SMALL) for index in range(3)]
+    items += [item(index, large) for index in range(3, 3 + 2 * SIZE_HEAD_START)]
+    ordered = [entry.key.index for entry in Placement(ManualClock()).order(items)]
+    assert ordered[0] == 3
+    assert SIZE_HEAD_START * 0.7 <= ordered.index(0) <= SIZE_HEAD_START
+
+
 def test_large_task_reserves_a_worker_against_small_ones():
     """Guards against a large task that never finds a worker empty enough."""
     clock = ManualClock()
