Answer a resent request once the first sending has its answer

Cause: a resend that met its first sending still running was answered with an unknown outcome although the answer was about to come. The stand-in consumed a checkpoint before it refused a damaged input.

Change: a resent request waits for the running one within its deadline; the stand-in reads the input first.

Before/after: a resend 0.2 s before the answer got an unknown outcome; now it gets the answer, and the target runs one request.

--- a/packages/daemon/src/mulberryslipd/forwarders.py
+++ b/packages/daemon/src/mulberryslipd/forwarders.py
@@ -59,7 +59,7 @@
     def __init__(self, max_ids: int = MAX_REMEMBERED_IDS, max_bytes: int = MAX_REMEMBERED_BYTES):
         self._max_ids = max_ids
         self._max_bytes = max_bytes
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._entries: OrderedDict[str, _Remembered] = OrderedDict()
         self._bytes = 0
 
@@ -80,12 +80,20 @@
         with self._lock:
             return self._lookup(request_id, fingerprint)
 
+    def wait(self, request_id: str, timeout: timedelta) -> None:
+        """Wait until a request that runs now has its outcome."""
+        with self._lock:
+            self._lock.wait_for(
+                lambda: not self._is_running(request_id), max(0.0, timeout.total_seconds())
+            )
+
     def end(self, request_id: str, outcome: RequestOutcome) -> None:
         """Record the outcome; an id that was not run is forgotten."""
         with self._lock:
             entry = self._entries.get(request_id)
             if entry is None:
                 return
+            self._lock.notify_all()
             if isinstance(outcome, NotRun):
                 del self._entries[request_id]
                 return
@@ -94,6 +102,10 @@
             self._bytes += entry.size
             self._trim()
 
+    def _is_running(self, request_id: str) -> bool:
+        entry = self._entries.get(request_id)
+        return entry is not None and entry.outcome is None
+
     def _lookup(self, request_id: str, fingerprint: int) -> RequestOutcome | None:
         entry = self._entries.get(request_id)
         if entry is None:
@@ -192,6 +204,8 @@
         request_id = req.header.request_id
         fingerprint = _fingerprint(req)
         if req.resent:
+            # The first sending may still be running; its caller gave up earlier.
+            self._memory.wait(request_id, expires - self._clock.monotonic())
             known = self._memory.find(request_id, fingerprint)
             return known or OutcomeUnknown("this process does not remember the request")
         if req.idempotent:
--- a/packages/testing/src/mulberryslip_testing/runtimes.py
+++ b/packages/testing/src/mulberryslip_testing/runtimes.py
@@ -198,13 +198,16 @@
         task_id = data["task_id"]
         if task_id in worker.tasks:
             raise _Refusal(409, "task_known")
+        task_input = json.loads(data["input"])
+        if not isinstance(task_input, dict):
+            raise _Refusal(400, "invalid", "the input is not a JSON object")
         done = self._consume(data["checkpoint"], task_id)
         now = self._now()
         task = _Task(
             task_id=task_id,
             account=data["account"],
             template=data["template"],
-            input=json.loads(data["input"]),
+            input=task_input,
             resources=data["resources"],
             started=now,
             at=now,
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -364,6 +364,19 @@
     assert len(site.target.requests()) == 1
 
 
+def test_resent_request_gets_the_answer_of_the_one_still_running(site):
+    """Guards against an unknown outcome for a request whose answer is about to come."""
+    worker = site.worker()
+    site.target.set_faults(Faults(delay_ms=300))
+    first = threading.Thread(target=site.entry.forward, args=(worker.port, "q"))
+    first.start()
+    time.sleep(0.1)
+    resent = site.entry.forward(worker.port, "q", resent=True)
+    assert json.loads(resent.body)["request_id"] == "q"
+    first.join()
+    assert len(site.target.requests()) == 1
+
+
 def test_restarted_worker_never_says_not_run_to_a_resent_id(site):
     """Guards against a second run of a request that ran before the worker's restart."""
     worker = site.worker()
