Fuzz the server with damaged frames; name an unreachable runtime in the log

Cause: a runtime that does not answer was logged as an internal error, and a stopped task as suspended. After one silent pooled connection the others were pinged one by one within the same deadline. test_events failed after tests that log, because eliot delivers earlier messages to the first destination.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -385,6 +385,8 @@
             if self._is_usable(conn, expires):
                 return conn
             self._discard(address, conn)
+            # The others would each take their share of the deadline to turn out the same.
+            self._discard_idle(address)
         return self._connect(address, expires)
 
     def _take_idle(self, address: Address) -> _Connection | None:
--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -28,6 +28,12 @@
     RuntimeState.STOPPED: TaskState.STOPPED,
     RuntimeState.LAPSED: TaskState.SUSPENDED,
 }
+_END_EVENTS = {
+    TaskState.FINISHED: Event.TASK_FINISHED,
+    TaskState.FAILED: Event.TASK_FAILED,
+    TaskState.STOPPED: Event.TASK_EVICTED,
+    TaskState.SUSPENDED: Event.TASK_SUSPENDED,
+}
 
 
 @attrs.frozen
@@ -414,7 +420,6 @@
                     continue
                 if held.is_running and held.order is None:
                     held.order = StopOrder(TaskState.SUSPENDED, True, "the shard lease expired")
-                    log(Event.TASK_SUSPENDED, task=held.runtime_id)
 
     def _carry_out_orders(self) -> None:
         with self._runtime_lock:
@@ -425,17 +430,14 @@
             self._take_over_states()
 
     def _stop_in_runtime(self, held: Held) -> None:
-        try:
+        # The runtime refuses what has ended already; its list shows how.
+        with contextlib.suppress(RuntimeRefusedError):
             if held.order.checkpoint:
                 handle = self._runtime.checkpoint(held.runtime_id)
                 with self._lock:
                     held.checkpoint = handle
-        except RuntimeRefusedError as exc:
-            log(Event.TASK_SUSPENDED, task=held.runtime_id, reason=str(exc))
-        try:
+        with contextlib.suppress(RuntimeRefusedError):
             self._runtime.stop(held.runtime_id)
-        except RuntimeRefusedError as exc:
-            log(Event.TASK_SUSPENDED, task=held.runtime_id, reason=str(exc))
 
     def _take_over_states(self) -> None:
         began = self._clock.monotonic()
@@ -486,9 +488,7 @@
         held.order = None
         held.version += 1
         self._admission.release(held.attempt)
-        event = Event.TASK_FINISHED if state == TaskState.FINISHED else Event.TASK_SUSPENDED
-        event = Event.TASK_FAILED if state == TaskState.FAILED else event
-        log(event, task=held.runtime_id, reason=reason)
+        log(_END_EVENTS[state], task=held.runtime_id, reason=reason)
 
     def _drop_unheld(self, task: RuntimeTask) -> None:
         """Stop a task that runs without being held, such as after a late start."""
--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -444,7 +444,7 @@
         try:
             step()
         except RuntimeAdapterError as exc:
-            log(Event.INTERNAL_ERROR, what="runtime", reason=str(exc))
+            log(Event.RUNTIME_UNAVAILABLE, call=step.__name__, reason=str(exc))
         except Exception as exc:
             # The thread must outlive a fault in one round: without it every lease lapses.
             log(Event.INTERNAL_ERROR, what=step.__name__, reason=repr(exc))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,7 @@
+"""Set-up shared by all tests."""
+
+import eliot
+
+# Without a destination eliot keeps the messages of earlier tests and delivers them to the first
+# destination that a later test adds.
+eliot.add_destinations(lambda message: None)
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -1,6 +1,7 @@
 """Connections between the system's processes under damage, silence and overload."""
 
 import contextlib
+import functools
 import socket
 import struct
 import threading
@@ -8,6 +9,8 @@
 from datetime import timedelta
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from mulberryslip import channels
 from mulberryslip.channels import Address, ChannelPool, Server
 from mulberryslip.exceptions import NotSentError, ReplyLostError
@@ -176,6 +179,28 @@
     assert ask(pool, server.address, "after") == "after"
 
 
+@given(st.data())
+@settings(max_examples=150, deadline=None)
+def test_server_survives_any_damage(data):
+    """Guards against bytes that end a server thread's process or block the next caller."""
+    frame = bytearray(WHOLE)
+    for _ in range(data.draw(st.integers(1, 6))):
+        frame[data.draw(st.integers(0, len(frame) - 1))] = data.draw(st.integers(0, 255))
+    frame = bytes(frame[: data.draw(st.integers(0, len(frame)))])
+    with socket.create_connection(("127.0.0.1", fuzzed().port), 2) as conn:
+        conn.sendall(struct.pack("!i", len(frame)) + frame)
+        assert conn.recv(65536), "every whole frame is answered"
+        conn.sendall(struct.pack("!i", len(WHOLE)) + WHOLE)
+        assert b"stop" in conn.recv(65536)
+
+
+@functools.cache
+def fuzzed():
+    server = Server(WorkerService.Processor(Handler()), "127.0.0.1", 0)
+    server.start()
+    return server
+
+
 def test_oversized_frame_is_refused_before_it_is_received(server, pool):
     """Guards against memory that is allocated for a size that a peer only claims."""
     with socket.create_connection(("127.0.0.1", server.port), 2) as conn:
