Start urgent tasks at once: room kept, no quota, no interference limit

Change: urgent tasks pass quotas (operators decide what is urgent), the return pace and the interference limit; one worker in four keeps a slot and 5 % of its room for them.

--- a/packages/core/src/mulberryslip/placements.py
+++ b/packages/core/src/mulberryslip/placements.py
@@ -1,8 +1,10 @@
 """Choice of worker for a task."""
 
+import functools
 import heapq
 import random
 import threading
+import zlib
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
@@ -39,6 +41,12 @@
 starving.
 """
 
+HEADROOM_MODULUS = 4
+"""One worker in so many keeps room for urgent tasks, which start within 1 s in a full fleet."""
+
+HEADROOM_SHARE = 0.05
+"""Share of the processors and memory of such a worker that is kept, besides one slot."""
+
 LOAD_PRICE = 0.3
 """Price of a full worker against an empty one."""
 
@@ -51,6 +59,8 @@
 JITTER_PRICE = 0.02
 """Breaks ties at random, so that shard owners do not all choose the same worker."""
 
+NO_ROOM = Resources()
+
 MAX_EXPLAINED = 10_000
 """Explanations kept; the oldest are dropped."""
 
@@ -203,7 +213,8 @@
         """
         with self._lock:
             size = self.sizes.size(item.template, item.resources)
-            if self._quotas is not None:
+            # Operators decide which templates are urgent, so urgent work may exceed a quota.
+            if self._quotas is not None and item.priority is not Priority.URGENT:
                 verdict = self._quotas.decide(item.account, size)
                 if not verdict.allowed:
                     self._explain(item.key, f"waits: {verdict.reason}")
@@ -281,8 +292,12 @@
             return "task failed there"
         if not size.fits(self._free(view)):
             return "no room"
+        if item.priority is Priority.URGENT:
+            return ""
         if self._is_reserved(item, worker_id):
             return "worker is reserved for a large task"
+        if not size.fits(self._free(view) - _urgent_headroom(view)):
+            return "room is kept for urgent tasks"
         if self._pace is not None and not self._pace.admits(view):
             return "data centre is returning"
         if self._interferences is not None and not self._interferences.admits(item.template, view):
@@ -315,9 +330,7 @@
     def _is_reserved(self, item: PlacementItem, worker_id: str) -> bool:
         self._expire()
         held = self._reservation
-        if held is None or held.worker_id != worker_id or held.key == item.key:
-            return False
-        return item.priority is not Priority.URGENT
+        return held is not None and held.worker_id == worker_id and held.key != item.key
 
     def _expire(self) -> None:
         if self._reservation and self._clock.monotonic() >= self._reservation.until:
@@ -333,7 +346,7 @@
         obstacles = Counter(self._obstacle(item, size, view) for view in workers)
         text = ", ".join(f"{reason} ({count})" for reason, count in obstacles.most_common())
         self._explain(item.key, f"waits: {text or 'no workers known'}")
-        if not obstacles["no room"]:
+        if not obstacles["no room"] and not obstacles["room is kept for urgent tasks"]:
             return
         since = self._waiting_since.setdefault(item.key, now)
         if len(self._waiting_since) > MAX_EXPLAINED:
@@ -432,6 +445,21 @@
     return 2.0 * interference + 2.0 * LOAD_PRICE * load + 3.0 * spread
 
 
+@functools.lru_cache(maxsize=4096)
+def _keeps_headroom(worker_id: str) -> bool:
+    return zlib.crc32(worker_id.encode()) % HEADROOM_MODULUS == 0
+
+
+def _urgent_headroom(view: WorkerView) -> Resources:
+    """Return the room that normal tasks leave free on a worker."""
+    if not _keeps_headroom(view.description.worker_id):
+        return NO_ROOM
+    capacity = view.description.capacity
+    return Resources(
+        int(capacity.cpu_millis * HEADROOM_SHARE), int(capacity.memory_mb * HEADROOM_SHARE), 0, 1
+    )
+
+
 def _load_after(capacity: Resources, free: Resources, size: Resources) -> float:
     rest = (free - size).amounts()
     return max(
--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -123,6 +123,23 @@
     assert SIZE_HEAD_START * 0.7 <= ordered.index(0) <= SIZE_HEAD_START
 
 
+@pytest.mark.parametrize("mechanism", [True, False])
+def test_urgent_task_finds_room_in_a_full_fleet(mechanism, monkeypatch):
+    """Guards against urgent work that waits for a task to end; `mechanism` switches it off."""
+    if not mechanism:
+        monkeypatch.setattr("mulberryslip.placements._keeps_headroom", lambda worker_id: False)
+    placement = Placement(ManualClock())
+    used = dict.fromkeys((f"w{number}" for number in range(20)), Resources())
+    for index in range(300):
+        workers = [view(name, CAPACITY - amount) for name, amount in used.items()]
+        ranked = placement.rank(item(index), workers)
+        if ranked:
+            used[ranked[0].worker_id] += SMALL
+    workers = [view(name, CAPACITY - amount) for name, amount in used.items()]
+    assert placement.rank(item(301), workers) == []
+    assert bool(placement.rank(item(302, priority=Priority.URGENT), workers)) is mechanism
+
+
 def test_large_task_reserves_a_worker_against_small_ones():
     """Guards against a large task that never finds a worker empty enough."""
     clock = ManualClock()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -2,8 +2,18 @@
 
 from datetime import timedelta
 
+import attrs
 import pytest
-from mulberryslip import ManualClock, Priority, Resources, TaskClass, TaskKey
+from mulberryslip import (
+    ManualClock,
+    Priority,
+    Resources,
+    TaskClass,
+    TaskKey,
+    WorkerDescription,
+    WorkerLoad,
+)
+from mulberryslip.models import WorkerView
 from mulberryslip.placements import Placement, PlacementItem
 from mulberryslip.quotas import REPORT_LIFETIME, AccountQuota, AccountUse, Quotas
 
@@ -73,8 +83,11 @@
     """Guards against a start over quota between two usage reports."""
     quotas = quotas_with(a=(4000, 0), b=(0, 1000))
     placement = Placement(ManualClock(), quotas=quotas, source="0")
+    worker = WorkerDescription("w1", "1", "dc", "r", "127.0.0.1", 1, FLEET)
+    views = [WorkerView(worker, WorkerLoad(free=FLEET))]
     key = TaskKey("job", 0)
     task = PlacementItem(key, "plan", "a", TaskClass.BATCH, Priority.NORMAL, SIZE)
     placement.started(task, "w1")
-    assert placement.rank(task, []) == []
+    assert placement.rank(task, views) == []
     assert "claims its share back" in placement.explain(key)
+    assert placement.rank(attrs.evolve(task, priority=Priority.URGENT), views)
