--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: deps
 	$(BIN)/python -m mulberryslip_testing.bench
+	$(BIN)/python -m mulberryslip_testing.paths
 
 chaos: deps
 	$(BIN)/python -m mulberryslip_testing.chaos --seed=$(SEED)
--- a/packages/testing/src/mulberryslip_testing/callers.py
+++ b/packages/testing/src/mulberryslip_testing/callers.py
@@ -23,12 +23,14 @@
 
     :param answered: ids of the requests with a target's answer.
     :param not_run: id and time in seconds of each refusal as not run.
+    :param not_claimed: ids of the requests that reached no target, but may have run before.
     :param unknown: ids of the requests with an unknown outcome or a lost connection.
     :param mixed_up: one line for each answer that belonged to another request or was not whole.
     """
 
     answered: list[str] = attrs.field(factory=list)
     not_run: list[tuple[str, float]] = attrs.field(factory=list)
+    not_claimed: list[str] = attrs.field(factory=list)
     unknown: list[str] = attrs.field(factory=list)
     mixed_up: list[str] = attrs.field(factory=list)
 
@@ -100,6 +102,8 @@
         code = document.get("error", {}).get("code")
         if code == "not_run":
             self.record.not_run.append((request_id, time.time()))
+        elif code == "not_claimed":
+            self.record.not_claimed.append(request_id)
         elif code:
             self.record.unknown.append(request_id)
         elif self._is_own(document, request_id, body):
--- a/packages/testing/src/mulberryslip_testing/loads.py
+++ b/packages/testing/src/mulberryslip_testing/loads.py
@@ -14,11 +14,6 @@
 from absl import app, flags
 from hdrh.histogram import HdrHistogram
 
-_URL = flags.DEFINE_string("url", None, "Address to send GET requests to.", required=True)
-_REQUESTS = flags.DEFINE_integer("requests", 500, "Number of requests.", 1)
-_RATE = flags.DEFINE_float("rate", 0.0, "Requests a second; 0 sends the next after each answer.")
-_TIMEOUT_S = flags.DEFINE_float("timeout_s", 5.0, "Longest wait for one answer.")
-
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 3
 HTTP_OK = 200
@@ -96,9 +91,18 @@
     return LoadResult(merged, answered, failed)
 
 
+def define_flags() -> None:
+    """Define the flags of a client process."""
+    flags.DEFINE_string("url", None, "Address to send GET requests to.", required=True)
+    flags.DEFINE_integer("requests", 500, "Number of requests.", 1)
+    flags.DEFINE_float("rate", 0.0, "Requests a second; 0 sends the next after each answer.")
+    flags.DEFINE_float("timeout_s", 5.0, "Longest wait for one answer.")
+
+
 def main(argv: list[str]) -> None:
     """Run one client and print its result as JSON."""
-    result = run_client(_URL.value, _REQUESTS.value, _RATE.value, _TIMEOUT_S.value)
+    values = flags.FLAGS
+    result = run_client(values.url, values.requests, values.rate, values.timeout_s)
     document = {
         "histogram": result.histogram.encode().decode(),
         "answered": result.answered,
@@ -108,4 +112,5 @@
 
 
 if __name__ == "__main__":
+    define_flags()
     app.run(main)
--- a/packages/testing/src/mulberryslip_testing/paths.py
+++ b/packages/testing/src/mulberryslip_testing/paths.py
@@ -9,8 +9,8 @@
 from .clusters import LOOPBACK, Cluster, Layout
 from .loads import LoadResult, run_clients
 
-_REQUESTS = flags.DEFINE_integer("requests", 400, "Requests of each client.", 1)
-_RATE = flags.DEFINE_float("rate", 20.0, "Requests a second of each client; 0 for no pacing.")
+_REQUESTS = flags.DEFINE_integer("requests", 200, "Requests of each client.", 1)
+_RATE = flags.DEFINE_float("rate", 40.0, "Requests a second of each client; 0 for no pacing.")
 _CLIENTS = flags.DEFINE_list("clients", ["1", "4", "8"], "Numbers of client processes.")
 
 WARM_UP_REQUESTS = 100
