Parse and encode the configuration once for each version

Cause: each group of task starts reads the document, and a change is sent to every worker; at the target size (350 accounts, 700 templates, 160 KB) parsing takes 20 to 30 ms and encoding 10 ms with the interpreter lock held, so 810 workers would take 8 s of the 4 s allowed. Change: ConfigSource parses a version of the key once; a view keeps its encoded form. Before/after, 160 KB document: refresh of an unchanged document 19.5 ms, now 0.02 ms; to_json 10.1 ms, now 0.002 ms after the first call. Conclusion: a read per group of starts no longer depends on the size of the document.

--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import functools
 import json
 import re
 from collections.abc import Mapping
@@ -258,11 +259,16 @@
 
         :raises ConfigError: when it is larger than the store takes.
         """
-        body = json.dumps(to_document(self), separators=(",", ":")).encode()
+        body = self._encoded
         if len(body) > MAX_DOCUMENT_BYTES:
             raise _fault("document", f"{len(body)} bytes", f"at most {MAX_DOCUMENT_BYTES} bytes")
         return body
 
+    @functools.cached_property
+    def _encoded(self) -> bytes:
+        # A change is sent to every worker; encoding 160 KB takes 10 ms.
+        return json.dumps(to_document(self), separators=(",", ":")).encode()
+
     @classmethod
     def from_json(cls, body: bytes) -> "ConfigView":
         """Read a stored or received document.
--- a/packages/daemon/src/mulberryslipd/sources.py
+++ b/packages/daemon/src/mulberryslipd/sources.py
@@ -44,6 +44,7 @@
         self._read_interval = read_interval
         self._lock = threading.Lock()
         self._view: ConfigView | None = None
+        self._taken_version = -1
         self._subscribers: list[Callable[[ConfigView], None]] = []
         self._rng = random.Random()
 
@@ -87,7 +88,24 @@
         :raises StoreUnavailableError: when the store does not answer; the view is left as it is.
         :raises ConfigError: when the stored document is damaged; the view is left as it is.
         """
-        return self.offer(parse_stored(self._store.get(CONFIG_KEY)))
+        return self.take(self._store.get(CONFIG_KEY))
+
+    def take(self, stored: StoredValue | None) -> ConfigView:
+        """Take in the stored document and return the newest view.
+
+        Each group of task starts reads the document, and parsing 160 KB takes 20 ms, so it is
+        parsed once for each version of the key.
+
+        :raises ConfigError: when the document is damaged; the view is left as it is.
+        """
+        version = 0 if stored is None else stored.version
+        with self._lock:
+            if self._view is not None and version == self._taken_version:
+                return self._view
+        view = self.offer(parse_stored(stored))
+        with self._lock:
+            self._taken_version = version
+        return view
 
     def run_reads(self, stop: threading.Event) -> None:
         """Read the store periodically until stopped."""
@@ -122,7 +140,7 @@
             listing = self._store.watch(CONFIG_KEY, revision, WATCH_TIMEOUT)
         for stored in listing.values:
             if stored.key == CONFIG_KEY and stored.version > 0:
-                self.offer(parse_stored(stored))
+                self.take(stored)
         return listing.revision
 
 
@@ -233,7 +251,7 @@
     ) -> ChangeAccepted | AlreadyAccepted | Stale | Unknown | None:
         """Try once; None means that the document changed meanwhile."""
         stored = self._store.get(CONFIG_KEY)
-        current = self._source.offer(parse_stored(stored))
+        current = self._source.take(stored)
         decision = decide(current, change, based_on, change_id, operator)
         if not isinstance(decision, Accepted):
             return decision
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -419,3 +419,17 @@
     store.put(CONFIG_KEY, view_of(2).to_json(), store.get(CONFIG_KEY).version)
     wait_until(lambda: source.revision() == 2, 1)
     stop.set()
+
+
+def test_document_is_parsed_once_for_each_version(store, monkeypatch):
+    """Guards against parsing the document for each group of task starts, and a missed change."""
+    parsed = []
+    parse = ConfigView.from_json
+    monkeypatch.setattr(ConfigView, "from_json", lambda body: parsed.append(body) or parse(body))
+    source = ConfigSource(store, SystemClock())
+    for revision in (2, 3):
+        for _ in range(5):
+            source.refresh()
+        store.put(CONFIG_KEY, view_of(revision).to_json(), store.get(CONFIG_KEY).version)
+    assert source.refresh().revision == 3
+    assert len(parsed) == 3
