Bound the time of a whole answer from the store

Cause: the socket's timeout limits each wait for bytes only, so an answer that trickles over a lossy link could hold the session's thread for minutes. Change: HTTPStore reads the body within one timeout; Proxy can throttle a link. Conclusion: bodies are bounded; a trickling head still is not.

--- a/packages/core/src/mulberryslip/stores.py
+++ b/packages/core/src/mulberryslip/stores.py
@@ -30,6 +30,7 @@
 import attrs
 import urllib3
 
+from .clocks import Clock, SystemClock
 from .exceptions import (
     InvalidMessageError,
     LeaseExpiredError,
@@ -41,6 +42,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 
+_CHUNK_BYTES = 64 * 1024
+
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -208,6 +211,15 @@
     return value
 
 
+@attrs.frozen
+class _Answer:
+    """An HTTP answer that was read whole."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
 class HTTPStore:
     """Adapter for the platform's store over HTTP.
 
@@ -216,9 +228,11 @@
     within the timeout fails as unavailable.
 
     :param base_url: `http://host:port`, optionally with a path.
-    :param timeout: limit for connecting and for each wait for bytes of an answer.
+    :param timeout: limit for connecting, for the head and for the whole body of an answer; a call
+        takes at most three times as long.
     :param max_connections: connections for calls that are answered at once.
     :param max_watches: further connections for waiting watches.
+    :param clock: measures the time of an answer.
     """
 
     def __init__(
@@ -227,6 +241,7 @@
         timeout: timedelta = timedelta(seconds=1),
         max_connections: int = 8,
         max_watches: int = 4,
+        clock: Clock | None = None,
     ):
         url = urllib3.util.parse_url(base_url)
         if url.scheme != "http" or not url.host or not url.port:
@@ -234,6 +249,7 @@
         self._address = (url.host, url.port)
         self._path = (url.path or "").rstrip("/")
         self._timeout = timeout.total_seconds()
+        self._clock = clock or SystemClock()
         self._lock = threading.Lock()
         self._calls = CallCounter()
         self._sizes = {False: max_connections, True: max_watches}
@@ -257,7 +273,7 @@
         version = resp.headers.get("Version", "")
         if not (version.isascii() and version.isdigit()):
             raise StoreError(f"answer for {key} has no valid version: {version!r}")
-        return StoredValue(key, resp.data, int(version))
+        return StoredValue(key, resp.body, int(version))
 
     def list(self, prefix: str) -> Listing:
         """Read all keys under a prefix; see `Store.list`."""
@@ -318,7 +334,7 @@
         method: str = "GET",
         body: bytes | None = None,
         extra_s: float = 0.0,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> _Answer:
         try:
             resp = self._send(kind, method, path, fields, body, extra_s)
         except urllib3.exceptions.HTTPError as exc:
@@ -347,12 +363,12 @@
         fields: Mapping[str, str],
         body: bytes | None,
         extra_s: float,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> _Answer:
         self._calls.add(kind)
         query = "&".join(f"{name}={quote(value, safe='')}" for name, value in fields.items())
         pool = self._pools[kind is CallKind.WATCH]
         try:
-            return pool.urlopen(
+            resp = pool.urlopen(
                 method,
                 f"{self._path}{path}?{query}" if query else self._path + path,
                 body=body,
@@ -360,11 +376,32 @@
                 redirect=False,
                 timeout=urllib3.Timeout(connect=self._timeout, read=self._timeout + extra_s),
                 pool_timeout=self._timeout,
+                preload_content=False,
             )
+            return _Answer(resp.status, resp.headers, self._read_body(resp))
         except urllib3.exceptions.ReadTimeoutError:
             self._replace_pool(pool)
             raise
 
+    def _read_body(self, resp: urllib3.BaseHTTPResponse) -> bytes:
+        """Read the body within one timeout, since the socket's limit is for each wait only.
+
+        Without it, an answer that trickles over a bad link would hold its thread for minutes.
+        """
+        deadline = self._clock.monotonic().total_seconds() + self._timeout
+        chunks = []
+        try:
+            while chunk := resp.read1(_CHUNK_BYTES):
+                chunks.append(chunk)
+                if self._clock.monotonic().total_seconds() > deadline:
+                    raise urllib3.exceptions.HTTPError("the answer took too long")
+        except BaseException:
+            resp.close()
+            raise
+        finally:
+            resp.release_conn()
+        return b"".join(chunks)
+
     def _replace_pool(self, stale: urllib3.HTTPConnectionPool) -> None:
         """Drop all connections of a pool after a timeout.
 
@@ -382,7 +419,7 @@
         return urllib3.HTTPConnectionPool(host, port, maxsize=self._sizes[watching], block=True)
 
 
-def _write_outcome(call: str, resp: urllib3.BaseHTTPResponse) -> WriteOutcome:
+def _write_outcome(call: str, resp: _Answer) -> WriteOutcome:
     """Translate the answer to a write.
 
     An answer that the protocol does not allow leaves the effect unknown.
@@ -402,24 +439,24 @@
     return Committed(version) if resp.status == _OK else Conflict(version)
 
 
-def _require_ok(resp: urllib3.BaseHTTPResponse) -> None:
+def _require_ok(resp: _Answer) -> None:
     if resp.status != _OK:
-        raise StoreError(f"unexpected status {resp.status}: {resp.data[:200]!r}")
+        raise StoreError(f"unexpected status {resp.status}: {resp.body[:200]!r}")
 
 
-def _listing(resp: urllib3.BaseHTTPResponse) -> Listing:
+def _listing(resp: _Answer) -> Listing:
     _require_ok(resp)
     try:
-        return listing_from_json(resp.data)
+        return listing_from_json(resp.body)
     except InvalidMessageError as exc:
         raise StoreError(str(exc)) from exc
 
 
-def _field(resp: urllib3.BaseHTTPResponse, name: str, kind: type) -> object:
+def _field(resp: _Answer, name: str, kind: type) -> object:
     try:
-        value = json.loads(resp.data)[name]
+        value = json.loads(resp.body)[name]
     except (ValueError, KeyError, TypeError, RecursionError) as exc:
-        raise StoreError(f"answer without {name}: {resp.data[:200]!r}") from exc
+        raise StoreError(f"answer without {name}: {resp.body[:200]!r}") from exc
     if type(value) is not kind:
         raise StoreError(f"answer with invalid {name}: {value!r}")
     return value
--- a/packages/testing/src/mulberryslip_testing/proxies.py
+++ b/packages/testing/src/mulberryslip_testing/proxies.py
@@ -13,6 +13,9 @@
 # Large chunks keep a delay from adding up over one message.
 _CHUNK_BYTES = 1024 * 1024
 _CONNECT_TIMEOUT_S = 5.0
+
+# A throttled connection sends this much of its rate at a time.
+_SLICE = timedelta(milliseconds=20)
 _BACKLOG = 128
 
 # Linger of zero seconds makes close() send a reset.
@@ -32,11 +35,13 @@
 
     :param delay: time by which each chunk is held back.
     :param jitter: upper bound of a random addition to the delay.
+    :param bytes_per_s: rate of each connection and direction; 0 means unlimited.
     :param silent: directions in which bytes vanish while the connections stay open.
     """
 
     delay: timedelta = timedelta()
     jitter: timedelta = timedelta()
+    bytes_per_s: int = 0
     silent: frozenset[Direction] = frozenset()
 
 
@@ -152,6 +157,10 @@
         """Hold back each chunk, in both directions and on all connections."""
         self._change(delay=delay, jitter=jitter)
 
+    def throttle(self, bytes_per_s: int) -> None:
+        """Let bytes trickle, as over a link that loses many packets."""
+        self._change(bytes_per_s=bytes_per_s)
+
     def silence(self, *directions: Direction) -> None:
         """Let bytes vanish in the given directions, or in both; connections stay open."""
         self._change(silent=frozenset(directions or Direction))
@@ -278,9 +287,16 @@
             conn.lost_bytes = True
             return True
         part, ends = conn.admit(direction, chunk)
-        target.sendall(part)
+        self._send(target, part, faults.bytes_per_s)
         return not ends
 
+    def _send(self, target: socket.socket, data: bytes, bytes_per_s: int) -> None:
+        size = max(1, int(bytes_per_s * _SLICE.total_seconds())) if bytes_per_s else len(data)
+        for start in range(0, len(data), size or 1):
+            target.sendall(data[start : start + size])
+            if bytes_per_s:
+                self._clock.sleep(timedelta(seconds=size / bytes_per_s))
+
     def _close_connections(self, reset: bool) -> None:
         with self._lock:
             open_now = list(self._connections)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
@@ -206,6 +207,18 @@
         remote.list("")
 
 
+def test_trickling_answer_ends_at_the_timeout(proxy, remote):
+    """Guards against a thread, such as the session's, that is held for minutes by one answer."""
+    remote.put("a", b"x" * 5000, 0)
+    proxy.throttle(2000)
+    started = time.monotonic()
+    with pytest.raises(StoreUnavailableError):
+        remote.get("a")
+    assert time.monotonic() - started < 1.0
+    proxy.restore()
+    assert remote.get("a") is not None
+
+
 class KeepingStore(HTTPStore):
     """A store that keeps its connections after a timeout."""
 
