Close the HTTP listeners before the servers stop

Cause: cheroot stops accepting up to 0.5 s before it closes its socket; connections made in between were reset with their requests in a planned stop. Change: an entry closes the sockets first, serves what was accepted for 200 ms more, then stops. Conclusion: a caller now meets a refused connect, which it can tell from a lost request.

--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -51,6 +51,7 @@
 
 SERVER_GRACE = timedelta(seconds=1)
 OWNER_STOP_TIMEOUT = timedelta(seconds=2)
+LAST_ANSWERS = timedelta(milliseconds=200)
 STOP_RESERVE = timedelta(seconds=2)
 """Part of the stop timeout that is kept for closing connections and ending threads."""
 
@@ -317,6 +318,10 @@
         releasing = threading.Thread(target=self._release, name="release", daemon=True)
         releasing.start()
         drained = self.drain.wait(expires - STOP_RESERVE - self._clock.monotonic())
+        self._callers.close()
+        self._operators.close()
+        # Connections that were accepted just before still get their answer.
+        self._clock.sleep(LAST_ANSWERS)
         left = expires - SERVER_GRACE - self._clock.monotonic()
         releasing.join(max(0.0, left.total_seconds()))
         self._close_servers()
--- a/packages/daemon/src/mulberryslipd/listeners.py
+++ b/packages/daemon/src/mulberryslipd/listeners.py
@@ -136,7 +136,16 @@
         """Serve in a background thread."""
         self._thread.start()
 
+    def close(self) -> None:
+        """Accept no more connections; those that are open are still served.
+
+        cheroot's own stop leaves up to 0.5 s between the last accept and the close, and connections
+        made in that time are reset with their requests.
+        """
+        listening, self._server.socket = self._server.socket, None
+        listening.close()
+
     def stop(self) -> None:
-        """Close the listener and the idle connections, and end the threads."""
+        """Close the idle connections and end the threads; call `close` before."""
         self._server.stop()
         self._thread.join(1)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -262,6 +262,7 @@
     listener = HTTPListener("127.0.0.1", 0, interface.application, 4)
     listener.start()
     yield listener
+    listener.close()
     listener.stop()
 
 
