Count shard leases from the worker's own clock

Cause: a renewal counted from its receipt; one that the network delivers long after its deadline would extend a lease beyond what the owner, and a claimant after it, wait for (invariant 2). Ruled out: synchronised clocks, which the platform does not promise; a send time of the owner. Change: a worker states its clock in each reply, the next renewal returns it, and the lease counts from there. The first renewal of an owner only learns the clock and is repeated at once. The harness of test_workers does the same, since a lone first renewal grants nothing now. Before/after: a renewal sent at 0 s for 5 s and delivered at 1 s granted until 6 s, now until 5 s; the new test has both cases. Conclusion: one renew interval of a lease is given up for a bound without synchronised clocks.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -155,12 +155,13 @@
   1: required Header header,
   2: required i32 shard,
   3: required i64 epoch,
-  4: required i32 lease_ms,          // validity granted, counted from receipt
+  4: required i32 lease_ms,          // validity granted, counted from clock_ms
   5: required list<TaskRef> acknowledged, // reports that are committed and may be forgotten
   6: required binary config,         // configuration view for this worker, or empty when it is up to date
   7: required string owner_host,
   8: required i32 owner_port,
   9: required list<Throttle> throttles = [], // tasks whose share differs from what was last reported
+  10: required i64 clock_ms = 0,     // clock_ms of the worker's last reply; 0: none, grants nothing
 }
 
 struct RenewReply {
@@ -171,6 +172,7 @@
   5: required Load load,
   6: required i64 config_revision,
   7: required string incarnation,
+  8: required i64 clock_ms = 0,      // the worker's monotonic clock
 }
 
 struct StopRequest {
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -2036,12 +2036,13 @@
      - owner_host
      - owner_port
      - throttles
+     - clock_ms
 
     """
 
 
     def __init__(self, header=None, shard=None, epoch=None, lease_ms=None, acknowledged=None, config=None, owner_host=None, owner_port=None, throttles=[
-    ],):
+    ], clock_ms=0,):
         self.header = header
         self.shard = shard
         self.epoch = epoch
@@ -2054,6 +2055,7 @@
             throttles = [
             ]
         self.throttles = throttles
+        self.clock_ms = clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2122,6 +2124,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2174,6 +2181,10 @@
                 iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 10)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2196,6 +2207,8 @@
             raise TProtocolException(message='Required field owner_port is unset!')
         if self.throttles is None:
             raise TProtocolException(message='Required field throttles is unset!')
+        if self.clock_ms is None:
+            raise TProtocolException(message='Required field clock_ms is unset!')
         return
 
     def __repr__(self):
@@ -2220,11 +2233,12 @@
      - load
      - config_revision
      - incarnation
+     - clock_ms
 
     """
 
 
-    def __init__(self, outcome=None, reason=None, epoch=None, tasks=None, load=None, config_revision=None, incarnation=None,):
+    def __init__(self, outcome=None, reason=None, epoch=None, tasks=None, load=None, config_revision=None, incarnation=None, clock_ms=0,):
         self.outcome = outcome
         self.reason = reason
         self.epoch = epoch
@@ -2232,6 +2246,7 @@
         self.load = load
         self.config_revision = config_revision
         self.incarnation = incarnation
+        self.clock_ms = clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2284,6 +2299,11 @@
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2325,6 +2345,10 @@
             oprot.writeFieldBegin('incarnation', TType.STRING, 7)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 8)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2343,6 +2367,8 @@
             raise TProtocolException(message='Required field config_revision is unset!')
         if self.incarnation is None:
             raise TProtocolException(message='Required field incarnation is unset!')
+        if self.clock_ms is None:
+            raise TProtocolException(message='Required field clock_ms is unset!')
         return
 
     def __repr__(self):
@@ -3533,6 +3559,7 @@
     (8, TType.I32, 'owner_port', None, None, ),  # 8
     (9, TType.LIST, 'throttles', (TType.STRUCT, [Throttle, None], False), [
     ], ),  # 9
+    (10, TType.I64, 'clock_ms', None, 0, ),  # 10
 )
 all_structs.append(RenewReply)
 RenewReply.thrift_spec = (
@@ -3544,6 +3571,7 @@
     (5, TType.STRUCT, 'load', [Load, None], None, ),  # 5
     (6, TType.I64, 'config_revision', None, None, ),  # 6
     (7, TType.STRING, 'incarnation', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'clock_ms', None, 0, ),  # 8
 )
 all_structs.append(StopRequest)
 StopRequest.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -160,15 +160,29 @@
 
     # Calls by the shards' owners.
 
-    def grant(self, shard: int, epoch: int, duration: timedelta, owner: Address) -> None:
-        """Take over an owner's lease, counted from now.
+    def grant(
+        self, shard: int, epoch: int, duration: timedelta, owner: Address, since: timedelta | None
+    ) -> None:
+        """Take over an owner's lease.
 
+        The lease counts from a time on this worker's clock that the owner had from an earlier
+        reply. A renewal that the network delivers late therefore grants no more than one in time.
+
+        :param since: time on this worker's clock; None grants nothing beyond the present lease.
         :raises AdmissionError: a higher epoch was seen.
         """
         with self._lock:
             self._admission.observe_epoch(shard, epoch)
-            lease = ShardLease(epoch, self._clock.monotonic() + duration, owner)
-            self._leases[shard] = lease
+            now = self._clock.monotonic()
+            known = self._leases.get(shard)
+            expires = known.expires if known else now
+            if since is not None and since <= now:
+                expires = max(expires, since + duration)
+            self._leases[shard] = ShardLease(epoch, expires, owner)
+
+    def clock_ms(self) -> int:
+        """Return this worker's monotonic clock in milliseconds, at least 1."""
+        return max(1, self._clock.monotonic() // timedelta(milliseconds=1))
 
     def owner(self, shard: int) -> Address | None:
         """Return the address for a shard's reports."""
--- a/packages/daemon/src/mulberryslipd/renewals.py
+++ b/packages/daemon/src/mulberryslipd/renewals.py
@@ -39,6 +39,7 @@
     :param due: when the next renewal is due.
     :param lease_base: latest time at which the worker may have received a lease or a start.
     :param answered_at: when it last answered a renewal.
+    :param clock_ms: the worker's clock in its last reply; 0 before the first.
     :param acknowledged: reports that it may forget.
     """
 
@@ -47,6 +48,7 @@
     answered_at: timedelta
     incarnation: str = ""
     revision: int = 0
+    clock_ms: int = 0
     acknowledged: dict[Attempt, None] = attrs.field(factory=dict)
     running: Future | None = None
 
@@ -117,6 +119,10 @@
             return
         try:
             reply = self._call(worker_id, line)
+            if reply.outcome == Outcome.OK and reply.clock_ms and not line.clock_ms:
+                # The first renewal only learns the worker's clock, from which leases count.
+                line.clock_ms = reply.clock_ms
+                reply = self._call(worker_id, line)
         except NotSentError:
             return
         except WireError as exc:
@@ -132,6 +138,7 @@
             return
         line.answered_at = self._clock.monotonic()
         line.revision = reply.config_revision
+        line.clock_ms = reply.clock_ms
         self._reconcile(worker_id, reply, sent_at)
 
     def _line(self, worker_id: str) -> Line:
@@ -174,6 +181,7 @@
             owner_host=self._tenure.identity.host,
             owner_port=self._tenure.identity.port,
             throttles=self._throttles(worker_id),
+            clock_ms=line.clock_ms,
         )
         reply = self._channels.call(address_of(self._fleet, worker_id), "renew", req, timeout)
         if reply.outcome == Outcome.OK:
--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -207,7 +207,8 @@
         owner = Address(req.owner_host, req.owner_port)
         duration = max(0, req.lease_ms) * MILLISECOND
         try:
-            self._executions.grant(req.shard, req.epoch, duration, owner)
+            since = req.clock_ms * MILLISECOND if req.clock_ms else None
+            self._executions.grant(req.shard, req.epoch, duration, owner, since)
         except AdmissionError as exc:
             return self._renew_reply(req, wire.Outcome.CONFLICT, str(exc))
         self._executions.limit({attempt_from_wire(t.task): t.permille for t in req.throttles})
@@ -300,6 +301,7 @@
             load=self._load(),
             config_revision=self._config.view.revision,
             incarnation=self._incarnation,
+            clock_ms=self._executions.clock_ms(),
         )
 
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -111,6 +111,8 @@
             self.address.host,
             self.address.port,
         )
+        # The first call learns the worker's clock, from which the lease of the second counts.
+        req.clock_ms = self.call(port, "renew", req).clock_ms
         return self.call(port, "renew", req)
 
     def reserve(self, port, ref, epoch=None):
@@ -604,7 +606,7 @@
         return self.executions.start(0, 1, order)
 
     def grant(self, lease=20 * SECOND):
-        self.executions.grant(0, 1, lease, OWNER)
+        self.executions.grant(0, 1, lease, OWNER, self.clock.monotonic())
 
     def report(self):
         reports = self.executions.reports(0)
@@ -633,6 +635,24 @@
     assert bench.admission.used() == Resources()
 
 
+@pytest.mark.parametrize(("known_clock", "seconds"), [(True, 5), (False, 2)])
+def test_late_renewal_grants_no_more_than_one_in_time(bench, known_clock, seconds):
+    """Guards against a task that outlives its lease by a renewal that the network delivered late.
+
+    The owner has counted the lease from a time before the worker received the renewal.
+    """
+    bench.grant(2 * SECOND)
+    bench.run()
+    learned = bench.clock.monotonic() if known_clock else None
+    bench.step(1 * SECOND)
+    bench.executions.grant(0, 1, 5 * SECOND, OWNER, learned)
+    for _ in range(2 * (seconds - 1) - 1):
+        bench.step()
+    assert bench.report().is_running
+    bench.step()
+    assert bench.report().state == wire.TaskState.SUSPENDED
+
+
 @pytest.mark.parametrize("checked", [True, False])
 def test_nothing_is_renewed_after_the_shard_lease(bench, monkeypatch, checked):
     """Guards against a resumed process that renews before it looks at its shard lease.
