Stop the stand-in store when a test fails

Change: StoreServer is a context manager; the HTTP test of the group commit uses it. Conclusion: a failing test there no longer keeps pytest from ending.

--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -550,6 +550,13 @@
         self._server.prepare()
         self._thread.start()
 
+    def __enter__(self) -> "StoreServer":
+        self.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
     def stop(self) -> None:
         """Close the port and all connections."""
         self._server.stop()
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -512,20 +512,18 @@
 
 def test_group_commit_over_http_with_lost_calls_and_answers():
     """Guards against an adapter that blurs 'not written' and 'unknown' under load."""
-    faults = Faults(lost_answer_probability=0.15, lost_call_probability=0.15)
-    server = StoreServer()
-    server.start()
-    store = HTTPStore(server.base_url)
-    group = Committing(store)
-    server.application.injector.set(faults)
-    outcomes = group.commit_many(300)
-    group.committer.stop()
-    server.application.injector.set(Faults())
-    assert set(outcomes) == {"committed"}
-    assert sorted(group.state) == list(range(300))
-    assert numbers(store) == group.state
-    store.close()
-    server.stop()
+    with StoreServer() as server:
+        store = HTTPStore(server.base_url)
+        group = Committing(store)
+        faults = Faults(lost_answer_probability=0.15, lost_call_probability=0.15)
+        server.application.injector.set(faults)
+        outcomes = group.commit_many(300)
+        group.committer.stop()
+        server.application.injector.set(Faults())
+        assert set(outcomes) == {"committed"}
+        assert sorted(group.state) == list(range(300))
+        assert numbers(store) == group.state
+        store.close()
 
 
 def test_fenced_committer_refuses_everyone_and_reports_it(live_store):
