Apply quotas over the shards of all entries; learn run times

Cause: quotas were not wired in, and each entry knew the usage of its own shards only, so that an account would have had its quota once from each entry. Run times of finished tasks were not learned. Ways weighed: messages between all entries (grow with their square), the platform's store (one small key for each shard, 0.5 writes/s a shard and one listing each 2 s an entry); the store was chosen. Change: UsageExchange writes and reads usages/<n>; Quotas has a lock, since shards share it. Before/after: two entries with 3 of 3 cores used in one shard: the other entry allowed a fourth before, refuses it now; the test has the case without the exchange. Conclusion: quotas can be overdrawn by what others start within 2 s; that is stated at the constant.

--- a/packages/core/src/mulberryslip/quotas.py
+++ b/packages/core/src/mulberryslip/quotas.py
@@ -1,5 +1,6 @@
 """Quotas per client account, with borrowing of the share that others leave idle."""
 
+import threading
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -71,14 +72,17 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
+        # The shards of an entry share one object and call it from their own threads.
+        self._lock = threading.RLock()
         self._quotas: dict[str, AccountQuota] = {}
         self._reports: dict[str, _Report] = {}
         self._capacity = Resources()
 
     def configure(self, quotas: Mapping[str, AccountQuota], capacity: Resources) -> None:
         """Replace the quotas and the capacity of the fleet that is in service."""
-        self._quotas = dict(quotas)
-        self._capacity = capacity
+        with self._lock:
+            self._quotas = dict(quotas)
+            self._capacity = capacity
 
     def report(self, source: str, uses: Mapping[str, AccountUse]) -> None:
         """Replace the usage of one shard.
@@ -86,35 +90,45 @@
         :param source: name of the shard.
         :param uses: use by account; accounts left out use nothing.
         """
-        self._reports[source] = _Report(self._clock.monotonic(), dict(uses))
+        with self._lock:
+            self._reports[source] = _Report(self._clock.monotonic(), dict(uses))
+
+    def uses_of(self, source: str) -> Mapping[str, AccountUse]:
+        """Return the last reported usage of a shard with the starts counted since."""
+        with self._lock:
+            report = self._reports.get(source)
+            return dict(report.uses) if report else {}
 
     def charge(self, source: str, account: str, size: Resources) -> None:
         """Count a start at once, before the next report; it stops waiting."""
-        report = self._reports.get(source, _Report(self._clock.monotonic(), {}))
-        use = report.uses.get(account, AccountUse())
-        waiting = Resources(
-            *(max(0, a - b) for a, b in zip(use.waiting.amounts(), size.amounts(), strict=True))
-        )
-        uses = {**report.uses, account: AccountUse(use.used + size, waiting)}
-        self._reports[source] = _Report(report.at, uses)
+        with self._lock:
+            report = self._reports.get(source, _Report(self._clock.monotonic(), {}))
+            use = report.uses.get(account, AccountUse())
+            waiting = Resources(
+                *(max(0, a - b) for a, b in zip(use.waiting.amounts(), size.amounts(), strict=True))
+            )
+            uses = {**report.uses, account: AccountUse(use.used + size, waiting)}
+            self._reports[source] = _Report(report.at, uses)
 
     def decide(self, account: str, size: Resources) -> QuotaVerdict:
         """Decide whether the account may start a task of this size now."""
-        quota = self._quotas.get(account)
-        if quota is None:
-            return QuotaVerdict(True, False, "account has no quota")
-        uses = self._uses()
-        mine = uses.get(account, AccountUse())
-        if _within(mine.used + size, quota):
-            return QuotaVerdict(True, False, "within quota")
-        return self._borrow(account, size, uses)
+        with self._lock:
+            quota = self._quotas.get(account)
+            if quota is None:
+                return QuotaVerdict(True, False, "account has no quota")
+            uses = self._uses()
+            mine = uses.get(account, AccountUse())
+            if _within(mine.used + size, quota):
+                return QuotaVerdict(True, False, "within quota")
+            return self._borrow(account, size, uses)
 
     def deficit(self, account: str) -> float:
         """Return the used share of the quota; accounts with a lower one are served first."""
-        quota = self._quotas.get(account)
-        if quota is None:
-            return 0.0
-        return _share(self._uses().get(account, AccountUse()).used, quota)
+        with self._lock:
+            quota = self._quotas.get(account)
+            if quota is None:
+                return 0.0
+            return _share(self._uses().get(account, AccountUse()).used, quota)
 
     def _borrow(
         self, account: str, size: Resources, uses: Mapping[str, AccountUse]
--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -201,6 +201,7 @@
     :param source: the configuration, shared with the owners.
     :param owners: owner of each shard, by shard number from 0.
     :param store_calls: returns the number of calls to the store by kind.
+    :param background: further work by thread name; each runs until its event is set.
     """
 
     def __init__(
@@ -214,12 +215,14 @@
         clock: Clock,
         rng: random.Random,
         store_calls: Callable[[], dict[str, int]] = dict,
+        background: Mapping[str, Callable[[threading.Event], None]] | None = None,
     ):
         self._options = options
         self._session = session
         self._fleet = fleet
         self._source = source
         self._owners = owners
+        self._background = background or {}
         self._clock = clock
         self._stop = threading.Event()
         self._shard_threads: list[threading.Thread] = []
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -21,6 +21,7 @@
 from mulberryslip.interferences import Interferences
 from mulberryslip.journals import Journal
 from mulberryslip.placements import Placement
+from mulberryslip.quotas import Quotas
 from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.settings import Settings
 from mulberryslip.stores import HTTPStore
@@ -31,6 +32,7 @@
 from .sessions import Session
 from .sources import ConfigSource
 from .tenures import Identity, LeaseTimes
+from .usages import UsageExchange
 from .workers import WorkerDaemon, WorkerOptions
 
 EXIT_FAILED = 1
@@ -165,10 +167,25 @@
     fleet = Fleet(clock, cfg.duration("worker_silence"))
     source = ConfigSource(store, clock, cfg.duration("config_read_interval"))
     channels = ChannelPool(WorkerWire.Client, clock)
-    make_owner = partial(build_owner, cfg, options, clock, store, session, fleet, source, channels)
+    quotas = Quotas(clock)
+    make_owner = partial(
+        build_owner, cfg, options, clock, store, session, fleet, source, channels, quotas
+    )
     owners = {shard: make_owner(shard) for shard in range(cfg.cluster["shards"])}
+    usage = UsageExchange(
+        store, quotas, lambda: [n for n, owner in owners.items() if owner.is_owner()], clock
+    )
     return EntryDaemon(
-        options, store, session, fleet, source, owners, clock, random.Random(), store.call_counts
+        options,
+        store,
+        session,
+        fleet,
+        source,
+        owners,
+        clock,
+        random.Random(),
+        store.call_counts,
+        {"usage": usage.run},
     )
 
 
@@ -201,6 +218,7 @@
     fleet: Fleet,
     source: ConfigSource,
     channels: ChannelPool,
+    quotas: Quotas,
     shard: int,
 ) -> ShardOwner:
     """Construct the owner of a shard with its own policy."""
@@ -209,6 +227,7 @@
     evacuations = Evacuations(clock)
     placement = Placement(
         clock,
+        quotas=quotas,
         interferences=interferences,
         pace=evacuations,
         source=f"shard-{shard}",
@@ -231,6 +250,8 @@
         policies=(evacuations, interferences),
         times=times,
         renew_interval=cfg.duration("renew_interval"),
+        quotas=quotas,
+        finished=evacuations.durations.observe,
     )
 
 
--- /dev/null
+++ b/tests/test_usages.py
@@ -0,0 +1,65 @@
+"""Quotas over the shards of several entries."""
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock, Resources
+from mulberryslip.exceptions import InvalidMessageError
+from mulberryslip.quotas import AccountQuota, AccountUse, Quotas
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.usages import UsageExchange, decode, encode
+
+TASK = Resources(1000, 100, 0, 1)
+USES = {"oils": AccountUse(Resources(3000, 300, 0, 3), TASK)}
+
+
+def make_entry(store, clock, owned):
+    quotas = Quotas(clock)
+    quotas.configure({"oils": AccountQuota(3000, 10_000)}, Resources(4000, 10_000, 0, 8))
+    return quotas, UsageExchange(store, quotas, lambda: owned, clock)
+
+
+@pytest.mark.parametrize("exchanged", [True, False])
+def test_quota_holds_over_the_shards_of_two_entries(exchanged):
+    """Guards against an account that gets its quota once from each entry."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    first, first_exchange = make_entry(store, clock, [0])
+    second, second_exchange = make_entry(store, clock, [1])
+    first.report("shard-0", USES)
+    if exchanged:
+        first_exchange.exchange()
+        second_exchange.exchange()
+    assert second.decide("oils", TASK).allowed is not exchanged
+
+
+def test_usage_of_a_dead_owner_is_left_out():
+    """Guards against a quota that stays used up by an entry that is gone."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    first, first_exchange = make_entry(store, clock, [0])
+    second, second_exchange = make_entry(store, clock, [1])
+    first.report("shard-0", USES)
+    first_exchange.exchange()
+    for _ in range(15):
+        second_exchange.exchange()
+        clock.advance(timedelta(seconds=2))
+    assert second.decide("oils", TASK).allowed
+
+
+def test_encoded_usage_is_read_back():
+    """Guards against amounts that change places."""
+    assert decode(encode(USES)) == USES
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.one_of(st.binary(), st.text().map(str.encode), st.just(b'{"a":[[1,2],[3]]}')))
+def test_damaged_usage_is_reported(body):
+    """Guards against a damaged value that stops the exchange."""
+    try:
+        decode(body)
+    except InvalidMessageError:
+        return
+    assert decode(body) == {}
