--- a/packages/core/src/mulberryslip/evacuations.py
+++ b/packages/core/src/mulberryslip/evacuations.py
@@ -33,7 +33,7 @@
 MAX_MOVES_PER_ROUND = 40
 """Moves per round of one shard owner, so that a large data centre does not flood the store."""
 
-RETURN_TIME = timedelta(seconds=30)
+RETURN_TIME = timedelta(seconds=15)
 """Time over which a data centre that returned is filled again."""
 
 RETRY_AFTER = timedelta(seconds=20)
