Remove the second group commit and a parameter without effect

Cause: GroupCommitter and the daemon's CommitLog did the same; only CommitLog is used. The template parameter lease_s was accepted and ignored; the lease is timing.task_lease_ms. Change: GroupCommitter goes, and with it the tests that tested only it; CommitLog is tested by test_owners (groups, lost answers, random faults) and by the failure runs over HTTP. lease_s is refused as unknown. Conclusion: one mechanism, one place.

--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -160,7 +160,6 @@
     :param max_attempts: failed attempts after which a task is failed.
     :param max_run_s: longest run of one attempt in seconds.
     :param checkpoint_s: time between checkpoints in seconds.
-    :param lease_s: lease of the worker for the task in seconds.
     """
 
     cpu_millis: int = _integer(1, 1_000_000, 1000)
@@ -170,7 +169,6 @@
     max_attempts: int = _integer(1, 100, 4)
     max_run_s: int = _integer(1, _MAX_S, 3600)
     checkpoint_s: int = _integer(1, 86_400, 60)
-    lease_s: int = _integer(5, 300, 20)
 
     def check(self, where: str) -> None:
         """Check rules between fields; there are none."""
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -4,19 +4,15 @@
 import json
 import random
 import zlib
-from concurrent.futures import ThreadPoolExecutor
-from datetime import timedelta
 
 import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mulberryslip import ManualClock, SystemClock
+from mulberryslip import ManualClock
 from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
 from mulberryslip.journals import (
     FORMAT,
-    GroupCommitter,
-    GroupLimits,
     Journal,
     Record,
     Snapshot,
@@ -25,9 +21,8 @@
     encode,
 )
 from mulberryslip.outcomes import Conflict
-from mulberryslip.stores import HTTPStore, StoredValue
+from mulberryslip.stores import StoredValue
 from mulberryslip_testing.fakes import FakeStore, RacingStore
-from mulberryslip_testing.stores import Faults, StoreServer
 
 SLOTS = 8
 
@@ -409,159 +404,3 @@
     assert type(record.seq) is int and record.seq > 0
     assert type(record.epoch) is int and isinstance(record.batch_id, str)
     assert all(isinstance(item, dict) for item in record.events)
-
-
-class Committing:
-    """A started committer with a state that is the list of all event numbers."""
-
-    def __init__(self, store, limits=None, slots=SLOTS):
-        self.state = []
-        self.records = []
-        self.lost = []
-        self.committer = GroupCommitter(
-            opened(store, slots),
-            SystemClock(),
-            self.apply,
-            self.lost.append,
-            lambda: {"n": list(self.state)},
-            limits or GroupLimits(min_interval=timedelta(milliseconds=2)),
-        )
-        self.committer.start()
-
-    def apply(self, seq, events):
-        self.records.append(len(events))
-        self.state.extend(e["n"] for e in events)
-
-    def commit(self, number, timeout_s=5.0):
-        """Return the outcome of one commit in a word."""
-        try:
-            self.committer.commit([event(number)], timedelta(seconds=timeout_s))
-        except FencedError:
-            return "fenced"
-        except JournalError as exc:
-            return "unresolved" if exc.unresolved else "refused"
-        return "committed"
-
-    def commit_many(self, count, timeout_s=5.0, threads=50):
-        with ThreadPoolExecutor(threads) as pool:
-            return list(pool.map(lambda n: self.commit(n, timeout_s), range(count)))
-
-
-class FaultyCommitting(Committing):
-    """A committer whose owner cannot apply events."""
-
-    def apply(self, seq, events):
-        raise ZeroDivisionError
-
-
-@pytest.fixture
-def live_store():
-    return FakeStore(SystemClock())
-
-
-def test_group_commit_shares_writes_and_keeps_order(live_store):
-    """Guards against one write per event, and against callers released before the apply."""
-    group = Committing(live_store)
-    writes = live_store.call_counts()["write"]
-    assert set(group.commit_many(2000)) == {"committed"}
-    group.committer.stop()
-    assert sorted(group.state) == list(range(2000))
-    assert numbers(live_store) == group.state
-    assert live_store.call_counts()["write"] - writes < 500
-
-
-@pytest.mark.parametrize(
-    ("limits", "late"),
-    [(GroupLimits(), False), (GroupLimits(max_events=1, min_interval=timedelta()), True)],
-)
-def test_group_commit_stays_within_the_rate_of_the_store(live_store, limits, late):
-    """Guards against a shard that uses up the store's writes; the second case has no groups.
-
-    Each refusal must be true: the log holds what was committed and nothing that was refused.
-    """
-    live_store.set_faults(writes_per_s=100)
-    group = Committing(live_store, limits)
-    outcomes = group.commit_many(300, timeout_s=0.3, threads=300)
-    group.committer.stop()
-    assert (set(outcomes) == {"committed"}) is not late
-    found = numbers(live_store)
-    assert found == group.state
-    assert len(found) == len(set(found))
-    assert {n for n, outcome in enumerate(outcomes) if outcome == "committed"} <= set(found)
-    assert not {n for n, outcome in enumerate(outcomes) if outcome == "refused"} & set(found)
-
-
-@pytest.mark.parametrize(
-    ("outage", "first", "timeouts", "found"),
-    [("drop", "unresolved", (0.2, 0.05), [0, 2]), ("refuse", "refused", (5, 5), [2])],
-)
-def test_group_in_an_outage_has_the_fate_that_its_callers_were_told(
-    live_store, outage, first, timeouts, found
-):
-    """Guards against a group that is lost, doubled, overtaken, or committed after 'not run'."""
-    group = Committing(live_store)
-    live_store.set_faults(outage=outage)
-    assert group.commit(0, timeouts[0]) == first
-    assert group.commit(1, timeouts[1]) == "refused"
-    live_store.set_faults(outage="")
-    assert group.commit(2) == "committed"
-    group.committer.stop()
-    assert group.state == found
-    assert numbers(live_store) == found
-
-
-def test_group_commit_over_http_with_lost_calls_and_answers():
-    """Guards against an adapter that blurs 'not written' and 'unknown' under load."""
-    with StoreServer() as server:
-        store = HTTPStore(server.base_url)
-        group = Committing(store)
-        faults = Faults(lost_answer_probability=0.15, lost_call_probability=0.15)
-        server.application.injector.set(faults)
-        outcomes = group.commit_many(300)
-        group.committer.stop()
-        server.application.injector.set(Faults())
-        assert set(outcomes) == {"committed"}
-        assert sorted(group.state) == list(range(300))
-        assert numbers(store) == group.state
-        store.close()
-
-
-def test_fenced_committer_refuses_everyone_and_reports_it(live_store):
-    """Guards against callers that wait forever at an owner which lost its shard."""
-    group = Committing(live_store)
-    opened(live_store)
-    assert group.commit(0) == "fenced"
-    assert group.commit(1) == "fenced"
-    group.committer.stop()
-    assert len(group.lost) == 1
-    assert numbers(live_store) == []
-
-
-def test_fault_in_the_apply_ends_the_committer(live_store):
-    """Guards against serving from a state that misses a committed record."""
-    group = FaultyCommitting(live_store)
-    assert group.commit(0) == "unresolved"
-    assert group.commit(1) == "fenced"
-    assert isinstance(group.lost[0], ZeroDivisionError)
-
-
-def test_group_limits(live_store):
-    """Guards against records over the store's size, and an unbounded queue in an outage."""
-    limits = GroupLimits(
-        max_events=3, max_bytes=200, max_waiting=8, min_interval=timedelta(milliseconds=100)
-    )
-    group = Committing(live_store, limits)
-    futures = [group.committer.submit([event(0)])]
-    futures[0].result(5)
-    sizes = [1, 1, 1, 1, 5, 1, 1, 1]
-    futures = [group.committer.submit([event(0)] * size) for size in sizes]
-    with pytest.raises(JournalError, match="waiting already"):
-        group.committer.submit([event(0)])
-    futures[0].cancel()
-    futures.append(group.committer.submit([{"n": 1, "text": "x" * 300}]))
-    with pytest.raises(JournalError, match="not serialisable"):
-        group.committer.submit([{"n": object()}])
-    group.committer.stop()
-    assert group.records == [1, 3, 5, 3, 1]
-    with pytest.raises(JournalError, match="stopped"):
-        group.committer.submit([event(0)])
