--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core daemon cli testing
 SEED ?= 1
 
-.PHONY: deps test demo bench chaos check format idl clean
+.PHONY: deps test demo bench chaos mutations check format idl clean
 
 deps: $(VENV)/.installed
 
@@ -36,6 +36,10 @@
 chaos: deps
 	$(BIN)/python -m mulberryslip_testing.chaos --seed=$(SEED)
 
+# Removes one mechanism at a time on a copy of the tree; its test must then fail.
+mutations: deps
+	$(BIN)/python -m mulberryslip_testing.mutations
+
 # Needs the thrift compiler 0.17; the generated code is committed, so builds do not.
 idl:
 	rm -rf build/idl && mkdir -p build/idl
--- a/tests/test_clusters.py
+++ b/tests/test_clusters.py
@@ -14,6 +14,8 @@
 CHANGE_BOUND_S = 4.0
 LEAVING_BOUND_S = 3.0
 STOP_BOUND_S = 8.0
+# Longer than the grace of a planned stop, so that requests are in flight when it ends.
+ANSWER_MS = 900
 SETTLE_S = 1.0
 
 
@@ -62,8 +64,8 @@
     """Guards against requests lost in a planned stop, and new work for a target that leaves."""
     chaos.submit(cluster, "job-1")
     for worker in cluster.worker_names():
-        cluster.stand_in(f"target-{worker}", "PUT", "/admin/faults", {"delay_ms": 150})
-    callers = Callers(chaos.service_urls(cluster), seed=1)
+        cluster.stand_in(f"target-{worker}", "PUT", "/admin/faults", {"delay_ms": ANSWER_MS})
+    callers = Callers(chaos.service_urls(cluster), seed=1, threads=12)
     callers.start()
     time.sleep(SETTLE_S)
     started = time.time()
