--- a/packages/cli/src/mulberryslip_cli/commands.py
+++ b/packages/cli/src/mulberryslip_cli/commands.py
@@ -161,6 +161,11 @@
     return _explain(client, "worker", _only(args, "WORKER"))
 
 
+def explain_service(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+    """Say to which workers the entry sent its newest requests, and why."""
+    return _explain(client, "service", _only(args, "TEMPLATE"))
+
+
 COMMANDS = (
     Command(("config", "show"), "", "print the accepted configuration", config_show),
     Command(("template", "list"), "", "list templates", template_list),
@@ -185,6 +190,7 @@
     Command(("metrics", "show"), "", "latencies by account and class, and counters", metrics_show),
     Command(("explain", "job"), "JOB", "why its tasks wait, run or moved", explain_job),
     Command(("explain", "worker"), "WORKER", "why it is given work or not", explain_worker),
+    Command(("explain", "service"), "TEMPLATE", "newest choices of workers", explain_service),
 )
 
 
