Leave out a figure that slopes does not measure

Cause: the row of a worker showed 0.0 store calls/s, which was a constant and not a measurement. Change: a dash. Before/after: output only. Conclusion: every number that slopes prints is measured.

--- a/packages/testing/src/mulberryslip_testing/slopes.py
+++ b/packages/testing/src/mulberryslip_testing/slopes.py
@@ -140,7 +140,7 @@
                 cluster.call("entry-1", "PUT", "/v1/jobs/job-1", body)
             time.sleep(SETTLE_S)
             share, memory = measure(cluster.processes["worker-1"].popen.pid)
-    return [f"worker, {count} tasks", f"{share:.1f}", f"{memory:.0f}", "0.0"]
+    return [f"worker, {count} tasks", f"{share:.1f}", f"{memory:.0f}", "-"]
 
 
 def configure(cluster: Cluster) -> None:
