Name the parts that an entry's shard owners share

Cause: build_owner took ten positional arguments through a partial; a newcomer could not tell them apart. Change: one attrs class for the shared parts. Conclusion: the composition root reads as a list of constructions.

--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -6,9 +6,9 @@
 import threading
 import uuid
 from collections.abc import Sequence
-from functools import partial
 from typing import Protocol
 
+import attrs
 import eliot
 from absl import flags
 from mulberryslip import settings
@@ -159,36 +159,58 @@
     return WorkerDaemon(options, HTTPRuntime(own["runtime_url"]), clock)
 
 
+@attrs.frozen
+class EntryParts:
+    """Parts of an entry that its shard owners share."""
+
+    clock: Clock
+    store: HTTPStore
+    session: Session
+    fleet: Fleet
+    source: ConfigSource
+    channels: ChannelPool
+    quotas: Quotas
+
+
 def build_entry(cfg: Settings, clock: Clock) -> EntryDaemon:
     """Construct an entry with an owner for each shard."""
     options = entry_options(cfg)
-    store = HTTPStore(cfg.store["url"], cfg.store_timeout())
-    session = Session(store, cfg.store_lease_ttl(), clock)
-    fleet = Fleet(clock, cfg.duration("worker_silence"))
-    source = ConfigSource(store, clock, cfg.duration("config_read_interval"))
-    channels = ChannelPool(WorkerWire.Client, clock)
-    quotas = Quotas(clock)
-    make_owner = partial(
-        build_owner, cfg, options, clock, store, session, fleet, source, channels, quotas
-    )
-    owners = {shard: make_owner(shard) for shard in range(cfg.cluster["shards"])}
-    usage = UsageExchange(
-        store, quotas, lambda: [n for n, owner in owners.items() if owner.is_owner()], clock
-    )
+    parts = build_parts(cfg, clock)
+    shards = range(cfg.cluster["shards"])
+    owners = {shard: build_owner(cfg, options, parts, shard) for shard in shards}
+
+    def owned() -> list[int]:
+        return [shard for shard, owner in owners.items() if owner.is_owner()]
+
+    usage = UsageExchange(parts.store, parts.quotas, owned, clock)
     return EntryDaemon(
         options,
-        store,
-        session,
-        fleet,
-        source,
+        parts.store,
+        parts.session,
+        parts.fleet,
+        parts.source,
         owners,
         clock,
         random.Random(),
-        store.call_counts,
+        parts.store.call_counts,
         {"usage": usage.run},
     )
 
 
+def build_parts(cfg: Settings, clock: Clock) -> EntryParts:
+    """Construct what the shard owners of an entry share."""
+    store = HTTPStore(cfg.store["url"], cfg.store_timeout())
+    return EntryParts(
+        clock=clock,
+        store=store,
+        session=Session(store, cfg.store_lease_ttl(), clock),
+        fleet=Fleet(clock, cfg.duration("worker_silence")),
+        source=ConfigSource(store, clock, cfg.duration("config_read_interval")),
+        channels=ChannelPool(WorkerWire.Client, clock),
+        quotas=Quotas(clock),
+    )
+
+
 def entry_options(cfg: Settings) -> EntryOptions:
     """Return the parameters of an entry."""
     process, own = cfg.process, cfg.role
@@ -209,25 +231,14 @@
     )
 
 
-def build_owner(
-    cfg: Settings,
-    options: EntryOptions,
-    clock: Clock,
-    store: HTTPStore,
-    session: Session,
-    fleet: Fleet,
-    source: ConfigSource,
-    channels: ChannelPool,
-    quotas: Quotas,
-    shard: int,
-) -> ShardOwner:
+def build_owner(cfg: Settings, options: EntryOptions, parts: EntryParts, shard: int) -> ShardOwner:
     """Construct the owner of a shard with its own policy."""
     # Each shard sees only its own tasks, so it may use only its part of the fleet's evictions.
     interferences = Interferences(shard, 1 / cfg.cluster["shards"])
-    evacuations = Evacuations(clock)
+    evacuations = Evacuations(parts.clock)
     placement = Placement(
-        clock,
-        quotas=quotas,
+        parts.clock,
+        quotas=parts.quotas,
         interferences=interferences,
         pace=evacuations,
         source=f"shard-{shard}",
@@ -238,19 +249,19 @@
     )
     return ShardOwner(
         shard,
-        store,
-        session,
-        Journal(store, shard, cfg.role["journal_slots"]),
-        fleet,
-        source,
+        parts.store,
+        parts.session,
+        Journal(parts.store, shard, cfg.role["journal_slots"]),
+        parts.fleet,
+        parts.source,
         placement,
-        channels,
-        clock,
+        parts.channels,
+        parts.clock,
         Identity(options.entry_id, options.incarnation, options.host, options.wire_port),
         policies=(evacuations, interferences),
         times=times,
         renew_interval=cfg.duration("renew_interval"),
-        quotas=quotas,
+        quotas=parts.quotas,
         finished=evacuations.durations.observe,
     )
 
