Use plain terms in the response to interference

Cause: names such as calm, hot, cool and blame need explaining. Change: NORMAL, HIGH_TIME, LOW_TIME, Contribution. Before/after: test_interferences, test_bench and test_owners pass; no behaviour changes. Conclusion: names follow the pressure thresholds low and high.

--- a/packages/core/src/mulberryslip/interferences.py
+++ b/packages/core/src/mulberryslip/interferences.py
@@ -21,10 +21,10 @@
 SMOOTHING = 0.35
 """Weight of the newest pressure; about three seconds of memory at one round per second."""
 
-HOT_TIME = timedelta(seconds=3)
+HIGH_TIME = timedelta(seconds=3)
 """Time above the high threshold before a step; shorter bursts are noise."""
 
-COOL_TIME = timedelta(seconds=10)
+LOW_TIME = timedelta(seconds=10)
 """Time below the low threshold before a throttle is eased."""
 
 SETTLE_TIME = timedelta(seconds=8)
@@ -66,7 +66,7 @@
 class Step(enum.IntEnum):
     """How far the response on a worker has gone."""
 
-    CALM = 0
+    NORMAL = 0
     THROTTLED = 1
     MOVING = 2
 
@@ -74,14 +74,14 @@
 @attrs.define
 class _WorkerState:
     pressure: float
-    step: Step = Step.CALM
-    hot_since: timedelta | None = None
-    cool_since: timedelta | None = None
+    step: Step = Step.NORMAL
+    high_since: timedelta | None = None
+    low_since: timedelta | None = None
     settled_at: timedelta | None = None
 
 
 @attrs.frozen
-class Blame:
+class Contribution:
     """Pressure that a running task is estimated to cause.
 
     :param task: the task.
@@ -92,21 +92,21 @@
     relief: float
 
 
-Selection = Callable[[Sequence[Blame], float], list[Blame]]
+Selection = Callable[[Sequence[Contribution], float], list[Contribution]]
 """Chooses which tasks leave a worker, given the excess pressure."""
 
 
-def heaviest_first(blames: Sequence[Blame], excess: float) -> list[Blame]:
+def heaviest_first(contributions: Sequence[Contribution], excess: float) -> list[Contribution]:
     """Choose the tasks with the highest relief first until the excess is covered.
 
     Fewer moves release more load than with small tasks first (Shen and Liu, CORP).
     """
     chosen = []
-    for blame in sorted(blames, key=lambda blame: -blame.relief):
+    for contribution in sorted(contributions, key=lambda contribution: -contribution.relief):
         if excess <= 0.0:
             break
-        chosen.append(blame)
-        excess -= blame.relief
+        chosen.append(contribution)
+        excess -= contribution.relief
     return chosen
 
 
@@ -196,9 +196,9 @@
             return _full_speed(tasks)
         if state.settled_at is not None and now < state.settled_at:
             return []
-        if state.hot_since is not None and now - state.hot_since >= HOT_TIME:
+        if state.high_since is not None and now - state.high_since >= HIGH_TIME:
             actions = self._relieve(now, view, state, tasks, workers, count)
-        elif state.cool_since is not None and now - state.cool_since >= COOL_TIME:
+        elif state.low_since is not None and now - state.low_since >= LOW_TIME:
             actions = self._ease(view, state, tasks)
         else:
             return []
@@ -210,10 +210,10 @@
         measured = view.load.pressure_permille / 1000.0
         state = self._states.setdefault(view.description.worker_id, _WorkerState(measured))
         state.pressure += SMOOTHING * (measured - state.pressure)
-        hot = state.pressure >= self._thresholds.high
-        cool = state.pressure <= self._thresholds.low
-        state.hot_since = _since(state.hot_since, hot, now)
-        state.cool_since = _since(state.cool_since, cool, now)
+        high = state.pressure >= self._thresholds.high
+        low = state.pressure <= self._thresholds.low
+        state.high_since = _since(state.high_since, high, now)
+        state.low_since = _since(state.low_since, low, now)
         return state
 
     def _relieve(
@@ -226,10 +226,16 @@
         count: int,
     ) -> list[Action]:
         least = self._thresholds.min_relief
-        blames = [blame for blame in self._blames(view, tasks) if blame.relief >= least]
-        chosen = self._selection(blames, state.pressure - self._thresholds.low)
+        contributions = [
+            contribution
+            for contribution in self._contributions(view, tasks)
+            if contribution.relief >= least
+        ]
+        chosen = self._selection(contributions, state.pressure - self._thresholds.low)
         throttles = [
-            action for blame in chosen if (action := _throttle(blame, state.pressure)) is not None
+            action
+            for contribution in chosen
+            if (action := _throttle(contribution, state.pressure)) is not None
         ]
         if throttles:
             state.step = Step.THROTTLED
@@ -244,19 +250,19 @@
         now: timedelta,
         view: WorkerView,
         state: _WorkerState,
-        chosen: list[Blame],
+        chosen: list[Contribution],
         workers: Sequence[WorkerView],
         count: int,
     ) -> list[Action]:
         actions = []
-        for blame in chosen:
-            task = blame.task
+        for contribution in chosen:
+            task = contribution.task
             if not may_move(profile_of(task.task_class)):
                 continue
             if self.limit.refusal(now, task.key, count):
                 continue
             target = self._target(task, view, workers)
-            action = self._eviction(task, blame.relief, state.pressure, target)
+            action = self._eviction(task, contribution.relief, state.pressure, target)
             if action is None:
                 continue
             self.limit.count(now, task.key)
@@ -280,7 +286,7 @@
         """Give speed back to one task at a time, the least harmful first."""
         throttled = [task for task in tasks if task.throttle_permille < 1000]
         if not throttled:
-            state.step = Step.CALM
+            state.step = Step.NORMAL
             return []
         task = min(throttled, key=lambda task: self._added(task.template, view))
         speed = _next_speed(task.throttle_permille)
@@ -306,9 +312,9 @@
         )
         return best.description.worker_id
 
-    def _blames(self, view: WorkerView, tasks: list[RunningTask]) -> list[Blame]:
+    def _contributions(self, view: WorkerView, tasks: list[RunningTask]) -> list[Contribution]:
         return [
-            Blame(task, self._added(task.template, view) * task.throttle_permille / 1000.0)
+            Contribution(task, self._added(task.template, view) * task.throttle_permille / 1000.0)
             for task in tasks
         ]
 
@@ -323,7 +329,7 @@
 
     def _is_responding(self, view: WorkerView) -> bool:
         state = self._states.get(view.description.worker_id)
-        return state is not None and state.step is not Step.CALM
+        return state is not None and state.step is not Step.NORMAL
 
     def _forget_gone(self, workers: Sequence[WorkerView]) -> None:
         gone = set(self._states) - {view.description.worker_id for view in workers}
@@ -360,14 +366,14 @@
     return THROTTLE_STEPS[0]
 
 
-def _throttle(blame: Blame, pressure: float) -> Action | None:
+def _throttle(contribution: Contribution, pressure: float) -> Action | None:
     """Return the next throttle of a task, or None at its lowest speed."""
-    task = blame.task
+    task = contribution.task
     floor = throttle_floor(profile_of(task.task_class))
     speed = next((step for step in THROTTLE_STEPS if step < task.throttle_permille), 1000)
     if speed < floor or speed >= task.throttle_permille:
         return None
-    reason = f"pressure {pressure:.2f}, expected relief {blame.relief:.2f}"
+    reason = f"pressure {pressure:.2f}, expected relief {contribution.relief:.2f}"
     return Action(ActionKind.THROTTLE, task.key, task.worker_id, reason, speed)
 
 
--- a/tests/test_interferences.py
+++ b/tests/test_interferences.py
@@ -144,7 +144,7 @@
 def evictions_in_waves(monkeypatch, mechanism):
     """Return the evictions over 20 minutes in which noise hits all workers in waves."""
     if not mechanism:
-        monkeypatch.setattr(interferences, "HOT_TIME", timedelta())
+        monkeypatch.setattr(interferences, "HIGH_TIME", timedelta())
         monkeypatch.setattr(interferences, "SETTLE_TIME", timedelta())
         monkeypatch.setattr(evictions, "MIN_FLEET_LIMIT", 1000)
         monkeypatch.setattr(evictions, "TASK_INTERVAL", timedelta())
@@ -201,10 +201,15 @@
     assert between == []
     eased = run(policy, 60, [view("w0", 0.3, ("bad",))], tasks, start=60)
     assert [action.throttle_permille for _, action in eased] == [500, 1000]
-    assert eased[0][0] - 60 >= interferences.COOL_TIME.total_seconds()
+    assert eased[0][0] - 60 >= interferences.LOW_TIME.total_seconds()
 
 
 def test_heaviest_first_needs_the_fewest_moves():
     """Guards against many small moves where one large move releases the same load."""
-    blames = [interferences.Blame(task(n), relief) for n, relief in enumerate((0.1, 0.5, 0.2))]
-    assert [blame.task.key.index for blame in heaviest_first(blames, 0.6)] == [1, 2]
+    contributions = [
+        interferences.Contribution(task(n), relief) for n, relief in enumerate((0.1, 0.5, 0.2))
+    ]
+    assert [contribution.task.key.index for contribution in heaviest_first(contributions, 0.6)] == [
+        1,
+        2,
+    ]
