Split the thrift server from the client pool

Change: servers.py has the server; channels.py keeps messages, sockets and the client pool. Names used by both are public and documented. Conclusion: one module for each end of a connection.

--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import attrs
-from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import StoreError
@@ -18,6 +18,7 @@
 from mulberryslip.outcomes import Committed
 from mulberryslip.retries import RetryBudget
 from mulberryslip.routings import Links, Router
+from mulberryslip.servers import Server
 from mulberryslip.stores import Store
 from mulberryslip.wire import EntryService as EntryWire
 from mulberryslip.wire import WorkerService as WorkerWire
--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -8,7 +8,7 @@
 
 import attrs
 from mulberryslip.admissions import RESERVATION_TTL, Admission
-from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock
 from mulberryslip.configs import ConfigView, ServiceParameters, TaskParameters
 from mulberryslip.events import Event, log
@@ -22,6 +22,7 @@
 from mulberryslip.models import Attempt, Resources, TaskClass, TaskKey
 from mulberryslip.outcomes import Answered, NotRun, RequestOutcome
 from mulberryslip.runtimes import Runtime
+from mulberryslip.servers import Server
 from mulberryslip.wire import EntryService
 from mulberryslip.wire import WorkerService as WireWorkerService
 from mulberryslip.wire import ttypes as wire
--- a/packages/testing/src/mulberryslip_testing/slopes.py
+++ b/packages/testing/src/mulberryslip_testing/slopes.py
@@ -13,7 +13,8 @@
 
 from absl import app, flags
 from mulberryslip import SystemClock
-from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.channels import Address, ChannelPool
+from mulberryslip.servers import Server
 from mulberryslip.wire import EntryService, WorkerService
 from mulberryslip.wire import ttypes as wire
 from tabulate import tabulate
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -12,8 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mulberryslip import channels
-from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.exceptions import NotSentError, ReplyLostError
+from mulberryslip.servers import Server
 from mulberryslip.wire import WorkerService
 from mulberryslip.wire.ttypes import (
     Header,
@@ -254,7 +255,7 @@
     """
     if not checked:
         monkeypatch.setattr(
-            channels._Protocol,
+            channels.MessageProtocol,
             "readMessageBegin",
             TBinaryProtocolAccelerated.readMessageBegin,
         )
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -11,10 +11,10 @@
 import pytest
 import urllib3
 from mulberryslip import SystemClock
-from mulberryslip.channels import Server
 from mulberryslip.configs import CONFIG_KEY, ConfigView
 from mulberryslip.fleets import Fleet
 from mulberryslip.models import Resources, WorkerDescription, WorkerLoad
+from mulberryslip.servers import Server
 from mulberryslip.wire import WorkerService as WorkerWire
 from mulberryslip.wire.ttypes import ClaimReply, ForwardReply, JobReply, Load, Outcome
 from mulberryslip.wire.ttypes import Resources as WireResources
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -12,10 +12,11 @@
 import pytest
 from mulberryslip import Attempt, ManualClock, Resources, SystemClock, TaskClass, TaskKey, runtimes
 from mulberryslip.admissions import Admission
-from mulberryslip.channels import Address, ChannelPool, Server
+from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.exceptions import NotSentError, RuntimeAdapterError, WireError
 from mulberryslip.outcomes import Answered, NotRun, OutcomeUnknown
 from mulberryslip.runtimes import HTTPRuntime
+from mulberryslip.servers import Server
 from mulberryslip.wire import EntryService
 from mulberryslip.wire import WorkerService as WireWorkerService
 from mulberryslip.wire import ttypes as wire
