Remove constants and a method that nothing uses

Cause: reading the whole change: the idle renew interval was a constant beside a literal 5 in the code, and ENDED_STATES, entries.SHARDS and Shard.queued_count had no use. Change: the literal became IDLE_INTERVALS; the others go.

--- a/packages/core/src/mulberryslip/jobs.py
+++ b/packages/core/src/mulberryslip/jobs.py
@@ -188,10 +188,6 @@
         for key, task in self._queued.items():
             yield self.jobs[key.job_id], task
 
-    def queued_count(self) -> int:
-        """Return the number of tasks that wait for a worker."""
-        return len(self._queued)
-
     def held(self, worker_id: str) -> list[tuple[Attempt, Task]]:
         """Return the current attempts on a worker."""
         held = self._held.get(worker_id, {})
--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -33,7 +33,6 @@
 from .sources import ConfigSource, ConfigWriter
 
 ENTRIES_PREFIX = "entries/"
-SHARDS = 4
 REGISTRATION_INTERVAL = timedelta(seconds=1)
 DIRECTORY_INTERVAL = timedelta(seconds=2)
 FLEET_INTERVAL = timedelta(seconds=1)
--- a/packages/daemon/src/mulberryslipd/renewals.py
+++ b/packages/daemon/src/mulberryslipd/renewals.py
@@ -21,9 +21,9 @@
 from .tenures import Channels, LeaseTimes, Tenure, address_of, ref_of
 
 RENEW_INTERVAL = timedelta(seconds=1)
-IDLE_RENEW_INTERVAL = timedelta(seconds=5)
-"""Workers without tasks of the shard are called less often; they may still hold a task that was
-cancelled while the shard had no owner."""
+IDLE_INTERVALS = 5
+"""Renew intervals between calls to workers without tasks of the shard; they may still hold a task
+that was cancelled while the shard had no owner."""
 
 UNANSWERED_LIMIT = timedelta(seconds=5)
 """A worker that receives renewals but cannot answer would keep its tasks for ever. After this time
@@ -92,7 +92,7 @@
             line = self._line(worker_id)
             if now >= line.due and (line.running is None or line.running.done()):
                 busy = worker_id in holders or line.acknowledged
-                line.due = now + (self._interval if busy else self._interval * 5)
+                line.due = now + (self._interval if busy else self._interval * IDLE_INTERVALS)
                 line.running = self._peers.submit(worker_id, lambda w=worker_id: self.renew(w))
         for worker_id in holders:
             self._lose_if_unreachable(worker_id)
--- a/packages/testing/src/mulberryslip_testing/runtimes.py
+++ b/packages/testing/src/mulberryslip_testing/runtimes.py
@@ -32,7 +32,6 @@
 FULL_PERMILLE = 1000
 SWEEP_INTERVAL_S = 0.05
 SERVER_THREADS = 32
-ENDED_STATES = frozenset({"finished", "failed", "stopped", "lapsed"})
 STATUS_TEXTS = {
     200: "200 OK",
     201: "201 Created",
