--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -312,6 +312,15 @@
   9: required string machine,
 }
 
+// What an agent must know of a run to keep filling runs from disturbing serving ones.
+struct RunProfile {
+  1: required string task,
+  2: required string image,
+  3: required bool fills,
+  4: required i32 cpu_millis,
+  5: required i32 target_ms,       // tail latency of a serving task; 0: it serves nobody
+}
+
 struct WorkerReport {
   1: required Header header,
   2: required string agent,        // host:port of the agent
@@ -322,6 +331,7 @@
   7: required list<RunEnd> ended,
   8: required list<RunRefusal> refused,
   9: required bool unreachable,    // the worker refuses connections, so it runs nothing
+  10: required list<string> unprofiled, // tasks of which the agent has no profile
 }
 
 struct WorkerReportReply {
@@ -331,6 +341,7 @@
   4: required i64 lease_until_ms,  // on the worker's clock; 0 grants nothing
   5: required i64 fence,           // fencing token for calls to the worker
   6: required i64 ended_through,   // ends up to this number are committed
+  7: required list<RunProfile> profiles, // of the tasks named as unprofiled
 }
 
 struct OrdersRequest {
@@ -347,8 +358,7 @@
   3: required string payload,
   4: required string checkpoint,
   5: required i64 start_by_ms,     // on the worker's clock; later the worker refuses the start
-  6: required bool fills,
-  7: required i32 target_ms,
+  6: required RunProfile profile,
 }
 
 struct RunStop {
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -64,6 +64,23 @@
     start_by_ms: int
 
 
+@attrs.frozen
+class RunProfile:
+    """What kind of run it is.
+
+    :param image: runs of the same image behave alike.
+    :param fills: whether it uses only what others leave of the processors.
+    :param cpu_millis: processors that it can use, in thousandths of a core.
+    :param target_ms: tail latency that it must stay below; 0 when it serves nobody.
+    """
+
+    task: str
+    image: str
+    fills: bool
+    cpu_millis: int
+    target_ms: int
+
+
 @attrs.frozen
 class RunningRun:
     """A run at work.
@@ -153,6 +170,9 @@
     def stop(self, worker_id: str, task: str, run: int, fence: int) -> None:
         """Stop a run; its end is listed when its room is free."""
 
+    def pace(self, worker_id: str, task: str, run: int, percent: int, fence: int) -> None:
+        """Let a run work only for a share of the time."""
+
     def hold(
         self, worker_id: str, fence: int, lease_until_ms: int, ended_through: int, wait: timedelta
     ) -> RunListing:
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -3915,6 +3915,117 @@
         return not (self == other)
 
 
+class RunProfile(object):
+    """
+    Attributes:
+     - task
+     - image
+     - fills
+     - cpu_millis
+     - target_ms
+
+    """
+
+
+    def __init__(self, task=None, image=None, fills=None, cpu_millis=None, target_ms=None,):
+        self.task = task
+        self.image = image
+        self.fills = fills
+        self.cpu_millis = cpu_millis
+        self.target_ms = target_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.image = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.fills = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.cpu_millis = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.target_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunProfile')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.image is not None:
+            oprot.writeFieldBegin('image', TType.STRING, 2)
+            oprot.writeString(self.image.encode('utf-8') if sys.version_info[0] == 2 else self.image)
+            oprot.writeFieldEnd()
+        if self.fills is not None:
+            oprot.writeFieldBegin('fills', TType.BOOL, 3)
+            oprot.writeBool(self.fills)
+            oprot.writeFieldEnd()
+        if self.cpu_millis is not None:
+            oprot.writeFieldBegin('cpu_millis', TType.I32, 4)
+            oprot.writeI32(self.cpu_millis)
+            oprot.writeFieldEnd()
+        if self.target_ms is not None:
+            oprot.writeFieldBegin('target_ms', TType.I32, 5)
+            oprot.writeI32(self.target_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.task is None:
+            raise TProtocolException(message='Required field task is unset!')
+        if self.image is None:
+            raise TProtocolException(message='Required field image is unset!')
+        if self.fills is None:
+            raise TProtocolException(message='Required field fills is unset!')
+        if self.cpu_millis is None:
+            raise TProtocolException(message='Required field cpu_millis is unset!')
+        if self.target_ms is None:
+            raise TProtocolException(message='Required field target_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkerReport(object):
     """
     Attributes:
@@ -3927,11 +4038,12 @@
      - ended
      - refused
      - unreachable
+     - unprofiled
 
     """
 
 
-    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None,):
+    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None, unprofiled=None,):
         self.header = header
         self.agent = agent
         self.epoch = epoch
@@ -3941,6 +4053,7 @@
         self.ended = ended
         self.refused = refused
         self.unreachable = unreachable
+        self.unprofiled = unprofiled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4016,6 +4129,16 @@
                     self.unreachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.unprofiled = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unprofiled.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4049,28 +4172,35 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.running))
-            for iter134 in self.running:
-                iter134.write(oprot)
+            for iter140 in self.running:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter135 in self.ended:
-                iter135.write(oprot)
+            for iter141 in self.ended:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refused is not None:
             oprot.writeFieldBegin('refused', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.refused))
-            for iter136 in self.refused:
-                iter136.write(oprot)
+            for iter142 in self.refused:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.BOOL, 9)
             oprot.writeBool(self.unreachable)
             oprot.writeFieldEnd()
+        if self.unprofiled is not None:
+            oprot.writeFieldBegin('unprofiled', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.unprofiled))
+            for iter143 in self.unprofiled:
+                oprot.writeString(iter143.encode('utf-8') if sys.version_info[0] == 2 else iter143)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4093,6 +4223,8 @@
             raise TProtocolException(message='Required field refused is unset!')
         if self.unreachable is None:
             raise TProtocolException(message='Required field unreachable is unset!')
+        if self.unprofiled is None:
+            raise TProtocolException(message='Required field unprofiled is unset!')
         return
 
     def __repr__(self):
@@ -4116,17 +4248,19 @@
      - lease_until_ms
      - fence
      - ended_through
+     - profiles
 
     """
 
 
-    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None,):
+    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None,):
         self.outcome = outcome
         self.owner = owner
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
         self.fence = fence
         self.ended_through = ended_through
+        self.profiles = profiles
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4167,6 +4301,17 @@
                     self.ended_through = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.profiles = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = RunProfile()
+                        _elem149.read(iprot)
+                        self.profiles.append(_elem149)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4201,6 +4346,13 @@
             oprot.writeFieldBegin('ended_through', TType.I64, 6)
             oprot.writeI64(self.ended_through)
             oprot.writeFieldEnd()
+        if self.profiles is not None:
+            oprot.writeFieldBegin('profiles', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.profiles))
+            for iter150 in self.profiles:
+                iter150.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4217,6 +4369,8 @@
             raise TProtocolException(message='Required field fence is unset!')
         if self.ended_through is None:
             raise TProtocolException(message='Required field ended_through is unset!')
+        if self.profiles is None:
+            raise TProtocolException(message='Required field profiles is unset!')
         return
 
     def __repr__(self):
@@ -4351,20 +4505,18 @@
      - payload
      - checkpoint
      - start_by_ms
-     - fills
-     - target_ms
+     - profile
 
     """
 
 
-    def __init__(self, task=None, run=None, payload=None, checkpoint=None, start_by_ms=None, fills=None, target_ms=None,):
+    def __init__(self, task=None, run=None, payload=None, checkpoint=None, start_by_ms=None, profile=None,):
         self.task = task
         self.run = run
         self.payload = payload
         self.checkpoint = checkpoint
         self.start_by_ms = start_by_ms
-        self.fills = fills
-        self.target_ms = target_ms
+        self.profile = profile
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4401,13 +4553,9 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.fills = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.I32:
-                    self.target_ms = iprot.readI32()
+                if ftype == TType.STRUCT:
+                    self.profile = RunProfile()
+                    self.profile.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -4440,13 +4588,9 @@
             oprot.writeFieldBegin('start_by_ms', TType.I64, 5)
             oprot.writeI64(self.start_by_ms)
             oprot.writeFieldEnd()
-        if self.fills is not None:
-            oprot.writeFieldBegin('fills', TType.BOOL, 6)
-            oprot.writeBool(self.fills)
-            oprot.writeFieldEnd()
-        if self.target_ms is not None:
-            oprot.writeFieldBegin('target_ms', TType.I32, 7)
-            oprot.writeI32(self.target_ms)
+        if self.profile is not None:
+            oprot.writeFieldBegin('profile', TType.STRUCT, 6)
+            self.profile.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4462,10 +4606,8 @@
             raise TProtocolException(message='Required field checkpoint is unset!')
         if self.start_by_ms is None:
             raise TProtocolException(message='Required field start_by_ms is unset!')
-        if self.fills is None:
-            raise TProtocolException(message='Required field fills is unset!')
-        if self.target_ms is None:
-            raise TProtocolException(message='Required field target_ms is unset!')
+        if self.profile is None:
+            raise TProtocolException(message='Required field profile is unset!')
         return
 
     def __repr__(self):
@@ -4618,22 +4760,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.starts = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = RunStart()
-                        _elem142.read(iprot)
-                        self.starts.append(_elem142)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = RunStart()
+                        _elem156.read(iprot)
+                        self.starts.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.stops = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = RunStop()
-                        _elem148.read(iprot)
-                        self.stops.append(_elem148)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = RunStop()
+                        _elem162.read(iprot)
+                        self.stops.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4666,15 +4808,15 @@
         if self.starts is not None:
             oprot.writeFieldBegin('starts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.starts))
-            for iter149 in self.starts:
-                iter149.write(oprot)
+            for iter163 in self.starts:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops is not None:
             oprot.writeFieldBegin('stops', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.stops))
-            for iter150 in self.stops:
-                iter150.write(oprot)
+            for iter164 in self.stops:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5297,6 +5439,15 @@
     (8, TType.I32, 'remaining_ms', None, None, ),  # 8
     (9, TType.STRING, 'machine', 'UTF8', None, ),  # 9
 )
+all_structs.append(RunProfile)
+RunProfile.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'image', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'fills', None, None, ),  # 3
+    (4, TType.I32, 'cpu_millis', None, None, ),  # 4
+    (5, TType.I32, 'target_ms', None, None, ),  # 5
+)
 all_structs.append(WorkerReport)
 WorkerReport.thrift_spec = (
     None,  # 0
@@ -5309,6 +5460,7 @@
     (7, TType.LIST, 'ended', (TType.STRUCT, [RunEnd, None], False), None, ),  # 7
     (8, TType.LIST, 'refused', (TType.STRUCT, [RunRefusal, None], False), None, ),  # 8
     (9, TType.BOOL, 'unreachable', None, None, ),  # 9
+    (10, TType.LIST, 'unprofiled', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(WorkerReportReply)
 WorkerReportReply.thrift_spec = (
@@ -5319,6 +5471,7 @@
     (4, TType.I64, 'lease_until_ms', None, None, ),  # 4
     (5, TType.I64, 'fence', None, None, ),  # 5
     (6, TType.I64, 'ended_through', None, None, ),  # 6
+    (7, TType.LIST, 'profiles', (TType.STRUCT, [RunProfile, None], False), None, ),  # 7
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
@@ -5337,8 +5490,7 @@
     (3, TType.STRING, 'payload', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 4
     (5, TType.I64, 'start_by_ms', None, None, ),  # 5
-    (6, TType.BOOL, 'fills', None, None, ),  # 6
-    (7, TType.I32, 'target_ms', None, None, ),  # 7
+    (6, TType.STRUCT, 'profile', [RunProfile, None], None, ),  # 6
 )
 all_structs.append(RunStop)
 RunStop.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -13,6 +13,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
 from mulberryslip.models import Resources
+from mulberryslip.paces import PaceControl
 from mulberryslip.runners import (
     RunListing,
     Runner,
@@ -20,6 +21,7 @@
     RunnerError,
     RunnerUnavailableError,
     RunOrder,
+    RunProfile,
     StartRefusal,
     WorkerAnnouncement,
 )
@@ -130,6 +132,9 @@
         self._grant = Grant()
         self._refused: list[wire.RunRefusal] = []
         self._orders: queue.SimpleQueue = queue.SimpleQueue()
+        self._pace = PaceControl()
+        self._profiles: dict[str, RunProfile] = {}
+        self._starting: set[str] = set()
 
     # Calls of the worker
 
@@ -215,8 +220,40 @@
             # The worker has started anew and will announce itself.
             self._grant = Grant(epoch=grant.epoch)
             return False
+        self._adjust_pace(worker, listing)
         return owner is not None and self._report(owner, worker, listing)
 
+    def _adjust_pace(self, worker: WorkerAnnouncement, listing: RunListing) -> None:
+        listed = {row.task for row in listing.running}
+        with self._lock:
+            # A profile comes with the order, before its run is listed.
+            dropped = [task for task in self._profiles if task not in listed]
+            for task in dropped:
+                if task not in self._starting:
+                    del self._profiles[task]
+            profiles = dict(self._profiles)
+        changes = self._pace.update(listing.running, profiles, listing.clock_ms)
+        for change in changes:
+            try:
+                self._runner.pace(
+                    worker.worker_id, change.task, change.run, change.percent, self._grant.fence
+                )
+            except RunnerError as exc:
+                log(Event.RUNTIME_UNAVAILABLE, call="pace", task=change.task, reason=str(exc))
+                self._pace.forget(change)
+        if changes:
+            log(
+                Event.RUNS_PACED,
+                percent=self._pace.percent,
+                runs=len(changes),
+                clock_ms=listing.clock_ms,
+                tails=[
+                    [row.task, row.gauge, profiles[row.task].target_ms]
+                    for row in listing.running
+                    if row.task in profiles and profiles[row.task].target_ms
+                ],
+            )
+
     def _report(
         self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing | None
     ) -> bool:
@@ -239,6 +276,7 @@
 
     def _take_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
         with self._lock:
+            self._profiles.update((row.task, _profile_of(row)) for row in reply.profiles)
             grant = self._grant
             if reply.epoch < grant.epoch:
                 return
@@ -273,6 +311,11 @@
             ],
             refused=refused,
             unreachable=listing is None,
+            unprofiled=[
+                row.task
+                for row in (listing.running if listing else ())
+                if row.task not in self._profiles
+            ],
         )
 
     def _report_leaving(self, worker: WorkerAnnouncement) -> None:
@@ -321,6 +364,11 @@
             return False
         if reply.outcome != Outcome.OK or reply.epoch < self._grant.epoch:
             return False
+        with self._lock:
+            self._starting.update(start.task for start in reply.starts)
+            self._profiles.update(
+                (start.task, _profile_of(start.profile)) for start in reply.starts
+            )
         for start in reply.starts:
             self._orders.put((worker, start, reply.fence))
         for stop in reply.stops:
@@ -332,6 +380,8 @@
             worker, order, fence = self._orders.get()
             if isinstance(order, wire.RunStart):
                 self._start_run(worker, order, fence)
+                with self._lock:
+                    self._starting.discard(order.task)
             else:
                 self._stop_run(worker, order, fence)
 
@@ -398,5 +448,9 @@
     )
 
 
+def _profile_of(row: wire.RunProfile) -> RunProfile:
+    return RunProfile(row.task, row.image, row.fills, row.cpu_millis, row.target_ms)
+
+
 def _resources_to_wire(res: Resources) -> wire.Resources:
     return wire.Resources(*res.amounts())
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -221,7 +221,7 @@
         """Take in what a worker runs and has ended; answer when its ends are committed."""
         tenure = self._live()
         if tenure is None:
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0)
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [])
         with tenure.lock:
             member = tenure.members.get(req.worker.worker_id)
             if member is None:
@@ -658,7 +658,6 @@
             member = tenure.members[task.worker_id]
             if member.incarnation != task.incarnation or not task.is_held(task.run):
                 continue
-            spec = task.spec
             member.starts.append(
                 wire.RunStart(
                     task.name,
@@ -666,8 +665,7 @@
                     task.workflow.spec.payload,
                     task.checkpoint,
                     task.start_by_ms,
-                    spec.fills,
-                    spec.target_ms,
+                    _profile(task),
                 )
             )
             member.has_orders.set()
@@ -700,14 +698,22 @@
         self, tenure: PoolTenure, member: Member, req: wire.WorkerReport
     ) -> wire.WorkerReportReply:
         with tenure.lock:
+            tasks = [tenure.pool.task(name) for name in req.unprofiled]
+            profiles = [_profile(task) for task in tasks if task is not None]
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(tenure.epoch)
         if not tenure.is_live():
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0)
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [])
         lease_until = req.clock_ms + self._times.lease // timedelta(milliseconds=1)
         return wire.WorkerReportReply(
-            Outcome.OK, "", tenure.epoch, lease_until if is_current else 0, fence, ended_through
+            Outcome.OK,
+            "",
+            tenure.epoch,
+            lease_until if is_current else 0,
+            fence,
+            ended_through,
+            profiles,
         )
 
     def _carry_out(
@@ -752,6 +758,11 @@
     return RunAssigned(task.name, task.run + 1, room.worker_id, room.incarnation, start_by_ms)
 
 
+def _profile(task: StepTask) -> wire.RunProfile:
+    spec = task.spec
+    return wire.RunProfile(task.name, spec.image, spec.fills, spec.cpu_millis, spec.target_ms)
+
+
 def _recover(journal: Journal) -> Pool:
     recovery = journal.open()
     pool = Pool() if recovery.state is None else Pool.from_snapshot(recovery.state)
