Learn which images conflict; place, pace and move filling runs by it

Cause: pacing all filling runs of a worker cost the batch work nearly all of its worth. Ruled out: a sum over all neighbours (the tail beside three harmless fills equals that beside none). Change: a model per pair of images with decaying evidence, learned by the owner from reports and given to agents. Conflicting fills are not placed beside the service, halted at once where they are, and moved if they keep their progress; services of one image share workers.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -321,6 +321,11 @@
   5: required i32 target_ms,       // tail latency of a serving task; 0: it serves nobody
 }
 
+struct ImagePair {
+  1: required string filling,
+  2: required string serving,
+}
+
 struct WorkerReport {
   1: required Header header,
   2: required string agent,        // host:port of the agent
@@ -342,6 +347,7 @@
   5: required i64 fence,           // fencing token for calls to the worker
   6: required i64 ended_through,   // ends up to this number are committed
   7: required list<RunProfile> profiles, // of the tasks named as unprofiled
+  8: required list<ImagePair> conflicts, // filling images that disturb serving ones
 }
 
 struct OrdersRequest {
--- /dev/null
+++ b/packages/core/src/mulberryslip/conflicts.py
@@ -0,0 +1,125 @@
+"""Which filling images disturb which serving images, learned from tail latencies.
+
+The slowdown of a service by one filling run is either small or many times its target, and differs
+by pair of images. So the model keeps, for each pair, how long the service was over its target and
+how long it was calm while runs of the filling image worked beside it.
+"""
+
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+
+import attrs
+
+from .runners import RunningRun, RunProfile
+
+HALF_LIFE = timedelta(seconds=60)
+"""Age at which evidence counts half; what a pair does to each other changes with its load."""
+
+PRIOR = 0.1
+PRIOR_SECONDS = 1.0
+"""Evidence that weighs as much as the prior."""
+
+CONFLICT_RISK = 0.15
+"""Share of the time over the target from which a pair is kept apart. Pairs that get along show up
+to 0.08, by what other runs do at the same time."""
+
+MAX_STEP = timedelta(seconds=1)
+"""Longest time for which one measurement, a figure of the last half second, stands."""
+
+OVER = 1.0
+CALM = 0.7
+"""Shares of the target above which a service counts as disturbed, and below which as calm."""
+
+WORKING_MILLIS = 300
+"""Processor use from which a filling run counts as at work; slowed down ones use less."""
+
+
+@attrs.define
+class _Evidence:
+    disturbed: float = 0.0
+    calm: float = 0.0
+    updated: timedelta = timedelta()
+
+    def decay(self, now: timedelta) -> None:
+        factor = 0.5 ** max(0.0, (now - self.updated) / HALF_LIFE)
+        self.disturbed *= factor
+        self.calm *= factor
+        self.updated = now
+
+    def risk(self) -> float:
+        total = self.disturbed + self.calm + PRIOR_SECONDS
+        return (self.disturbed + PRIOR * PRIOR_SECONDS) / total
+
+
+@attrs.frozen
+class Neighbour:
+    """A run with its profile."""
+
+    row: RunningRun
+    profile: RunProfile
+
+
+class ConflictModel:
+    """Learns which filling images disturb which serving images. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._pairs: dict[tuple[str, str], _Evidence] = {}
+        self._seen: dict[str, tuple[timedelta, frozenset[str]]] = {}
+        self._given: frozenset[tuple[str, str]] = frozenset()
+
+    def observe(self, worker_id: str, now: timedelta, neighbours: Sequence[Neighbour]) -> None:
+        """Learn from one listing of a worker.
+
+        :param now: monotonic time of the listing.
+        :param neighbours: its runs.
+        """
+        working = frozenset(
+            neighbour.profile.image
+            for neighbour in neighbours
+            if neighbour.profile.fills and neighbour.row.gauge >= WORKING_MILLIS
+        )
+        before, earlier = self._seen.get(worker_id, (now, frozenset()))
+        self._seen[worker_id] = (now, working)
+        seconds = min(MAX_STEP, now - before).total_seconds()
+        # A run that ended just now is still in the tails, one that began just now is not.
+        steady = working & earlier
+        for neighbour in neighbours:
+            target = neighbour.profile.target_ms
+            if target and steady and seconds > 0:
+                ratio = neighbour.row.gauge / target
+                self._learn(neighbour.profile.image, steady, ratio, seconds, now)
+
+    def give(self, pairs: Iterable[tuple[str, str]]) -> None:
+        """Take over conflicts that another process has learned, in place of earlier ones."""
+        self._given = frozenset(pairs)
+
+    def risk(self, filling: str, serving: str) -> float:
+        """Return the share of the time in which a pair puts the service over its target."""
+        evidence = self._pairs.get((filling, serving))
+        return evidence.risk() if evidence else PRIOR
+
+    def is_conflict(self, filling: str, serving: str) -> bool:
+        """Return whether a pair is to be kept apart."""
+        return (filling, serving) in self._given or self.risk(filling, serving) >= CONFLICT_RISK
+
+    def conflicts(self) -> list[tuple[str, str]]:
+        """Return the pairs of filling and serving image that are to be kept apart."""
+        return [pair for pair, found in self._pairs.items() if found.risk() >= CONFLICT_RISK]
+
+    def _learn(
+        self, serving: str, working: frozenset[str], ratio: float, seconds: float, now: timedelta
+    ) -> None:
+        pairs = [self._evidence(filling, serving, now) for filling in working]
+        if ratio < CALM:
+            for evidence in pairs:
+                evidence.calm += seconds
+        elif ratio >= OVER:
+            # The blame goes to those that are suspected already.
+            total = sum(evidence.risk() for evidence in pairs)
+            for evidence in pairs:
+                evidence.disturbed += seconds * evidence.risk() / total
+
+    def _evidence(self, filling: str, serving: str, now: timedelta) -> _Evidence:
+        evidence = self._pairs.setdefault((filling, serving), _Evidence(updated=now))
+        evidence.decay(now)
+        return evidence
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from .conflicts import ConflictModel
 from .rooms import WorkerRoom, step_key
 from .workflows import StepTask, Workflow
 
@@ -26,9 +27,17 @@
 LATE_FACTOR = 3
 """A workflow that ends after this many times its objective brings its caller nothing more."""
 
+RISK_WEIGHT = 1.0
+SPLIT_WEIGHT = 0.5
+"""Weights of the share of time over the target, and of a further serving image on a worker, against
+100 free cores."""
+
 FILL_LIMIT_MILLIS = 0
 """Filling tasks start only where at least so many processors are left unused."""
 
+MAX_MOVES = 4
+"""Filling runs that are moved in one round, so that a wrong conclusion costs little."""
+
 MAX_STARTING = 24
 """Starts on their way to one worker. An agent starts about 200 tasks a second."""
 
@@ -71,10 +80,12 @@
     """Chooses workers for waiting tasks.
 
     :param run_time: returns the expected run time of a task.
+    :param conflicts: which filling images disturb which serving ones.
     """
 
-    def __init__(self, run_time: Callable[[StepTask], timedelta]):
+    def __init__(self, run_time: Callable[[StepTask], timedelta], conflicts: ConflictModel):
         self._run_time = run_time
+        self.conflicts = conflicts
 
     def choose(
         self, waiting: Iterable[StepTask], rooms: Sequence[WorkerRoom], now_ms: int
@@ -95,6 +106,26 @@
             placed.append(Placed(task, room))
         return placed
 
+    def misplaced(self, filling: Iterable[StepTask], rooms: Sequence[WorkerRoom]) -> list[StepTask]:
+        """Return filling runs to move: they disturb a service and would not do so elsewhere.
+
+        Only runs that keep their progress are moved. `rooms` is changed accordingly.
+        """
+        by_worker = {room.worker_id: room for room in rooms}
+        moved = []
+        for task in filling:
+            here = by_worker.get(task.worker_id)
+            if here is None or not task.spec.checkpoints or len(moved) >= MAX_MOVES:
+                continue
+            image = task.spec.image
+            if not any(self.conflicts.is_conflict(image, serving) for serving in here.serving):
+                continue
+            room = self._best(task, rooms)
+            if room is not None:
+                room.take(task)
+                moved.append(task)
+        return moved
+
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
         """Return waiting tasks in the order in which they get room."""
         urgencies: dict[str, tuple] = {}
@@ -158,13 +189,21 @@
             left = room.fill_free_millis - spec.cpu_millis
             if left < FILL_LIMIT_MILLIS:
                 return None
-            return score + left / 100_000
+            if any(self.conflicts.is_conflict(spec.image, image) for image in room.serving):
+                return None
+            risk = sum(self.conflicts.risk(spec.image, image) for image in room.serving)
+            return score + left / 100_000 - RISK_WEIGHT * risk
         if spec.lasting:
             left = room.free.cpu_millis - spec.cpu_millis
             if left < room.capacity.cpu_millis * CHECK_RESERVE:
                 return None
             # Spread, so that the loss of a worker or a wave of load hits few tasks of a step.
-            return score + left / 100_000 - 0.2 * room.steps[step_key(task)]
+            score += left / 100_000 - 0.2 * room.steps[step_key(task)]
+            score -= 3.0 * sum(
+                self.conflicts.is_conflict(image, spec.image) for image in room.filling
+            )
+            # Services of one image together leave other workers to what disturbs them.
+            return score - SPLIT_WEIGHT * (spec.image not in room.serving and bool(room.serving))
         return score + room.fill_free_millis / 100_000
 
 
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -2,31 +2,33 @@
 
 Load pattern that this answers: batch work fills the processors that services leave, and disturbs
 them by amounts that change within seconds. A service above its target for a few seconds harms its
-users, so the filling runs of that worker slow down at once and speed up again in small steps.
+users, so the filling runs that disturb it are halted at once and speed up again in small steps.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 import attrs
 
-from .runners import RunningRun, RunProfile
+from .conflicts import ConflictModel, Neighbour
 
 FULL_PERCENT = 100
-CUT_AT = 0.85
+CUT_AT = 0.9
 """Share of its target that a serving run's tail reaches when filling runs are slowed down; the
 tail is a figure of the last half second and rises further within a second."""
 
-RAISE_BELOW = 0.6
+RAISE_BELOW = 0.65
 """Share of its target below which filling runs may work faster again."""
 
 CUT_FACTOR = 0.4
-RAISE_STEP = 15
-"""Percent by which filling runs speed up each time; full speed is back after about 4 s."""
+RAISE_STEP = 20
+"""Percent by which filling runs speed up each time; full speed is back after about 3 s."""
 
 CUT_INTERVAL_MS = 500
 """Time in which a slower pace shows in the tail, which is a figure of the last half second."""
 
 RAISE_INTERVAL_MS = 600
+CONFLICT_RAISE_INTERVAL_MS = 2000
+"""Runs in conflict with a service beside them are tried again more rarely."""
 
 STOP_BELOW = 10
 """Paces below this many percent are taken as none."""
@@ -41,51 +43,86 @@
     percent: int
 
 
+@attrs.define
+class _Pace:
+    percent: int = FULL_PERCENT
+    moved_at_ms: int | None = None
+
+    def since(self, now_ms: int) -> int:
+        return CONFLICT_RAISE_INTERVAL_MS if self.moved_at_ms is None else now_ms - self.moved_at_ms
+
+    def move(self, percent: int, now_ms: int) -> None:
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_at_ms = now_ms
+
+
 class PaceControl:
-    """Pace of the filling runs of one worker."""
+    """Pace of the filling runs of one worker, by image.
 
-    def __init__(self) -> None:
-        self.percent = FULL_PERCENT
-        self._moved_at_ms: int | None = None
+    :param conflicts: which images disturb which.
+    """
+
+    def __init__(self, conflicts: ConflictModel):
+        self._conflicts = conflicts
+        self._paces: dict[str, _Pace] = {}
         self._set: dict[tuple[str, int], int] = {}
 
-    def update(
-        self, running: Sequence[RunningRun], profiles: Mapping[str, RunProfile], now_ms: int
-    ) -> list[PaceChange]:
+    def update(self, neighbours: Sequence[Neighbour], now_ms: int) -> list[PaceChange]:
         """Take in what runs.
 
-        :param running: all runs of the worker.
-        :param profiles: profiles by task; runs without one are left alone.
+        :param neighbours: the runs of the worker whose profiles are known.
         :param now_ms: the worker's clock.
         :returns: the changes to make.
         """
-        known = [(row, profiles[row.task]) for row in running if row.task in profiles]
-        strain = max(
-            (row.gauge / profile.target_ms for row, profile in known if profile.target_ms),
-            default=0.0,
-        )
-        self._move(strain, now_ms)
-        fills = {(row.task, row.run) for row, profile in known if profile.fills}
-        self._set = {key: percent for key, percent in self._set.items() if key in fills}
-        changes = []
-        for key in sorted(fills):
-            if self._set.get(key, FULL_PERCENT) != self.percent:
-                self._set[key] = self.percent
-                changes.append(PaceChange(*key, self.percent))
-        return changes
+        fills = [neighbour for neighbour in neighbours if neighbour.profile.fills]
+        serving = [neighbour for neighbour in neighbours if neighbour.profile.target_ms]
+        images = {neighbour.profile.image for neighbour in fills}
+        self._paces = {image: self._paces.get(image, _Pace()) for image in images}
+        for image, pace in self._paces.items():
+            self._move(image, pace, images, serving, now_ms)
+        return self._changes(fills)
 
     def forget(self, change: PaceChange) -> None:
         """Note that a change was not carried out, so that it is decided again."""
         self._set.pop((change.task, change.run), None)
 
-    def _move(self, strain: float, now_ms: int) -> None:
-        since = CUT_INTERVAL_MS if self._moved_at_ms is None else now_ms - self._moved_at_ms
-        percent = self.percent
+    def _move(
+        self,
+        image: str,
+        pace: _Pace,
+        images: set[str],
+        serving: Sequence[Neighbour],
+        now_ms: int,
+    ) -> None:
+        strain = 0.0
+        is_conflict = False
+        for neighbour in serving:
+            ratio = neighbour.row.gauge / neighbour.profile.target_ms
+            own = self._conflicts.is_conflict(image, neighbour.profile.image)
+            is_conflict = is_conflict or own
+            # Where a known conflict explains the strain, the others go on.
+            if own or not any(
+                self._conflicts.is_conflict(other, neighbour.profile.image) for other in images
+            ):
+                strain = max(strain, ratio)
+        since = pace.since(now_ms)
+        interval = CONFLICT_RAISE_INTERVAL_MS if is_conflict else RAISE_INTERVAL_MS
         if strain >= CUT_AT and since >= CUT_INTERVAL_MS:
-            percent = int(percent * CUT_FACTOR)
-            percent = 0 if percent < STOP_BELOW else percent
-        elif strain < RAISE_BELOW and since >= RAISE_INTERVAL_MS:
-            percent = min(FULL_PERCENT, percent + RAISE_STEP)
-        if percent != self.percent:
-            self.percent = percent
-            self._moved_at_ms = now_ms
+            percent = 0 if is_conflict else int(pace.percent * CUT_FACTOR)
+            pace.move(0 if percent < STOP_BELOW else percent, now_ms)
+        elif strain < RAISE_BELOW and since >= interval:
+            pace.move(min(FULL_PERCENT, pace.percent + RAISE_STEP), now_ms)
+
+    def _changes(self, fills: Sequence[Neighbour]) -> list[PaceChange]:
+        wanted = {
+            (fill.row.task, fill.row.run): self._paces[fill.profile.image].percent for fill in fills
+        }
+        self._set = {key: percent for key, percent in self._set.items() if key in wanted}
+        changes = [
+            PaceChange(*key, percent)
+            for key, percent in wanted.items()
+            if self._set.get(key, FULL_PERCENT) != percent
+        ]
+        self._set.update({(change.task, change.run): change.percent for change in changes})
+        return changes
--- a/packages/core/src/mulberryslip/rooms.py
+++ b/packages/core/src/mulberryslip/rooms.py
@@ -17,6 +17,8 @@
         counted, since these runs get only what others leave.
     :param fill_free_millis: processors that neither serving nor filling runs are expected to use.
     :param steps: held runs by step, as `workflow/step`.
+    :param serving: serving runs by image.
+    :param filling: filling runs by image.
     :param starting: runs that were assigned in this round or have not been seen at work yet.
     :param penalty: reasons to avoid the worker, from 0; placement prefers lower ones.
     """
@@ -30,6 +32,8 @@
     free: Resources
     fill_free_millis: int
     steps: Counter = attrs.field(factory=Counter)
+    serving: Counter = attrs.field(factory=Counter)
+    filling: Counter = attrs.field(factory=Counter)
     starting: int = 0
     penalty: float = 0.0
 
@@ -39,6 +43,10 @@
         self.free -= spec.room
         self.fill_free_millis -= expected_millis(task)
         self.steps[step_key(task)] += 1
+        if spec.target_ms:
+            self.serving[spec.image] += 1
+        elif spec.fills:
+            self.filling[spec.image] += 1
         self.starting += 1
 
     def admits(self, task: StepTask) -> bool:
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4026,6 +4026,78 @@
         return not (self == other)
 
 
+class ImagePair(object):
+    """
+    Attributes:
+     - filling
+     - serving
+
+    """
+
+
+    def __init__(self, filling=None, serving=None,):
+        self.filling = filling
+        self.serving = serving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.filling = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.serving = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ImagePair')
+        if self.filling is not None:
+            oprot.writeFieldBegin('filling', TType.STRING, 1)
+            oprot.writeString(self.filling.encode('utf-8') if sys.version_info[0] == 2 else self.filling)
+            oprot.writeFieldEnd()
+        if self.serving is not None:
+            oprot.writeFieldBegin('serving', TType.STRING, 2)
+            oprot.writeString(self.serving.encode('utf-8') if sys.version_info[0] == 2 else self.serving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.filling is None:
+            raise TProtocolException(message='Required field filling is unset!')
+        if self.serving is None:
+            raise TProtocolException(message='Required field serving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkerReport(object):
     """
     Attributes:
@@ -4249,11 +4321,12 @@
      - fence
      - ended_through
      - profiles
+     - conflicts
 
     """
 
 
-    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None,):
+    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, conflicts=None,):
         self.outcome = outcome
         self.owner = owner
         self.epoch = epoch
@@ -4261,6 +4334,7 @@
         self.fence = fence
         self.ended_through = ended_through
         self.profiles = profiles
+        self.conflicts = conflicts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4312,6 +4386,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.conflicts = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = ImagePair()
+                        _elem155.read(iprot)
+                        self.conflicts.append(_elem155)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4349,8 +4434,15 @@
         if self.profiles is not None:
             oprot.writeFieldBegin('profiles', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.profiles))
-            for iter150 in self.profiles:
-                iter150.write(oprot)
+            for iter156 in self.profiles:
+                iter156.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.conflicts is not None:
+            oprot.writeFieldBegin('conflicts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.conflicts))
+            for iter157 in self.conflicts:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4371,6 +4463,8 @@
             raise TProtocolException(message='Required field ended_through is unset!')
         if self.profiles is None:
             raise TProtocolException(message='Required field profiles is unset!')
+        if self.conflicts is None:
+            raise TProtocolException(message='Required field conflicts is unset!')
         return
 
     def __repr__(self):
@@ -4760,22 +4854,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.starts = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = RunStart()
-                        _elem156.read(iprot)
-                        self.starts.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = RunStart()
+                        _elem163.read(iprot)
+                        self.starts.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.stops = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = RunStop()
-                        _elem162.read(iprot)
-                        self.stops.append(_elem162)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = RunStop()
+                        _elem169.read(iprot)
+                        self.stops.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4808,15 +4902,15 @@
         if self.starts is not None:
             oprot.writeFieldBegin('starts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.starts))
-            for iter163 in self.starts:
-                iter163.write(oprot)
+            for iter170 in self.starts:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops is not None:
             oprot.writeFieldBegin('stops', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.stops))
-            for iter164 in self.stops:
-                iter164.write(oprot)
+            for iter171 in self.stops:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5448,6 +5542,12 @@
     (4, TType.I32, 'cpu_millis', None, None, ),  # 4
     (5, TType.I32, 'target_ms', None, None, ),  # 5
 )
+all_structs.append(ImagePair)
+ImagePair.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'filling', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'serving', 'UTF8', None, ),  # 2
+)
 all_structs.append(WorkerReport)
 WorkerReport.thrift_spec = (
     None,  # 0
@@ -5472,6 +5572,7 @@
     (5, TType.I64, 'fence', None, None, ),  # 5
     (6, TType.I64, 'ended_through', None, None, ),  # 6
     (7, TType.LIST, 'profiles', (TType.STRUCT, [RunProfile, None], False), None, ),  # 7
+    (8, TType.LIST, 'conflicts', (TType.STRUCT, [ImagePair, None], False), None, ),  # 8
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -17,7 +17,7 @@
 from . import records
 from .exceptions import InvalidMessageError
 from .queues import Queue
-from .runners import EndKind
+from .runners import EndKind, RunProfile
 from .steps import MAX_NAME_CHARS, StepSpec, WorkflowSpec
 
 MAX_SPEC_CHARS = 700_000
@@ -501,6 +501,12 @@
     return WorkflowAccepted(workflow_id, terms, spec.to_json(), at_ms)
 
 
+def profile_of(task: StepTask) -> RunProfile:
+    """Return what an agent must know of a task's runs."""
+    spec = task.spec
+    return RunProfile(task.name, spec.image, spec.fills, spec.cpu_millis, spec.target_ms)
+
+
 def _workflow_row(workflow: Workflow) -> list[object]:
     accepted = accepted_event(
         workflow.workflow_id, workflow.queue, workflow.spec, workflow.accepted_ms
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -10,6 +10,7 @@
 import attrs
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock
+from mulberryslip.conflicts import ConflictModel, Neighbour
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
 from mulberryslip.models import Resources
@@ -132,7 +133,8 @@
         self._grant = Grant()
         self._refused: list[wire.RunRefusal] = []
         self._orders: queue.SimpleQueue = queue.SimpleQueue()
-        self._pace = PaceControl()
+        self._conflicts = ConflictModel()
+        self._pace = PaceControl(self._conflicts)
         self._profiles: dict[str, RunProfile] = {}
         self._starting: set[str] = set()
 
@@ -232,7 +234,13 @@
                 if task not in self._starting:
                     del self._profiles[task]
             profiles = dict(self._profiles)
-        changes = self._pace.update(listing.running, profiles, listing.clock_ms)
+        neighbours = [
+            Neighbour(row, profiles[row.task]) for row in listing.running if row.task in profiles
+        ]
+        self._conflicts.observe(
+            worker.worker_id, listing.clock_ms * timedelta(milliseconds=1), neighbours
+        )
+        changes = self._pace.update(neighbours, listing.clock_ms)
         for change in changes:
             try:
                 self._runner.pace(
@@ -244,13 +252,12 @@
         if changes:
             log(
                 Event.RUNS_PACED,
-                percent=self._pace.percent,
-                runs=len(changes),
+                paces=[[change.task, change.percent] for change in changes],
                 clock_ms=listing.clock_ms,
                 tails=[
-                    [row.task, row.gauge, profiles[row.task].target_ms]
-                    for row in listing.running
-                    if row.task in profiles and profiles[row.task].target_ms
+                    [neighbour.profile.image, neighbour.row.gauge, neighbour.profile.target_ms]
+                    for neighbour in neighbours
+                    if neighbour.profile.target_ms
                 ],
             )
 
@@ -277,6 +284,7 @@
     def _take_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
         with self._lock:
             self._profiles.update((row.task, _profile_of(row)) for row in reply.profiles)
+            self._conflicts.give((pair.filling, pair.serving) for pair in reply.conflicts)
             grant = self._grant
             if reply.epoch < grant.epoch:
                 return
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -17,6 +17,7 @@
 from mulberryslip import settings
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock, SystemClock
+from mulberryslip.conflicts import ConflictModel
 from mulberryslip.dispatches import Dispatcher, RunTimes
 from mulberryslip.evacuations import Evacuations
 from mulberryslip.events import Event, log
@@ -380,7 +381,7 @@
         parts.directory,
         parts.source,
         lambda: Session(parts.store, times.store_lease, clock),
-        Dispatcher(RunTimes().expected),
+        Dispatcher(RunTimes().expected, ConflictModel()),
         identity,
         parts.metrics,
         clock,
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -37,6 +37,7 @@
     :param lives: lives seen in this period of ownership.
     :param is_absent: whether its process has ended.
     :param starts: orders that the agent has not fetched yet.
+    :param unwanted: runs to stop although their tasks go on, by task and run.
     :param stopped_at: when stops were last ordered, by task and run.
     """
 
@@ -60,6 +61,7 @@
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
     stopped_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
+    unwanted: set[tuple[str, int]] = attrs.field(factory=set)
     has_orders: threading.Event = attrs.field(factory=threading.Event)
 
     def observe(self, report: wire.WorkerReport, now: timedelta) -> bool:
@@ -108,6 +110,7 @@
         self.starts.clear()
         self.stops.clear()
         self.stopped_at.clear()
+        self.unwanted.clear()
 
 
 def running_of(row: wire.RunStatus) -> RunningRun:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -14,6 +14,7 @@
 import attrs
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
+from mulberryslip.conflicts import Neighbour
 from mulberryslip.dispatches import Dispatcher, Placed
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import (
@@ -43,6 +44,7 @@
     accepted_event,
     decode_event,
     encode_event,
+    profile_of,
 )
 
 from .claims import OwnerClaim
@@ -82,6 +84,10 @@
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
 EXPIRY_INTERVAL = timedelta(seconds=10)
+MOVE_INTERVAL = timedelta(milliseconds=500)
+MOVE_BELOW_PERCENT = 80
+"""A filling run that is almost done ends sooner than it is moved."""
+
 RETRY_AFTER_OWNER_CHANGE = timedelta(seconds=1)
 """A new owner takes over within the store lease of 3 s, most of which has passed by then."""
 
@@ -214,6 +220,7 @@
         self._times = times or PoolTimes()
         self._tenure: PoolTenure | None = None
         self._next_expiry = clock.monotonic()
+        self._next_moves = clock.monotonic()
 
     # Calls of agents
 
@@ -221,7 +228,7 @@
         """Take in what a worker runs and has ended; answer when its ends are committed."""
         tenure = self._live()
         if tenure is None:
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [])
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [], [])
         with tenure.lock:
             member = tenure.members.get(req.worker.worker_id)
             if member is None:
@@ -456,6 +463,7 @@
             events += self._apply(tenure, self._lost(tenure))
             events += self._apply(tenure, self._expired(tenure))
             placed = self._place(tenure)
+            self._move_fills(tenure)
             events += self._apply(tenure, [_assigned(p, self._start_by(tenure, p)) for p in placed])
         try:
             if events:
@@ -559,10 +567,21 @@
             elif name not in running and report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start it in time"
                 events.append(self._over(tenure, task, RunOutcome.UNSTARTED, now_ms, reason))
+        self._learn(tenure, member)
         if report.ended:
             member.listed_through = max(row.number for row in report.ended)
         return events
 
+    def _learn(self, tenure: PoolTenure, member: Member) -> None:
+        neighbours = []
+        for name, row in member.running.items():
+            task = tenure.pool.task(name)
+            if task is not None and (task.spec.fills or task.spec.target_ms):
+                profile = profile_of(task)
+                neighbours.append(Neighbour(row, profile))
+        at = member.clock_ms * timedelta(milliseconds=1)
+        self._dispatcher.conflicts.observe(member.worker_id, at, neighbours)
+
     def _lost(self, tenure: PoolTenure) -> list[Any]:
         """Return the ends of runs on workers whose leases have certainly run out."""
         now = self._clock.monotonic()
@@ -623,6 +642,29 @@
         rooms = self._rooms(tenure, config)
         return self._dispatcher.choose(waiting, rooms, self._now_ms()) if rooms else []
 
+    def _move_fills(self, tenure: PoolTenure) -> None:
+        """Order stops for filling runs that disturb a service and fit better elsewhere."""
+        now = self._clock.monotonic()
+        config = self._source.config()
+        if now < self._next_moves or config is None or not tenure.is_live():
+            return
+        self._next_moves = now + MOVE_INTERVAL
+        filling = [
+            task
+            for member in tenure.members.values()
+            for name, row in member.running.items()
+            if (task := tenure.pool.task(name)) is not None
+            and task.spec.fills
+            and task.is_held(row.run)
+            and row.progress_percent < MOVE_BELOW_PERCENT
+        ]
+        if not filling:
+            return
+        for task in self._dispatcher.misplaced(filling, self._rooms(tenure, config)):
+            member = tenure.members[task.worker_id]
+            member.unwanted.add((task.name, task.run))
+            log(Event.RUN_STOPPED, task=task.name, run=task.run, reason="disturbs a service")
+
     def _rooms(self, tenure: PoolTenure, config: PoolConfig) -> list[WorkerRoom]:
         now = self._clock.monotonic()
         services = config.services()
@@ -676,9 +718,10 @@
         for member in tenure.members.values():
             for task_name, row in member.running.items():
                 task = tenure.pool.task(task_name)
-                if task is not None and task.is_held(row.run) and not task.workflow.is_over:
-                    continue
                 key = (task_name, row.run)
+                is_wanted = task is not None and task.is_held(row.run)
+                if is_wanted and not task.workflow.is_over and key not in member.unwanted:
+                    continue
                 sent_at = member.stopped_at.get(key)
                 if sent_at is None or now - sent_at >= STOP_REPEAT:
                     member.stopped_at[key] = now
@@ -687,6 +730,7 @@
                     log(Event.RUN_STOPPED, task=task_name, run=row.run, worker=member.worker_id)
             for key in [key for key in member.stopped_at if key[0] not in member.running]:
                 del member.stopped_at[key]
+                member.unwanted.discard(key)
 
     # Answers
 
@@ -700,11 +744,12 @@
         with tenure.lock:
             tasks = [tenure.pool.task(name) for name in req.unprofiled]
             profiles = [_profile(task) for task in tasks if task is not None]
+            conflicts = [wire.ImagePair(*pair) for pair in self._dispatcher.conflicts.conflicts()]
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(tenure.epoch)
         if not tenure.is_live():
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [])
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [], [])
         lease_until = req.clock_ms + self._times.lease // timedelta(milliseconds=1)
         return wire.WorkerReportReply(
             Outcome.OK,
@@ -714,6 +759,7 @@
             fence,
             ended_through,
             profiles,
+            conflicts,
         )
 
     def _carry_out(
@@ -759,8 +805,10 @@
 
 
 def _profile(task: StepTask) -> wire.RunProfile:
-    spec = task.spec
-    return wire.RunProfile(task.name, spec.image, spec.fills, spec.cpu_millis, spec.target_ms)
+    profile = profile_of(task)
+    return wire.RunProfile(
+        profile.task, profile.image, profile.fills, profile.cpu_millis, profile.target_ms
+    )
 
 
 def _recover(journal: Journal) -> Pool:
