Give an agent a fencing token before it lists the runs of its worker

Change: an agent reports without a listing first; the owner answers with the token of that life. A worker known only by such a report is neither lost before its lease nor given work (a first try without this started 35 tasks twice). A process that finds its own address in the owner key deletes the key: its predecessor has ended.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -336,6 +336,7 @@
   7: required list<RunEnd> ended,
   8: required list<RunRefusal> refused,
   9: required bool unreachable,    // the worker refuses connections, so it runs nothing
+  11: required bool listed,        // false: the agent needs a fencing token to list the runs
   10: required list<string> unprofiled, // tasks of which the agent has no profile
 }
 
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -18,6 +18,10 @@
     """No answer came; a start or stop may still take effect later."""
 
 
+class RunnerFencedError(RunnerError):
+    """The worker has seen a higher fencing token and did nothing."""
+
+
 class RunnerAbsentError(RunnerUnavailableError):
     """The worker refuses connections, so its process has ended and runs nothing."""
 
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4110,12 +4110,13 @@
      - ended
      - refused
      - unreachable
+     - listed
      - unprofiled
 
     """
 
 
-    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None, unprofiled=None,):
+    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None, listed=None, unprofiled=None,):
         self.header = header
         self.agent = agent
         self.epoch = epoch
@@ -4125,6 +4126,7 @@
         self.ended = ended
         self.refused = refused
         self.unreachable = unreachable
+        self.listed = listed
         self.unprofiled = unprofiled
 
     def read(self, iprot):
@@ -4201,6 +4203,11 @@
                     self.unreachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.listed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.unprofiled = []
@@ -4273,6 +4280,10 @@
                 oprot.writeString(iter143.encode('utf-8') if sys.version_info[0] == 2 else iter143)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.listed is not None:
+            oprot.writeFieldBegin('listed', TType.BOOL, 11)
+            oprot.writeBool(self.listed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4295,6 +4306,8 @@
             raise TProtocolException(message='Required field refused is unset!')
         if self.unreachable is None:
             raise TProtocolException(message='Required field unreachable is unset!')
+        if self.listed is None:
+            raise TProtocolException(message='Required field listed is unset!')
         if self.unprofiled is None:
             raise TProtocolException(message='Required field unprofiled is unset!')
         return
@@ -5561,6 +5574,7 @@
     (8, TType.LIST, 'refused', (TType.STRUCT, [RunRefusal, None], False), None, ),  # 8
     (9, TType.BOOL, 'unreachable', None, None, ),  # 9
     (10, TType.LIST, 'unprofiled', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.BOOL, 'listed', None, None, ),  # 11
 )
 all_structs.append(WorkerReportReply)
 WorkerReportReply.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -20,6 +20,7 @@
     Runner,
     RunnerAbsentError,
     RunnerError,
+    RunnerFencedError,
     RunnerUnavailableError,
     RunOrder,
     RunProfile,
@@ -204,6 +205,9 @@
         """
         worker = self._announcement
         grant = self._grant
+        if grant.incarnation != worker.incarnation:
+            # Without the token of this life an order for an earlier one could be carried out.
+            return owner is not None and self._report(owner, worker, None)
         try:
             listing = self._runner.hold(
                 worker.worker_id,
@@ -214,7 +218,11 @@
             )
         except RunnerAbsentError as exc:
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
-            return owner is not None and self._report(owner, worker, None)
+            return owner is not None and self._report(owner, worker, None, unreachable=True)
+        except RunnerFencedError as exc:
+            log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
+            self._grant = Grant(epoch=grant.epoch)
+            return False
         except RunnerError as exc:
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
             return False
@@ -262,11 +270,20 @@
             )
 
     def _report(
-        self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing | None
+        self,
+        owner: KnownOwner,
+        worker: WorkerAnnouncement,
+        listing: RunListing | None,
+        unreachable: bool = False,
     ) -> bool:
+        """Report to the owner.
+
+        :param listing: what runs; None to get a fencing token, or when the worker has ended.
+        :returns: whether the owner took the report.
+        """
         with self._lock:
             refused, self._refused = self._refused, []
-        req = self._report_request(worker, listing, refused)
+        req = self._report_request(worker, listing, refused, unreachable)
         try:
             reply = self._channels.call(owner.address, "report", req, REPORT_TIMEOUT)
         except WireError as exc:
@@ -302,6 +319,7 @@
         worker: WorkerAnnouncement,
         listing: RunListing | None,
         refused: list[wire.RunRefusal],
+        unreachable: bool,
     ) -> wire.WorkerReport:
         return wire.WorkerReport(
             header=self._header(REPORT_TIMEOUT),
@@ -318,7 +336,8 @@
                 for row in (listing.ended if listing else ())
             ],
             refused=refused,
-            unreachable=listing is None,
+            unreachable=unreachable,
+            listed=listing is not None,
             unprofiled=[
                 row.task
                 for row in (listing.running if listing else ())
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -67,14 +67,14 @@
     def observe(self, report: wire.WorkerReport, now: timedelta) -> bool:
         """Take over a report.
 
-        :returns: False for one that is older than what is known.
+        :returns: False for one without a listing, or older than what is known.
         """
         worker = report.worker
         if worker.incarnation < self.incarnation:
             return False
         if worker.incarnation > self.incarnation:
             self._begin_life(worker.incarnation)
-        elif report.clock_ms < self.clock_ms:
+        elif report.listed and report.clock_ms < self.clock_ms:
             return False
         self.service = worker.serves
         self.data_centre = worker.data_centre
@@ -84,6 +84,8 @@
         self.leaving = worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
+        if not report.listed and not report.unreachable:
+            return False
         self.is_absent = report.unreachable
         self.received_at = now
         if report.unreachable:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -208,6 +208,7 @@
         times: PoolTimes | None = None,
     ):
         self._number = number
+        self._key = f"pools/{number}/owner"
         self._store = store
         self._directory = directory
         self._source = source
@@ -232,7 +233,9 @@
         with tenure.lock:
             member = tenure.members.get(req.worker.worker_id)
             if member is None:
-                member = tenure.members[req.worker.worker_id] = Member(req.worker.worker_id)
+                # An earlier owner may have extended its lease until the claim.
+                member = Member(req.worker.worker_id, received_at=tenure.claimed_at)
+                tenure.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, self._clock.monotonic())
             item = _Item(lambda: self._reconcile(tenure, member, req) if is_new else [])
@@ -356,12 +359,14 @@
     def run(self, stop: threading.Event) -> None:
         """Own the pool whenever possible, until stopped."""
         while not stop.is_set():
-            if self._directory.owner() is not None:
+            known = self._directory.owner()
+            if known is not None and known.address != self._address():
                 self._clock.wait(stop, RETRY_PAUSE)
                 continue
-            self._clock.wait(stop, CLAIM_JITTER * self._rng.random())
-            if stop.is_set() or self._directory.owner() is not None:
-                continue
+            if known is None:
+                self._clock.wait(stop, CLAIM_JITTER * self._rng.random())
+            if stop.is_set():
+                break
             try:
                 if self.acquire():
                     self._serve(stop)
@@ -385,11 +390,11 @@
         :raises InvalidMessageError: the journal is damaged or of a newer version.
         """
         self._directory.refresh()
-        if self._directory.owner() is not None:
+        if self._directory.owner() is not None and not self._drop_predecessor():
             return False
         session = self._make_session()
         session.renew()
-        claim = OwnerClaim(f"pools/{self._number}/owner", self._store, session, self._identity)
+        claim = OwnerClaim(self._key, self._store, session, self._identity)
         if not session.valid() or not claim.take():
             session.stop()
             return False
@@ -415,6 +420,19 @@
         )
         return True
 
+    def _drop_predecessor(self) -> bool:
+        """Delete the key of an earlier process at this address, which has certainly ended.
+
+        :returns: whether the pool has no owner any more.
+        :raises StoreError: the store did not answer.
+        """
+        known = self._directory.owner()
+        if known.address != self._address():
+            return False
+        self._store.delete(self._key, known.epoch)
+        self._directory.refresh()
+        return self._directory.owner() is None
+
     def _serve(self, stop: threading.Event) -> None:
         tenure = self._tenure
         for name, loop in (
@@ -679,7 +697,8 @@
                 tenure.pool.held(member.worker_id),
             )
             for member in tenure.members.values()
-            if not member.leaving
+            if member.clock_ms
+            and not member.leaving
             and not member.is_absent
             and member.service in services
             and member.data_centre not in config.data_centres_out
@@ -750,6 +769,7 @@
             fence = member.fence(tenure.epoch)
         if not tenure.is_live():
             return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [], [])
+        is_current = is_current and req.listed
         lease_until = req.clock_ms + self._times.lease // timedelta(milliseconds=1)
         return wire.WorkerReportReply(
             Outcome.OK,
