Test the owner of the pool with simulated workers, agents and links

Simulated workers keep the platform's rules (lease, fencing token, run numbers, ends until acknowledged) and record broken promises; the real owner and agent code runs against them on a manual clock. What the runs showed first were faults of the simulation: ends before a lapse of the lease do not count as noted, and a call that a worker has not carried out dies with it.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -195,10 +195,10 @@
             if not self._clock.wait(self._announced, REPORT_INTERVAL):
                 continue
             owner = self._directory.wait_for_owner(OWNER_WAIT)
-            if not self._hold_once(owner):
+            if not self.hold(owner):
                 self._clock.wait(stop, RETRY_PAUSE)
 
-    def _hold_once(self, owner: KnownOwner | None) -> bool:
+    def hold(self, owner: KnownOwner | None) -> bool:
         """Extend the lease, list the runs and report them.
 
         :returns: whether the owner took the report.
@@ -370,11 +370,15 @@
                 # The owner knows the worker only after a report.
                 self._clock.wait(stop, RETRY_PAUSE)
                 continue
-            if not self._fetch_once(owner, grant):
+            if not self.fetch(owner):
                 self._clock.wait(stop, RETRY_PAUSE)
 
-    def _fetch_once(self, owner: KnownOwner, grant: Grant) -> bool:
-        worker = self._announcement
+    def fetch(self, owner: KnownOwner) -> bool:
+        """Fetch orders from the owner and queue them.
+
+        :returns: whether the owner answered.
+        """
+        worker, grant = self._announcement, self._grant
         timeout = ORDERS_WAIT + CALL_TIMEOUT
         req = wire.OrdersRequest(
             self._header(timeout),
@@ -402,15 +406,23 @@
             self._orders.put((worker, stop, reply.fence))
         return True
 
+    def carry_out(self) -> None:
+        """Carry out the next order, waiting for one when there is none."""
+        worker, order, fence = self._orders.get()
+        if isinstance(order, wire.RunStart):
+            self._start_run(worker, order, fence)
+            with self._lock:
+                self._starting.discard(order.task)
+        else:
+            self._stop_run(worker, order, fence)
+
+    def has_orders(self) -> bool:
+        """Return whether orders wait to be carried out."""
+        return not self._orders.empty()
+
     def _run_order(self, stop: threading.Event) -> None:
         while not stop.is_set():
-            worker, order, fence = self._orders.get()
-            if isinstance(order, wire.RunStart):
-                self._start_run(worker, order, fence)
-                with self._lock:
-                    self._starting.discard(order.task)
-            else:
-                self._stop_run(worker, order, fence)
+            self.carry_out()
 
     def _start_run(self, worker: WorkerAnnouncement, order: wire.RunStart, fence: int) -> None:
         newest = self._announcement
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -223,6 +223,10 @@
         self._next_expiry = clock.monotonic()
         self._next_moves = clock.monotonic()
 
+    def is_owner(self) -> bool:
+        """Return whether this process owns the pool now."""
+        return self._live() is not None
+
     # Calls of agents
 
     def report(self, req: wire.WorkerReport) -> wire.WorkerReportReply:
@@ -378,7 +382,7 @@
                 # The pool must not stay without an owner because of one fault.
                 log(Event.INTERNAL_ERROR, what="own pool", reason=repr(exc))
             finally:
-                self._end("planned stop" if stop.is_set() else "no longer owner")
+                self.resign("planned stop" if stop.is_set() else "no longer owner")
             self._clock.wait(stop, CLAIM_PAUSE)
 
     def acquire(self) -> bool:
@@ -433,6 +437,24 @@
         self._directory.refresh()
         return self._directory.owner() is None
 
+    def resign(self, reason: str) -> None:
+        """Stop acting as the owner and free the pool for others."""
+        tenure, self._tenure = self._tenure, None
+        if tenure is None:
+            return
+        tenure.ended.set()
+        with tenure.lock:
+            items = list(tenure.inbox)
+            tenure.inbox.clear()
+            for member in tenure.members.values():
+                member.has_orders.set()
+        for item in items:
+            self._reject(item)
+        if tenure.session.valid():
+            tenure.claim.release()
+        tenure.session.stop()
+        log(Event.POOL_LOST, pool=self._number, epoch=tenure.epoch, reason=reason)
+
     def _serve(self, stop: threading.Event) -> None:
         tenure = self._tenure
         for name, loop in (
@@ -446,31 +468,19 @@
             self._clock.sleep(ROUND_INTERVAL)
             tenure.wake.clear()
             try:
-                self._round(tenure)
+                self.step()
             except FencedError as exc:
                 log(Event.JOURNAL_FENCED, pool=self._number, epoch=tenure.epoch, reason=str(exc))
                 return
 
-    def _end(self, reason: str) -> None:
-        tenure, self._tenure = self._tenure, None
-        if tenure is None:
-            return
-        tenure.ended.set()
-        with tenure.lock:
-            items = list(tenure.inbox)
-            tenure.inbox.clear()
-            for member in tenure.members.values():
-                member.has_orders.set()
-        for item in items:
-            self._reject(item)
-        if tenure.session.valid():
-            tenure.claim.release()
-        tenure.session.stop()
-        log(Event.POOL_LOST, pool=self._number, epoch=tenure.epoch, reason=reason)
-
     # One round of decisions
 
-    def _round(self, tenure: PoolTenure) -> None:
+    def step(self) -> None:
+        """Do one round of decisions: take in what came, commit it, order starts and stops.
+
+        :raises FencedError: another process owns the pool.
+        """
+        tenure = self._tenure
         with tenure.lock:
             items = list(tenure.inbox)
             tenure.inbox.clear()
--- /dev/null
+++ b/tests/pool_doubles.py
@@ -0,0 +1,455 @@
+"""A pool in memory on a manual clock: workers, agents, owners and the links between them."""
+
+import contextlib
+import random
+from datetime import timedelta
+
+import attrs
+from mulberryslip import ManualClock, Resources
+from mulberryslip.channels import Address
+from mulberryslip.conflicts import ConflictModel
+from mulberryslip.dispatches import Dispatcher, RunTimes
+from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError, StoreError
+from mulberryslip.metrics import Metrics
+from mulberryslip.queues import PoolConfig, Queue
+from mulberryslip.retries import Deadline
+from mulberryslip.runners import (
+    EndedRun,
+    EndKind,
+    RunListing,
+    RunnerAbsentError,
+    RunnerFencedError,
+    RunnerUnavailableError,
+    RunningRun,
+    StartRefusal,
+    WorkerAnnouncement,
+)
+from mulberryslip.steps import StepSpec, WorkflowSpec
+from mulberryslip.wire import ttypes as wire
+from mulberryslip.workflows import Phase
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.agents import Agent, PoolService
+from mulberryslipd.directories import PoolDirectory
+from mulberryslipd.pools import PoolOwner, PoolTimes
+from mulberryslipd.sessions import Session
+from mulberryslipd.tenures import Identity
+
+SECOND = timedelta(seconds=1)
+MS = timedelta(milliseconds=1)
+QUEUE = Queue("checks", prefix="/checks/", service="ledger", max_attempts=2, slack_ms=300)
+CAPACITY = Resources(8000, 16000, 0)
+
+
+class SimClock(ManualClock):
+    """Clock whose waits let the owner work instead of passing the time."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_wait = lambda: None
+        self.on_sleep = lambda: None
+
+    def wait(self, event, timeout):
+        if not event.is_set():
+            self.on_wait()
+        return event.is_set()
+
+    def sleep(self, duration):
+        super().sleep(duration)
+        self.on_sleep()
+
+
+class ManualSession(Session):
+    """Store lease that the test renews."""
+
+    def start(self):
+        pass
+
+
+class FixedSource:
+    """Configuration that the test sets."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.value = PoolConfig.of(1, [QUEUE])
+        self.confirmed_at = clock.monotonic()
+        self.is_stuck = False
+
+    def config(self):
+        return self.value
+
+    def age(self):
+        return self._clock.monotonic() - self.confirmed_at
+
+    def refresh(self):
+        if not self.is_stuck:
+            self.confirmed_at = self._clock.monotonic()
+        return self.value
+
+
+@attrs.define
+class SimRun:
+    """A run on a simulated worker."""
+
+    task: str
+    run: int
+    spec: StepSpec
+    ends_at: int
+    started_at: int
+    kind: EndKind = EndKind.DONE
+    stopping_at: int | None = None
+
+
+class SimWorker:
+    """A worker with the rules of the platform: one lease and one fencing token.
+
+    It lists ends until they are acknowledged.
+    """
+
+    def __init__(self, number, clock, history, run_ms=lambda name: 1000, data_centre="east"):
+        self.id = f"w{number}"
+        self._clock = clock
+        self._history = history
+        self.run_ms = run_ms
+        self.data_centre = data_centre
+        self.kind_of = lambda name: EndKind.DONE
+        self.loses_answer = lambda: False
+        self.is_dark = False
+        self.is_down = False
+        self.life = 0
+        self.begin_life()
+
+    def begin_life(self):
+        """Start anew; what ran is gone, and so are calls that the process had not carried out."""
+        self.late = []
+        self.life += 1
+        self.born = self._clock.monotonic()
+        self.sequence = 0
+        self.fence = 0
+        self.lease_until = 0
+        self.runs = {}
+        self.highest = {}
+        self.ended = []
+        self.next_end = 1
+        self.lapsed_through = 0
+        self.leaving = False
+
+    @property
+    def incarnation(self):
+        return f"{self.life:04d}@{self.id}"
+
+    def clock_ms(self):
+        return 1000 + (self._clock.monotonic() - self.born) // MS
+
+    def announcement(self):
+        self.sequence += 1
+        return WorkerAnnouncement(
+            worker_id=self.id,
+            incarnation=self.incarnation,
+            service="ledger",
+            data_centre=self.data_centre,
+            machine=f"m-{self.id}",
+            labels=("a", f"rack-{self.id}"),
+            capacity=CAPACITY,
+            leaving=self.leaving,
+            remaining=timedelta(seconds=2),
+            sequence=self.sequence,
+        )
+
+    def start(self, worker_id, order, fence):
+        self._require_up()
+        self.tick()
+        if self.loses_answer():
+            self.late.append((order, fence))
+            raise RunnerUnavailableError("no answer")
+        return self._start(order, fence)
+
+    def _start(self, order, fence):
+        if fence < self.fence:
+            return StartRefusal.FENCED
+        self.fence = fence
+        now = self.clock_ms()
+        if now > order.start_by_ms:
+            return StartRefusal.LATE
+        self.lease_until = max(self.lease_until, order.start_by_ms)
+        if order.task in self.runs and self.runs[order.task].run == order.run:
+            return None
+        if order.run <= self.highest.get(order.task, 0):
+            return StartRefusal.SUPERSEDED
+        self.highest[order.task] = order.run
+        spec = self._history.begin(self, order)
+        ends_at = now + self.run_ms(order.task)
+        kind = self.kind_of(order.task)
+        self.runs[order.task] = SimRun(order.task, order.run, spec, ends_at, now, kind)
+        return None
+
+    def run_late(self):
+        """Carry out orders whose answers were lost."""
+        late, self.late = self.late, []
+        for order, fence in late:
+            self._start(order, fence)
+
+    def stop(self, worker_id, task, run, fence):
+        self._require_up()
+        self.tick()
+        if fence < self.fence:
+            return
+        self.highest[task] = max(self.highest.get(task, 0), run)
+        found = self.runs.get(task)
+        if found is not None and found.run == run and found.stopping_at is None:
+            found.stopping_at = self.clock_ms() + 200
+
+    def pace(self, worker_id, task, run, percent, fence):
+        self._require_up()
+
+    def hold(self, worker_id, fence, lease_until_ms, ended_through, wait):
+        self._require_up()
+        self.tick()
+        if fence < self.fence:
+            raise RunnerFencedError("fenced")
+        self.fence = fence
+        self.lease_until = max(self.lease_until, lease_until_ms)
+        for end in self.ended:
+            # An end before a lapse of the lease does not count as noted.
+            if self.lapsed_through < end.number <= ended_through:
+                self._history.note(self, end)
+        self.ended = [end for end in self.ended if end.number > ended_through]
+        running = tuple(RunningRun(run.task, run.run, "", 50) for run in self.runs.values())
+        return RunListing(self.clock_ms(), self.incarnation, running, tuple(self.ended))
+
+    def tick(self):
+        """Let runs end that are due."""
+        now = self.clock_ms()
+        if now > self.lease_until:
+            for run in list(self.runs.values()):
+                self._end(run, EndKind.LAPSED)
+            self.lapsed_through = self.next_end - 1
+            return
+        for run in list(self.runs.values()):
+            if run.stopping_at is not None and now >= run.stopping_at:
+                self._end(run, EndKind.STOPPED)
+            elif now >= run.ends_at:
+                self._end(run, run.kind)
+
+    def _end(self, run, kind):
+        del self.runs[run.task]
+        if kind is EndKind.DONE:
+            self._history.ended_done.add(run.task)
+        self.ended.append(EndedRun(self.next_end, run.task, run.run, kind, ""))
+        self.next_end += 1
+
+    def _require_up(self):
+        if self.is_down:
+            raise RunnerAbsentError("refused")
+        if self.is_dark:
+            raise RunnerUnavailableError("silent")
+
+
+class History:
+    """What workers did, and the promises that it breaks."""
+
+    def __init__(self):
+        self.workers = []
+        self.faults = []
+        self.done = set()
+        self.ended_done = set()
+        self.starts = 0
+        self.specs = {}
+
+    def begin(self, worker, order):
+        self.starts += 1
+        workflow, _, step, _ = order.task.split("/")
+        spec = self.specs[workflow].steps[int(step)]
+        for other in self.workers:
+            other.tick()
+            if order.task in other.runs and other.runs[order.task].run != order.run:
+                self.faults.append(f"{order.task} runs on {other.id} and {worker.id}")
+        if order.task in self.done and not spec.lasting:
+            self.faults.append(f"{order.task} started again after its end was noted")
+        for earlier in self.specs[workflow].steps[int(step)].after:
+            count = self.specs[workflow].steps[earlier].count
+            names = {f"{workflow}/0/{earlier}/{index}" for index in range(count)}
+            if not names <= self.ended_done:
+                self.faults.append(f"{order.task} started before step {earlier} was done")
+        used = sum((run.spec.room for run in worker.runs.values()), spec.room)
+        if not used.fits(CAPACITY):
+            self.faults.append(f"{worker.id} is over its capacity: {used}")
+        return spec
+
+    def note(self, worker, end):
+        if end.kind is EndKind.DONE:
+            self.done.add(end.task)
+
+
+class DirectChannels:
+    """Calls between processes of the test; links can be cut."""
+
+    def __init__(self, world, caller):
+        self._world = world
+        self._caller = caller
+
+    def call(self, address, method, req, timeout):
+        fate = self._world.link(self._caller, address)
+        if fate == "cut":
+            raise NotSentError(f"{address} cannot be reached")
+        service = self._world.services.get(address)
+        if service is None:
+            raise NotSentError(f"{address} refuses")
+        reply = getattr(service, method)(req)
+        if fate == "lost":
+            raise ReplyLostError(f"no answer from {address}")
+        return reply
+
+
+class PoolWorld:
+    """Workers with agents, and owners that compete for the pool.
+
+    :param workers: number of workers.
+    """
+
+    def __init__(self, workers=3, seed=0, **worker_options):
+        self.clock = SimClock()
+        self.rng = random.Random(seed)
+        self.store = FakeStore(self.clock)
+        self.history = History()
+        self.services = {}
+        self.cut = set()
+        self.lossy = 0.0
+        self.workers = [
+            SimWorker(number, self.clock, self.history, **worker_options)
+            for number in range(workers)
+        ]
+        self.history.workers = self.workers
+        self.sources = {}
+        self.sessions = {}
+        self.frozen = set()
+        self.agents = {}
+        self.owners = {}
+        for worker in self.workers:
+            self.start_process(worker)
+        self.clock.on_wait = self.step_owners
+
+    def address(self, worker):
+        return Address("10.0.0.1", 7000 + int(worker.id[1:]))
+
+    def start_process(self, worker):
+        """Start the process beside a worker; an earlier one is gone without a word."""
+        address = self.address(worker)
+        directory = PoolDirectory(self.store, "pools/0/owner", self.clock, self.rng)
+        source = FixedSource(self.clock)
+        self.sources[worker.id] = source
+        sessions = self.sessions[worker.id] = []
+
+        def make_session():
+            sessions.append(ManualSession(self.store, 3 * SECOND, self.clock, rng=self.rng))
+            return sessions[-1]
+
+        incarnation = f"{worker.id}-{self.rng.random()}"
+        owner = PoolOwner(
+            0,
+            self.store,
+            directory,
+            source,
+            make_session,
+            Dispatcher(RunTimes().expected, ConflictModel()),
+            Identity(worker.id, incarnation, address.host, address.port),
+            Metrics(),
+            self.clock,
+            self.rng,
+            PoolTimes(lease=6 * SECOND),
+        )
+        channels = DirectChannels(self, worker.id)
+        agent = Agent(worker, directory, channels, address, worker.id, self.clock)
+        self.owners[worker.id] = owner
+        self.agents[worker.id] = (agent, directory)
+        self.services[address] = PoolService(owner, directory)
+
+    def link(self, caller, address):
+        if (caller, address) in self.cut or caller in self.cut or address in self.cut:
+            return "cut"
+        return "lost" if self.rng.random() < self.lossy else "up"
+
+    def owner(self):
+        """Return the owner that acts now, or None."""
+        return next((owner for owner in self.owners.values() if owner.is_owner()), None)
+
+    def elect(self, worker=None):
+        """Let one process claim the pool."""
+        name = worker.id if worker else self.workers[0].id
+        assert self.owners[name].acquire()
+        return self.owners[name]
+
+    def step_owners(self):
+        """Let each owner do one round."""
+        for name, owner in self.owners.items():
+            if name in self.frozen or owner._tenure is None:
+                continue
+            self.sources[name].refresh()
+            try:
+                owner.step()
+            except FencedError:
+                owner.resign("fenced")
+
+    def renew_sessions(self):
+        for name, sessions in self.sessions.items():
+            if name not in self.frozen:
+                for session in sessions[-1:]:
+                    if session.session_id:
+                        session.renew()
+
+    def beat(self):
+        """Let all workers announce themselves."""
+        for worker in self.workers:
+            if not worker.is_down and not worker.is_dark:
+                self.agents[worker.id][0].announce(worker.announcement())
+
+    def exchange(self, worker):
+        """Let one agent hold its worker, report, fetch orders and carry them out."""
+        agent, directory = self.agents[worker.id]
+        with contextlib.suppress(StoreError):
+            directory.refresh()
+        owner = directory.owner()
+        if agent._announcement is None:
+            return
+        agent.hold(owner)
+        if owner is not None and agent._grant.incarnation:
+            agent.fetch(owner)
+        while agent.has_orders():
+            agent.carry_out()
+
+    def round(self, duration=200 * MS):
+        """Let everything happen once and pass some time."""
+        self.renew_sessions()
+        self.beat()
+        self.step_owners()
+        for worker in self.workers:
+            if worker.id not in self.frozen:
+                self.exchange(worker)
+        self.step_owners()
+        self.clock.advance(duration)
+
+    def run(self, rounds):
+        for _ in range(rounds):
+            self.round()
+
+    def submit(self, workflow_id, *steps, queue="checks"):
+        """Hand a workflow in at the present owner; returns its reply."""
+        spec = WorkflowSpec("payload", steps or (StepSpec(cpu_millis=1000, memory_mb=100),))
+        self.history.specs[workflow_id] = spec
+        return self.call("submit", workflow_id, spec.to_json().encode(), queue)
+
+    def call(self, method, workflow_id, body=b"", queue="checks"):
+        header = wire.Header("r1", 1000, 1, "test", "t")
+        req = wire.WorkflowRequest(header, workflow_id, queue, body)
+        return getattr(self.owner(), method)(req)
+
+    def shown(self, workflow_id):
+        return self.call("status", workflow_id).shown
+
+    def held(self, workflow_id):
+        """Return the tasks of a workflow that take room."""
+        pool = self.owner()._tenure.pool
+        tasks = pool.workflows[workflow_id].tasks()
+        return [task.name for task in tasks if task.phase is Phase.HELD]
+
+    def deadline(self, duration=3 * SECOND):
+        return Deadline(self.clock, duration)
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,410 @@
+"""Rules of the owner of a pool, with simulated workers on a manual clock."""
+
+import zlib
+from datetime import timedelta
+
+import attrs
+import pytest
+from mulberryslip.exceptions import JournalError, StoreError
+from mulberryslip.queues import PoolConfig
+from mulberryslip.runners import EndKind
+from mulberryslip.steps import StepSpec
+from mulberryslip.wire.ttypes import Outcome
+from mulberryslipd.members import FENCE_LIVES
+from pool_doubles import CAPACITY, QUEUE, SECOND, PoolWorld
+
+TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+
+
+@pytest.fixture
+def world():
+    world = PoolWorld()
+    world.elect()
+    world.run(3)
+    return world
+
+
+def test_workflow_runs_to_its_end(world):
+    """Guards against a path on which a task is accepted and never runs."""
+    assert world.submit("a").outcome == Outcome.OK
+    assert world.shown("a") == "running"
+    world.run(8)
+    assert world.shown("a") == "completed"
+    assert world.history.faults == []
+
+
+def test_steps_wait_for_earlier_ones(world):
+    """Guards against a start before all tasks of the steps before are done."""
+    world.submit("a", TASK, attrs.evolve(TASK, count=3, after=(0,)), attrs.evolve(TASK, after=(1,)))
+    world.run(5)
+    assert world.held("a") == ["a/0/0/0"]
+    world.run(30)
+    assert world.shown("a") == "completed"
+    assert (world.history.starts, world.history.faults) == (5, [])
+
+
+def test_resubmission_is_one_workflow(world):
+    """Guards against work that is done twice after a lost answer."""
+    assert world.submit("a").outcome == Outcome.OK
+    assert world.submit("a").outcome == Outcome.OK
+    world.run(12)
+    assert world.submit("a").shown == "completed"
+    assert world.history.starts == 1
+
+
+@pytest.mark.parametrize(
+    ("step", "outcome"),
+    [
+        (TASK, Outcome.OK),
+        (attrs.evolve(TASK, gang=True), Outcome.INVALID),
+        (attrs.evolve(TASK, count=0), Outcome.INVALID),
+    ],
+)
+def test_what_cannot_be_done_is_refused(world, step, outcome):
+    """Guards against a wrong run of work that the pool does not support."""
+    assert world.submit("a", step).outcome == outcome
+
+
+def test_capacity_is_never_exceeded(world):
+    """Guards against more committed work than a worker has room for."""
+    world.submit("a", attrs.evolve(TASK, count=60, cpu_millis=3000))
+    world.run(100)
+    assert world.shown("a") == "completed"
+    assert world.history.faults == []
+
+
+def test_failed_attempts_are_a_budget(world):
+    """Guards against a task that is tried for ever, and against one that is given up early."""
+    for worker in world.workers:
+        worker.kind_of = lambda name: EndKind.FAILED
+    world.submit("a")
+    world.run(30)
+    assert world.shown("a") == "failed"
+    assert world.history.starts == QUEUE.max_attempts
+
+
+def test_failure_is_retried_on_another_worker(world):
+    """Guards against both attempts of a task on one worker that fails everything."""
+    world.workers[0].kind_of = lambda name: EndKind.FAILED
+    for number in range(6):
+        world.submit(f"a{number}")
+    world.run(40)
+    assert [world.shown(f"a{number}") for number in range(6)] == ["completed"] * 6
+
+
+def test_lasting_task_is_started_again(world):
+    """Guards against a service that stays away after its run has ended."""
+    world.submit("a", attrs.evolve(TASK, lasting=True))
+    world.run(20)
+    assert world.shown("a") == "running"
+    assert world.history.starts >= 3
+
+
+def test_cancelled_workflow_stops_and_keeps_its_room_until_then(world):
+    """Guards against runs after a cancellation, and against room that is given away too early."""
+    world.submit("a", attrs.evolve(TASK, lasting=True, cpu_millis=CAPACITY.cpu_millis // 2))
+    world.run(3)
+    assert world.call("cancel", "a").outcome == Outcome.OK
+    assert world.shown("a") == "cancelled"
+    assert world.held("a") == ["a/0/0/0"]
+    world.run(4)
+    assert not any(worker.runs for worker in world.workers)
+    assert world.owner()._tenure.pool.holders() == []
+    assert world.call("cancel", "a").outcome == Outcome.OK
+
+
+@pytest.mark.parametrize("method", ["status", "cancel"])
+def test_unknown_workflow_is_missing(world, method):
+    """Guards against the state of a workflow that nobody submitted."""
+    assert world.call(method, "b").outcome == Outcome.NOT_FOUND
+
+
+def test_start_without_answer_is_repeated_only_after_its_time(world):
+    """Guards against two runs of a task whose first start was carried out late."""
+    for worker in world.workers:
+        worker.loses_answer = lambda: world.history.starts == 0
+    world.submit("a")
+    world.run(3)
+    assert world.history.starts == 0
+    for worker in world.workers:
+        worker.run_late()
+    world.run(12)
+    assert world.shown("a") == "completed"
+    assert (world.history.starts, world.history.faults) == (1, [])
+
+
+def test_start_that_never_came_is_made_elsewhere(world):
+    """Guards against a task that waits for ever for a start that was lost."""
+    lost = []
+    for worker in world.workers:
+        worker.loses_answer = lambda: not lost and lost.append(1) is None
+    world.submit("a")
+    world.run(20)
+    assert world.shown("a") == "completed"
+
+
+def test_silent_worker_keeps_its_tasks_until_its_lease_is_over(world):
+    """Guards against a second run while the first may still be at work."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 60_000
+    world.submit("a")
+    world.run(3)
+    holder = next(worker for worker in world.workers if worker.runs)
+    world.cut.add(holder.id)
+    world.run(25)
+    assert world.history.starts == 1
+    world.run(15)
+    assert world.history.starts == 2
+    assert world.history.faults == []
+
+
+def test_worker_known_by_name_only_keeps_its_tasks(world):
+    """Guards against tasks given up at a takeover, before their worker has listed its runs.
+
+    An agent that has just started reports without a listing to get its fencing token.
+    """
+    for worker in world.workers:
+        worker.run_ms = lambda name: 4000
+    world.submit("a", attrs.evolve(TASK, count=6))
+    world.run(3)
+    for worker in world.workers:
+        world.start_process(worker)
+    world.elect()
+    world.run(30)
+    assert world.shown("a") == "completed"
+    assert (world.history.starts, world.history.faults) == (6, [])
+
+
+def test_agent_that_starts_anew_learns_the_fencing_token(world):
+    """Guards against agents that can neither list nor report.
+
+    Their worker has seen a token that they do not know.
+    """
+    for worker in world.workers:
+        world.start_process(worker)
+    world.elect()
+    world.run(3)
+    world.submit("b")
+    world.run(10)
+    assert world.shown("b") == "completed"
+
+
+def test_new_life_of_a_worker_frees_its_tasks_and_raises_its_token(world):
+    """Guards against tasks that are waited for although their worker has started anew."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 3000
+    world.submit("a")
+    world.run(3)
+    holder = next(worker for worker in world.workers if worker.runs)
+    fence = holder.fence
+    holder.begin_life()
+    world.run(3)
+    assert holder.fence == fence + 1 < (world.owner()._tenure.epoch + 1) * FENCE_LIVES
+    world.run(20)
+    assert world.shown("a") == "completed"
+    assert world.history.faults == []
+
+
+def test_worker_that_refuses_connections_runs_nothing(world):
+    """Guards against a wait of a whole lease for a worker whose process has ended."""
+    world.submit("a")
+    world.run(2)
+    holder = next(worker for worker in world.workers if worker.runs)
+    holder.is_down = True
+    holder.runs = {}
+    world.run(2)
+    assert world.history.starts == 2
+
+
+def test_ends_are_acknowledged_only_after_their_commit(world):
+    """Guards against an end that is forgotten by the worker and not known to the next owner."""
+    world.submit("a")
+    world.run(4)
+    world.store.set_faults(outage="refuse")
+    tries = []
+
+    def give_up():
+        tries.append(1)
+        if len(tries) > 5:
+            world.sessions["w0"][-1]._session_id = "another"
+
+    world.clock.on_sleep = give_up
+    world.run(2)
+    assert world.history.done == set()
+    world.store.set_faults(outage="")
+    world.run(20)
+    world.elect(world.workers[1])
+    world.run(5)
+    assert world.shown("a") == "completed"
+    assert (world.history.starts, world.history.faults) == (1, [])
+
+
+def test_state_survives_the_owner(world):
+    """Guards against accepted work that is lost with the process that accepted it."""
+    for number in range(5):
+        world.submit(f"a{number}", attrs.evolve(TASK, count=4))
+    world.run(2)
+    world.call("cancel", "a4")
+    world.owner().resign("test")
+    world.run(2)
+    world.elect(world.workers[2])
+    world.run(25)
+    shown = [world.shown(f"a{number}") for number in range(5)]
+    assert shown == ["completed"] * 4 + ["cancelled"]
+    assert world.history.faults == []
+
+
+def test_overtaken_owner_commits_and_orders_nothing(world):
+    """Guards against two owners that act at the same time."""
+    first = world.owner()
+    world.frozen.add("w0")
+    world.clock.advance(10 * SECOND)
+    second = world.elect(world.workers[1])
+    world.frozen.discard("w0")
+    assert not first.is_owner()
+    world.submit("a")
+    world.run(12)
+    assert second.is_owner()
+    assert world.shown("a") == "completed"
+    assert world.history.faults == []
+
+
+@pytest.mark.parametrize("is_stuck", [False, True])
+def test_nothing_starts_in_a_data_centre_that_is_out(world, is_stuck):
+    """Guards against starts after operators took a data centre out, or without recent news."""
+    for source in world.sources.values():
+        if is_stuck:
+            source.is_stuck = True
+            source.confirmed_at = world.clock.monotonic() - timedelta(seconds=3)
+        else:
+            source.value = PoolConfig.of(2, [QUEUE], ["east"])
+    world.submit("a")
+    world.run(10)
+    assert world.history.starts == 0
+
+
+def test_leaving_worker_gets_nothing(world):
+    """Guards against starts on a worker that has announced its end."""
+    for worker in world.workers[1:]:
+        worker.leaving = True
+    world.run(1)
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.run(3)
+    assert not any(worker.runs for worker in world.workers[1:])
+
+
+def test_submission_that_no_record_holds_is_refused_as_not_run(world):
+    """Guards against a false refusal, and against one that comes late, while the store is away."""
+    world.clock.on_wait = lambda: None
+    reply = world.submit("a")
+    assert reply.outcome == Outcome.NOT_RUN
+    assert reply.retry_after_ms > 0
+    world.clock.on_wait = world.step_owners
+    world.run(5)
+    assert world.call("status", "a").outcome == Outcome.NOT_FOUND
+
+
+def test_spread_limit_holds(world):
+    """Guards against more tasks of a step on one worker than the caller allows."""
+    world.submit("a", attrs.evolve(TASK, count=6, max_per_worker=1))
+    world.run(2)
+    assert [len(worker.runs) for worker in world.workers] == [1, 1, 1]
+    world.run(20)
+    assert world.shown("a") == "completed"
+
+
+def test_required_label_holds(world):
+    """Guards against a start on a worker without the label."""
+    world.submit("a", attrs.evolve(TASK, count=3, required_label="rack-w2"))
+    world.run(2)
+    assert [len(worker.runs) for worker in world.workers] == [0, 0, 3]
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_promises_hold_under_random_faults(seed):
+    """Guards against double runs, early steps and overcommitted workers under mixed faults."""
+    world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms)
+    rng = world.rng
+    world.elect()
+    world.run(3)
+    expected = {}
+
+    def end_outage():
+        if rng.random() < 0.2:
+            world.store.set_faults(outage="")
+
+    world.clock.on_sleep = end_outage
+    for turn in range(250):
+        if turn % 5 == 0 and world.owner() is not None:
+            steps = [
+                attrs.evolve(TASK, count=rng.randint(1, 5), cpu_millis=rng.choice([500, 3000]))
+            ]
+            lasting = rng.random() < 0.1
+            steps.append(attrs.evolve(TASK, after=(0,), lasting=lasting))
+            if world.submit(f"a{turn}", *steps).outcome == Outcome.OK:
+                expected[f"a{turn}"] = "running" if lasting else "completed"
+        _disturb(world, rng)
+        world.round(timedelta(milliseconds=rng.randint(20, 400)))
+        if world.owner() is None:
+            _claim(world, rng)
+        assert world.history.faults == [], (seed, turn)
+    _calm(world)
+    world.run(120)
+    assert {name: world.shown(name) for name in expected} == expected
+    assert world.history.faults == []
+
+
+def _run_ms(name):
+    return 300 + zlib.crc32(name.encode()) % 2500
+
+
+def _disturb(world, rng):
+    worker = rng.choice(world.workers)
+    draw = rng.random()
+    if draw < 0.02:
+        worker.begin_life()
+    elif draw < 0.05:
+        world.start_process(worker)
+    elif draw < 0.08:
+        world.cut.add(worker.id)
+    elif draw < 0.14:
+        world.cut.discard(worker.id)
+    elif draw < 0.17:
+        world.frozen.add(worker.id)
+    elif draw < 0.25:
+        world.frozen.discard(worker.id)
+    elif draw < 0.27:
+        world.store.set_faults(outage="refuse")
+    elif draw < 0.37:
+        world.store.set_faults(outage="")
+    elif draw < 0.42:
+        worker.loses_answer = lambda: rng.random() < 0.5
+    elif draw < 0.47:
+        worker.loses_answer = lambda: False
+    elif draw < 0.57:
+        worker.run_late()
+    world.lossy = rng.choice([0.0, 0.0, 0.1])
+
+
+def _claim(world, rng):
+    worker = rng.choice(world.workers)
+    if worker.id in world.frozen:
+        return
+    try:
+        world.owners[worker.id].acquire()
+    except (StoreError, JournalError):
+        return
+
+
+def _calm(world):
+    world.store.set_faults(outage="")
+    world.cut.clear()
+    world.frozen.clear()
+    world.lossy = 0.0
+    for worker in world.workers:
+        worker.loses_answer = lambda: False
+    for _ in range(40):
+        if world.owner() is not None:
+            return
+        world.round()
+        _claim(world, world.rng)
