Free the tasks of machines that came back under another id; let services use the reserve

A filling task that found no quiet worker for 10 s starts beside a service that it disturbs, halted while that is over its target. The first test of it showed a further fault: the old worker still got work for 2.2 s (an endless exchange of starts and losses); it is left out now.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -21,6 +21,14 @@
 """Share of a worker's processors that lasting tasks leave to short ones. Quick checks of both
 users take 5 to 6 % of the fleet on average and arrive in waves."""
 
+LASTING_PATIENCE_MS = 1000
+"""Wait after which a lasting task may use the reserve: its users are without a service."""
+
+CONFLICT_PATIENCE_MS = 10_000
+CONFLICT_PENALTY = 20.0
+"""A filling task that found no other worker for so long starts beside a service that it disturbs,
+where it works only while the service is calm."""
+
 DEFAULT_ESTIMATE_MS = 2000
 """Run time of a task whose caller gave no estimate and of which none has been measured."""
 
@@ -98,7 +106,7 @@
             if kind in blocked:
                 # Tasks of a step are alike: where one finds no room, the next does not either.
                 continue
-            room = self._best(task, rooms)
+            room = self._best(task, rooms, now_ms - task.waiting_since_ms)
             if room is None:
                 blocked.add(kind)
                 continue
@@ -120,7 +128,7 @@
             image = task.spec.image
             if not any(self.conflicts.is_conflict(image, serving) for serving in here.serving):
                 continue
-            room = self._best(task, rooms)
+            room = self._best(task, rooms, 0)
             if room is not None:
                 room.take(task)
                 moved.append(task)
@@ -166,16 +174,18 @@
             ends.append(before + own)
         return max(ends, default=timedelta())
 
-    def _best(self, task: StepTask, rooms: Sequence[WorkerRoom]) -> WorkerRoom | None:
+    def _best(
+        self, task: StepTask, rooms: Sequence[WorkerRoom], waited_ms: int
+    ) -> WorkerRoom | None:
         best = None
         best_score = 0.0
         for room in rooms:
-            score = self._score(task, room)
+            score = self._score(task, room, waited_ms)
             if score is not None and (best is None or score > best_score):
                 best, best_score = room, score
         return best
 
-    def _score(self, task: StepTask, room: WorkerRoom) -> float | None:
+    def _score(self, task: StepTask, room: WorkerRoom, waited_ms: int) -> float | None:
         """Return how well a worker suits a task, or None when it may not run there."""
         if not room.admits(task) or room.starting >= MAX_STARTING:
             return None
@@ -190,12 +200,15 @@
             if left < FILL_LIMIT_MILLIS:
                 return None
             if any(self.conflicts.is_conflict(spec.image, image) for image in room.serving):
-                return None
+                if waited_ms < CONFLICT_PATIENCE_MS:
+                    return None
+                score -= CONFLICT_PENALTY
             risk = sum(self.conflicts.risk(spec.image, image) for image in room.serving)
             return score + left / 100_000 - RISK_WEIGHT * risk
         if spec.lasting:
             left = room.free.cpu_millis - spec.cpu_millis
-            if left < room.capacity.cpu_millis * CHECK_RESERVE:
+            reserve = CHECK_RESERVE if waited_ms < LASTING_PATIENCE_MS else 0.0
+            if left < room.capacity.cpu_millis * reserve:
                 return None
             # Spread, so that the loss of a worker or a wave of load hits few tasks of a step.
             score += left / 100_000 - 0.2 * room.steps[step_key(task)]
--- a/packages/core/src/mulberryslip/rooms.py
+++ b/packages/core/src/mulberryslip/rooms.py
@@ -25,6 +25,7 @@
 
     worker_id: str
     incarnation: str
+    machine: str
     service: str
     data_centre: str
     labels: frozenset[str]
@@ -79,6 +80,7 @@
 def room_of(
     worker_id: str,
     incarnation: str,
+    machine: str,
     service: str,
     data_centre: str,
     labels: Iterable[str],
@@ -89,6 +91,7 @@
     room = WorkerRoom(
         worker_id,
         incarnation,
+        machine,
         service,
         data_centre,
         frozenset(labels),
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -135,7 +135,8 @@
     """What a worker says about itself.
 
     :param worker_id: its id; it may be used again in a later life.
-    :param incarnation: changes with each life.
+    :param incarnation: changes with each life; the text of a later life on the same VM sorts after
+        that of an earlier one.
     :param service: name of its service.
     :param data_centre: where it runs.
     :param machine: the VM, which keeps its identity over the lives.
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -76,6 +76,7 @@
     """A run was given to a worker.
 
     :param incarnation: life of the worker.
+    :param machine: VM of the worker; a worker with another id there means that this one is gone.
     :param start_by_ms: on the worker's clock; the worker refuses a later start.
     """
 
@@ -83,6 +84,7 @@
     run: int = records.number("r")
     worker_id: str = records.text("w", MAX_NAME_CHARS)
     incarnation: str = records.text("i", MAX_NAME_CHARS)
+    machine: str = records.text("m", MAX_NAME_CHARS)
     start_by_ms: int = records.number("b")
 
 
@@ -160,6 +162,7 @@
     :param run: number of the newest run; 0 before the first.
     :param worker_id: worker of the newest run.
     :param incarnation: life of that worker.
+    :param machine: VM of that worker.
     :param start_by_ms: on that worker's clock; it refuses a later start of the run.
     :param failures: runs that ended as failed.
     :param checkpoint: where the next run resumes.
@@ -175,6 +178,7 @@
     run: int = 0
     worker_id: str = ""
     incarnation: str = ""
+    machine: str = ""
     start_by_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
@@ -318,6 +322,7 @@
         task.run = event.run
         task.worker_id = event.worker_id
         task.incarnation = event.incarnation
+        task.machine = event.machine
         task.start_by_ms = event.start_by_ms
         self._held.setdefault(event.worker_id, {})[task.name] = task
         self._note_begun(task.workflow)
@@ -468,8 +473,9 @@
         workflow.is_begun, workflow.is_failed = begun, failed
         workflow.is_cancelled, workflow.ended_ms = cancelled, ended_ms
         for task, row in zip(workflow.tasks(), rows, strict=True):
-            phase, task.run, task.worker_id, task.incarnation, task.start_by_ms = row[:5]
-            task.failures, task.checkpoint, failed_on, task.waiting_since_ms = row[5:]
+            phase, task.run, task.worker_id, task.incarnation, task.machine = row[:5]
+            task.start_by_ms, task.failures, task.checkpoint = row[5:8]
+            failed_on, task.waiting_since_ms = row[8:]
             task.phase = Phase(phase)
             task.failed_on = tuple(failed_on)
             self._ready.pop(task.name, None)
@@ -517,6 +523,7 @@
             task.run,
             task.worker_id,
             task.incarnation,
+            task.machine,
             task.start_by_ms,
             task.failures,
             task.checkpoint,
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -7,7 +7,7 @@
 import random
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -613,17 +613,21 @@
     def _lost(self, tenure: PoolTenure) -> list[Any]:
         """Return the ends of runs on workers whose leases have certainly run out."""
         now = self._clock.monotonic()
+        newest = _newest_on_machines(tenure.members.values())
         events: list[Any] = []
         for worker_id in tenure.pool.holders():
             member = tenure.members.get(worker_id)
             heard_at = tenure.claimed_at if member is None else member.received_at
-            if now - heard_at <= self._times.silence:
+            held = tenure.pool.held(worker_id)
+            if now - heard_at > self._times.silence:
+                reason = f"the worker was silent for {now - heard_at}"
+            else:
+                held = [task for task in held if newest.get(task.machine, "") > task.incarnation]
+                reason = "another worker has started on its machine"
+            if not held:
                 continue
-            reason = f"the worker was silent for {now - heard_at}"
-            events += [
-                self._over(tenure, task, RunOutcome.LOST, self._now_ms(), reason)
-                for task in tenure.pool.held(worker_id)
-            ]
+            now_ms = self._now_ms()
+            events += [self._over(tenure, task, RunOutcome.LOST, now_ms, reason) for task in held]
             log(Event.WORKER_LOST, worker=worker_id, reason=reason)
         return events
 
@@ -696,10 +700,12 @@
     def _rooms(self, tenure: PoolTenure, config: PoolConfig) -> list[WorkerRoom]:
         now = self._clock.monotonic()
         services = config.services()
+        newest = _newest_on_machines(tenure.members.values())
         return [
             room_of(
                 member.worker_id,
                 member.incarnation,
+                member.machine,
                 member.service,
                 member.data_centre,
                 member.labels,
@@ -710,6 +716,7 @@
             if member.clock_ms
             and not member.leaving
             and not member.is_absent
+            and newest.get(member.machine, "") <= member.incarnation
             and member.service in services
             and member.data_centre not in config.data_centres_out
             and now - member.received_at <= FRESH_FOR
@@ -831,7 +838,9 @@
 def _assigned(placed: Placed, start_by_ms: int) -> RunAssigned:
     task = placed.task
     room = placed.room
-    return RunAssigned(task.name, task.run + 1, room.worker_id, room.incarnation, start_by_ms)
+    return RunAssigned(
+        task.name, task.run + 1, room.worker_id, room.incarnation, room.machine, start_by_ms
+    )
 
 
 def _profile(task: StepTask) -> wire.RunProfile:
@@ -841,6 +850,15 @@
     )
 
 
+def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
+    """Return the newest life by VM; a VM runs one worker at a time."""
+    newest: dict[str, str] = {}
+    for member in members:
+        if member.machine:
+            newest[member.machine] = max(newest.get(member.machine, ""), member.incarnation)
+    return newest
+
+
 def _recover(journal: Journal) -> Pool:
     recovery = journal.open()
     pool = Pool() if recovery.state is None else Pool.from_snapshot(recovery.state)
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -107,6 +107,7 @@
 
     def __init__(self, number, clock, history, run_ms=lambda name: 1000, data_centre="east"):
         self.id = f"w{number}"
+        self.machine = f"m{number}"
         self._clock = clock
         self._history = history
         self.run_ms = run_ms
@@ -147,7 +148,7 @@
             incarnation=self.incarnation,
             service="ledger",
             data_centre=self.data_centre,
-            machine=f"m-{self.id}",
+            machine=self.machine,
             labels=("a", f"rack-{self.id}"),
             capacity=CAPACITY,
             leaving=self.leaving,
@@ -329,7 +330,13 @@
         self.clock.on_wait = self.step_owners
 
     def address(self, worker):
-        return Address("10.0.0.1", 7000 + int(worker.id[1:]))
+        return Address("10.0.0.1", 7000 + int(worker.machine[1:]))
+
+    def rename(self, worker):
+        """Let a worker be known by a new id; the process beside it stays."""
+        old = next(name for name in self.agents if name.split("-")[0] == worker.id.split("-")[0])
+        for table in (self.agents, self.owners, self.sources, self.sessions):
+            table[worker.id] = table.pop(old)
 
     def start_process(self, worker):
         """Start the process beside a worker; an earlier one is gone without a word."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -216,6 +216,32 @@
     assert world.history.starts == 2
 
 
+def test_new_worker_on_a_machine_frees_the_tasks_of_the_one_before(world):
+    """Guards against a wait of a whole lease after machines lost power and came back.
+
+    Their workers then have other ids.
+    """
+    world.submit("a", attrs.evolve(TASK, lasting=True))
+    world.run(2)
+    holder = next(worker for worker in world.workers if worker.runs)
+    holder.begin_life()
+    holder.id = f"{holder.id}-new"
+    world.rename(holder)
+    world.run(4)
+    assert world.history.starts == 2
+    assert world.history.faults == []
+
+
+def test_lasting_task_uses_the_reserve_when_nothing_else_is_free():
+    """Guards against a service that stays away although a worker has room for it."""
+    world = PoolWorld(workers=1)
+    world.elect()
+    world.run(3)
+    world.submit("a", attrs.evolve(TASK, lasting=True, cpu_millis=CAPACITY.cpu_millis))
+    world.run(12)
+    assert world.history.starts >= 1
+
+
 def test_ends_are_acknowledged_only_after_their_commit(world):
     """Guards against an end that is forgotten by the worker and not known to the next owner."""
     world.submit("a")
