--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -361,11 +361,18 @@
             del self.workflows[name]
         return bool(expired)
 
-    def publish(self) -> None:
-        """Show callers the present states; call it when all applied events are committed."""
-        for workflow in self._changed.values():
+    def publish(self) -> list[Workflow]:
+        """Show callers the present states; call it when all applied events are committed.
+
+        :returns: the workflows whose shown state has changed.
+        """
+        changed = [
+            workflow for workflow in self._changed.values() if workflow.shown != workflow.state
+        ]
+        for workflow in changed:
             workflow.shown = workflow.state
         self._changed = {}
+        return changed
 
     def _note_begun(self, workflow: Workflow) -> None:
         if not workflow.is_begun:
--- a/packages/daemon/src/mulberryslipd/daemons.py
+++ b/packages/daemon/src/mulberryslipd/daemons.py
@@ -122,6 +122,10 @@
         self.agent.start(self._stop)
         log(Event.PROCESS_STARTED, role="agent", id=self.name)
 
+    def is_stopped(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._stop.is_set()
+
     def stop(self) -> None:
         """Stop at once: runs go on under the worker's lease until the agent is back."""
         log(Event.PROCESS_STOPPING, role="agent", id=self.name)
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -12,7 +12,6 @@
 from typing import Any, Protocol
 
 import attrs
-import eliot
 from absl import flags
 from mulberryslip import settings
 from mulberryslip.channels import Address, ChannelPool
@@ -25,6 +24,7 @@
 from mulberryslip.fleets import Fleet
 from mulberryslip.interferences import Interferences
 from mulberryslip.journals import Journal
+from mulberryslip.logs import LogWriter
 from mulberryslip.metrics import Metrics
 from mulberryslip.placements import Placement
 from mulberryslip.quotas import Quotas
@@ -54,6 +54,9 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+SIGNAL_INTERVAL_S = 0.2
+"""A signal handler runs in the main thread, which must wake up for it."""
+
 HEALTH_THREADS = 2
 """Threads of listeners that get about one short call a second."""
 
@@ -116,30 +119,57 @@
         cfg = settings.load(values.config)
     except SettingsError as exc:
         return _settings_error(exc)
-    return 0 if values.check else serve(cfg)
+    return 0 if values.check else serve(cfg, values.config)
 
 
-def serve(cfg: Settings) -> int:
-    """Run the role until SIGTERM or SIGINT.
+def serve(cfg: Settings, path: str) -> int:
+    """Run the role until SIGTERM or SIGINT; SIGHUP checks the settings file again.
 
+    :param path: settings file.
     :returns: the exit code.
     """
-    eliot.to_file(sys.stdout)
+    clock = SystemClock()
+    writer = LogWriter(sys.stdout, clock)
+    writer.start()
     stop_event = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop_event.set())
+    reload_event = threading.Event()
+    signal.signal(signal.SIGHUP, lambda *_: reload_event.set())
     try:
-        daemon = build(cfg, SystemClock())
+        daemon = build(cfg, clock)
         daemon.start()
-        stop_event.wait()
+        while not stop_event.wait(SIGNAL_INTERVAL_S):
+            if reload_event.is_set():
+                reload_event.clear()
+                check_again(cfg, path)
         daemon.stop()
     except (MulberryslipError, OSError) as exc:
         log(Event.INTERNAL_ERROR, what="the process cannot serve", reason=str(exc))
         print(f"mulberryslipd: {exc}", file=sys.stderr)
         return EXIT_FAILED
+    finally:
+        writer.stop()
     return 0
 
 
+def check_again(cfg: Settings, path: str) -> None:
+    """Read the settings file again and log what differs.
+
+    Addresses and limits of a process are fixed while it runs; what differs takes effect with its
+    next start.
+    """
+    try:
+        newest = settings.load(path)
+    except SettingsError as exc:
+        log(Event.SETTINGS_INVALID, faults=exc.faults)
+        return
+    changed = [
+        name for name in attrs.fields_dict(Settings) if getattr(newest, name) != getattr(cfg, name)
+    ]
+    log(Event.SETTINGS_RELOADED, path=path, changed_tables=changed)
+
+
 def build(cfg: Settings, clock: Clock) -> Daemon:
     """Construct the role's parts."""
     builders = {
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -39,6 +39,7 @@
     RunOutcome,
     RunOver,
     StepTask,
+    Workflow,
     WorkflowCancelled,
     WorkflowsExpired,
     accepted_event,
@@ -501,7 +502,7 @@
                 item.done.set()
             raise
         with tenure.lock:
-            tenure.pool.publish()
+            _log_ended(tenure.pool.publish())
             for member in tenure.members.values():
                 member.ended_through = member.listed_through
             self._order_starts(tenure, placed)
@@ -695,7 +696,6 @@
         for task in self._dispatcher.misplaced(filling, self._rooms(tenure, config)):
             member = tenure.members[task.worker_id]
             member.unwanted.add((task.name, task.run))
-            log(Event.RUN_STOPPED, task=task.name, run=task.run, reason="disturbs a service")
 
     def _rooms(self, tenure: PoolTenure, config: PoolConfig) -> list[WorkerRoom]:
         now = self._clock.monotonic()
@@ -731,6 +731,7 @@
         if not tenure.is_live():
             # The runs count as not started once their time has passed on the workers.
             return
+        now = self._clock.monotonic()
         for decision in placed:
             task = decision.task
             member = tenure.members[task.worker_id]
@@ -747,7 +748,15 @@
                 )
             )
             member.has_orders.set()
-            log(Event.RUN_PLACED, task=task.name, run=task.run, worker=task.worker_id)
+            log(
+                Event.RUN_PLACED,
+                task=task.name,
+                run=task.run,
+                worker=task.worker_id,
+                report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
+                start_by_ms=task.start_by_ms,
+                resumed=bool(task.checkpoint),
+            )
 
     def _order_stops(self, tenure: PoolTenure) -> None:
         now = self._clock.monotonic()
@@ -761,9 +770,17 @@
                 sent_at = member.stopped_at.get(key)
                 if sent_at is None or now - sent_at >= STOP_REPEAT:
                     member.stopped_at[key] = now
-                    member.stops.append(wire.RunStop(task_name, row.run, "no longer wanted"))
+                    reason = "disturbs a service" if key in member.unwanted else "not wanted"
+                    member.stops.append(wire.RunStop(task_name, row.run, reason))
                     member.has_orders.set()
-                    log(Event.RUN_STOPPED, task=task_name, run=row.run, worker=member.worker_id)
+                    log(
+                        Event.RUN_STOPPED,
+                        task=task_name,
+                        run=row.run,
+                        worker=member.worker_id,
+                        reason=reason,
+                        report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
+                    )
             for key in [key for key in member.stopped_at if key[0] not in member.running]:
                 del member.stopped_at[key]
                 member.unwanted.discard(key)
@@ -850,6 +867,18 @@
     )
 
 
+def _log_ended(changed: list[Workflow]) -> None:
+    for workflow in changed:
+        if workflow.is_over:
+            log(
+                Event.WORKFLOW_ENDED,
+                workflow=workflow.workflow_id,
+                queue=workflow.queue.name,
+                shown=workflow.shown,
+                took_ms=workflow.ended_ms - workflow.accepted_ms,
+            )
+
+
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
     """Return the newest life by VM; a VM runs one worker at a time."""
     newest: dict[str, str] = {}
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,407 @@
+"""The adapter for the users' platform, against stand-ins that speak its published protocol."""
+
+import io
+import json
+import platform
+import re
+import socket
+import threading
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+import urllib3
+from mulberryslip import SystemClock
+from mulberryslip.exceptions import ConfigError, StoreError
+from mulberryslip.queues import Queue
+from mulberryslip.runners import (
+    EndKind,
+    RunnerAbsentError,
+    RunnerFencedError,
+    RunnerUnavailableError,
+    RunOrder,
+    StartRefusal,
+)
+from mulberryslip.settings import parse
+from mulberryslip.steps import StepSpec
+from mulberryslip.stores import StoredValue
+from mulberryslip_platform import (
+    OPERATOR_PREFIX,
+    PlatformRunner,
+    PlatformStore,
+    announcements_application,
+    callers_application,
+    decode_config,
+)
+from mulberryslip_testing.waits import wait_until
+from mulberryslipd.gateways import Accepted, Missing, Rejected, Shown, Unknown
+from mulberryslipd.main import build
+from mulberryslipd.responses import Drain
+from platform_doubles import PlatformStoreServer, PlatformWorkerServer
+from pool_doubles import History
+
+ROOT = Path(__file__).parent.parent
+CLOCK = SystemClock()
+SECOND = timedelta(seconds=1)
+WIRE_NAMES = re.compile(
+    r'/-/(run-start|run-stop|hold|pace|advise|kv-|instances|machine-)|"(LastSeen|ClockMs|DeadlineMs'
+    r'|EstimateMs|RequiredLabel|MaxPerServer|SloMs|LongRunning|op/config)"'
+)
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "nony24.example",
+            "Prefix": "/lohu930/",
+            "Type": "unsafe",
+            "TimeoutMs": 3000,
+            "SloMs": 300,
+            "Priority": 0,
+            "Service": "ledger",
+            "Attempts": 2,
+            "Stretch": 1.5,
+        }
+    ],
+    "Services": [{"Name": "ledger"}],
+    "Limits": {},
+}
+
+
+def test_python_keeps_its_own_platform_module():
+    """Guards against a folder that hides a module of the standard library."""
+    assert platform.python_implementation()
+
+
+def test_platform_names_stay_in_its_folder():
+    """Guards against wire names that spread through the product."""
+    sources = (ROOT / "packages").glob("*/src/**/*.py")
+    assert [path.name for path in sources if WIRE_NAMES.search(path.read_text())] == []
+
+
+@pytest.fixture
+def store_server():
+    server = PlatformStoreServer()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def worker_server():
+    server = PlatformWorkerServer(0)
+    yield server
+    server.stop()
+
+
+def test_listing_goes_over_all_pages(store_server):
+    """Guards against a journal that is read up to its first page."""
+    store = PlatformStore(store_server.url)
+    for number in range(8):
+        store.put(f"a/{number}", b"x", 0)
+    assert [value.key for value in store.list("a/").values] == [f"a/{n}" for n in range(8)]
+
+
+def test_watch_without_history_is_an_error(store_server):
+    """Guards against a watch that goes on although changes were dropped."""
+    store_server.history_is_lost = True
+    with pytest.raises(StoreError):
+        PlatformStore(store_server.url).watch("a", 1, SECOND)
+
+
+def test_item_that_cannot_be_read_is_left_out(store_server, monkeypatch):
+    """Guards against one damaged entry of another writer that hides all others."""
+    store = PlatformStore(store_server.url)
+    store.put("a/1", b"x", 0)
+    store.put("a/2", b"y", 0)
+    item = store_server._item
+    monkeypatch.setattr(
+        store_server,
+        "_item",
+        lambda value: {**item(value), "Value": 5} if value.key == "a/1" else item(value),
+    )
+    assert [value.key for value in store.list("a/").values] == ["a/2"]
+
+
+def order(run=1, start_by=10**9):
+    return RunOrder("a" * 16 + "/0/0/0", run, "payload", "", start_by)
+
+
+def test_runner_starts_lists_and_stops(worker_server):
+    """Guards against names and fields that are translated wrongly in either direction."""
+    worker_server.history.specs["a" * 16] = type("Spec", (), {"steps": [StepSpec()]})
+    runner = PlatformRunner(worker_server.url, CLOCK)
+    assert runner.start("w0", order(), 5) is None
+    listing = runner.hold("w0", 5, 0, 0, timedelta(0))
+    (running,) = listing.running
+    assert (running.task, running.run, running.progress_percent, running.gauge) == (
+        order().task,
+        1,
+        50,
+        7,
+    )
+    assert listing.incarnation.endswith("@w0")
+    runner.stop("w0", order().task, 1, 5)
+    runner.pace("w0", order().task, 1, 40, 5)
+    assert worker_server.paced == [("a" * 16 + ".0.0.0", 40)]
+
+    def ended():
+        return runner.hold("w0", 5, 0, 0, timedelta(0)).ended
+
+    assert wait_until(ended, 5 * SECOND)
+    assert [(end.number, end.kind) for end in ended()] == [(1, EndKind.STOPPED)]
+    assert runner.start("w0", order(1), 5) is StartRefusal.SUPERSEDED
+    assert runner.start("w0", order(2, start_by=1), 5) is StartRefusal.LATE
+    assert runner.start("w0", order(2), 4) is StartRefusal.FENCED
+    with pytest.raises(RunnerFencedError):
+        runner.hold("w0", 4, 0, 0, timedelta(0))
+
+
+def test_refused_connection_means_that_the_worker_has_ended():
+    """Guards against a silent worker that is taken for one that runs nothing."""
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        port = closed.getsockname()[1]
+    with pytest.raises(RunnerAbsentError):
+        PlatformRunner(f"http://127.0.0.1:{port}", CLOCK).hold("w0", 1, 0, 0, timedelta(0))
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        url = f"http://127.0.0.1:{silent.getsockname()[1]}"
+        runner = PlatformRunner(url, CLOCK, timeout=timedelta(milliseconds=100))
+        with pytest.raises(RunnerUnavailableError) as raised:
+            runner.hold("w0", 1, 0, 0, timedelta(0))
+        assert not isinstance(raised.value, RunnerAbsentError)
+
+
+def documents(config=CONFIG, *out):
+    values = {"op/config": StoredValue("op/config", json.dumps(config).encode(), 1)}
+    values |= {f"op/evacuate/{name}": StoredValue("", b"{}", 2) for name in out}
+    return values
+
+
+def test_configuration_is_decoded():
+    """Guards against terms of a queue that are read from the wrong field or unit."""
+    config = decode_config(documents(CONFIG, "berkshire"))
+    assert config.revision == 7
+    assert config.data_centres_out == {"berkshire"}
+    assert config.queues["r-1"] == Queue(
+        "r-1", "nony24.example", "/lohu930/", "ledger", 0, 2, 1500, 300, False
+    )
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"Version": 1}', b'{"Routes": []}'])
+def test_damaged_configuration_is_refused(value):
+    """Guards against a damaged document that replaces the configuration in force."""
+    with pytest.raises(ConfigError):
+        decode_config({"op/config": StoredValue("op/config", value, 1)})
+    with pytest.raises(ConfigError):
+        decode_config({})
+
+
+def test_damaged_route_leaves_the_others():
+    """Guards against one damaged route that takes all queues away."""
+    routes = [*CONFIG["Routes"], {"Name": "r-2"}, {"Prefix": "/x/", "Name": "r-3", "SloMs": "no"}]
+    assert list(decode_config(documents({**CONFIG, "Routes": routes})).queues) == ["r-1"]
+
+
+@pytest.mark.parametrize(
+    ("change", "is_taken"),
+    [
+        ({}, True),
+        ({"RemainingMs": 2000, "State": "draining"}, True),
+        ({"State": "asleep"}, False),
+        ({"Capacity": {"Cpu": "many"}}, False),
+        ({"Seq": None}, False),
+        ({"Labels": 5}, False),
+    ],
+)
+def test_announcement_is_checked(worker_server, change, is_taken):
+    """Guards against an announcement of another writer that replaces a worker's own."""
+    taken = []
+    application = announcements_application(taken.append, taken.append)
+    status, _ = call(application, "PUT", "/-/instances/w0", {**worker_server.beat(), **change})
+    assert (status == 200) is is_taken
+    assert bool(taken) is is_taken
+
+
+def call(application, method, path, document=None, **headers):
+    """Call a WSGI application; returns status, headers and body."""
+    body = b"" if document is None else json.dumps(document).encode()
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "REQUEST_URI": path,
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+        **{f"HTTP_{name.upper()}": value for name, value in headers.items()},
+    }
+    started = []
+    parts = application(environ, lambda status, head: started.append((status, dict(head))))
+    answer = b"".join(parts)
+    status, head = started[0]
+    return int(status.split()[0]), (head, answer)
+
+
+class FixedGateway:
+    """A gateway that gives one outcome and keeps what it was asked."""
+
+    def __init__(self, outcome, queue=None):
+        self.outcome = outcome
+        self.queue = queue or Queue("r-1", "nony24.example", "/lohu930/", "ledger")
+        self.asked = []
+
+    def find_queue(self, host, path):
+        return self.queue
+
+    def __getattr__(self, method):
+        def answer(*args):
+            self.asked.append((method, *args[:-1]))
+            return self.outcome
+
+        return answer
+
+
+ID = "5c0e7a21d94b36f8"
+BODY = {"Spec": "text", "Steps": [{"Count": 4, "Cpu": 500, "MemMb": 256}]}
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "outcome", "status", "answer"),
+    [
+        ("POST", ID, BODY, Accepted("queued"), 200, {}),
+        ("GET", ID, None, Shown("running"), 200, {"State": "running"}),
+        ("GET", "", None, Shown(waiting=12), 200, {"Waiting": 12}),
+        ("DELETE", ID, None, Shown("cancelled"), 200, {"State": "cancelled"}),
+        ("GET", ID, None, Missing("none"), 410, None),
+        ("POST", ID, BODY, Rejected("no owner"), 503, None),
+        ("POST", ID, BODY, Unknown("lost"), 504, None),
+        ("POST", "short", BODY, Accepted("queued"), 404, None),
+        ("POST", ID, {"Steps": [{"Count": -1}]}, Accepted("queued"), 400, None),
+        ("POST", ID, {"Steps": 5}, Accepted("queued"), 400, None),
+        ("PATCH", ID, None, Accepted("queued"), 405, None),
+    ],
+)
+def test_callers_form(method, path, body, outcome, status, answer):
+    """Guards against an answer that says something else than the outcome."""
+    application = callers_application(FixedGateway(outcome), Drain(CLOCK), CLOCK)
+    found, (head, data) = call(application, method, f"/lohu930/{path}", body)
+    assert found == status
+    if answer is not None:
+        assert json.loads(data) == answer
+    assert ("Retry-After" in head) is isinstance(outcome, Rejected)
+
+
+def test_submission_is_decoded():
+    """Guards against a field of a step that is dropped or put in the wrong place."""
+    gateway = FixedGateway(Accepted("queued"))
+    application = callers_application(gateway, Drain(CLOCK), CLOCK)
+    steps = [
+        {"Count": 2, "Cpu": 500, "MemMb": 256, "Gpu": 1, "EstimateMs": 900, "Affinity": "r1"},
+        {"Count": 3, "After": [0], "Checkpoints": True, "RequiredLabel": "a", "MaxPerServer": 2},
+        {"LongRunning": True, "Image": "i", "TargetMs": 50, "MayMiss": 1, "Speculative": True},
+        {"Fills": True, "Gang": True, "SameRack": True},
+    ]
+    call(application, "POST", f"/lohu930/{ID}", {"Spec": "text", "Steps": steps})
+    ((_, _, workflow_id, spec),) = gateway.asked
+    assert (workflow_id, spec.payload) == (ID, "text")
+    assert spec.steps == (
+        StepSpec(2, 500, 256, 1, 900, rack="r1"),
+        StepSpec(3, after=(0,), checkpoints=True, required_label="a", max_per_worker=2),
+        StepSpec(lasting=True, image="i", target_ms=50, may_miss=1, speculative=True),
+        StepSpec(fills=True, gang=True, same_rack=True),
+    )
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+def settings(role, name, store_url, **own):
+    addresses = {key: f"127.0.0.1:{free_port()}" for key in own.pop("addresses")}
+    return parse(
+        {
+            "process": {"role": role, "id": name, "data_centre": "east", "host": "127.0.0.1"},
+            "adapter": {"module": "mulberryslip_platform"},
+            "store": {"url": store_url},
+            "timing": {"stop_grace_ms": 0},
+            role: {**addresses, **own},
+        }
+    )
+
+
+def test_whole_path_on_stand_ins(store_server):
+    """Guards against parts that work alone and not together.
+
+    A workflow of two steps goes from a caller over a gateway, the owner and two agents to workers
+    and is shown as completed; then the owner stops and another agent takes over.
+    """
+    store_server.operate("op/config", CONFIG)
+    history = History()
+    workers = [PlatformWorkerServer(number, history) for number in range(2)]
+    history.specs[ID] = type("Spec", (), {"steps": [StepSpec(), StepSpec(after=(0,))]})
+    agents = []
+    stop = threading.Event()
+    for number, worker in enumerate(workers):
+        cfg = settings(
+            "agent",
+            f"agent-{number}",
+            store_server.url,
+            addresses=("wire", "announcements", "metrics"),
+            worker_url=worker.url,
+        )
+        agents.append(build(cfg, CLOCK))
+        agents[-1].start()
+        threading.Thread(
+            target=beat, args=(cfg.role["announcements"], worker, stop), daemon=True
+        ).start()
+    cfg = settings(
+        "gateway", "gateway-1", store_server.url, addresses=("callers", "health", "metrics")
+    )
+    gateway = build(cfg, CLOCK)
+    gateway.start()
+    http = urllib3.PoolManager(retries=False, timeout=5, headers={"Host": "nony24.example"})
+    url = f"http://{cfg.role['callers']}/lohu930/{ID}"
+    try:
+        assert wait_until(lambda: any(agent.owner.is_owner() for agent in agents), 10 * SECOND)
+        assert wait_until(
+            lambda: http.request("POST", url, json=two_steps()).status == 200, 10 * SECOND
+        )
+        assert wait_until(lambda: shown(http, url) == "completed", 20 * SECOND)
+        first = next(agent for agent in agents if agent.owner.is_owner())
+        first.stop()
+        assert wait_until(lambda: shown(http, url) == "completed", 10 * SECOND)
+        assert http.request("GET", f"http://{cfg.role['health']}/").status == 200
+        text = http.request("GET", f"http://{cfg.role['metrics']}/metrics").data.decode()
+        assert "store_calls" in text
+        assert history.faults == []
+    finally:
+        stop.set()
+        gateway.stop()
+        for agent in agents:
+            if not agent.is_stopped():
+                agent.stop()
+        for worker in workers:
+            worker.stop()
+    assert http.request("GET", f"http://{cfg.role['health']}/").status == 503
+
+
+def two_steps():
+    return {"Spec": "text", "Steps": [{"Count": 2, "Cpu": 100}, {"After": [0], "Cpu": 100}]}
+
+
+def shown(http, url):
+    resp = http.request("GET", url)
+    return resp.json().get("State") if resp.status == 200 else resp.status
+
+
+def beat(address, worker, stop):
+    """Send a worker's announcements."""
+    http = urllib3.PoolManager(retries=False, timeout=2)
+    while not stop.wait(0.2):
+        url = f"http://{address}/-/instances/{worker.worker.id}"
+        http.request("PUT", url, json=worker.beat())
+
+
+def test_operators_documents_are_under_their_prefix(store_server):
+    """Guards against a configuration that is not read because it lies elsewhere."""
+    store_server.operate("op/config", CONFIG)
+    listing = PlatformStore(store_server.url).list(OPERATOR_PREFIX)
+    assert decode_config({value.key: value for value in listing.values}).revision == 7
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -31,10 +31,12 @@
     listing_to_json,
 )
 from mulberryslip.transports import HTTPTransport
+from mulberryslip_platform import PlatformStore
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslip_testing.proxies import Direction, Proxy
 from mulberryslip_testing.stores import StoreServer
 from mulberryslip_testing.waits import wait_until
+from platform_doubles import PlatformStoreServer
 
 TTL = timedelta(seconds=3)
 
@@ -52,11 +54,18 @@
     server.stop()
 
 
-@pytest.fixture(params=["fake", "http"])
+@pytest.fixture(params=["fake", "http", "platform"])
 def store(request, clock):
     if request.param == "fake":
         yield FakeStore(clock)
         return
+    if request.param == "platform":
+        platform_server = PlatformStoreServer(clock)
+        store = PlatformStore(platform_server.url)
+        yield store
+        store.close()
+        platform_server.stop()
+        return
     store = HTTPStore(request.getfixturevalue("server").base_url)
     yield store
     store.close()
