--- a/packages/core/src/mulberryslip/conflicts.py
+++ b/packages/core/src/mulberryslip/conflicts.py
@@ -81,13 +81,17 @@
         before, earlier = self._seen.get(worker_id, (now, frozenset()))
         self._seen[worker_id] = (now, working)
         seconds = min(MAX_STEP, now - before).total_seconds()
-        # A run that ended just now is still in the tails, one that began just now is not.
-        steady = working & earlier
         for neighbour in neighbours:
             target = neighbour.profile.target_ms
-            if target and steady and seconds > 0:
+            if target and seconds > 0:
                 ratio = neighbour.row.gauge / target
-                self._learn(neighbour.profile.image, steady, ratio, seconds, now)
+                serving = neighbour.profile.image
+                if ratio < CALM:
+                    # What began just now does not show in the tail yet.
+                    self._acquit(working & earlier, serving, seconds, now)
+                elif ratio >= OVER:
+                    # The tail still shows what ended just now.
+                    self._blame(working | earlier, serving, seconds, now)
 
     def give(self, pairs: Iterable[tuple[str, str]]) -> None:
         """Take over conflicts that another process has learned, in place of earlier ones."""
@@ -106,18 +110,19 @@
         """Return the pairs of filling and serving image that are to be kept apart."""
         return [pair for pair, found in self._pairs.items() if found.risk() >= CONFLICT_RISK]
 
-    def _learn(
-        self, serving: str, working: frozenset[str], ratio: float, seconds: float, now: timedelta
+    def _acquit(
+        self, working: frozenset[str], serving: str, seconds: float, now: timedelta
     ) -> None:
+        for filling in working:
+            self._evidence(filling, serving, now).calm += seconds
+
+    def _blame(self, working: frozenset[str], serving: str, seconds: float, now: timedelta) -> None:
         pairs = [self._evidence(filling, serving, now) for filling in working]
-        if ratio < CALM:
-            for evidence in pairs:
-                evidence.calm += seconds
-        elif ratio >= OVER:
-            # The blame goes to those that are suspected already.
-            total = sum(evidence.risk() for evidence in pairs)
-            for evidence in pairs:
-                evidence.disturbed += seconds * evidence.risk() / total
+        # The blame goes to those that are suspected already. In proportion to the risk alone,
+        # what often works beside a culprit would keep a seventh of its blame.
+        weights = [evidence.risk() ** 2 for evidence in pairs]
+        for evidence, weight in zip(pairs, weights, strict=True):
+            evidence.disturbed += seconds * weight / sum(weights)
 
     def _evidence(self, filling: str, serving: str, now: timedelta) -> _Evidence:
         evidence = self._pairs.setdefault((filling, serving), _Evidence(updated=now))
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -15,6 +15,7 @@
 
 from .conflicts import ConflictModel
 from .rooms import WorkerRoom, step_key
+from .soundness import EXCLUDED
 from .workflows import StepTask, Workflow
 
 CHECK_RESERVE = 0.1
@@ -134,6 +135,21 @@
                 moved.append(task)
         return moved
 
+    def stranded(self, runs: Iterable[StepTask], rooms: Sequence[WorkerRoom]) -> list[StepTask]:
+        """Return runs to move away from workers on which they stand still.
+
+        :param runs: such runs; they may lose their progress.
+        :param rooms: changed accordingly.
+        """
+        moved = []
+        for task in runs:
+            others = [room for room in rooms if room.worker_id != task.worker_id]
+            room = self._best(task, others, 0)
+            if room is not None and len(moved) < MAX_MOVES:
+                room.take(task)
+                moved.append(task)
+        return moved
+
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
         """Return waiting tasks in the order in which they get room."""
         urgencies: dict[str, tuple] = {}
@@ -187,7 +203,7 @@
 
     def _score(self, task: StepTask, room: WorkerRoom, waited_ms: int) -> float | None:
         """Return how well a worker suits a task, or None when it may not run there."""
-        if not room.admits(task) or room.starting >= MAX_STARTING:
+        if not room.admits(task) or room.starting >= MAX_STARTING or room.penalty >= EXCLUDED:
             return None
         spec = task.spec
         score = -10.0 * room.penalty
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -67,7 +67,7 @@
 usage: mulberryslipd --config=FILE.toml [--check]
 
 Runs one process of mulberryslip. The role, entry, worker, gateway or agent, is a setting;
-docs/operating.md lists all settings, and examples/ holds complete files. The log goes to standard
+docs/OPERATIONS.md lists all settings, and examples/ holds complete files. The log goes to standard
 output, one JSON object a line. SIGTERM starts a planned stop.
 
 exit codes: 0 planned stop or settings checked, 1 failed, 2 wrong usage or settings"""
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -37,7 +37,7 @@
     :param lives: lives seen in this period of ownership.
     :param is_absent: whether its process has ended.
     :param starts: orders that the agent has not fetched yet.
-    :param unwanted: runs to stop although their tasks go on, by task and run.
+    :param unwanted: why to stop runs whose tasks go on, by task and run.
     :param stopped_at: when stops were last ordered, by task and run.
     """
 
@@ -61,7 +61,7 @@
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
     stopped_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
-    unwanted: set[tuple[str, int]] = attrs.field(factory=set)
+    unwanted: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_orders: threading.Event = attrs.field(factory=threading.Event)
 
     def observe(self, report: wire.WorkerReport, now: timedelta) -> bool:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -27,7 +27,8 @@
 from mulberryslip.journals import Journal
 from mulberryslip.metrics import Metrics
 from mulberryslip.queues import PoolConfig
-from mulberryslip.rooms import WorkerRoom, room_of
+from mulberryslip.rooms import WorkerRoom, room_of, step_key
+from mulberryslip.soundness import Progress, Soundness
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.stores import Store
 from mulberryslip.wire import ttypes as wire
@@ -223,6 +224,7 @@
         self._tenure: PoolTenure | None = None
         self._next_expiry = clock.monotonic()
         self._next_moves = clock.monotonic()
+        self._soundness = Soundness()
 
     def is_owner(self) -> bool:
         """Return whether this process owns the pool now."""
@@ -492,7 +494,7 @@
             events += self._apply(tenure, self._lost(tenure))
             events += self._apply(tenure, self._expired(tenure))
             placed = self._place(tenure)
-            self._move_fills(tenure)
+            self._move_runs(tenure)
             events += self._apply(tenure, [_assigned(p, self._start_by(tenure, p)) for p in placed])
         try:
             if events:
@@ -610,6 +612,14 @@
                 neighbours.append(Neighbour(row, profile))
         at = member.clock_ms * timedelta(milliseconds=1)
         self._dispatcher.conflicts.observe(member.worker_id, at, neighbours)
+        progress = [
+            Progress(name, row.run, step_key(task), row.progress_percent)
+            for name, row in member.running.items()
+            if (task := tenure.pool.task(name)) is not None
+            and not task.spec.fills
+            and not task.spec.lasting
+        ]
+        self._soundness.observe(member.worker_id, progress, self._clock.monotonic())
 
     def _lost(self, tenure: PoolTenure) -> list[Any]:
         """Return the ends of runs on workers whose leases have certainly run out."""
@@ -645,6 +655,10 @@
         row = member.running.get(task.name) if member else None
         if not checkpoint and row is not None and row.run == task.run:
             checkpoint = row.checkpoint
+        if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
+            is_done = outcome is RunOutcome.DONE
+            if self._soundness.ended(task.worker_id, is_done, self._clock.monotonic()):
+                log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="runs fail in a row")
         log(
             Event.RUN_ENDED,
             task=task.name,
@@ -675,8 +689,8 @@
         rooms = self._rooms(tenure, config)
         return self._dispatcher.choose(waiting, rooms, self._now_ms()) if rooms else []
 
-    def _move_fills(self, tenure: PoolTenure) -> None:
-        """Order stops for filling runs that disturb a service and fit better elsewhere."""
+    def _move_runs(self, tenure: PoolTenure) -> None:
+        """Order stops for runs that are better off on another worker."""
         now = self._clock.monotonic()
         config = self._source.config()
         if now < self._next_moves or config is None or not tenure.is_live():
@@ -691,17 +705,27 @@
             and task.is_held(row.run)
             and row.progress_percent < MOVE_BELOW_PERCENT
         ]
-        if not filling:
+        stalled = [
+            task
+            for member in tenure.members.values()
+            for name, run in self._soundness.stalled(member.worker_id, now)
+            if (task := tenure.pool.task(name)) is not None and task.is_held(run)
+        ]
+        if not filling and not stalled:
             return
-        for task in self._dispatcher.misplaced(filling, self._rooms(tenure, config)):
-            member = tenure.members[task.worker_id]
-            member.unwanted.add((task.name, task.run))
+        rooms = self._rooms(tenure, config)
+        moved = [
+            (task, "disturbs a service") for task in self._dispatcher.misplaced(filling, rooms)
+        ]
+        moved += [(task, "stands still") for task in self._dispatcher.stranded(stalled, rooms)]
+        for task, reason in moved:
+            tenure.members[task.worker_id].unwanted[task.name, task.run] = reason
 
     def _rooms(self, tenure: PoolTenure, config: PoolConfig) -> list[WorkerRoom]:
         now = self._clock.monotonic()
         services = config.services()
         newest = _newest_on_machines(tenure.members.values())
-        return [
+        rooms = [
             room_of(
                 member.worker_id,
                 member.incarnation,
@@ -721,6 +745,9 @@
             and member.data_centre not in config.data_centres_out
             and now - member.received_at <= FRESH_FOR
         ]
+        for room in rooms:
+            room.penalty = self._soundness.penalty(room.worker_id, now)
+        return rooms
 
     def _start_by(self, tenure: PoolTenure, placed: Placed) -> int:
         member = tenure.members[placed.room.worker_id]
@@ -770,7 +797,7 @@
                 sent_at = member.stopped_at.get(key)
                 if sent_at is None or now - sent_at >= STOP_REPEAT:
                     member.stopped_at[key] = now
-                    reason = "disturbs a service" if key in member.unwanted else "not wanted"
+                    reason = member.unwanted.get(key, "not wanted")
                     member.stops.append(wire.RunStop(task_name, row.run, reason))
                     member.has_orders.set()
                     log(
@@ -783,7 +810,7 @@
                     )
             for key in [key for key in member.stopped_at if key[0] not in member.running]:
                 del member.stopped_at[key]
-                member.unwanted.discard(key)
+                member.unwanted.pop(key, None)
 
     # Answers
 
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -115,6 +115,7 @@
         self.kind_of = lambda name: EndKind.DONE
         self.loses_answer = lambda: False
         self.is_dark = False
+        self.is_hung = False
         self.is_down = False
         self.life = 0
         self.begin_life()
@@ -214,9 +215,17 @@
             if self.lapsed_through < end.number <= ended_through:
                 self._history.note(self, end)
         self.ended = [end for end in self.ended if end.number > ended_through]
-        running = tuple(RunningRun(run.task, run.run, "", 50) for run in self.runs.values())
+        running = tuple(
+            RunningRun(run.task, run.run, "", self._percent(run)) for run in self.runs.values()
+        )
         return RunListing(self.clock_ms(), self.incarnation, running, tuple(self.ended))
 
+    def _percent(self, run):
+        if self.is_hung:
+            return 0
+        whole = max(1, run.ends_at - run.started_at)
+        return min(99, (self.clock_ms() - run.started_at) * 100 // whole)
+
     def tick(self):
         """Let runs end that are due."""
         now = self.clock_ms()
@@ -228,7 +237,7 @@
         for run in list(self.runs.values()):
             if run.stopping_at is not None and now >= run.stopping_at:
                 self._end(run, EndKind.STOPPED)
-            elif now >= run.ends_at:
+            elif now >= run.ends_at and not self.is_hung:
                 self._end(run, run.kind)
 
     def _end(self, run, kind):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -330,6 +330,28 @@
     assert world.call("status", "a").outcome == Outcome.NOT_FOUND
 
 
+def test_runs_that_stand_still_are_moved(world):
+    """Guards against tasks that wait for a worker which only looks healthy."""
+    world.workers[0].is_hung = True
+    world.submit("a", attrs.evolve(TASK, count=6))
+    world.run(30)
+    assert world.shown("a") == "completed"
+    assert world.history.faults == []
+
+
+def test_worker_that_fails_in_a_row_gets_nothing_for_a_while(world):
+    """Guards against tasks that use up their attempts on a worker that fails everything."""
+    world.workers[0].kind_of = lambda name: EndKind.FAILED
+    for number in range(3):
+        world.submit(f"a{number}", attrs.evolve(TASK, count=2))
+    world.run(8)
+    placed = world.history.starts
+    world.submit("b", attrs.evolve(TASK, count=12, cpu_millis=500))
+    world.run(1)
+    assert world.history.starts > placed
+    assert not world.workers[0].runs
+
+
 def test_spread_limit_holds(world):
     """Guards against more tasks of a step on one worker than the caller allows."""
     world.submit("a", attrs.evolve(TASK, count=6, max_per_worker=1))
