--- /dev/null
+++ b/tests/test_dispatches.py
@@ -0,0 +1,221 @@
+"""Which tasks start where: replays of load, beside a naive policy."""
+
+import random
+from datetime import timedelta
+
+import attrs
+import pytest
+from mulberryslip.conflicts import ConflictModel
+from mulberryslip.dispatches import CONFLICT_PATIENCE_MS, Dispatcher, RunTimes
+from mulberryslip.models import Resources
+from mulberryslip.queues import Queue
+from mulberryslip.rooms import room_of
+from mulberryslip.soundness import EXCLUDED
+from mulberryslip.steps import StepSpec, WorkflowSpec
+from mulberryslip.workflows import Pool, RunAssigned, RunOutcome, RunOver, accepted_event
+
+CAPACITY = Resources(64_000, 250_000, 0)
+CHECKS = Queue("checks", service="s", priority=0, stretch_permille=1500, slack_ms=300)
+BATCH = Queue("batch", service="s", priority=2, stretch_permille=2000, slack_ms=1000)
+WATCH = Queue("watch", service="s", priority=0, stretch_permille=2200, slack_ms=2500)
+
+
+def dispatcher(conflicts=()):
+    model = ConflictModel()
+    model.give(conflicts)
+    return Dispatcher(RunTimes().expected, model)
+
+
+def rooms(pool, count=3):
+    return [
+        room_of(
+            f"w{n}", f"1@w{n}", f"m{n}", "s", "east", ["a", f"r{n}"], CAPACITY, pool.held(f"w{n}")
+        )
+        for n in range(count)
+    ]
+
+
+def add(pool, name, queue, *steps, at_ms=0):
+    pool.apply(accepted_event(name, queue, WorkflowSpec("p", steps), at_ms))
+
+
+def place(pool, chooser, now_ms=0, count=3):
+    placed = chooser.choose(pool.ready(), rooms(pool, count), now_ms)
+    for decision in placed:
+        task = decision.task
+        pool.apply(RunAssigned(task.name, task.run + 1, decision.room.worker_id, "1", "m", now_ms))
+    return placed
+
+
+def test_checks_come_before_batch_work():
+    """Guards against a quick check that waits behind work that may wait."""
+    pool = Pool()
+    add(pool, "b", BATCH, StepSpec(3, 64_000, 1000, estimate_ms=5000))
+    add(pool, "c", CHECKS, StepSpec(3, 1000, 1000, estimate_ms=1600), at_ms=10)
+    placed = place(pool, dispatcher(), 10)
+    assert [decision.task.workflow.workflow_id for decision in placed] == ["c"] * 3
+
+
+def test_lasting_work_leaves_room_for_checks():
+    """Guards against services that take every processor, so that checks wait for minutes."""
+    pool = Pool()
+    add(pool, "w", WATCH, StepSpec(40, 10_000, 1000, lasting=True))
+    place(pool, dispatcher())
+    add(pool, "c", CHECKS, StepSpec(6, 1000, 1000))
+    assert len(place(pool, dispatcher())) == 6
+
+
+def test_begun_workflow_goes_before_a_fresh_one():
+    """Guards against many workflows that are all begun and none finished."""
+    pool = Pool()
+    add(pool, "b1", BATCH, StepSpec(4, 50_000, 1000, estimate_ms=5000), at_ms=5)
+    place(pool, dispatcher(), 5)
+    add(pool, "b0", BATCH, StepSpec(4, 50_000, 1000, estimate_ms=5000), at_ms=0)
+    order = dispatcher().order(pool.ready(), 10)
+    assert order[0].workflow.workflow_id == "b1"
+
+
+@pytest.mark.parametrize(
+    ("step", "allowed"),
+    [
+        (StepSpec(required_label="r1"), {"w1"}),
+        (StepSpec(cpu_millis=65_000), set()),
+        (StepSpec(memory_mb=260_000), set()),
+        (StepSpec(accelerators=1), set()),
+        (StepSpec(rack="r2"), {"w2"}),
+    ],
+)
+def test_conditions_of_a_step(step, allowed):
+    """Guards against a start where the task may not or cannot run."""
+    pool = Pool()
+    add(pool, "a", CHECKS, step)
+    assert {decision.room.worker_id for decision in place(pool, dispatcher())} == allowed
+
+
+def test_suspected_worker_gets_nothing():
+    """Guards against runs on a worker that fails all of them."""
+    pool = Pool()
+    add(pool, "a", CHECKS, StepSpec(4, 1000))
+    views = rooms(pool, 2)
+    views[0].penalty = EXCLUDED
+    placed = dispatcher().choose(pool.ready(), views, 0)
+    assert {decision.room.worker_id for decision in placed} == {"w1"}
+
+
+def test_filling_work_stays_away_from_what_it_disturbs():
+    """Guards against batch work beside a service that it puts over its target."""
+    pool = Pool()
+    add(pool, "w", WATCH, StepSpec(1, 10_000, 1000, lasting=True, image="p", target_ms=50))
+    place(pool, dispatcher(), count=1)
+    add(pool, "b", BATCH, StepSpec(2, 7000, 1000, fills=True, image="x"))
+    chooser = dispatcher([("x", "p")])
+    assert {d.room.worker_id for d in chooser.choose(pool.ready(), rooms(pool, 2), 0)} == {"w1"}
+    assert chooser.choose(pool.ready(), rooms(pool, 1), 0) == []
+    assert chooser.choose(pool.ready(), rooms(pool, 1), CONFLICT_PATIENCE_MS + 1)
+
+
+def test_only_runs_with_progress_to_keep_are_moved_away_from_a_service():
+    """Guards against work that is thrown away to calm a service that can be calmed by the pace."""
+    for checkpoints, expected in ((True, 1), (False, 0)):
+        pool = Pool()
+        add(pool, "w", WATCH, StepSpec(1, 10_000, 1000, lasting=True, image="p", target_ms=50))
+        place(pool, dispatcher(), count=1)
+        add(
+            pool,
+            "b",
+            BATCH,
+            StepSpec(1, 7000, 1000, fills=True, image="x", checkpoints=checkpoints),
+        )
+        place(pool, dispatcher(), count=1)
+        filling = [task for task in pool.held("w0") if task.spec.fills]
+        assert len(dispatcher([("x", "p")]).misplaced(filling, rooms(pool, 2))) == expected
+
+
+def naive(waiting, views):
+    """First come, first served, on the first worker with room."""
+    placed = []
+    for task in waiting:
+        room = next((room for room in views if room.admits(task)), None)
+        if room is not None:
+            room.take(task)
+            placed.append((task, room.worker_id))
+    return placed
+
+
+@attrs.define
+class Replay:
+    """Arrivals of a busy minute: checks all the time, and batch work that comes at once."""
+
+    seed: int = 1
+    seconds: int = 60
+    step_ms: int = 100
+
+    def arrivals(self):
+        rng = random.Random(self.seed)
+        rows = []
+        for number in range(self.seconds * 3):
+            at = rng.randrange(self.seconds * 1000)
+            count = min(36, max(1, int(rng.expovariate(1 / 6))))
+            rows.append((at, f"c{number}", CHECKS, StepSpec(count, 960, 1900, estimate_ms=1600)))
+        for number in range(30):
+            at = 5000 + rng.randrange(4000)
+            step = StepSpec(8, 7000, 13_000, estimate_ms=5400)
+            rows.append((at, f"b{number}", BATCH, step))
+        return sorted(rows, key=lambda row: (row[0], row[1]))
+
+    def run(self, choose):
+        """Return how long workflows took, by queue."""
+        pool = Pool()
+        waiting = self.arrivals()
+        ends, took = {}, {"checks": [], "batch": []}
+        rng = random.Random(self.seed + 1)
+        for now in range(0, self.seconds * 3000, self.step_ms):
+            while waiting and waiting[0][0] <= now:
+                at, name, queue, step = waiting.pop(0)
+                add(pool, name, queue, step, at_ms=at)
+            for task_name in [name for name, end in ends.items() if end <= now]:
+                del ends[task_name]
+                task = pool.task(task_name)
+                pool.apply(RunOver(task_name, task.run, RunOutcome.DONE.value, now))
+                if task.workflow.is_over:
+                    took[task.workflow.queue.name].append(now - task.workflow.accepted_ms)
+            for task, worker_id in choose(pool, rooms(pool, 4), now):
+                pool.apply(RunAssigned(task.name, task.run + 1, worker_id, "1", "m", now))
+                ends[task.name] = now + int(task.spec.estimate_ms * rng.uniform(0.7, 1.3))
+        return took
+
+
+def test_checks_stay_fast_when_batch_work_comes_at_once():
+    """Guards against quick checks that wait behind a wave of batch work.
+
+    The load is that of a day with a burst of reconciliations: 240 tasks of 7 cores at once on 4
+    workers of 64 cores, and 3 checks a second.
+    """
+    chooser = dispatcher()
+
+    def ours(pool, views, now):
+        placed = chooser.choose(pool.ready(), views, now)
+        return [(decision.task, decision.room.worker_id) for decision in placed]
+
+    mine = Replay().run(ours)
+    plain = Replay().run(lambda pool, views, now: naive(pool.ready(), views))
+    late = {
+        name: sum(took > 1600 * 1.5 + 300 for took in result["checks"]) / len(result["checks"])
+        for name, result in (("ours", mine), ("naive", plain))
+    }
+    assert late["ours"] < late["naive"] / 2
+    assert len(mine["batch"]) == len(plain["batch"]) == 30
+    assert max(mine["batch"]) < 1.2 * max(plain["batch"])
+
+
+def test_chain_counts_what_is_left():
+    """Guards against a workflow near its end that is ordered as if it had just begun."""
+    pool = Pool()
+    steps = (StepSpec(1, estimate_ms=3000), StepSpec(1, estimate_ms=2000, after=(0,)))
+    add(pool, "a", BATCH, *steps)
+    chooser = dispatcher()
+    workflow = pool.workflows["a"]
+    assert chooser.chain(workflow, whole=True) == timedelta(seconds=5)
+    place(pool, chooser)
+    pool.apply(RunOver("a/0/0/0", 1, RunOutcome.DONE.value, 10))
+    assert chooser.chain(workflow, whole=False) == timedelta(seconds=2)
--- /dev/null
+++ b/tests/test_workflows.py
@@ -0,0 +1,227 @@
+"""Rules of the pool aggregate: steps, runs, snapshots."""
+
+import json
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip.exceptions import InvalidMessageError, JobError
+from mulberryslip.queues import PoolConfig, Queue
+from mulberryslip.steps import MAX_STEP_TASKS, MAX_STEPS, StepSpec, WorkflowSpec
+from mulberryslip.workflows import (
+    Pool,
+    RunAssigned,
+    RunOutcome,
+    RunOver,
+    WorkflowCancelled,
+    WorkflowsExpired,
+    accepted_event,
+    decode_event,
+    encode_event,
+)
+
+QUEUE = Queue("q", max_attempts=2)
+STEPS = (StepSpec(2), StepSpec(1, after=(0,)), StepSpec(1, lasting=True, after=(0,)))
+
+
+def accepted(name, *steps):
+    return accepted_event(name, QUEUE, WorkflowSpec("p", steps or (StepSpec(),)), 1000)
+
+
+def assigned(task, run=1):
+    return RunAssigned(task, run, "w", "1@w", "m", 5000)
+
+
+def over(task, outcome, run=1, checkpoint=""):
+    return RunOver(task, run, outcome.value, 2000, checkpoint)
+
+
+def names(pool):
+    return [task.name for task in pool.ready()]
+
+
+def test_steps_become_ready_in_order():
+    """Guards against a task that is ready before all tasks of the steps before are done."""
+    pool = Pool()
+    pool.apply(accepted("a", *STEPS))
+    assert names(pool) == ["a/0/0/0", "a/0/0/1"]
+    for task in ("a/0/0/0", "a/0/0/1"):
+        assert names(pool) in (["a/0/0/0", "a/0/0/1"], ["a/0/0/1"])
+        pool.apply(assigned(task))
+        pool.apply(over(task, RunOutcome.DONE))
+    assert names(pool) == ["a/0/1/0", "a/0/2/0"]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_ready", "failures"),
+    [
+        (RunOutcome.DONE, False, 0),
+        (RunOutcome.FAILED, True, 1),
+        (RunOutcome.STOPPED, True, 0),
+        (RunOutcome.LAPSED, True, 0),
+        (RunOutcome.UNSTARTED, True, 0),
+        (RunOutcome.LOST, True, 0),
+    ],
+)
+def test_end_of_a_run(outcome, is_ready, failures):
+    """Guards against attempts that are counted though the task did not fail."""
+    pool = Pool()
+    pool.apply(accepted("a"))
+    task = pool.task("a/0/0/0")
+    pool.apply(assigned(task.name))
+    assert pool.apply(over(task.name, outcome, checkpoint="c1"))
+    assert (task.name in names(pool)) is is_ready
+    assert task.failures == failures
+    assert pool.holders() == []
+    if is_ready:
+        assert task.checkpoint == "c1"
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        assigned("a/0/0/0", run=2),
+        assigned("a/0/0/9"),
+        over("a/0/0/0", RunOutcome.DONE),
+        WorkflowsExpired(("a",)),
+        WorkflowCancelled("b", 1),
+        accepted("a"),
+    ],
+)
+def test_overtaken_event_changes_nothing(event):
+    """Guards against a state that a late or repeated event changes."""
+    pool = Pool()
+    pool.apply(accepted("a"))
+    before = pool.to_snapshot()
+    assert not pool.apply(event)
+    assert pool.to_snapshot() == before
+
+
+def test_cancelled_workflow_holds_its_room_until_its_runs_are_over():
+    """Guards against room that is given away while a run is being stopped."""
+    pool = Pool()
+    pool.apply(accepted("a", *STEPS))
+    pool.apply(assigned("a/0/0/0"))
+    pool.apply(WorkflowCancelled("a", 3000))
+    assert (names(pool), pool.holders()) == ([], ["w"])
+    pool.apply(over("a/0/0/0", RunOutcome.DONE))
+    assert (names(pool), pool.holders()) == ([], [])
+    assert pool.workflows["a"].state == "cancelled"
+
+
+def test_state_is_shown_only_after_the_commit():
+    """Guards against a caller that is told of an end that no record holds."""
+    pool = Pool()
+    pool.apply(accepted("a"))
+    assert pool.workflows["a"].shown == ""
+    assert [workflow.shown for workflow in pool.publish()] == ["queued"]
+    pool.apply(assigned("a/0/0/0"))
+    pool.apply(over("a/0/0/0", RunOutcome.DONE))
+    assert pool.workflows["a"].shown == "queued"
+    assert [workflow.shown for workflow in pool.publish()] == ["completed"]
+    assert pool.publish() == []
+
+
+OUTCOMES = list(RunOutcome)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9), st.sampled_from(OUTCOMES))))
+def test_snapshot_and_journal_give_the_same_state(moves):
+    """Guards against a new owner that differs from the one before."""
+    pool, events = Pool(), []
+
+    def apply(event):
+        if pool.apply(event):
+            events.append(encode_event(event))
+
+    for number in range(2):
+        apply(accepted(f"a{number}", *STEPS))
+    for kind, number, outcome in moves:
+        ready = pool.ready()
+        held = pool.held("w")
+        if kind < 2 and ready:
+            task = ready[number % len(ready)]
+            apply(assigned(task.name, task.run + 1))
+        elif kind == 2 and held:
+            task = held[number % len(held)]
+            apply(over(task.name, outcome, task.run, "c"))
+        elif kind == 3 and number == 0:
+            apply(WorkflowCancelled("a0", 4000))
+    state = json.loads(json.dumps(pool.to_snapshot()))
+    replayed = Pool()
+    for raw in json.loads(json.dumps(events)):
+        replayed.apply(decode_event(raw))
+    assert replayed.to_snapshot() == pool.to_snapshot()
+    restored = Pool.from_snapshot(state)
+    assert json.loads(json.dumps(restored.to_snapshot())) == state
+    assert sorted(names(restored)) == sorted(names(pool))
+    assert sorted(restored.holders()) == sorted(pool.holders())
+    assert {n: w.shown for n, w in restored.workflows.items()} == {
+        n: w.state for n, w in pool.workflows.items()
+    }
+
+
+@pytest.mark.parametrize("raw", [None, {}, {"workflows": [[]], "ended": []}, {"workflows": 5}])
+def test_damaged_snapshot_is_refused(raw):
+    """Guards against an owner that begins with half of the state."""
+    with pytest.raises(InvalidMessageError):
+        Pool.from_snapshot(raw)
+
+
+@pytest.mark.parametrize("raw", [{"e": "unknown"}, {"e": 5}, {"e": "cancelled"}, {}])
+def test_damaged_event_is_refused(raw):
+    """Guards against a record of a newer version that is half applied."""
+    with pytest.raises(InvalidMessageError):
+        decode_event(raw)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"steps": ()},
+        {"steps": (StepSpec(),) * (MAX_STEPS + 1)},
+        {"steps": (StepSpec(0),)},
+        {"steps": (StepSpec(MAX_STEP_TASKS + 1),)},
+        {"steps": (StepSpec(after=(0,)),)},
+        {"payload": 5},
+        {"payload": "\ud800"},
+        {"occurrences": -1},
+    ],
+)
+def test_submission_is_checked(change):
+    """Guards against a workflow that can never end or that no record can hold."""
+    with pytest.raises(JobError):
+        attrs.evolve(WorkflowSpec("p", (StepSpec(),)), **change).check()
+
+
+def test_submission_survives_its_json_form():
+    """Guards against a field that is lost between the gateway and the owner."""
+    step = StepSpec(3, 500, 256, 1, 900, (), True, False, False, "l", "r", 2, True, image="i")
+    spec = WorkflowSpec("p", (step, StepSpec(after=(0,), lasting=True, target_ms=5, may_miss=1)))
+    assert WorkflowSpec.from_json(spec.to_json()) == spec
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"payload": "p", "steps": [{"colour": 1}]}'])
+def test_damaged_submission_is_refused(text):
+    """Guards against work that nobody asked for."""
+    with pytest.raises(JobError):
+        WorkflowSpec.from_json(text)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("h", "/a/1", "short"),
+        ("h", "/a/b/1", "long"),
+        ("other", "/a/b/1", None),
+        ("other", "/any/1", "any"),
+        ("h", "/c/1", None),
+    ],
+)
+def test_longest_prefix_selects_the_queue(host, path, expected):
+    """Guards against work that goes to another queue than the caller named."""
+    queues = [Queue("short", "h", "/a/"), Queue("long", "h", "/a/b/"), Queue("any", "", "/any/")]
+    found = PoolConfig.of(1, queues).match(host, path)
+    assert (found.name if found else None) == expected
