Halt all filling runs beside a service that stays over its target; group services by image

Change: after 1 s over a target all filling runs of the worker are halted; a worker whose service is above 0.75 of its target gets no further filling run; reports each 0.4 s where both kinds run. Services of one image share workers, which are filled one after the other.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -14,7 +14,7 @@
 import attrs
 
 from .conflicts import ConflictModel
-from .rooms import WorkerRoom, step_key
+from .rooms import WorkerRoom
 from .soundness import EXCLUDED
 from .workflows import StepTask, Workflow
 
@@ -36,10 +36,14 @@
 LATE_FACTOR = 3
 """A workflow that ends after this many times its objective brings its caller nothing more."""
 
+STRAINED = 0.75
+"""Share of its target from which a service gets no further filling run beside it."""
+
 RISK_WEIGHT = 1.0
-SPLIT_WEIGHT = 0.5
-"""Weights of the share of time over the target, and of a further serving image on a worker, against
-100 free cores."""
+SPLIT_WEIGHT = 2.0
+SAME_WEIGHT = 1.0
+"""Weights of the share of time over the target, of each further serving image on a worker, and of
+the same image there, against 100 free cores."""
 
 FILL_LIMIT_MILLIS = 0
 """Filling tasks start only where at least so many processors are left unused."""
@@ -212,6 +216,8 @@
         if spec.rack and spec.rack not in room.labels:
             score -= 2.0
         if spec.fills:
+            if room.strain >= STRAINED:
+                return None
             left = room.fill_free_millis - spec.cpu_millis
             if left < FILL_LIMIT_MILLIS:
                 return None
@@ -226,13 +232,14 @@
             reserve = CHECK_RESERVE if waited_ms < LASTING_PATIENCE_MS else 0.0
             if left < room.capacity.cpu_millis * reserve:
                 return None
-            # Spread, so that the loss of a worker or a wave of load hits few tasks of a step.
-            score += left / 100_000 - 0.2 * room.steps[step_key(task)]
-            score -= 3.0 * sum(
+            # Services of one image together, and workers filled one after the other, leave the
+            # other workers to batch work that disturbs this image.
+            others = len(room.serving) - (spec.image in room.serving)
+            score -= SPLIT_WEIGHT * others
+            score -= CONFLICT_PENALTY * sum(
                 self.conflicts.is_conflict(image, spec.image) for image in room.filling
             )
-            # Services of one image together leave other workers to what disturbs them.
-            return score - SPLIT_WEIGHT * (spec.image not in room.serving and bool(room.serving))
+            return score + SAME_WEIGHT * (spec.image in room.serving) - left / 100_000
         return score + room.fill_free_millis / 100_000
 
 
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -30,6 +30,11 @@
 CONFLICT_RAISE_INTERVAL_MS = 2000
 """Runs in conflict with a service beside them are tried again more rarely."""
 
+HALT_AFTER_MS = 1000
+"""Time over its target after which all filling runs beside a service are halted, whichever of them
+disturbs it. With the time until it is seen and shows, that stays below half of the 4 s that a
+service may be over its target."""
+
 STOP_BELOW = 10
 """Paces below this many percent are taken as none."""
 
@@ -67,6 +72,7 @@
         self._conflicts = conflicts
         self._paces: dict[str, _Pace] = {}
         self._set: dict[tuple[str, int], int] = {}
+        self._over_since: dict[str, int] = {}
 
     def update(self, neighbours: Sequence[Neighbour], now_ms: int) -> list[PaceChange]:
         """Take in what runs.
@@ -79,6 +85,10 @@
         serving = [neighbour for neighbour in neighbours if neighbour.profile.target_ms]
         images = {neighbour.profile.image for neighbour in fills}
         self._paces = {image: self._paces.get(image, _Pace()) for image in images}
+        if self._is_over_for_long(serving, now_ms):
+            for pace in self._paces.values():
+                pace.move(0, now_ms)
+            return self._changes(fills)
         for image, pace in self._paces.items():
             self._move(image, pace, images, serving, now_ms)
         return self._changes(fills)
@@ -87,6 +97,15 @@
         """Note that a change was not carried out, so that it is decided again."""
         self._set.pop((change.task, change.run), None)
 
+    def _is_over_for_long(self, serving: Sequence[Neighbour], now_ms: int) -> bool:
+        over = {
+            neighbour.row.task
+            for neighbour in serving
+            if neighbour.row.gauge >= neighbour.profile.target_ms
+        }
+        self._over_since = {task: self._over_since.get(task, now_ms) for task in over}
+        return any(now_ms - since >= HALT_AFTER_MS for since in self._over_since.values())
+
     def _move(
         self,
         image: str,
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -36,6 +36,9 @@
 REPORT_INTERVAL = timedelta(milliseconds=700)
 """Time between reports when nothing ends. A lease of 6 s survives several lost ones."""
 
+MIXED_INTERVAL = timedelta(milliseconds=400)
+"""Time between reports while batch work fills beside a service, which it can disturb any time."""
+
 ORDERS_WAIT = timedelta(seconds=2)
 CALL_TIMEOUT = timedelta(seconds=1)
 REPORT_TIMEOUT = timedelta(milliseconds=2500)
@@ -214,7 +217,7 @@
                 grant.fence,
                 grant.lease_until_ms,
                 grant.ended_through,
-                REPORT_INTERVAL,
+                MIXED_INTERVAL if self._is_mixed() else REPORT_INTERVAL,
             )
         except RunnerAbsentError as exc:
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
@@ -233,6 +236,11 @@
         self._adjust_pace(worker, listing)
         return owner is not None and self._report(owner, worker, listing)
 
+    def _is_mixed(self) -> bool:
+        with self._lock:
+            profiles = self._profiles.values()
+            return any(p.fills for p in profiles) and any(p.target_ms for p in profiles)
+
     def _adjust_pace(self, worker: WorkerAnnouncement, listing: RunListing) -> None:
         listed = {row.task for row in listing.running}
         with self._lock:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -225,6 +225,7 @@
         self._next_expiry = clock.monotonic()
         self._next_moves = clock.monotonic()
         self._soundness = Soundness()
+        self._conflicts: set[tuple[str, str]] = set()
 
     def is_owner(self) -> bool:
         """Return whether this process owns the pool now."""
@@ -611,7 +612,13 @@
                 profile = profile_of(task)
                 neighbours.append(Neighbour(row, profile))
         at = member.clock_ms * timedelta(milliseconds=1)
-        self._dispatcher.conflicts.observe(member.worker_id, at, neighbours)
+        conflicts = self._dispatcher.conflicts
+        conflicts.observe(member.worker_id, at, neighbours)
+        pairs = conflicts.conflicts()
+        if set(pairs) != self._conflicts:
+            self._conflicts = set(pairs)
+            risks = [[*pair, round(conflicts.risk(*pair), 2)] for pair in sorted(pairs)]
+            log(Event.CONFLICTS_CHANGED, pairs=risks)
         progress = [
             Progress(name, row.run, step_key(task), row.progress_percent)
             for name, row in member.running.items()
@@ -747,6 +754,7 @@
         ]
         for room in rooms:
             room.penalty = self._soundness.penalty(room.worker_id, now)
+            room.strain = _strain(tenure.pool, tenure.members[room.worker_id])
         return rooms
 
     def _start_by(self, tenure: PoolTenure, placed: Placed) -> int:
@@ -906,6 +914,16 @@
             )
 
 
+def _strain(pool: Pool, member: Member) -> float:
+    """Return the highest tail of a worker's serving runs as a share of its target."""
+    ratios = [
+        row.gauge / task.spec.target_ms
+        for name, row in member.running.items()
+        if (task := pool.task(name)) is not None and task.spec.target_ms
+    ]
+    return max(ratios, default=0.0)
+
+
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
     """Return the newest life by VM; a VM runs one worker at a time."""
     newest: dict[str, str] = {}
--- a/tests/test_conflicts.py
+++ b/tests/test_conflicts.py
@@ -86,6 +86,16 @@
     assert {change.percent for change in control.update(neighbours, 1600)} == {16}
 
 
+def test_everything_is_halted_when_a_service_stays_over_its_target():
+    """Guards against a service that one disturber after the other keeps over its target for 4 s."""
+    model = ConflictModel()
+    model.give([("x", "p")])
+    control = PaceControl(model)
+    control.update([serving("p", 60), filling("x"), filling("y")], 1000)
+    changes = control.update([serving("p", 60), filling("x"), filling("y")], 2000)
+    assert [(change.task, change.percent) for change in changes] == [("f-y", 0)]
+
+
 def test_pace_comes_back_when_the_service_is_calm():
     """Guards against batch work that stays slow after a wave of load."""
     control = PaceControl(ConflictModel())
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -114,6 +114,32 @@
     assert chooser.choose(pool.ready(), rooms(pool, 1), CONFLICT_PATIENCE_MS + 1)
 
 
+def test_strained_worker_gets_no_further_filling_run():
+    """Guards against one disturber after another beside a service that is near its target."""
+    pool = Pool()
+    add(pool, "b", BATCH, StepSpec(2, 7000, 1000, fills=True, image="x"))
+    views = rooms(pool, 2)
+    views[0].strain = 0.9
+    placed = dispatcher().choose(pool.ready(), views, 0)
+    assert {decision.room.worker_id for decision in placed} == {"w1"}
+
+
+def test_services_of_one_image_share_workers():
+    """Guards against services that leave no worker to the batch work that disturbs them.
+
+    The load is that of the first second of a day: nine services of five images come at once.
+    """
+    pool = Pool()
+    rng = random.Random(3)
+    for number in range(9):
+        step = StepSpec(6, 13_000, 26_000, lasting=True, image=f"i{number % 5}", target_ms=50)
+        add(pool, f"w{number}", WATCH, step, at_ms=rng.randrange(100))
+    place(pool, dispatcher(), count=16)
+    mixed = [len(room.serving) for room in rooms(pool, 16) if room.serving]
+    assert sum(mixed) <= 1.5 * len(mixed)
+    assert sum(sum(room.serving.values()) for room in rooms(pool, 16)) == 54
+
+
 def test_only_runs_with_progress_to_keep_are_moved_away_from_a_service():
     """Guards against work that is thrown away to calm a service that can be calmed by the pace."""
     for checkpoints, expected in ((True, 1), (False, 0)):
