Pack services on few workers and leave the others to batch work

Ruled out: too few processors (services use 0.5 to 0.8 of what they reserve). Change: services fill one worker after the other; the reserve for checks is of the fleet, not each worker.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -3,7 +3,9 @@
 Load patterns that this answers:
 
 - Quick checks arrive all day while lasting services hold most processors and batch work fills the
-  rest: checks come first, and lasting services leave them `CHECK_RESERVE` of each worker.
+  rest: checks come first, and lasting services leave them `CHECK_RESERVE` of the fleet.
+- Services take most of the processors by their reservations, and batch work disturbs most of them:
+  services are packed on few workers, and batch work gets workers of its own.
 - More batch work waits than fits: workflows that can still meet their objective go first, the one
   with the earliest objective in front; a workflow that has begun goes before one that has not.
 """
@@ -19,7 +21,7 @@
 from .workflows import StepTask, Workflow
 
 CHECK_RESERVE = 0.1
-"""Share of a worker's processors that lasting tasks leave to short ones. Quick checks of both
+"""Share of the processors that lasting tasks leave to short ones. Quick checks of both
 users take 5 to 6 % of the fleet on average and arrive in waves."""
 
 LASTING_PATIENCE_MS = 1000
@@ -40,10 +42,11 @@
 """Share of its target from which a service gets no further filling run beside it."""
 
 RISK_WEIGHT = 1.0
-SPLIT_WEIGHT = 2.0
+SPLIT_WEIGHT = 0.5
 SAME_WEIGHT = 1.0
-"""Weights of the share of time over the target, of each further serving image on a worker, and of
-the same image there, against 100 free cores."""
+OPEN_WEIGHT = 4.0
+"""Weights of the share of time over the target, of each further serving image on a worker, of the
+same image there, and of any service there, against 100 free cores."""
 
 FILL_LIMIT_MILLIS = 0
 """Filling tasks start only where at least so many processors are left unused."""
@@ -105,13 +108,19 @@
     ) -> list[Placed]:
         """Return the runs to start now; `rooms` is changed accordingly."""
         placed: list[Placed] = []
+        reserve = CHECK_RESERVE * sum(room.capacity.cpu_millis for room in rooms)
         blocked: set[tuple[str, int, tuple[str, ...]]] = set()
         for task in self.order(waiting, now_ms):
             kind = (task.workflow.workflow_id, task.step, task.failed_on)
             if kind in blocked:
                 # Tasks of a step are alike: where one finds no room, the next does not either.
                 continue
-            room = self._best(task, rooms, now_ms - task.waiting_since_ms)
+            waited_ms = now_ms - task.waiting_since_ms
+            if task.spec.lasting and waited_ms < LASTING_PATIENCE_MS:
+                free = sum(room.free.cpu_millis for room in rooms)
+                if free - task.spec.cpu_millis < reserve:
+                    continue
+            room = self._best(task, rooms, waited_ms)
             if room is None:
                 blocked.add(kind)
                 continue
@@ -228,18 +237,14 @@
             risk = sum(self.conflicts.risk(spec.image, image) for image in room.serving)
             return score + left / 100_000 - RISK_WEIGHT * risk
         if spec.lasting:
-            left = room.free.cpu_millis - spec.cpu_millis
-            reserve = CHECK_RESERVE if waited_ms < LASTING_PATIENCE_MS else 0.0
-            if left < room.capacity.cpu_millis * reserve:
-                return None
-            # Services of one image together, and workers filled one after the other, leave the
-            # other workers to batch work that disturbs this image.
+            # Services fill one worker after the other, those of one image together, and leave the
+            # other workers to batch work, which disturbs most services.
             others = len(room.serving) - (spec.image in room.serving)
-            score -= SPLIT_WEIGHT * others
+            score += OPEN_WEIGHT * bool(room.serving) - SPLIT_WEIGHT * others
             score -= CONFLICT_PENALTY * sum(
                 self.conflicts.is_conflict(image, spec.image) for image in room.filling
             )
-            return score + SAME_WEIGHT * (spec.image in room.serving) - left / 100_000
+            return score + SAME_WEIGHT * (spec.image in room.serving) - room.free.cpu_millis / 1e5
         return score + room.fill_free_millis / 100_000
 
 
