Know harmless pairs: batch work that does not disturb goes on beside a service under its own load

Change: a pair that was calm together for 3 s is harmless; the owner sends agents what it knows of the images on their worker. Unknown pairs speed up again below 0.8 of the target instead of 0.65.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -321,9 +321,16 @@
   5: required i32 target_ms,       // tail latency of a serving task; 0: it serves nobody
 }
 
-struct ImagePair {
+enum Relation {
+  UNKNOWN = 0,
+  CONFLICT = 1,   // the filling image puts the serving one over its target
+  HARMLESS = 2,
+}
+
+struct ImageRelation {
   1: required string filling,
   2: required string serving,
+  3: required Relation relation,
 }
 
 struct WorkerReport {
@@ -348,7 +355,7 @@
   5: required i64 fence,           // fencing token for calls to the worker
   6: required i64 ended_through,   // ends up to this number are committed
   7: required list<RunProfile> profiles, // of the tasks named as unprofiled
-  8: required list<ImagePair> conflicts, // filling images that disturb serving ones
+  8: required list<ImageRelation> relations, // of the images that run on the worker
 }
 
 struct OrdersRequest {
--- a/packages/core/src/mulberryslip/conflicts.py
+++ b/packages/core/src/mulberryslip/conflicts.py
@@ -5,7 +5,8 @@
 how long it was calm while runs of the filling image worked beside it.
 """
 
-from collections.abc import Iterable, Sequence
+import enum
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 
 import attrs
@@ -23,6 +24,11 @@
 """Share of the time over the target from which a pair is kept apart. Pairs that get along show up
 to 0.08, by what other runs do at the same time."""
 
+HARMLESS_RISK = 0.06
+HARMLESS_SECONDS = 3.0
+"""Risk below which, and calm time from which on, a pair is known to get along. A service comes near
+its target by its own load, too, and then batch work that does not disturb it goes on."""
+
 MAX_STEP = timedelta(seconds=1)
 """Longest time for which one measurement, a figure of the last half second, stands."""
 
@@ -34,6 +40,14 @@
 """Processor use from which a filling run counts as at work; slowed down ones use less."""
 
 
+class Relation(enum.Enum):
+    """What is known of a filling and a serving image."""
+
+    UNKNOWN = "unknown"
+    CONFLICT = "conflict"
+    HARMLESS = "harmless"
+
+
 @attrs.define
 class _Evidence:
     disturbed: float = 0.0
@@ -50,6 +64,14 @@
         total = self.disturbed + self.calm + PRIOR_SECONDS
         return (self.disturbed + PRIOR * PRIOR_SECONDS) / total
 
+    def relation(self) -> Relation:
+        risk = self.risk()
+        if risk >= CONFLICT_RISK:
+            return Relation.CONFLICT
+        if risk < HARMLESS_RISK and self.calm >= HARMLESS_SECONDS:
+            return Relation.HARMLESS
+        return Relation.UNKNOWN
+
 
 @attrs.frozen
 class Neighbour:
@@ -65,7 +87,7 @@
     def __init__(self) -> None:
         self._pairs: dict[tuple[str, str], _Evidence] = {}
         self._seen: dict[str, tuple[timedelta, frozenset[str]]] = {}
-        self._given: frozenset[tuple[str, str]] = frozenset()
+        self._given: dict[tuple[str, str], Relation] = {}
 
     def observe(self, worker_id: str, now: timedelta, neighbours: Sequence[Neighbour]) -> None:
         """Learn from one listing of a worker.
@@ -93,9 +115,27 @@
                     # The tail still shows what ended just now.
                     self._blame(working | earlier, serving, seconds, now)
 
-    def give(self, pairs: Iterable[tuple[str, str]]) -> None:
-        """Take over conflicts that another process has learned, in place of earlier ones."""
-        self._given = frozenset(pairs)
+    def give(self, relations: Iterable[tuple[str, str, Relation]]) -> None:
+        """Take over what another process has learned of pairs, in place of what it said before."""
+        self._given = {(filling, serving): known for filling, serving, known in relations}
+
+    def relation(self, filling: str, serving: str) -> Relation:
+        """Return what is known of a pair; what another process knows goes first."""
+        given = self._given.get((filling, serving), Relation.UNKNOWN)
+        if given is not Relation.UNKNOWN:
+            return given
+        evidence = self._pairs.get((filling, serving))
+        return evidence.relation() if evidence else Relation.UNKNOWN
+
+    def relations(
+        self, filling: Collection[str], serving: Collection[str]
+    ) -> list[tuple[str, str, Relation]]:
+        """Return what is known of the pairs of some images."""
+        return [
+            (*pair, evidence.relation())
+            for pair, evidence in self._pairs.items()
+            if pair[0] in filling and pair[1] in serving
+        ]
 
     def risk(self, filling: str, serving: str) -> float:
         """Return the share of the time in which a pair puts the service over its target."""
@@ -104,11 +144,13 @@
 
     def is_conflict(self, filling: str, serving: str) -> bool:
         """Return whether a pair is to be kept apart."""
-        return (filling, serving) in self._given or self.risk(filling, serving) >= CONFLICT_RISK
+        return self.relation(filling, serving) is Relation.CONFLICT
 
     def conflicts(self) -> list[tuple[str, str]]:
         """Return the pairs of filling and serving image that are to be kept apart."""
-        return [pair for pair, found in self._pairs.items() if found.risk() >= CONFLICT_RISK]
+        return [
+            pair for pair, found in self._pairs.items() if found.relation() is Relation.CONFLICT
+        ]
 
     def _acquit(
         self, working: frozenset[str], serving: str, seconds: float, now: timedelta
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from .conflicts import ConflictModel
+from .conflicts import ConflictModel, Relation
 from .rooms import WorkerRoom
 from .soundness import EXCLUDED
 from .workflows import StepTask, Workflow
@@ -203,6 +203,15 @@
             ends.append(before + own)
         return max(ends, default=timedelta())
 
+    def _strain(self, image: str, room: WorkerRoom) -> float:
+        """Return the highest strain of a service that an image is not known to leave in peace."""
+        strains = [
+            strain
+            for serving, strain in room.strains.items()
+            if self.conflicts.relation(image, serving) is not Relation.HARMLESS
+        ]
+        return max(strains, default=0.0)
+
     def _best(
         self, task: StepTask, rooms: Sequence[WorkerRoom], waited_ms: int
     ) -> WorkerRoom | None:
@@ -225,7 +234,7 @@
         if spec.rack and spec.rack not in room.labels:
             score -= 2.0
         if spec.fills:
-            if room.strain >= STRAINED:
+            if self._strain(spec.image, room) >= STRAINED:
                 return None
             left = room.fill_free_millis - spec.cpu_millis
             if left < FILL_LIMIT_MILLIS:
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -9,15 +9,17 @@
 
 import attrs
 
-from .conflicts import ConflictModel, Neighbour
+from .conflicts import ConflictModel, Neighbour, Relation
 
 FULL_PERCENT = 100
 CUT_AT = 0.9
 """Share of its target that a serving run's tail reaches when filling runs are slowed down; the
 tail is a figure of the last half second and rises further within a second."""
 
-RAISE_BELOW = 0.65
-"""Share of its target below which filling runs may work faster again."""
+RAISE_BELOW = 0.8
+CONFLICT_RAISE_BELOW = 0.6
+"""Shares of its target below which filling runs may work faster again: a service comes near 0.8 by
+its own load, and what is known to disturb it waits for a calm time."""
 
 CUT_FACTOR = 0.4
 RAISE_STEP = 20
@@ -117,20 +119,22 @@
         strain = 0.0
         is_conflict = False
         for neighbour in serving:
-            ratio = neighbour.row.gauge / neighbour.profile.target_ms
-            own = self._conflicts.is_conflict(image, neighbour.profile.image)
-            is_conflict = is_conflict or own
+            relation = self._conflicts.relation(image, neighbour.profile.image)
+            if relation is Relation.HARMLESS:
+                continue
+            is_conflict = is_conflict or relation is Relation.CONFLICT
             # Where a known conflict explains the strain, the others go on.
-            if own or not any(
+            if relation is Relation.CONFLICT or not any(
                 self._conflicts.is_conflict(other, neighbour.profile.image) for other in images
             ):
-                strain = max(strain, ratio)
+                strain = max(strain, neighbour.row.gauge / neighbour.profile.target_ms)
         since = pace.since(now_ms)
         interval = CONFLICT_RAISE_INTERVAL_MS if is_conflict else RAISE_INTERVAL_MS
+        raise_below = CONFLICT_RAISE_BELOW if is_conflict else RAISE_BELOW
         if strain >= CUT_AT and since >= CUT_INTERVAL_MS:
             percent = 0 if is_conflict else int(pace.percent * CUT_FACTOR)
             pace.move(0 if percent < STOP_BELOW else percent, now_ms)
-        elif strain < RAISE_BELOW and since >= interval:
+        elif strain < raise_below and since >= interval:
             pace.move(min(FULL_PERCENT, pace.percent + RAISE_STEP), now_ms)
 
     def _changes(self, fills: Sequence[Neighbour]) -> list[PaceChange]:
--- a/packages/core/src/mulberryslip/rooms.py
+++ b/packages/core/src/mulberryslip/rooms.py
@@ -20,7 +20,7 @@
     :param serving: serving runs by image.
     :param filling: filling runs by image.
     :param starting: runs that were assigned in this round or have not been seen at work yet.
-    :param strain: highest tail of a serving run as a share of its target.
+    :param strains: highest tail of the serving runs as a share of their target, by image.
     :param penalty: reasons to avoid the worker, from 0; placement prefers lower ones.
     """
 
@@ -37,7 +37,7 @@
     serving: Counter = attrs.field(factory=Counter)
     filling: Counter = attrs.field(factory=Counter)
     starting: int = 0
-    strain: float = 0.0
+    strains: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
 
     def take(self, task: StepTask) -> None:
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -97,6 +97,24 @@
     }
 
 
+class Relation(object):
+    UNKNOWN = 0
+    CONFLICT = 1
+    HARMLESS = 2
+
+    _VALUES_TO_NAMES = {
+        0: "UNKNOWN",
+        1: "CONFLICT",
+        2: "HARMLESS",
+    }
+
+    _NAMES_TO_VALUES = {
+        "UNKNOWN": 0,
+        "CONFLICT": 1,
+        "HARMLESS": 2,
+    }
+
+
 class Header(object):
     """
     Attributes:
@@ -4026,18 +4044,20 @@
         return not (self == other)
 
 
-class ImagePair(object):
+class ImageRelation(object):
     """
     Attributes:
      - filling
      - serving
+     - relation
 
     """
 
 
-    def __init__(self, filling=None, serving=None,):
+    def __init__(self, filling=None, serving=None, relation=None,):
         self.filling = filling
         self.serving = serving
+        self.relation = relation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4058,6 +4078,11 @@
                     self.serving = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.relation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4067,7 +4092,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ImagePair')
+        oprot.writeStructBegin('ImageRelation')
         if self.filling is not None:
             oprot.writeFieldBegin('filling', TType.STRING, 1)
             oprot.writeString(self.filling.encode('utf-8') if sys.version_info[0] == 2 else self.filling)
@@ -4076,6 +4101,10 @@
             oprot.writeFieldBegin('serving', TType.STRING, 2)
             oprot.writeString(self.serving.encode('utf-8') if sys.version_info[0] == 2 else self.serving)
             oprot.writeFieldEnd()
+        if self.relation is not None:
+            oprot.writeFieldBegin('relation', TType.I32, 3)
+            oprot.writeI32(self.relation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4084,6 +4113,8 @@
             raise TProtocolException(message='Required field filling is unset!')
         if self.serving is None:
             raise TProtocolException(message='Required field serving is unset!')
+        if self.relation is None:
+            raise TProtocolException(message='Required field relation is unset!')
         return
 
     def __repr__(self):
@@ -4334,12 +4365,12 @@
      - fence
      - ended_through
      - profiles
-     - conflicts
+     - relations
 
     """
 
 
-    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, conflicts=None,):
+    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, relations=None,):
         self.outcome = outcome
         self.owner = owner
         self.epoch = epoch
@@ -4347,7 +4378,7 @@
         self.fence = fence
         self.ended_through = ended_through
         self.profiles = profiles
-        self.conflicts = conflicts
+        self.relations = relations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4401,12 +4432,12 @@
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
-                    self.conflicts = []
+                    self.relations = []
                     (_etype153, _size150) = iprot.readListBegin()
                     for _i154 in range(_size150):
-                        _elem155 = ImagePair()
+                        _elem155 = ImageRelation()
                         _elem155.read(iprot)
-                        self.conflicts.append(_elem155)
+                        self.relations.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4451,10 +4482,10 @@
                 iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.conflicts is not None:
-            oprot.writeFieldBegin('conflicts', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.conflicts))
-            for iter157 in self.conflicts:
+        if self.relations is not None:
+            oprot.writeFieldBegin('relations', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.relations))
+            for iter157 in self.relations:
                 iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -4476,8 +4507,8 @@
             raise TProtocolException(message='Required field ended_through is unset!')
         if self.profiles is None:
             raise TProtocolException(message='Required field profiles is unset!')
-        if self.conflicts is None:
-            raise TProtocolException(message='Required field conflicts is unset!')
+        if self.relations is None:
+            raise TProtocolException(message='Required field relations is unset!')
         return
 
     def __repr__(self):
@@ -5555,11 +5586,12 @@
     (4, TType.I32, 'cpu_millis', None, None, ),  # 4
     (5, TType.I32, 'target_ms', None, None, ),  # 5
 )
-all_structs.append(ImagePair)
-ImagePair.thrift_spec = (
+all_structs.append(ImageRelation)
+ImageRelation.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'filling', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'serving', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'relation', None, None, ),  # 3
 )
 all_structs.append(WorkerReport)
 WorkerReport.thrift_spec = (
@@ -5586,7 +5618,7 @@
     (5, TType.I64, 'fence', None, None, ),  # 5
     (6, TType.I64, 'ended_through', None, None, ),  # 6
     (7, TType.LIST, 'profiles', (TType.STRUCT, [RunProfile, None], False), None, ),  # 7
-    (8, TType.LIST, 'conflicts', (TType.STRUCT, [ImagePair, None], False), None, ),  # 8
+    (8, TType.LIST, 'relations', (TType.STRUCT, [ImageRelation, None], False), None, ),  # 8
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -31,7 +31,7 @@
 from mulberryslip.wire.ttypes import Outcome
 
 from .directories import KnownOwner, PoolDirectory
-from .members import END_CODES
+from .members import END_CODES, RELATIONS
 
 REPORT_INTERVAL = timedelta(milliseconds=700)
 """Time between reports when nothing ends. A lease of 6 s survives several lost ones."""
@@ -309,7 +309,9 @@
     def _take_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
         with self._lock:
             self._profiles.update((row.task, _profile_of(row)) for row in reply.profiles)
-            self._conflicts.give((pair.filling, pair.serving) for pair in reply.conflicts)
+            self._conflicts.give(
+                (row.filling, row.serving, RELATIONS[row.relation]) for row in reply.relations
+            )
             grant = self._grant
             if reply.epoch < grant.epoch:
                 return
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -51,7 +51,7 @@
 
 from .claims import OwnerClaim
 from .directories import KnownOwner, PoolDirectory
-from .members import Member, ended_of
+from .members import RELATION_CODES, Member, ended_of
 from .sessions import Session
 from .tenures import Identity
 
@@ -754,7 +754,7 @@
         ]
         for room in rooms:
             room.penalty = self._soundness.penalty(room.worker_id, now)
-            room.strain = _strain(tenure.pool, tenure.members[room.worker_id])
+            room.strains = _strains(tenure.pool, tenure.members[room.worker_id])
         return rooms
 
     def _start_by(self, tenure: PoolTenure, placed: Placed) -> int:
@@ -832,7 +832,7 @@
         with tenure.lock:
             tasks = [tenure.pool.task(name) for name in req.unprofiled]
             profiles = [_profile(task) for task in tasks if task is not None]
-            conflicts = [wire.ImagePair(*pair) for pair in self._dispatcher.conflicts.conflicts()]
+            relations = self._relations(tenure, member)
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(tenure.epoch)
@@ -848,9 +848,21 @@
             fence,
             ended_through,
             profiles,
-            conflicts,
+            relations,
         )
 
+    def _relations(self, tenure: PoolTenure, member: Member) -> list[wire.ImageRelation]:
+        """Return what is known of the images that run on a worker."""
+        specs = [
+            task.spec for name in member.running if (task := tenure.pool.task(name)) is not None
+        ]
+        filling = {spec.image for spec in specs if spec.fills}
+        serving = {spec.image for spec in specs if spec.target_ms}
+        return [
+            wire.ImageRelation(*pair, RELATION_CODES[relation])
+            for *pair, relation in self._dispatcher.conflicts.relations(filling, serving)
+        ]
+
     def _carry_out(
         self, tenure: PoolTenure, decide: Callable[[], list[Any]], shown: str
     ) -> wire.WorkflowReply:
@@ -914,14 +926,15 @@
             )
 
 
-def _strain(pool: Pool, member: Member) -> float:
-    """Return the highest tail of a worker's serving runs as a share of its target."""
-    ratios = [
-        row.gauge / task.spec.target_ms
-        for name, row in member.running.items()
-        if (task := pool.task(name)) is not None and task.spec.target_ms
-    ]
-    return max(ratios, default=0.0)
+def _strains(pool: Pool, member: Member) -> dict[str, float]:
+    """Return the highest tail of a worker's serving runs by image, as a share of its target."""
+    strains: dict[str, float] = {}
+    for name, row in member.running.items():
+        task = pool.task(name)
+        if task is not None and task.spec.target_ms:
+            image = task.spec.image
+            strains[image] = max(strains.get(image, 0.0), row.gauge / task.spec.target_ms)
+    return strains
 
 
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
--- a/tests/test_conflicts.py
+++ b/tests/test_conflicts.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 import pytest
-from mulberryslip.conflicts import ConflictModel, Neighbour
+from mulberryslip.conflicts import ConflictModel, Neighbour, Relation
 from mulberryslip.paces import FULL_PERCENT, PaceControl
 from mulberryslip.runners import RunningRun, RunProfile
 
@@ -70,7 +70,7 @@
 def test_known_conflict_is_halted_and_the_others_go_on():
     """Guards against a service over its target for seconds, and against halting harmless work."""
     model = ConflictModel()
-    model.give([("x", "p")])
+    model.give([("x", "p", Relation.CONFLICT)])
     control = PaceControl(model)
     changes = control.update([serving("p", 60), filling("x"), filling("y")], 1000)
     assert [(change.task, change.percent) for change in changes] == [("f-x", 0)]
@@ -86,10 +86,29 @@
     assert {change.percent for change in control.update(neighbours, 1600)} == {16}
 
 
+def test_harmless_work_goes_on_beside_a_service_under_its_own_load():
+    """Guards against batch work that is slowed down for hours because a service is busy."""
+    model = ConflictModel()
+    model.give([("x", "p", Relation.HARMLESS)])
+    control = PaceControl(model)
+    assert control.update([serving("p", 47), filling("x")], 1000) == []
+    changes = control.update([serving("p", 47), filling("x"), filling("y")], 2000)
+    assert [change.task for change in changes] == ["f-y"]
+
+
+def test_time_together_makes_a_pair_harmless():
+    """Guards against a pair that stays unknown for ever."""
+    model = ConflictModel()
+    learn(model, 20, serving("p", 20), filling("x"))
+    assert model.relation("x", "p") is Relation.HARMLESS
+    assert model.relations({"x"}, {"p"}) == [("x", "p", Relation.HARMLESS)]
+    assert model.relations({"x"}, {"q"}) == []
+
+
 def test_everything_is_halted_when_a_service_stays_over_its_target():
     """Guards against a service that one disturber after the other keeps over its target for 4 s."""
     model = ConflictModel()
-    model.give([("x", "p")])
+    model.give([("x", "p", Relation.CONFLICT)])
     control = PaceControl(model)
     control.update([serving("p", 60), filling("x"), filling("y")], 1000)
     changes = control.update([serving("p", 60), filling("x"), filling("y")], 2000)
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -5,7 +5,7 @@
 
 import attrs
 import pytest
-from mulberryslip.conflicts import ConflictModel
+from mulberryslip.conflicts import ConflictModel, Relation
 from mulberryslip.dispatches import CONFLICT_PATIENCE_MS, Dispatcher, RunTimes
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
@@ -22,7 +22,7 @@
 
 def dispatcher(conflicts=()):
     model = ConflictModel()
-    model.give(conflicts)
+    model.give((*pair, Relation.CONFLICT) for pair in conflicts)
     return Dispatcher(RunTimes().expected, model)
 
 
@@ -119,7 +119,7 @@
     pool = Pool()
     add(pool, "b", BATCH, StepSpec(2, 7000, 1000, fills=True, image="x"))
     views = rooms(pool, 2)
-    views[0].strain = 0.9
+    views[0].strains["p"] = 0.9
     placed = dispatcher().choose(pool.ready(), views, 0)
     assert {decision.room.worker_id for decision in placed} == {"w1"}
 
