--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -406,11 +406,6 @@
   6: required i32 retry_after_ms,  // 0: no advice
 }
 
-struct OwnerNotice {
-  1: required string owner,
-  2: required i64 epoch,
-}
-
 service PoolService {
   i64 ping(1: i64 token),
   WorkerReportReply report(1: WorkerReport req),
@@ -419,5 +414,4 @@
   WorkflowReply status(1: WorkflowRequest req),
   WorkflowReply cancel(1: WorkflowRequest req),
   WorkflowReply waiting(1: WorkflowRequest req),
-  OwnerNotice notice(1: OwnerNotice req),   // tells of the owner; returns the newest one known
 }
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -48,9 +48,6 @@
 """Weights of the share of time over the target, of each further serving image on a worker, of the
 same image there, and of any service there, against 100 free cores."""
 
-FILL_LIMIT_MILLIS = 0
-"""Filling tasks start only where at least so many processors are left unused."""
-
 MAX_MOVES = 4
 """Filling runs that are moved in one round, so that a wrong conclusion costs little."""
 
@@ -237,7 +234,7 @@
             if self._strain(spec.image, room) >= STRAINED:
                 return None
             left = room.fill_free_millis - spec.cpu_millis
-            if left < FILL_LIMIT_MILLIS:
+            if left < 0:
                 return None
             if any(self.conflicts.is_conflict(spec.image, image) for image in room.serving):
                 if waited_ms < CONFLICT_PATIENCE_MS:
--- a/packages/core/src/mulberryslip/wire/PoolService.py
+++ b/packages/core/src/mulberryslip/wire/PoolService.py
@@ -75,14 +75,6 @@
         """
         pass
 
-    def notice(self, req):
-        """
-        Parameters:
-         - req
-
-        """
-        pass
-
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -315,38 +307,6 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "waiting failed: unknown result")
 
-    def notice(self, req):
-        """
-        Parameters:
-         - req
-
-        """
-        self.send_notice(req)
-        return self.recv_notice()
-
-    def send_notice(self, req):
-        self._oprot.writeMessageBegin('notice', TMessageType.CALL, self._seqid)
-        args = notice_args()
-        args.req = req
-        args.write(self._oprot)
-        self._oprot.writeMessageEnd()
-        self._oprot.trans.flush()
-
-    def recv_notice(self):
-        iprot = self._iprot
-        (fname, mtype, rseqid) = iprot.readMessageBegin()
-        if mtype == TMessageType.EXCEPTION:
-            x = TApplicationException()
-            x.read(iprot)
-            iprot.readMessageEnd()
-            raise x
-        result = notice_result()
-        result.read(iprot)
-        iprot.readMessageEnd()
-        if result.success is not None:
-            return result.success
-        raise TApplicationException(TApplicationException.MISSING_RESULT, "notice failed: unknown result")
-
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -359,7 +319,6 @@
         self._processMap["status"] = Processor.process_status
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["waiting"] = Processor.process_waiting
-        self._processMap["notice"] = Processor.process_notice
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -543,29 +502,6 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_notice(self, seqid, iprot, oprot):
-        args = notice_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = notice_result()
-        try:
-            result.success = self._handler.notice(args.req)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("notice", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1440,130 +1376,5 @@
 waiting_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [WorkflowReply, None], None, ),  # 0
 )
-
-
-class notice_args(object):
-    """
-    Attributes:
-     - req
-
-    """
-
-
-    def __init__(self, req=None,):
-        self.req = req
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.req = OwnerNotice()
-                    self.req.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('notice_args')
-        if self.req is not None:
-            oprot.writeFieldBegin('req', TType.STRUCT, 1)
-            self.req.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(notice_args)
-notice_args.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'req', [OwnerNotice, None], None, ),  # 1
-)
-
-
-class notice_result(object):
-    """
-    Attributes:
-     - success
-
-    """
-
-
-    def __init__(self, success=None,):
-        self.success = success
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 0:
-                if ftype == TType.STRUCT:
-                    self.success = OwnerNotice()
-                    self.success.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('notice_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(notice_result)
-notice_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [OwnerNotice, None], None, ),  # 0
-)
 fix_spec(all_structs)
 del all_structs
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -5208,78 +5208,6 @@
 
     def __ne__(self, other):
         return not (self == other)
-
-
-class OwnerNotice(object):
-    """
-    Attributes:
-     - owner
-     - epoch
-
-    """
-
-
-    def __init__(self, owner=None, epoch=None,):
-        self.owner = owner
-        self.epoch = epoch
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('OwnerNotice')
-        if self.owner is not None:
-            oprot.writeFieldBegin('owner', TType.STRING, 1)
-            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
-            oprot.writeFieldEnd()
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 2)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.owner is None:
-            raise TProtocolException(message='Required field owner is unset!')
-        if self.epoch is None:
-            raise TProtocolException(message='Required field epoch is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -5674,11 +5602,5 @@
     (5, TType.I32, 'waiting', None, None, ),  # 5
     (6, TType.I32, 'retry_after_ms', None, None, ),  # 6
 )
-all_structs.append(OwnerNotice)
-OwnerNotice.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'owner', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'epoch', None, None, ),  # 2
-)
 fix_spec(all_structs)
 del all_structs
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -74,9 +74,8 @@
 class PoolService:
     """Handlers of the thrift service `PoolService`."""
 
-    def __init__(self, owner: Owner, directory: PoolDirectory):
+    def __init__(self, owner: Owner):
         self._owner = owner
-        self._directory = directory
 
     def __getattr__(self, method: str) -> Callable[[Any], Any]:
         """Return the owner's handler of a method."""
@@ -86,13 +85,6 @@
         """Return the token."""
         return token
 
-    def notice(self, req: wire.OwnerNotice) -> wire.OwnerNotice:
-        """Take over news of the owner and return the newest known."""
-        if req.owner:
-            self._directory.offer(KnownOwner(Address.parse(req.owner), req.epoch))
-        known = self._directory.owner()
-        return wire.OwnerNotice(str(known.address), known.epoch) if known else req
-
 
 @attrs.define(eq=False)
 class Grant:
--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -56,14 +56,11 @@
         with self._cond:
             return self._owner
 
-    def wait_for_owner(self, timeout: timedelta, other_than: int = 0) -> KnownOwner | None:
-        """Return the owner, waiting for one when there is none.
-
-        :param other_than: epoch of an owner that is of no use.
-        """
+    def wait_for_owner(self, timeout: timedelta) -> KnownOwner | None:
+        """Return the owner, waiting for one when there is none."""
         expires = self._clock.monotonic() + timeout
         with self._cond:
-            while self._owner is None or self._owner.epoch == other_than:
+            while self._owner is None:
                 left = expires - self._clock.monotonic()
                 if left <= timedelta():
                     return None
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -378,7 +378,7 @@
     agent = Agent(runner, parts.directory, parts.channels, address, name, clock)
     owner = build_pool_owner(cfg, parts, Identity(name, uuid.uuid4().hex, *_pair(address)), clock)
     server = Server(
-        PoolWire.Processor(PoolService(owner, parts.directory)),
+        PoolWire.Processor(PoolService(owner)),
         address.host,
         address.port,
         POOL_CONNECTIONS,
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -385,7 +385,7 @@
         agent = Agent(worker, directory, channels, address, worker.id, self.clock)
         self.owners[worker.id] = owner
         self.agents[worker.id] = (agent, directory)
-        self.services[address] = PoolService(owner, directory)
+        self.services[address] = PoolService(owner)
 
     def link(self, caller, address):
         if (caller, address) in self.cut or caller in self.cut or address in self.cut:
