Split the owner of a pool: calls and ownership, decisions of a round, state of one ownership

Hints of the owner in replies, which nothing read, are gone. Counters of submissions and latencies of workflows join the metrics.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -349,7 +349,6 @@
 
 struct WorkerReportReply {
   1: required Outcome outcome,
-  2: required string owner,        // host:port of the owner when it is another one; may be empty
   3: required i64 epoch,
   4: required i64 lease_until_ms,  // on the worker's clock; 0 grants nothing
   5: required i64 fence,           // fencing token for calls to the worker
@@ -383,7 +382,6 @@
 
 struct OrdersReply {
   1: required Outcome outcome,
-  2: required string owner,
   3: required i64 epoch,
   4: required i64 fence,
   5: required list<RunStart> starts,
@@ -400,7 +398,6 @@
 struct WorkflowReply {
   1: required Outcome outcome,
   2: required string reason,
-  3: required string owner,
   4: required string shown,        // queued, running, completed, failed or cancelled
   5: required i32 waiting,         // workflows of the queue that have not begun
   6: required i32 retry_after_ms,  // 0: no advice
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4359,7 +4359,6 @@
     """
     Attributes:
      - outcome
-     - owner
      - epoch
      - lease_until_ms
      - fence
@@ -4370,9 +4369,8 @@
     """
 
 
-    def __init__(self, outcome=None, owner=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, relations=None,):
+    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, relations=None,):
         self.outcome = outcome
-        self.owner = owner
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
         self.fence = fence
@@ -4394,11 +4392,6 @@
                     self.outcome = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
                     self.epoch = iprot.readI64()
@@ -4455,10 +4448,6 @@
             oprot.writeFieldBegin('outcome', TType.I32, 1)
             oprot.writeI32(self.outcome)
             oprot.writeFieldEnd()
-        if self.owner is not None:
-            oprot.writeFieldBegin('owner', TType.STRING, 2)
-            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
-            oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 3)
             oprot.writeI64(self.epoch)
@@ -4495,8 +4484,6 @@
     def validate(self):
         if self.outcome is None:
             raise TProtocolException(message='Required field outcome is unset!')
-        if self.owner is None:
-            raise TProtocolException(message='Required field owner is unset!')
         if self.epoch is None:
             raise TProtocolException(message='Required field epoch is unset!')
         if self.lease_until_ms is None:
@@ -4849,7 +4836,6 @@
     """
     Attributes:
      - outcome
-     - owner
      - epoch
      - fence
      - starts
@@ -4858,9 +4844,8 @@
     """
 
 
-    def __init__(self, outcome=None, owner=None, epoch=None, fence=None, starts=None, stops=None,):
+    def __init__(self, outcome=None, epoch=None, fence=None, starts=None, stops=None,):
         self.outcome = outcome
-        self.owner = owner
         self.epoch = epoch
         self.fence = fence
         self.starts = starts
@@ -4880,11 +4865,6 @@
                     self.outcome = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
                     self.epoch = iprot.readI64()
@@ -4931,10 +4911,6 @@
             oprot.writeFieldBegin('outcome', TType.I32, 1)
             oprot.writeI32(self.outcome)
             oprot.writeFieldEnd()
-        if self.owner is not None:
-            oprot.writeFieldBegin('owner', TType.STRING, 2)
-            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
-            oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 3)
             oprot.writeI64(self.epoch)
@@ -4963,8 +4939,6 @@
     def validate(self):
         if self.outcome is None:
             raise TProtocolException(message='Required field outcome is unset!')
-        if self.owner is None:
-            raise TProtocolException(message='Required field owner is unset!')
         if self.epoch is None:
             raise TProtocolException(message='Required field epoch is unset!')
         if self.fence is None:
@@ -5091,7 +5065,6 @@
     Attributes:
      - outcome
      - reason
-     - owner
      - shown
      - waiting
      - retry_after_ms
@@ -5099,10 +5072,9 @@
     """
 
 
-    def __init__(self, outcome=None, reason=None, owner=None, shown=None, waiting=None, retry_after_ms=None,):
+    def __init__(self, outcome=None, reason=None, shown=None, waiting=None, retry_after_ms=None,):
         self.outcome = outcome
         self.reason = reason
-        self.owner = owner
         self.shown = shown
         self.waiting = waiting
         self.retry_after_ms = retry_after_ms
@@ -5126,11 +5098,6 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
                     self.shown = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
@@ -5164,10 +5131,6 @@
             oprot.writeFieldBegin('reason', TType.STRING, 2)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
-        if self.owner is not None:
-            oprot.writeFieldBegin('owner', TType.STRING, 3)
-            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
-            oprot.writeFieldEnd()
         if self.shown is not None:
             oprot.writeFieldBegin('shown', TType.STRING, 4)
             oprot.writeString(self.shown.encode('utf-8') if sys.version_info[0] == 2 else self.shown)
@@ -5188,8 +5151,6 @@
             raise TProtocolException(message='Required field outcome is unset!')
         if self.reason is None:
             raise TProtocolException(message='Required field reason is unset!')
-        if self.owner is None:
-            raise TProtocolException(message='Required field owner is unset!')
         if self.shown is None:
             raise TProtocolException(message='Required field shown is unset!')
         if self.waiting is None:
@@ -5540,7 +5501,7 @@
 WorkerReportReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'outcome', None, None, ),  # 1
-    (2, TType.STRING, 'owner', 'UTF8', None, ),  # 2
+    None,  # 2
     (3, TType.I64, 'epoch', None, None, ),  # 3
     (4, TType.I64, 'lease_until_ms', None, None, ),  # 4
     (5, TType.I64, 'fence', None, None, ),  # 5
@@ -5578,7 +5539,7 @@
 OrdersReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'outcome', None, None, ),  # 1
-    (2, TType.STRING, 'owner', 'UTF8', None, ),  # 2
+    None,  # 2
     (3, TType.I64, 'epoch', None, None, ),  # 3
     (4, TType.I64, 'fence', None, None, ),  # 4
     (5, TType.LIST, 'starts', (TType.STRUCT, [RunStart, None], False), None, ),  # 5
@@ -5597,7 +5558,7 @@
     None,  # 0
     (1, TType.I32, 'outcome', None, None, ),  # 1
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    None,  # 3
     (4, TType.STRING, 'shown', 'UTF8', None, ),  # 4
     (5, TType.I32, 'waiting', None, None, ),  # 5
     (6, TType.I32, 'retry_after_ms', None, None, ),  # 6
--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -130,6 +130,7 @@
             "submit", queue, workflow_id, deadline, OWNER_PATIENCE, spec.to_json().encode()
         )
         self._metrics.record("", "submit", queue.name, self._clock.monotonic() - started)
+        self._metrics.count(f"submit_{type(outcome).__name__.lower()}")
         return outcome
 
     def status(self, queue: Queue, workflow_id: str, deadline: Deadline) -> GatewayOutcome:
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -43,7 +43,8 @@
 from .intents import PoolConfigSource
 from .listeners import HTTPListener
 from .owners import ShardOwner
-from .pools import PoolOwner, PoolTimes
+from .ownerships import PoolTimes
+from .pools import PoolOwner
 from .responses import Drain
 from .sessions import Session
 from .sources import ConfigSource
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -6,16 +6,13 @@
 
 import random
 import threading
-from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Any
 
-import attrs
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
-from mulberryslip.conflicts import Neighbour
-from mulberryslip.dispatches import Dispatcher, Placed
+from mulberryslip.dispatches import Dispatcher
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import (
     FencedError,
@@ -26,33 +23,24 @@
 )
 from mulberryslip.journals import Journal
 from mulberryslip.metrics import Metrics
-from mulberryslip.queues import PoolConfig
-from mulberryslip.rooms import WorkerRoom, room_of, step_key
-from mulberryslip.soundness import Progress, Soundness
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.stores import Store
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import (
-    OUTCOMES,
     Pool,
-    RunAssigned,
-    RunOutcome,
-    RunOver,
-    RunSaved,
-    StepTask,
     Workflow,
     WorkflowCancelled,
-    WorkflowsExpired,
     accepted_event,
     decode_event,
     encode_event,
-    profile_of,
 )
 
 from .claims import OwnerClaim
 from .directories import KnownOwner, PoolDirectory
-from .members import RELATION_CODES, Member, ended_of
+from .members import RELATION_CODES, Member
+from .ownerships import Item, PoolTenure, PoolTimes
+from .rounds import ConfigSource, Rounds, profile_to_wire
 from .sessions import Session
 from .tenures import Identity
 
@@ -67,128 +55,13 @@
 
 CLAIM_PAUSE = timedelta(milliseconds=500)
 COMMIT_WAIT = timedelta(seconds=2)
-START_WINDOW = timedelta(milliseconds=1500)
-"""Time in which a start must reach the worker. It bounds how long a start without an answer can
-still take effect, so a short one frees the task sooner."""
-
-FRESH_FOR = timedelta(milliseconds=2200)
-"""Age of a report up to which a worker gets new runs; agents report at least each 0.7 s."""
-
-CONFIG_MAX_AGE = timedelta(milliseconds=2500)
-"""Age of the configuration up to which runs are started. Together with `START_WINDOW` it stays
-below the 5 s in which a data centre that is taken out must get nothing more."""
-
-CLOCK_RATE = 1.03
-"""A worker's clock may be 2 % slow."""
-
-LEASE_MARGIN = timedelta(milliseconds=200)
-STOP_REPEAT = timedelta(seconds=1)
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
-EXPIRY_INTERVAL = timedelta(seconds=10)
-SAVE_INTERVAL = timedelta(seconds=1)
-"""Workers save about once a second; more records would hold the same checkpoints."""
-
-MOVE_INTERVAL = timedelta(milliseconds=500)
-MOVE_BELOW_PERCENT = 80
-"""A filling run that is almost done ends sooner than it is moved."""
-
 RETRY_AFTER_OWNER_CHANGE = timedelta(seconds=1)
 """A new owner takes over within the store lease of 3 s, most of which has passed by then."""
 
 
-class ConfigSource(Protocol):
-    """The part of `intents.PoolConfigSource` that the owner needs."""
-
-    def config(self) -> PoolConfig | None:
-        """Return the newest configuration."""
-
-    def age(self) -> timedelta:
-        """Return how long ago the configuration was certainly the newest."""
-
-    def refresh(self) -> PoolConfig | None:
-        """Read the configuration."""
-
-    def run_reads(self, stop: threading.Event) -> None:
-        """Read periodically."""
-
-    def run_watch(self, stop: threading.Event) -> None:
-        """Watch for changes."""
-
-
-@attrs.frozen
-class PoolTimes:
-    """Times that decide when a task may run elsewhere.
-
-    :param lease: lease of a worker, on its own clock.
-    :param store_lease: store lease of the owner.
-    """
-
-    lease: timedelta = timedelta(seconds=6)
-    store_lease: timedelta = timedelta(seconds=3)
-
-    @property
-    def silence(self) -> timedelta:
-        """Return after which silence all runs of a worker have certainly ended."""
-        return self.lease * CLOCK_RATE + LEASE_MARGIN
-
-
-@attrs.define(eq=False)
-class _Item:
-    """Something that a call has brought.
-
-    :param decide: returns the events; called by the deciding thread with the lock held.
-    """
-
-    decide: Callable[[], list[Any]]
-    done: threading.Event = attrs.field(factory=threading.Event)
-    is_taken: bool = False
-    outcome: int = Outcome.OUTCOME_UNKNOWN
-    reason: str = ""
-
-
-class PoolTenure:
-    """One period of ownership.
-
-    :param epoch: version of the store key that names this owner.
-    :param pool: the recovered state.
-    """
-
-    def __init__(
-        self,
-        epoch: int,
-        pool: Pool,
-        journal: Journal,
-        session: Session,
-        claim: OwnerClaim,
-        clock: Clock,
-    ):
-        self.epoch = epoch
-        self.pool = pool
-        self.journal = journal
-        self.session = session
-        self.claim = claim
-        self.lock = threading.Lock()
-        self.claimed_at = clock.monotonic()
-        self.members: dict[str, Member] = {}
-        self.inbox: deque[_Item] = deque()
-        self.wake = threading.Event()
-        self.ended = threading.Event()
-        self._session_id = session.session_id
-
-    def is_live(self) -> bool:
-        """Return whether this process may act as the owner now."""
-        return not self.ended.is_set() and self.is_claimed() and self.session.valid()
-
-    def is_claimed(self) -> bool:
-        """Return whether the ownership may still exist.
-
-        A store that was away may have kept the lease, so the ownership can continue.
-        """
-        return self.session.session_id == self._session_id
-
-
 class PoolOwner:
     """Owns the pool whenever no other process does.
 
@@ -225,12 +98,8 @@
         self._clock = clock
         self._rng = rng
         self._times = times or PoolTimes()
+        self._rounds = Rounds(source, dispatcher, self._times, clock)
         self._tenure: PoolTenure | None = None
-        self._next_expiry = clock.monotonic()
-        self._next_moves = clock.monotonic()
-        self._next_save = clock.monotonic()
-        self._soundness = Soundness()
-        self._conflicts: set[tuple[str, str]] = set()
 
     def is_owner(self) -> bool:
         """Return whether this process owns the pool now."""
@@ -242,7 +111,7 @@
         """Take in what a worker runs and has ended; answer when its ends are committed."""
         tenure = self._live()
         if tenure is None:
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [], [])
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
         with tenure.lock:
             member = tenure.members.get(req.worker.worker_id)
             if member is None:
@@ -251,7 +120,7 @@
                 tenure.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, self._clock.monotonic())
-            item = _Item(lambda: self._reconcile(tenure, member, req) if is_new else [])
+            item = Item(lambda: self._rounds.reconcile(tenure, member, req) if is_new else [])
             tenure.inbox.append(item)
         tenure.wake.set()
         if req.ended:
@@ -262,11 +131,11 @@
         """Return the orders for a worker, waiting for some when there are none."""
         tenure = self._live()
         if tenure is None:
-            return wire.OrdersReply(Outcome.NOT_OWNER, self._hint(), 0, 0, [], [])
+            return wire.OrdersReply(Outcome.NOT_OWNER, 0, 0, [], [])
         with tenure.lock:
             member = tenure.members.get(req.worker_id)
         if member is None or member.incarnation != req.incarnation:
-            return wire.OrdersReply(Outcome.NOT_FOUND, "", tenure.epoch, 0, [], [])
+            return wire.OrdersReply(Outcome.NOT_FOUND, tenure.epoch, 0, [], [])
         self._clock.wait(member.has_orders, timedelta(milliseconds=req.wait_ms))
         with tenure.lock:
             member.has_orders.clear()
@@ -276,8 +145,8 @@
             fence = member.fence(tenure.epoch)
             is_same = member.incarnation == req.incarnation
         if not is_same or not tenure.is_live():
-            return wire.OrdersReply(Outcome.NOT_OWNER, "", tenure.epoch, fence, [], [])
-        return wire.OrdersReply(Outcome.OK, "", tenure.epoch, fence, starts, stops)
+            return wire.OrdersReply(Outcome.NOT_OWNER, tenure.epoch, fence, [], [])
+        return wire.OrdersReply(Outcome.OK, tenure.epoch, fence, starts, stops)
 
     # Calls of gateways
 
@@ -308,6 +177,7 @@
             return [accepted_event(req.workflow_id, queue, spec, self._now_ms())]
 
         reply = self._carry_out(tenure, decide, "queued")
+        self._metrics.count(f"submissions_{Outcome._VALUES_TO_NAMES[reply.outcome].lower()}")
         if reply.outcome == Outcome.OK:
             log(
                 Event.WORKFLOW_ACCEPTED,
@@ -497,12 +367,12 @@
             for item in items:
                 item.is_taken = True
                 events += self._apply(tenure, item.decide())
-            events += self._apply(tenure, self._lost(tenure))
-            events += self._apply(tenure, self._expired(tenure))
-            events += self._apply(tenure, self._saved(tenure))
-            placed = self._place(tenure)
-            self._move_runs(tenure)
-            events += self._apply(tenure, [_assigned(p, self._start_by(tenure, p)) for p in placed])
+            events += self._apply(tenure, self._rounds.lost(tenure))
+            events += self._apply(tenure, self._rounds.expired(tenure))
+            events += self._apply(tenure, self._rounds.saved(tenure))
+            placed = self._rounds.place(tenure)
+            self._rounds.move_runs(tenure)
+            events += self._apply(tenure, [self._rounds.assignment(tenure, p) for p in placed])
         try:
             if events:
                 self._commit(tenure, events)
@@ -511,11 +381,11 @@
                 item.done.set()
             raise
         with tenure.lock:
-            _log_ended(tenure.pool.publish())
+            self._note_ended(tenure.pool.publish())
             for member in tenure.members.values():
                 member.ended_through = member.listed_through
-            self._order_starts(tenure, placed)
-            self._order_stops(tenure)
+            self._rounds.order_starts(tenure, placed)
+            self._rounds.order_stops(tenure)
         for item in items:
             item.outcome = Outcome.OK
             item.done.set()
@@ -571,281 +441,27 @@
         for item in items:
             self._reject(item)
 
-    def _reject(self, item: _Item) -> None:
+    def _reject(self, item: Item) -> None:
         item.outcome = Outcome.NOT_RUN
         item.reason = "the store does not answer"
         item.done.set()
 
-    # Runs that have ended
-
-    def _reconcile(
-        self, tenure: PoolTenure, member: Member, report: wire.WorkerReport
-    ) -> list[Any]:
-        """Return the ends that follow from a report."""
-        if report.worker.incarnation != member.incarnation:
-            return []
-        now_ms = self._now_ms()
-        events: list[Any] = []
-        ended = {(row.task, row.run): ended_of(row) for row in report.ended}
-        refused = {(row.task, row.run): row.reason for row in report.refused if row.certain}
-        running = {(row.task, row.run): row for row in report.running}
-        for task in tenure.pool.held(member.worker_id):
-            name = (task.name, task.run)
-            if task.incarnation != member.incarnation or report.unreachable:
-                reason = "the worker has started anew"
-                events.append(self._over(tenure, task, RunOutcome.LOST, now_ms, reason))
-            elif name in ended:
-                end = ended[name]
-                events.append(
-                    self._over(tenure, task, OUTCOMES[end.kind], now_ms, "", end.checkpoint)
-                )
-            elif name in refused:
-                reason = refused[name]
-                events.append(self._over(tenure, task, RunOutcome.UNSTARTED, now_ms, reason))
-            elif name not in running and report.clock_ms > task.start_by_ms:
-                reason = "the worker did not start it in time"
-                events.append(self._over(tenure, task, RunOutcome.UNSTARTED, now_ms, reason))
-        self._learn(tenure, member)
-        if report.ended:
-            member.listed_through = max(row.number for row in report.ended)
-        return events
-
-    def _learn(self, tenure: PoolTenure, member: Member) -> None:
-        neighbours = []
-        for name, row in member.running.items():
-            task = tenure.pool.task(name)
-            if task is not None and (task.spec.fills or task.spec.target_ms):
-                profile = profile_of(task)
-                neighbours.append(Neighbour(row, profile))
-        at = member.clock_ms * timedelta(milliseconds=1)
-        conflicts = self._dispatcher.conflicts
-        conflicts.observe(member.worker_id, at, neighbours)
-        pairs = conflicts.conflicts()
-        if set(pairs) != self._conflicts:
-            self._conflicts = set(pairs)
-            risks = [[*pair, round(conflicts.risk(*pair), 2)] for pair in sorted(pairs)]
-            log(Event.CONFLICTS_CHANGED, pairs=risks)
-        progress = [
-            Progress(name, row.run, step_key(task), row.progress_percent)
-            for name, row in member.running.items()
-            if (task := tenure.pool.task(name)) is not None
-            and not task.spec.fills
-            and not task.spec.lasting
-        ]
-        self._soundness.observe(member.worker_id, progress, self._clock.monotonic())
-
-    def _lost(self, tenure: PoolTenure) -> list[Any]:
-        """Return the ends of runs on workers whose leases have certainly run out."""
-        now = self._clock.monotonic()
-        newest = _newest_on_machines(tenure.members.values())
-        events: list[Any] = []
-        for worker_id in tenure.pool.holders():
-            member = tenure.members.get(worker_id)
-            heard_at = tenure.claimed_at if member is None else member.received_at
-            held = tenure.pool.held(worker_id)
-            if now - heard_at > self._times.silence:
-                reason = f"the worker was silent for {now - heard_at}"
-            else:
-                held = [task for task in held if newest.get(task.machine, "") > task.incarnation]
-                reason = "another worker has started on its machine"
-            if not held:
-                continue
-            now_ms = self._now_ms()
-            events += [self._over(tenure, task, RunOutcome.LOST, now_ms, reason) for task in held]
-            log(Event.WORKER_LOST, worker=worker_id, reason=reason)
-        return events
-
-    def _over(
-        self,
-        tenure: PoolTenure,
-        task: StepTask,
-        outcome: RunOutcome,
-        now_ms: int,
-        reason: str,
-        checkpoint: str = "",
-    ) -> RunOver:
-        member = tenure.members.get(task.worker_id)
-        row = member.running.get(task.name) if member else None
-        if not checkpoint and row is not None and row.run == task.run:
-            checkpoint = row.checkpoint
-        if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
-            is_done = outcome is RunOutcome.DONE
-            if self._soundness.ended(task.worker_id, is_done, self._clock.monotonic()):
-                log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="runs fail in a row")
-        log(
-            Event.RUN_ENDED,
-            task=task.name,
-            run=task.run,
-            worker=task.worker_id,
-            outcome=outcome.value,
-            reason=reason,
-        )
-        return RunOver(task.name, task.run, outcome.value, now_ms, checkpoint)
-
-    def _expired(self, tenure: PoolTenure) -> list[Any]:
-        now = self._clock.monotonic()
-        if now < self._next_expiry:
-            return []
-        self._next_expiry = now + EXPIRY_INTERVAL
-        expired = tenure.pool.expired(self._now_ms())
-        return [WorkflowsExpired(expired)] if expired else []
-
-    def _saved(self, tenure: PoolTenure) -> list[Any]:
-        """Return the newer checkpoints of runs at work, from time to time.
-
-        Without them, work goes back to its beginning when the owner and the worker are lost at
-        the same time.
-        """
-        now = self._clock.monotonic()
-        if now < self._next_save:
-            return []
-        self._next_save = now + SAVE_INTERVAL
-        return [
-            RunSaved(name, row.run, row.checkpoint)
-            for member in tenure.members.values()
-            for name, row in member.running.items()
-            if row.checkpoint
-            and (task := tenure.pool.task(name)) is not None
-            and task.is_held(row.run)
-            and task.checkpoint != row.checkpoint
-        ]
-
-    # Starts and stops
-
-    def _place(self, tenure: PoolTenure) -> list[Placed]:
-        waiting = tenure.pool.ready()
-        config = self._source.config()
-        if not waiting or config is None or self._source.age() > CONFIG_MAX_AGE:
-            return []
-        if not tenure.is_live():
-            return []
-        rooms = self._rooms(tenure, config)
-        return self._dispatcher.choose(waiting, rooms, self._now_ms()) if rooms else []
-
-    def _move_runs(self, tenure: PoolTenure) -> None:
-        """Order stops for runs that are better off on another worker."""
-        now = self._clock.monotonic()
-        config = self._source.config()
-        if now < self._next_moves or config is None or not tenure.is_live():
-            return
-        self._next_moves = now + MOVE_INTERVAL
-        filling = [
-            task
-            for member in tenure.members.values()
-            for name, row in member.running.items()
-            if (task := tenure.pool.task(name)) is not None
-            and task.spec.fills
-            and task.is_held(row.run)
-            and row.progress_percent < MOVE_BELOW_PERCENT
-        ]
-        stalled = [
-            task
-            for member in tenure.members.values()
-            for name, run in self._soundness.stalled(member.worker_id, now)
-            if (task := tenure.pool.task(name)) is not None and task.is_held(run)
-        ]
-        if not filling and not stalled:
-            return
-        rooms = self._rooms(tenure, config)
-        moved = [
-            (task, "disturbs a service") for task in self._dispatcher.misplaced(filling, rooms)
-        ]
-        moved += [(task, "stands still") for task in self._dispatcher.stranded(stalled, rooms)]
-        for task, reason in moved:
-            tenure.members[task.worker_id].unwanted[task.name, task.run] = reason
-
-    def _rooms(self, tenure: PoolTenure, config: PoolConfig) -> list[WorkerRoom]:
-        now = self._clock.monotonic()
-        services = config.services()
-        newest = _newest_on_machines(tenure.members.values())
-        rooms = [
-            room_of(
-                member.worker_id,
-                member.incarnation,
-                member.machine,
-                member.service,
-                member.data_centre,
-                member.labels,
-                member.capacity,
-                tenure.pool.held(member.worker_id),
-            )
-            for member in tenure.members.values()
-            if member.clock_ms
-            and not member.leaving
-            and not member.is_absent
-            and newest.get(member.machine, "") <= member.incarnation
-            and member.service in services
-            and member.data_centre not in config.data_centres_out
-            and now - member.received_at <= FRESH_FOR
-        ]
-        for room in rooms:
-            room.penalty = self._soundness.penalty(room.worker_id, now)
-            room.strains = _strains(tenure.pool, tenure.members[room.worker_id])
-        return rooms
-
-    def _start_by(self, tenure: PoolTenure, placed: Placed) -> int:
-        member = tenure.members[placed.room.worker_id]
-        clock_ms = member.clock_at(self._clock.monotonic())
-        return clock_ms + START_WINDOW // timedelta(milliseconds=1)
-
-    def _order_starts(self, tenure: PoolTenure, placed: list[Placed]) -> None:
-        if not tenure.is_live():
-            # The runs count as not started once their time has passed on the workers.
-            return
-        now = self._clock.monotonic()
-        for decision in placed:
-            task = decision.task
-            member = tenure.members[task.worker_id]
-            if member.incarnation != task.incarnation or not task.is_held(task.run):
+    def _note_ended(self, changed: list[Workflow]) -> None:
+        for workflow in changed:
+            if not workflow.is_over:
                 continue
-            member.starts.append(
-                wire.RunStart(
-                    task.name,
-                    task.run,
-                    task.workflow.spec.payload,
-                    task.checkpoint,
-                    task.start_by_ms,
-                    _profile(task),
-                )
-            )
-            member.has_orders.set()
+            took_ms = max(0, workflow.ended_ms - workflow.accepted_ms)
+            queue = workflow.queue.name
+            took = timedelta(milliseconds=took_ms)
+            self._metrics.record("", f"workflow_{workflow.shown}", queue, took)
             log(
-                Event.RUN_PLACED,
-                task=task.name,
-                run=task.run,
-                worker=task.worker_id,
-                report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
-                start_by_ms=task.start_by_ms,
-                resumed=bool(task.checkpoint),
+                Event.WORKFLOW_ENDED,
+                workflow=workflow.workflow_id,
+                queue=queue,
+                shown=workflow.shown,
+                took_ms=took_ms,
             )
 
-    def _order_stops(self, tenure: PoolTenure) -> None:
-        now = self._clock.monotonic()
-        for member in tenure.members.values():
-            for task_name, row in member.running.items():
-                task = tenure.pool.task(task_name)
-                key = (task_name, row.run)
-                is_wanted = task is not None and task.is_held(row.run)
-                if is_wanted and not task.workflow.is_over and key not in member.unwanted:
-                    continue
-                sent_at = member.stopped_at.get(key)
-                if sent_at is None or now - sent_at >= STOP_REPEAT:
-                    member.stopped_at[key] = now
-                    reason = member.unwanted.get(key, "not wanted")
-                    member.stops.append(wire.RunStop(task_name, row.run, reason))
-                    member.has_orders.set()
-                    log(
-                        Event.RUN_STOPPED,
-                        task=task_name,
-                        run=row.run,
-                        worker=member.worker_id,
-                        reason=reason,
-                        report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
-                    )
-            for key in [key for key in member.stopped_at if key[0] not in member.running]:
-                del member.stopped_at[key]
-                member.unwanted.pop(key, None)
-
     # Answers
 
     def _live(self) -> PoolTenure | None:
@@ -857,18 +473,17 @@
     ) -> wire.WorkerReportReply:
         with tenure.lock:
             tasks = [tenure.pool.task(name) for name in req.unprofiled]
-            profiles = [_profile(task) for task in tasks if task is not None]
+            profiles = [profile_to_wire(task) for task in tasks if task is not None]
             relations = self._relations(tenure, member)
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(tenure.epoch)
         if not tenure.is_live():
-            return wire.WorkerReportReply(Outcome.NOT_OWNER, self._hint(), 0, 0, 0, 0, [], [])
+            return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
         is_current = is_current and req.listed
         lease_until = req.clock_ms + self._times.lease // timedelta(milliseconds=1)
         return wire.WorkerReportReply(
             Outcome.OK,
-            "",
             tenure.epoch,
             lease_until if is_current else 0,
             fence,
@@ -893,7 +508,7 @@
         self, tenure: PoolTenure, decide: Callable[[], list[Any]], shown: str
     ) -> wire.WorkflowReply:
         """Let the deciding thread decide, and wait for the commit."""
-        item = _Item(decide)
+        item = Item(decide)
         with tenure.lock:
             tenure.inbox.append(item)
         tenure.wake.set()
@@ -908,15 +523,7 @@
         return _reply(item.outcome, item.reason, shown=shown, retry_after_ms=retry_after)
 
     def _not_owner(self) -> wire.WorkflowReply:
-        reply = _reply(Outcome.NOT_OWNER, "this process does not own the pool")
-        reply.owner = self._hint()
-        return reply
-
-    def _hint(self) -> str:
-        known = self._directory.owner()
-        if known is None or known.address == self._address():
-            return ""
-        return str(known.address)
+        return _reply(Outcome.NOT_OWNER, "this process does not own the pool")
 
     def _address(self) -> Address:
         return Address(self._identity.host, self._identity.port)
@@ -925,53 +532,6 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
-def _assigned(placed: Placed, start_by_ms: int) -> RunAssigned:
-    task = placed.task
-    room = placed.room
-    return RunAssigned(
-        task.name, task.run + 1, room.worker_id, room.incarnation, room.machine, start_by_ms
-    )
-
-
-def _profile(task: StepTask) -> wire.RunProfile:
-    profile = profile_of(task)
-    return wire.RunProfile(
-        profile.task, profile.image, profile.fills, profile.cpu_millis, profile.target_ms
-    )
-
-
-def _log_ended(changed: list[Workflow]) -> None:
-    for workflow in changed:
-        if workflow.is_over:
-            log(
-                Event.WORKFLOW_ENDED,
-                workflow=workflow.workflow_id,
-                queue=workflow.queue.name,
-                shown=workflow.shown,
-                took_ms=workflow.ended_ms - workflow.accepted_ms,
-            )
-
-
-def _strains(pool: Pool, member: Member) -> dict[str, float]:
-    """Return the highest tail of a worker's serving runs by image, as a share of its target."""
-    strains: dict[str, float] = {}
-    for name, row in member.running.items():
-        task = pool.task(name)
-        if task is not None and task.spec.target_ms:
-            image = task.spec.image
-            strains[image] = max(strains.get(image, 0.0), row.gauge / task.spec.target_ms)
-    return strains
-
-
-def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
-    """Return the newest life by VM; a VM runs one worker at a time."""
-    newest: dict[str, str] = {}
-    for member in members:
-        if member.machine:
-            newest[member.machine] = max(newest.get(member.machine, ""), member.incarnation)
-    return newest
-
-
 def _recover(journal: Journal) -> Pool:
     recovery = journal.open()
     pool = Pool() if recovery.state is None else Pool.from_snapshot(recovery.state)
@@ -990,4 +550,4 @@
     waiting: int = 0,
     retry_after_ms: int = 0,
 ) -> wire.WorkflowReply:
-    return wire.WorkflowReply(outcome, reason, "", shown, waiting, retry_after_ms)
+    return wire.WorkflowReply(outcome, reason, shown, waiting, retry_after_ms)
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -30,7 +30,8 @@
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.agents import Agent, PoolService
 from mulberryslipd.directories import PoolDirectory
-from mulberryslipd.pools import PoolOwner, PoolTimes
+from mulberryslipd.ownerships import PoolTimes
+from mulberryslipd.pools import PoolOwner
 from mulberryslipd.sessions import Session
 from mulberryslipd.tenures import Identity
 
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -44,7 +44,7 @@
 
 
 def reply(outcome, shown="", reason="", retry_after_ms=0):
-    return WorkflowReply(outcome, reason, "", shown, 0, retry_after_ms)
+    return WorkflowReply(outcome, reason, shown, 0, retry_after_ms)
 
 
 def make(*answers, owner=True):
