--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -144,7 +144,7 @@
                 return
             self._announcement = announcement
             is_new = known is None or known.incarnation != announcement.incarnation
-            is_leaving = announcement.leaving and not (known and known.leaving and not is_new)
+            is_leaving = announcement.leaving and (is_new or not known.leaving)
         self._announced.set()
         if is_new:
             log(
@@ -153,8 +153,8 @@
                 incarnation=announcement.incarnation,
             )
         if is_leaving:
+            # Starts are refused here from now on; the owner learns it with the next report.
             log(Event.WORKER_LEAVING, worker=announcement.worker_id)
-            self._report_leaving(announcement)
 
     def depart(self, worker_id: str) -> None:
         """Note that the worker says it ends now."""
@@ -347,21 +347,6 @@
             ],
         )
 
-    def _report_leaving(self, worker: WorkerAnnouncement) -> None:
-        """Tell the owner at once, since it may still send work."""
-        owner = self._directory.owner()
-        grant = self._grant
-        if owner is None or grant.incarnation != worker.incarnation:
-            return
-        try:
-            listing = self._runner.hold(
-                worker.worker_id, grant.fence, 0, grant.ended_through, timedelta()
-            )
-        except RunnerError as exc:
-            log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
-            return
-        self._report(owner, worker, listing)
-
     # Orders
 
     def _run_orders(self, stop: threading.Event) -> None:
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -44,6 +44,9 @@
 
 STOP_REPEAT = timedelta(seconds=1)
 
+FORGET_AFTER = timedelta(minutes=1)
+"""Silence after which a worker that holds nothing is forgotten; ids change with each life."""
+
 EXPIRY_INTERVAL = timedelta(seconds=10)
 
 SAVE_INTERVAL = timedelta(seconds=1)
@@ -197,11 +200,15 @@
         return RunOver(task.name, task.run, outcome.value, now_ms, checkpoint)
 
     def expired(self, tenure: PoolTenure) -> list[Any]:
-        """Return the event that drops workflows which ended long ago."""
+        """Forget workers that are gone; return the event that drops workflows of long ago."""
         now = self._clock.monotonic()
         if now < self._next_expiry:
             return []
         self._next_expiry = now + EXPIRY_INTERVAL
+        holders = set(tenure.pool.holders())
+        for worker_id, member in list(tenure.members.items()):
+            if now - member.received_at > FORGET_AFTER and worker_id not in holders:
+                del tenure.members[worker_id]
         expired = tenure.pool.expired(self._now_ms())
         return [WorkflowsExpired(expired)] if expired else []
 
