Answer a submission to a queue that the owner does not know yet with a time to come back

Found by reading: the owner said "not found" when the gateway had read a newer configuration, and the adapter turned that into 410 for a submission. It is now "not run" with a time to come back; the test failed before.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -58,8 +58,9 @@
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
-RETRY_AFTER_OWNER_CHANGE = timedelta(seconds=1)
-"""A new owner takes over within the store lease of 3 s, most of which has passed by then."""
+RETRY_AFTER = timedelta(seconds=1)
+"""A new owner takes over within the store lease of 3 s, most of which has passed when it is missed;
+a newer configuration arrives within a second."""
 
 
 class PoolOwner:
@@ -162,7 +163,12 @@
         config = self._source.config()
         queue = config.queues.get(req.queue) if config else None
         if queue is None:
-            return _reply(Outcome.NOT_FOUND, f"queue {req.queue!r} is unknown")
+            # The gateway may have read a newer configuration than this process.
+            return _reply(
+                Outcome.NOT_RUN,
+                f"queue {req.queue!r} is unknown",
+                retry_after_ms=RETRY_AFTER // timedelta(milliseconds=1),
+            )
         try:
             spec = WorkflowSpec.from_json(req.body)
         except JobError as exc:
@@ -519,7 +525,7 @@
                 self._reject(item)
         retry_after = 0
         if item.outcome == Outcome.NOT_RUN:
-            retry_after = RETRY_AFTER_OWNER_CHANGE // timedelta(milliseconds=1)
+            retry_after = RETRY_AFTER // timedelta(milliseconds=1)
         return _reply(item.outcome, item.reason, shown=shown, retry_after_ms=retry_after)
 
     def _not_owner(self) -> wire.WorkflowReply:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -367,6 +367,13 @@
     assert not world.workers[0].runs
 
 
+def test_queue_that_the_owner_does_not_know_yet_is_no_final_answer(world):
+    """Guards against a caller that is told that its queue is gone, while the owner lags behind."""
+    reply = world.submit("a", queue="added-just-now")
+    assert reply.outcome == Outcome.NOT_RUN
+    assert reply.retry_after_ms > 0
+
+
 def test_spread_limit_holds(world):
     """Guards against more tasks of a step on one worker than the caller allows."""
     world.submit("a", attrs.evolve(TASK, count=6, max_per_worker=1))
