Use the wire forms of resources that the worker role has; drop a branch that repeated its twin

Found by reading the change once more: members and agents wrote the translation of resources again, and the agent's start had two handlers with the same body, one for a subclass of the other. Behaviour is the same.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -13,7 +13,6 @@
 from mulberryslip.conflicts import ConflictModel, Neighbour
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
-from mulberryslip.models import Resources
 from mulberryslip.paces import PaceControl
 from mulberryslip.runners import (
     RunListing,
@@ -21,7 +20,6 @@
     RunnerAbsentError,
     RunnerError,
     RunnerFencedError,
-    RunnerUnavailableError,
     RunOrder,
     RunProfile,
     StartRefusal,
@@ -32,6 +30,7 @@
 
 from .directories import KnownOwner, PoolDirectory
 from .members import END_CODES, RELATIONS
+from .workers import resources_to_wire
 
 REPORT_INTERVAL = timedelta(milliseconds=700)
 """Time between reports when nothing ends. A lease of 6 s survives several lost ones."""
@@ -419,11 +418,8 @@
         run = RunOrder(order.task, order.run, order.payload, order.checkpoint, order.start_by_ms)
         try:
             refusal = self._runner.start(worker.worker_id, run, fence)
-        except RunnerUnavailableError as exc:
-            # The owner learns from the listings whether it runs.
-            log(Event.RUN_REFUSED, task=order.task, run=order.run, reason=str(exc), certain=False)
-            return
         except RunnerError as exc:
+            # The owner learns from the listings whether it runs.
             log(Event.RUN_REFUSED, task=order.task, run=order.run, reason=str(exc), certain=False)
             return
         if refusal is None:
@@ -467,7 +463,7 @@
         serves=worker.service,
         data_centre=worker.data_centre,
         labels=list(worker.labels),
-        capacity=_resources_to_wire(worker.capacity),
+        capacity=resources_to_wire(worker.capacity),
         leaving=worker.leaving,
         remaining_ms=worker.remaining // timedelta(milliseconds=1),
         machine=worker.machine,
@@ -476,7 +472,3 @@
 
 def _profile_of(row: wire.RunProfile) -> RunProfile:
     return RunProfile(row.task, row.image, row.fills, row.cpu_millis, row.target_ms)
-
-
-def _resources_to_wire(res: Resources) -> wire.Resources:
-    return wire.Resources(*res.amounts())
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -10,6 +10,8 @@
 from mulberryslip.runners import EndedRun, EndKind, RunningRun
 from mulberryslip.wire import ttypes as wire
 
+from .workers import resources_from_wire
+
 FENCE_LIVES = 1024
 """Fencing tokens of one epoch: one for each life of a worker, so that a start that is carried out
 late in a later life is refused there."""
@@ -87,7 +89,7 @@
         self.data_centre = worker.data_centre
         self.machine = worker.machine
         self.labels = frozenset(worker.labels)
-        self.capacity = resources_of(worker.capacity)
+        self.capacity = resources_from_wire(worker.capacity)
         self.leaving = worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
@@ -130,8 +132,3 @@
 def ended_of(row: wire.RunEnd) -> EndedRun:
     """Return an ended run from its wire form."""
     return EndedRun(row.number, row.task, row.run, _END_KINDS[row.kind], row.checkpoint)
-
-
-def resources_of(res: wire.Resources) -> Resources:
-    """Return resources from their wire form."""
-    return Resources(res.cpu_millis, res.memory_mb, res.accelerators, res.slots)
