Follow the configuration by watches; give large answers time by their size

Cause: on links of 5 Mbit/s a configuration of 1,845 queues takes longer than the limit of 600 ms for an answer, and each gateway read it whole once a second, so it never arrived; a read that failed was answered with 404 by the old configuration. Ruled out: a stale read (the watch failed in the same way, by its body's limit). Conclusion: documents are read whole once, then only changes are sent; a path is said to be unknown only by a configuration that is confirmed.

--- a/packages/core/src/mulberryslip/transports.py
+++ b/packages/core/src/mulberryslip/transports.py
@@ -13,6 +13,10 @@
 
 _CHUNK_BYTES = 64 * 1024
 
+SLOWEST_RATE = 100_000
+"""Bytes a second that an answer must keep up, a sixth of the smallest link of 5 Mbit/s: a
+configuration of several hundred kilobytes arrives there beside other traffic."""
+
 NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -39,8 +43,8 @@
     within the timeout fails.
 
     :param base_url: `http://host:port`, optionally with a path.
-    :param timeout: limit for connecting, for the head and for the whole body of an answer; a call
-        takes at most three times as long.
+    :param timeout: limit for connecting, for the head and for a small body of an answer; a large
+        body has more time, as long as it arrives at `SLOWEST_RATE`.
     :param max_connections: connections for calls that are answered at once.
     :param max_waits: further connections for calls that the server answers later.
     :param clock: measures the time of an answer.
@@ -108,15 +112,16 @@
             raise
 
     def _read_body(self, resp: urllib3.BaseHTTPResponse) -> bytes:
-        """Read the body within one timeout, since the socket's limit is for each wait only.
+        """Read the body within a limit, since the socket's timeout is for each wait only.
 
         Without it, an answer that trickles over a bad link would hold its thread for minutes.
         """
         deadline = self._clock.monotonic().total_seconds() + self._timeout
-        chunks = []
+        chunks: list[bytes] = []
         try:
             while chunk := resp.read1(_CHUNK_BYTES):
                 chunks.append(chunk)
+                deadline += len(chunk) / SLOWEST_RATE
                 if self._clock.monotonic().total_seconds() > deadline:
                     raise urllib3.exceptions.HTTPError("the answer took too long")
         except BaseException:
--- a/packages/daemon/src/mulberryslipd/daemons.py
+++ b/packages/daemon/src/mulberryslipd/daemons.py
@@ -75,8 +75,7 @@
     def start(self) -> None:
         """Start all threads and servers."""
         loops = [
-            ("pool-config-reads", self.source.run_reads),
-            ("pool-config-watch", self.source.run_watch),
+            ("pool-config", self.source.run),
             ("owner-watch", self.directory.run),
         ]
         start_loops(loops, self._stop)
--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -115,7 +115,12 @@
         config = self._source.config()
         queue = config.match(host, path) if config else None
         if queue is None and self._source.age() > UNKNOWN_QUEUE_AGE:
-            config = self._refreshed()
+            try:
+                config = self._source.refresh()
+            except StoreError as exc:
+                # A newer configuration may have the queue, so "no such queue" could be false.
+                log(Event.STORE_UNAVAILABLE, call="refresh pool config", reason=str(exc))
+                return Rejected("the newest configuration is not known")
             queue = config.match(host, path) if config else None
         if config is None:
             return Rejected("the configuration is not known yet")
@@ -145,13 +150,6 @@
         """Return how many workflows of a queue have not begun."""
         return self._call("waiting", queue, "", deadline, READ_PATIENCE)
 
-    def _refreshed(self) -> PoolConfig | None:
-        try:
-            return self._source.refresh()
-        except StoreError as exc:
-            log(Event.STORE_UNAVAILABLE, call="refresh pool config", reason=str(exc))
-            return self._source.config()
-
     def _call(
         self,
         method: str,
--- a/packages/daemon/src/mulberryslipd/intents.py
+++ b/packages/daemon/src/mulberryslipd/intents.py
@@ -7,14 +7,17 @@
 
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
-from mulberryslip.exceptions import ConfigError, StoreError
+from mulberryslip.exceptions import ConfigError, StoreError, StoreUnavailableError
 from mulberryslip.queues import PoolConfig
 from mulberryslip.retries import backoff
 from mulberryslip.stores import Listing, Store, StoredValue
 
-from .sources import WATCH_TIMEOUT, Outage
+from .sources import Outage
+
+CONFIRM_INTERVAL = timedelta(milliseconds=800)
+"""Longest wait of one watch. Its answer confirms the configuration from the moment of the call on,
+so the known age stays below 2 s, and a connection that went silent is noticed in time."""
 
-READ_INTERVAL = timedelta(seconds=1)
 RETRY_BASE = timedelta(milliseconds=100)
 
 Decode = Callable[[Mapping[str, StoredValue]], PoolConfig]
@@ -24,8 +27,8 @@
 class PoolConfigSource:
     """The newest configuration that this process has seen; its revision never goes back.
 
-    A watch brings changes at once. Reads cover for a watch that went silent, and tell how old the
-    configuration can be at most.
+    The documents are read whole once. After that watches bring only what changes, since a large
+    configuration takes most of a second on the smallest links.
 
     :param prefix: start of the operators' keys.
     :param decode: reads the documents.
@@ -38,17 +41,18 @@
         decode: Decode,
         clock: Clock,
         rng: random.Random,
-        read_interval: timedelta = READ_INTERVAL,
+        confirm_interval: timedelta = CONFIRM_INTERVAL,
     ):
         self._store = store
         self._prefix = prefix
         self._decode = decode
         self._clock = clock
         self._rng = rng
-        self._read_interval = read_interval
+        self._confirm_interval = confirm_interval
         self._lock = threading.Lock()
         self._documents: dict[str, StoredValue] = {}
         self._removed: dict[str, int] = {}
+        self._revision = 0
         self._config: PoolConfig | None = None
         self._confirmed_at: timedelta | None = None
 
@@ -65,47 +69,49 @@
             return self._clock.monotonic() - self._confirmed_at
 
     def refresh(self) -> PoolConfig | None:
-        """Read the store.
+        """Take in all changes up to now.
 
         :raises StoreError: the store did not answer; the configuration is left as it is.
         """
-        sent_at = self._clock.monotonic()
-        listing = self._store.list(self._prefix)
-        self._replace(listing)
-        with self._lock:
-            self._confirmed_at = max(sent_at, self._confirmed_at or sent_at)
-            return self._config
-
-    def run_reads(self, stop: threading.Event) -> None:
-        """Read the store periodically until stopped."""
-        outage = Outage("read pool config")
-        while not stop.is_set():
-            try:
-                self.refresh()
-                outage.end()
-            except StoreError as exc:
-                outage.note(exc)
-            self._clock.wait(stop, self._read_interval)
+        self._advance(timedelta())
+        return self.config()
 
-    def run_watch(self, stop: threading.Event) -> None:
-        """Watch the store until stopped."""
+    def run(self, stop: threading.Event) -> None:
+        """Follow the store until stopped."""
         outage = Outage("watch pool config")
-        revision = 0
         while not stop.is_set():
             try:
-                if revision == 0:
-                    listing = self._store.list(self._prefix)
-                    self._replace(listing)
-                else:
-                    listing = self._store.watch(self._prefix, revision, WATCH_TIMEOUT)
-                    self._merge(listing)
-                revision = listing.revision
+                self._advance(self._confirm_interval)
                 outage.end()
             except StoreError as exc:
                 outage.note(exc)
-                revision = 0
                 self._clock.wait(stop, backoff(outage.failures, self._rng, RETRY_BASE))
 
+    def _advance(self, wait: timedelta) -> None:
+        """Read what has changed since the last call, waiting for a change."""
+        sent_at = self._clock.monotonic()
+        with self._lock:
+            revision = self._revision
+        listing = self._changes(revision, wait) if revision else None
+        if listing is None:
+            listing = self._store.list(self._prefix)
+            self._replace(listing)
+        else:
+            self._merge(listing)
+        with self._lock:
+            self._revision = max(self._revision, listing.revision)
+            self._confirmed_at = max(sent_at, self._confirmed_at or sent_at)
+
+    def _changes(self, revision: int, wait: timedelta) -> Listing | None:
+        """Return what changed after a revision; None when the store no longer has that history."""
+        try:
+            return self._store.watch(self._prefix, revision, wait)
+        except StoreUnavailableError:
+            raise
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="watch pool config", reason=str(exc))
+            return None
+
     def _replace(self, listing: Listing) -> None:
         listed = {stored.key: stored for stored in listing.values}
         with self._lock:
@@ -128,11 +134,15 @@
         with self._lock:
             merged = dict(self._documents)
             for stored in listing.values:
+                # Two threads may take in their answers in either order.
                 known = merged.get(stored.key)
                 if stored.version == 0:
-                    merged.pop(stored.key, None)
-                    self._removed[stored.key] = listing.revision
-                elif known is None or stored.version > known.version:
+                    if known is None or known.version <= listing.revision:
+                        merged.pop(stored.key, None)
+                        self._removed[stored.key] = listing.revision
+                elif stored.version > self._removed.get(stored.key, 0) and (
+                    known is None or stored.version > known.version
+                ):
                     merged[stored.key] = stored
             self._apply(merged)
 
@@ -140,6 +150,8 @@
         """Take over documents; the lock must be held."""
         if _versions(documents) == _versions(self._documents) and self._config is not None:
             return
+        # Documents are kept even if they cannot be decoded: they are not sent again.
+        self._documents = documents
         try:
             config = self._decode(documents)
         except ConfigError as exc:
@@ -148,7 +160,6 @@
         if self._config is not None and config.revision < self._config.revision:
             log(Event.CONFIG_REFUSED, reason="older", revision=config.revision)
             return
-        self._documents = documents
         self._config = config
         log(
             Event.CONFIG_APPLIED,
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -342,11 +342,9 @@
 
     def _serve(self, stop: threading.Event) -> None:
         tenure = self._tenure
-        for name, loop in (
-            ("pool-config-reads", self._source.run_reads),
-            ("pool-config-watch", self._source.run_watch),
-        ):
-            threading.Thread(target=loop, args=(tenure.ended,), name=name, daemon=True).start()
+        threading.Thread(
+            target=self._source.run, args=(tenure.ended,), name="pool-config", daemon=True
+        ).start()
         while tenure.is_claimed() and not stop.is_set():
             self._clock.wait(tenure.wake, IDLE_INTERVAL)
             # Others join the round during the pause.
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -68,13 +68,10 @@
         """Return how long ago the configuration was certainly the newest."""
 
     def refresh(self) -> PoolConfig | None:
-        """Read the configuration."""
+        """Take in all changes up to now."""
 
-    def run_reads(self, stop: threading.Event) -> None:
-        """Read periodically."""
-
-    def run_watch(self, stop: threading.Event) -> None:
-        """Watch for changes."""
+    def run(self, stop: threading.Event) -> None:
+        """Follow the changes."""
 
 
 class Rounds:
--- a/tests/test_directories.py
+++ b/tests/test_directories.py
@@ -7,7 +7,7 @@
 import pytest
 from mulberryslip import ManualClock
 from mulberryslip.channels import Address
-from mulberryslip.exceptions import ConfigError, StoreUnavailableError
+from mulberryslip.exceptions import ConfigError, StoreError, StoreUnavailableError
 from mulberryslip.queues import PoolConfig
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.directories import KnownOwner, PoolDirectory
@@ -172,3 +172,70 @@
     assert source.config().revision == 4
     source._replace(early)
     assert source.config().revision == 4
+
+
+def test_documents_are_read_whole_only_once(store, source):
+    """Guards against a large configuration that fills a small link again and again."""
+    documents = Documents(store)
+    documents.write("op/config", b"3")
+    source.refresh()
+    reads = store.call_counts()["read"]
+    documents.write("op/config", b"4")
+    written = store.call_counts()["read"] - reads
+    assert source.refresh().revision == 4
+    source.refresh()
+    assert store.call_counts()["read"] - reads == written
+
+
+def test_dropped_history_is_read_again(store, clock, source, monkeypatch):
+    """Guards against changes that are missed since the store no longer has their history."""
+    documents = Documents(store)
+    documents.write("op/config", b"3")
+    source.refresh()
+    documents.write("op/config", b"4")
+
+    def gone(*args):
+        raise StoreError("unexpected status 410")
+
+    monkeypatch.setattr(store, "watch", gone)
+    assert source.refresh().revision == 4
+    assert source.age() == timedelta()
+
+
+def test_store_out_of_service_does_not_cost_a_whole_read(store, source):
+    """Guards against all processes reading everything when the store is back."""
+    Documents(store).write("op/config", b"3")
+    source.refresh()
+    store.set_faults(outage="refuse")
+    with pytest.raises(StoreUnavailableError):
+        source.refresh()
+    store.set_faults(outage="")
+    reads = store.call_counts()["read"]
+    source.refresh()
+    assert store.call_counts()["read"] == reads
+
+
+@pytest.mark.parametrize("order", [(0, 1), (1, 0)])
+def test_answers_of_two_threads_in_either_order(store, source, order):
+    """Guards against a data centre that is in again by an answer that was overtaken."""
+    documents = Documents(store)
+    documents.write("op/config", b"3")
+    source.refresh()
+    start = store.list("op/").revision
+    documents.write("op/out/east", b"{}")
+    early = store.watch("op/", start, SECOND)
+    documents.remove("op/out/east")
+    documents.write("op/out/east", b"{}")
+    answers = [early, store.watch("op/", start, SECOND)]
+    for place in order:
+        source._merge(answers[place])
+    assert source.config().data_centres_out == {"east"}
+
+
+def test_documents_that_come_before_the_configuration_count(store, source):
+    """Guards against an evacuation that is forgotten since it was read without a configuration."""
+    documents = Documents(store)
+    documents.write("op/out/east", b"{}")
+    assert source.refresh() is None
+    documents.write("op/config", b"3")
+    assert source.refresh().data_centres_out == {"east"}
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -134,3 +134,20 @@
     monkeypatch.setattr(source._store, "list", fail)
     assert isinstance(gateway.find_queue("h", "/q/1"), Rejected)
     assert not gateway.is_ready()
+
+
+def test_unknown_path_during_an_outage_is_refused_with_a_time(monkeypatch):
+    """Guards against 404 for a queue of a configuration that could not be read."""
+    gateway, _, clock, source = make(OK)
+    gateway.find_queue("h", "/q/1")
+    clock.advance(timedelta(seconds=5))
+
+    def fail(*args):
+        raise StoreUnavailableError("the answer took too long")
+
+    monkeypatch.setattr(source._store, "list", fail)
+    monkeypatch.setattr(source._store, "watch", fail)
+    found = gateway.find_queue("h", "/x/1")
+    assert isinstance(found, Rejected)
+    assert found.retry_after is not None
+    assert gateway.find_queue("h", "/q/1") == QUEUE
