--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -9,7 +9,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import NotSentError, StoreError, WireError
 from mulberryslip.metrics import Metrics
-from mulberryslip.queues import PoolConfig, Queue
+from mulberryslip.queues import Queue
 from mulberryslip.retries import Deadline
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.wire import ttypes as wire
