Give filling runs the headroom that services have, by a pressure for each pair of images

Conflicts of two kinds halted work beside calm services (749 of 1,729 run-seconds at pace 0), and halted runs held the processors that other work was counted out of. Ruled out: unlike load of services (tails alone stay below 0.62 of the target), a lack of processors (16 of 32 cores unused beside services).

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -319,18 +319,13 @@
   3: required bool fills,
   4: required i32 cpu_millis,
   5: required i32 target_ms,       // tail latency of a serving task; 0: it serves nobody
+  6: required i64 due_ms,          // when its workflow is to be done, since 1970
 }
 
-enum Relation {
-  UNKNOWN = 0,
-  CONFLICT = 1,   // the filling image puts the serving one over its target
-  HARMLESS = 2,
-}
-
-struct ImageRelation {
+struct ImagePressure {
   1: required string filling,
   2: required string serving,
-  3: required Relation relation,
+  4: required double value,        // fall of the headroom by filling runs that use a whole worker
 }
 
 struct WorkerReport {
@@ -354,7 +349,7 @@
   5: required i64 fence,           // fencing token for calls to the worker
   6: required i64 ended_through,   // ends up to this number are committed
   7: required list<RunProfile> profiles, // of the tasks named as unprofiled
-  8: required list<ImageRelation> relations, // of the images that run on the worker
+  9: required list<ImagePressure> pressures, // of the images that run on the worker
 }
 
 struct OrdersRequest {
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -4,18 +4,19 @@
 
 - Quick checks arrive all day while lasting services hold most processors and batch work fills the
   rest: checks come first, and lasting services leave them `CHECK_RESERVE` of the fleet.
-- Services take most of the processors by their reservations, and batch work disturbs most of them:
-  services are packed on few workers, and batch work gets workers of its own.
+- Services take most of the processors by their reservations, and batch work presses on half of
+  them: services of one image are packed together, and batch work goes where it can work fastest.
 - More batch work waits than fits: workflows that can still meet their objective go first, the one
   with the earliest objective in front; a workflow that has begun goes before one that has not.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import attrs
 
-from .conflicts import ConflictModel, Relation
+from .headrooms import LIGHT, Demand, PressureModel, allot, press_cost
+from .paces import KEPT_HEADROOM
 from .rooms import WorkerRoom
 from .soundness import EXCLUDED
 from .workflows import StepTask, Workflow
@@ -27,10 +28,19 @@
 LASTING_PATIENCE_MS = 1000
 """Wait after which a lasting task may use the reserve: its users are without a service."""
 
-CONFLICT_PATIENCE_MS = 10_000
-CONFLICT_PENALTY = 20.0
-"""A filling task that found no other worker for so long starts beside a service that it disturbs,
-where it works only while the service is calm."""
+USUAL_HEADROOM = 2.0
+"""Headroom of a service that has not been measured yet: a target is about five times the tail of an
+idle service, and services are half loaded."""
+
+MIN_GAIN = 0.25
+"""Share of a filling task's full speed that its worker must gain by it; with less, the task rather
+waits for a better worker."""
+
+GAIN_PATIENCE_MS = 10_000
+"""Wait after which a filling task starts wherever it fits: it works while the services are calm."""
+
+MOVE_GAIN = 0.5
+"""Share of full speed that a filling run must win by a move, which costs it a stop and a start."""
 
 DEFAULT_ESTIMATE_MS = 2000
 """Run time of a task whose caller gave no estimate and of which none has been measured."""
@@ -38,15 +48,13 @@
 LATE_FACTOR = 3
 """A workflow that ends after this many times its objective brings its caller nothing more."""
 
-STRAINED = 0.75
-"""Share of its target from which a service gets no further filling run beside it."""
-
-RISK_WEIGHT = 1.0
+GAIN_WEIGHT = 3.0
+PRESS_WEIGHT = 0.5
 SPLIT_WEIGHT = 0.5
 SAME_WEIGHT = 1.0
 OPEN_WEIGHT = 4.0
-"""Weights of the share of time over the target, of each further serving image on a worker, of the
-same image there, and of any service there, against 100 free cores."""
+"""Weights of the work that is gained, of the fall of a service's headroom, of each further serving
+image on a worker, of the same image there, and of any service there, against 100 free cores."""
 
 MAX_MOVES = 4
 """Filling runs that are moved in one round, so that a wrong conclusion costs little."""
@@ -93,12 +101,12 @@
     """Chooses workers for waiting tasks.
 
     :param run_time: returns the expected run time of a task.
-    :param conflicts: which filling images disturb which serving ones.
+    :param model: how much images press on each other.
     """
 
-    def __init__(self, run_time: Callable[[StepTask], timedelta], conflicts: ConflictModel):
+    def __init__(self, run_time: Callable[[StepTask], timedelta], model: PressureModel):
         self._run_time = run_time
-        self.conflicts = conflicts
+        self.model = model
 
     def choose(
         self, waiting: Iterable[StepTask], rooms: Sequence[WorkerRoom], now_ms: int
@@ -126,7 +134,7 @@
         return placed
 
     def misplaced(self, filling: Iterable[StepTask], rooms: Sequence[WorkerRoom]) -> list[StepTask]:
-        """Return filling runs to move: they disturb a service and would not do so elsewhere.
+        """Return filling runs to move: services slow them down that would not do so elsewhere.
 
         Only runs that keep their progress are moved. `rooms` is changed accordingly.
         """
@@ -136,11 +144,11 @@
             here = by_worker.get(task.worker_id)
             if here is None or not task.spec.checkpoints or len(moved) >= MAX_MOVES:
                 continue
-            image = task.spec.image
-            if not any(self.conflicts.is_conflict(image, serving) for serving in here.serving):
+            needed = self.loss(task, here) + MOVE_GAIN
+            if needed > 1:
                 continue
-            room = self._best(task, rooms, 0)
-            if room is not None:
+            room = self._best(task, [room for room in rooms if room is not here], 0)
+            if room is not None and self.gain(task, room) >= needed:
                 room.take(task)
                 moved.append(task)
         return moved
@@ -173,9 +181,8 @@
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the place of a workflow in the queue."""
-        chain = self.chain(workflow, whole=True)
-        objective = chain * workflow.queue.stretch_permille // 1000 + workflow.queue.slack
-        due_ms = workflow.accepted_ms + _ms(objective)
+        objective = self.objective(workflow)
+        due_ms = self.due_ms(workflow)
         if any(step.lasting for step in workflow.spec.steps):
             return Urgency(0, workflow.queue.priority, False, due_ms)
         ready_ms = now_ms + _ms(self.chain(workflow, whole=False))
@@ -186,6 +193,15 @@
             kind = min(kind, 1)
         return Urgency(kind, workflow.queue.priority, fresh, due_ms)
 
+    def objective(self, workflow: Workflow) -> timedelta:
+        """Return the time in which a workflow is to be done."""
+        chain = self.chain(workflow, whole=True)
+        return chain * workflow.queue.stretch_permille // 1000 + workflow.queue.slack
+
+    def due_ms(self, workflow: Workflow) -> int:
+        """Return when a workflow is to be done, in milliseconds since 1970."""
+        return workflow.accepted_ms + _ms(self.objective(workflow))
+
     def chain(self, workflow: Workflow, whole: bool) -> timedelta:
         """Return the longest chain of work of a workflow.
 
@@ -200,14 +216,53 @@
             ends.append(before + own)
         return max(ends, default=timedelta())
 
-    def _strain(self, image: str, room: WorkerRoom) -> float:
-        """Return the highest strain of a service that an image is not known to leave in peace."""
-        strains = [
-            strain
-            for serving, strain in room.strains.items()
-            if self.conflicts.relation(image, serving) is not Relation.HARMLESS
+    def gain(self, task: StepTask, room: WorkerRoom) -> float:
+        """Return the work that a worker gains by a filling task, as a share of its full speed."""
+        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+        wanted = self._wanted(room)
+        before = self._work(room, wanted)
+        wanted[task.spec.image] = wanted.get(task.spec.image, 0.0) + own
+        return (self._work(room, wanted) - before) / own if own else 1.0
+
+    def loss(self, task: StepTask, room: WorkerRoom) -> float:
+        """Return the work that a worker loses without a filling run, as a share of its speed."""
+        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+        wanted = self._wanted(room)
+        before = self._work(room, wanted)
+        wanted[task.spec.image] = max(0.0, wanted.get(task.spec.image, 0.0) - own)
+        return (before - self._work(room, wanted)) / own if own else 1.0
+
+    def _wanted(self, room: WorkerRoom) -> dict[str, float]:
+        capacity = max(1, room.capacity.cpu_millis)
+        return {image: millis / capacity for image, millis in room.fill_millis.items()}
+
+    def _work(self, room: WorkerRoom, wanted: Mapping[str, float]) -> float:
+        """Return the share of a worker's processors that its filling runs usually use."""
+        budgets = [
+            (image, room.headrooms.get(image, USUAL_HEADROOM) - KEPT_HEADROOM)
+            for image in room.serving
         ]
-        return max(strains, default=0.0)
+        images = sorted(wanted, key=lambda image: press_cost(image, budgets, self.model))
+        demands = [Demand(image, wanted[image]) for image in images]
+        shares, _ = allot(demands, budgets, self.model)
+        unused = max(0, room.fill_free_millis) / max(1, room.capacity.cpu_millis)
+        return min(unused, sum(shares))
+
+    def _is_abrupt(self, task: StepTask, room: WorkerRoom) -> bool:
+        """Return whether a run takes a service over its target before its pace can be set."""
+        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+        return any(
+            self.model.pressure(task.spec.image, image) > LIGHT
+            and low - self.model.pressure(task.spec.image, image) * own < 1
+            for image, low in room.lows.items()
+        )
+
+    def _press(self, room: WorkerRoom, serving: str) -> float:
+        """Return how much the filling runs of a worker press on a serving image at full speed."""
+        millis = sum(
+            self.model.pressure(image, serving) * cpu for image, cpu in room.fill_millis.items()
+        )
+        return millis / max(1, room.capacity.cpu_millis)
 
     def _best(
         self, task: StepTask, rooms: Sequence[WorkerRoom], waited_ms: int
@@ -231,27 +286,21 @@
         if spec.rack and spec.rack not in room.labels:
             score -= 2.0
         if spec.fills:
-            if self._strain(spec.image, room) >= STRAINED:
+            if self._is_abrupt(task, room):
                 return None
-            left = room.fill_free_millis - spec.cpu_millis
-            if left < 0:
+            gain = self.gain(task, room)
+            if gain < MIN_GAIN and waited_ms < GAIN_PATIENCE_MS:
                 return None
-            if any(self.conflicts.is_conflict(spec.image, image) for image in room.serving):
-                if waited_ms < CONFLICT_PATIENCE_MS:
-                    return None
-                score -= CONFLICT_PENALTY
-            risk = sum(self.conflicts.risk(spec.image, image) for image in room.serving)
-            return score + left / 100_000 - RISK_WEIGHT * risk
+            left = room.fill_free_millis - sum(room.fill_millis.values())
+            return score + left / 100_000 + GAIN_WEIGHT * gain
         if spec.lasting:
             # Services fill one worker after the other, those of one image together, and leave the
             # other workers to batch work, which disturbs most services.
             others = len(room.serving) - (spec.image in room.serving)
             score += OPEN_WEIGHT * bool(room.serving) - SPLIT_WEIGHT * others
-            score -= CONFLICT_PENALTY * sum(
-                self.conflicts.is_conflict(image, spec.image) for image in room.filling
-            )
+            score -= PRESS_WEIGHT * self._press(room, spec.image)
             return score + SAME_WEIGHT * (spec.image in room.serving) - room.free.cpu_millis / 1e5
-        return score + room.fill_free_millis / 100_000
+        return score + (room.fill_free_millis - sum(room.fill_millis.values())) / 100_000
 
 
 def _ms(duration: timedelta) -> int:
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -1,44 +1,58 @@
 """Decides how fast filling runs work beside serving ones. Nothing here reads or writes.
 
-Load pattern that this answers: batch work fills the processors that services leave, and disturbs
-them by amounts that change within seconds. A service above its target for a few seconds harms its
-users, so the filling runs that disturb it are halted at once and speed up again in small steps.
+Load pattern that this answers: batch work fills the processors that services leave, and presses on
+them by amounts that differ by pair of images, while the load of the services swings within seconds.
+A service above its target for a few seconds harms its users, so filling runs get just as many
+processors as the headroom of the services beside them allows at the moment.
+
+More of them may wait for headroom than can be in time. Shared alike, all would be late, so the runs
+of the workflow that is due first get theirs first, on each worker in the same order.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import attrs
 
-from .conflicts import ConflictModel, Neighbour, Relation
+from .headrooms import (
+    LIGHT,
+    Budget,
+    Demand,
+    Neighbour,
+    PressureModel,
+    allot,
+    used_shares,
+)
+from .runners import RunProfile
 
 FULL_PERCENT = 100
-CUT_AT = 0.9
-"""Share of its target that a serving run's tail reaches when filling runs are slowed down; the
-tail is a figure of the last half second and rises further within a second."""
+UNKNOWN_PERCENT = -1
+KEPT_HEADROOM = 1.35
+"""Headroom that filling runs leave to a service. Its own load takes up to 0.35 of headroom in a
+second, the time until a change of pace is decided and shows in the tail."""
 
-RAISE_BELOW = 0.65
-CONFLICT_RAISE_BELOW = 0.6
-"""Shares of its target below which filling runs may work faster again: a service comes near 0.8 by
-its own load, and what is known to disturb it waits for a calm time."""
+RAISE_STEP = 25
+"""Percent by which filling runs speed up each time at most; a wrong pressure shows before that."""
 
-CUT_FACTOR = 0.4
-RAISE_STEP = 20
-"""Percent by which filling runs speed up each time; full speed is back after about 3 s."""
+CHANGE_STEP = 10
+"""Percent of the smallest change that is worth a call, and below which a pace is taken as none."""
 
-CUT_INTERVAL_MS = 500
-"""Time in which a slower pace shows in the tail, which is a figure of the last half second."""
+OVER_FACTOR = 0.5
+"""Share of the present pressure that is left at most beside a service over its target. The tail
+grows with the time over it then, and no longer tells how much too much the pressure is."""
 
-RAISE_INTERVAL_MS = 600
-CONFLICT_RAISE_INTERVAL_MS = 2000
-"""Runs in conflict with a service beside them are tried again more rarely."""
+OPENING_MS = 2000
+"""Time for which the pace of a run is remembered before the run is listed: longer than a start may
+be on its way."""
 
 HALT_AFTER_MS = 1000
-"""Time over its target after which all filling runs beside a service are halted, whichever of them
-disturbs it. With the time until it is seen and shows, that stays below half of the 4 s that a
+HALT_ALL_AFTER_MS = 2000
+"""Time over its target after which the filling runs that are known to press on a service, and all
+of them, are halted. With the time until it is seen and shows, that stays below the 4 s that a
 service may be over its target."""
 
-STOP_BELOW = 10
-"""Paces below this many percent are taken as none."""
+
+RunKey = tuple[str, int]
+"""Task and number of a run."""
 
 
 @attrs.frozen
@@ -50,98 +64,117 @@
     percent: int
 
 
-@attrs.define
-class _Pace:
-    percent: int = FULL_PERCENT
-    moved_at_ms: int | None = None
-
-    def since(self, now_ms: int) -> int:
-        return CONFLICT_RAISE_INTERVAL_MS if self.moved_at_ms is None else now_ms - self.moved_at_ms
-
-    def move(self, percent: int, now_ms: int) -> None:
-        if percent != self.percent:
-            self.percent = percent
-            self.moved_at_ms = now_ms
-
-
 class PaceControl:
-    """Pace of the filling runs of one worker, by image.
+    """Pace of the filling runs of one worker.
 
-    :param conflicts: which images disturb which.
+    :param model: how much images press on each other.
     """
 
-    def __init__(self, conflicts: ConflictModel):
-        self._conflicts = conflicts
-        self._paces: dict[str, _Pace] = {}
-        self._set: dict[tuple[str, int], int] = {}
+    def __init__(self, model: PressureModel):
+        self._model = model
+        self._paces: dict[RunKey, int] = {}
+        self._set: dict[RunKey, int] = {}
+        self._opened: dict[RunKey, int] = {}
+        self._left: list[Budget] = []
+        self._now_ms = 0
         self._over_since: dict[str, int] = {}
 
-    def update(self, neighbours: Sequence[Neighbour], now_ms: int) -> list[PaceChange]:
+    def update(
+        self, neighbours: Sequence[Neighbour], cpu_millis: int, now_ms: int
+    ) -> list[PaceChange]:
         """Take in what runs.
 
         :param neighbours: the runs of the worker whose profiles are known.
+        :param cpu_millis: the worker's processors, in thousandths of a core.
         :param now_ms: the worker's clock.
         :returns: the changes to make.
         """
         fills = [neighbour for neighbour in neighbours if neighbour.profile.fills]
-        serving = [neighbour for neighbour in neighbours if neighbour.profile.target_ms]
-        images = {neighbour.profile.image for neighbour in fills}
-        self._paces = {image: self._paces.get(image, _Pace()) for image in images}
-        if self._is_over_for_long(serving, now_ms):
-            for pace in self._paces.values():
-                pace.move(0, now_ms)
-            return self._changes(fills)
-        for image, pace in self._paces.items():
-            self._move(image, pace, images, serving, now_ms)
-        return self._changes(fills)
+        fills.sort(key=lambda fill: (fill.profile.due_ms, fill.row.task))
+        serving = [neighbour for neighbour in neighbours if neighbour.headroom is not None]
+        self._now_ms = now_ms
+        allowed = self._allowed(fills, serving, cpu_millis)
+        halted = self._halted({fill.profile.image for fill in fills}, serving, now_ms)
+        self._paces = {
+            key: _moved(self._paces.get(key, FULL_PERCENT), 0 if image in halted else percent)
+            for key, image, percent in allowed
+        }
+        return self._changes()
+
+    def open(self, profile: RunProfile, run: int, cpu_millis: int) -> int:
+        """Return the pace for a run that starts now; without one it would begin at full speed.
+
+        :param profile: the run's profile.
+        :param cpu_millis: the worker's processors, in thousandths of a core.
+        """
+        if not profile.fills:
+            return FULL_PERCENT
+        demand = Demand(profile.image, profile.cpu_millis / max(1, cpu_millis))
+        (share,), _ = allot([demand], self._left, self._model)
+        percent = _rounded(share, demand.share)
+        self._set[profile.task, run] = percent
+        self._opened[profile.task, run] = self._now_ms
+        return percent
 
     def forget(self, change: PaceChange) -> None:
         """Note that a change was not carried out, so that it is decided again."""
-        self._set.pop((change.task, change.run), None)
+        self._set[change.task, change.run] = UNKNOWN_PERCENT
 
-    def _is_over_for_long(self, serving: Sequence[Neighbour], now_ms: int) -> bool:
-        over = {
-            neighbour.row.task
-            for neighbour in serving
-            if neighbour.row.gauge >= neighbour.profile.target_ms
-        }
+    def _halted(
+        self, images: Collection[str], serving: Sequence[Neighbour], now_ms: int
+    ) -> set[str]:
+        """Return the images that are halted, since a service is over its target for too long."""
+        over = {n.row.task: n.profile.image for n in serving if n.headroom <= 1}
         self._over_since = {task: self._over_since.get(task, now_ms) for task in over}
-        return any(now_ms - since >= HALT_AFTER_MS for since in self._over_since.values())
-
-    def _move(
-        self,
-        image: str,
-        pace: _Pace,
-        images: set[str],
-        serving: Sequence[Neighbour],
-        now_ms: int,
-    ) -> None:
-        strain = 0.0
-        is_conflict = False
-        for neighbour in serving:
-            relation = self._conflicts.relation(image, neighbour.profile.image)
-            if relation is Relation.HARMLESS:
-                continue
-            is_conflict = is_conflict or relation is Relation.CONFLICT
-            # Where a known conflict explains the strain, the others go on.
-            if relation is Relation.CONFLICT or not any(
-                self._conflicts.is_conflict(other, neighbour.profile.image) for other in images
-            ):
-                strain = max(strain, neighbour.row.gauge / neighbour.profile.target_ms)
-        since = pace.since(now_ms)
-        interval = CONFLICT_RAISE_INTERVAL_MS if is_conflict else RAISE_INTERVAL_MS
-        raise_below = CONFLICT_RAISE_BELOW if is_conflict else RAISE_BELOW
-        if strain >= CUT_AT and since >= CUT_INTERVAL_MS:
-            percent = 0 if is_conflict else int(pace.percent * CUT_FACTOR)
-            pace.move(0 if percent < STOP_BELOW else percent, now_ms)
-        elif strain < raise_below and since >= interval:
-            pace.move(min(FULL_PERCENT, pace.percent + RAISE_STEP), now_ms)
-
-    def _changes(self, fills: Sequence[Neighbour]) -> list[PaceChange]:
-        wanted = {
-            (fill.row.task, fill.row.run): self._paces[fill.profile.image].percent for fill in fills
+        halted = set()
+        for task, since in self._over_since.items():
+            if now_ms - since >= HALT_ALL_AFTER_MS:
+                halted.update(images)
+            elif now_ms - since >= HALT_AFTER_MS:
+                halted.update(
+                    image for image in images if self._model.pressure(image, over[task]) > LIGHT
+                )
+        return halted
+
+    def _allowed(
+        self, fills: Sequence[Neighbour], serving: Sequence[Neighbour], cpu_millis: int
+    ) -> list[tuple[RunKey, str, int]]:
+        """Return run, image and the percent at which it may work, the most urgent runs first."""
+        shares = used_shares(fills, cpu_millis)
+        demands = [
+            Demand(fill.profile.image, fill.profile.cpu_millis / max(1, cpu_millis))
+            for fill in fills
+        ]
+        budgets = [(n.profile.image, self._budget(n, shares)) for n in serving]
+        allowed, self._left = allot(demands, budgets, self._model)
+        return [
+            ((fill.row.task, fill.row.run), demand.image, _rounded(share, demand.share))
+            for fill, demand, share in zip(fills, demands, allowed, strict=True)
+        ]
+
+    def _budget(self, neighbour: Neighbour, shares: Mapping[str, float]) -> float:
+        """Return how far filling runs may take the headroom of a serving run down in sum."""
+        pressing = sum(
+            self._model.pressure(filling, neighbour.profile.image) * share
+            for filling, share in shares.items()
+        )
+        budget = neighbour.headroom + pressing - KEPT_HEADROOM
+        if neighbour.headroom <= 1:
+            return min(budget, OVER_FACTOR * pressing)
+        return budget
+
+    def _changes(self) -> list[PaceChange]:
+        wanted = self._paces
+        self._opened = {
+            key: at
+            for key, at in self._opened.items()
+            if key not in wanted and self._now_ms - at < OPENING_MS
+        }
+        self._set = {
+            key: percent
+            for key, percent in self._set.items()
+            if key in wanted or key in self._opened
         }
-        self._set = {key: percent for key, percent in self._set.items() if key in wanted}
         changes = [
             PaceChange(*key, percent)
             for key, percent in wanted.items()
@@ -149,3 +182,18 @@
         ]
         self._set.update({(change.task, change.run): change.percent for change in changes})
         return changes
+
+
+def _rounded(share: float, wanted: float) -> int:
+    """Return a share as a percentage of the wanted one; 0 for one that is not worth a call."""
+    percent = int(FULL_PERCENT * share / wanted) if wanted > 0 else FULL_PERCENT
+    return percent if percent >= CHANGE_STEP else 0
+
+
+def _moved(percent: int, allowed: int) -> int:
+    """Return the next pace on the way to an allowed one."""
+    if allowed == 0 or allowed <= percent - CHANGE_STEP:
+        return allowed
+    if allowed >= percent + CHANGE_STEP or allowed == FULL_PERCENT:
+        return min(allowed, percent + RAISE_STEP)
+    return percent
--- a/packages/core/src/mulberryslip/rooms.py
+++ b/packages/core/src/mulberryslip/rooms.py
@@ -15,12 +15,14 @@
 
     :param free: capacity that no held run takes; the processors that filling runs use are not
         counted, since these runs get only what others leave.
-    :param fill_free_millis: processors that neither serving nor filling runs are expected to use.
+    :param fill_free_millis: processors that other than filling runs are not expected to use.
     :param steps: held runs by step, as `workflow/step`.
     :param serving: serving runs by image.
     :param filling: filling runs by image.
     :param starting: runs that were assigned in this round or have not been seen at work yet.
-    :param strains: highest tail of the serving runs as a share of their target, by image.
+    :param fill_millis: processors that filling runs can use, by image, in thousandths of a core.
+    :param headrooms: usual headroom of the serving runs without filling ones, by image.
+    :param lows: lowest headroom of the serving runs now, by image.
     :param penalty: reasons to avoid the worker, from 0; placement prefers lower ones.
     """
 
@@ -37,19 +39,23 @@
     serving: Counter = attrs.field(factory=Counter)
     filling: Counter = attrs.field(factory=Counter)
     starting: int = 0
-    strains: dict[str, float] = attrs.field(factory=dict)
+    fill_millis: Counter = attrs.field(factory=Counter)
+    headrooms: dict[str, float] = attrs.field(factory=dict)
+    lows: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
 
     def take(self, task: StepTask) -> None:
         """Account for one more run."""
         spec = task.spec
         self.free -= spec.room
-        self.fill_free_millis -= expected_millis(task)
+        if not spec.fills:
+            self.fill_free_millis -= expected_millis(task)
         self.steps[step_key(task)] += 1
         if spec.target_ms:
             self.serving[spec.image] += 1
         elif spec.fills:
             self.filling[spec.image] += 1
+            self.fill_millis[spec.image] += spec.cpu_millis
         self.starting += 1
 
     def admits(self, task: StepTask) -> bool:
@@ -64,7 +70,7 @@
         return self.service == task.workflow.queue.service
 
 
-SERVING_USE = 0.6
+SERVING_USE = 0.5
 """Share of its processors that a lasting task is expected to use over a whole wave of its load."""
 
 
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -76,6 +76,7 @@
     :param fills: whether it uses only what others leave of the processors.
     :param cpu_millis: processors that it can use, in thousandths of a core.
     :param target_ms: tail latency that it must stay below; 0 when it serves nobody.
+    :param due_ms: when its workflow is to be done, in milliseconds since 1970.
     """
 
     task: str
@@ -83,6 +84,7 @@
     fills: bool
     cpu_millis: int
     target_ms: int
+    due_ms: int = 0
 
 
 @attrs.frozen
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -97,24 +97,6 @@
     }
 
 
-class Relation(object):
-    UNKNOWN = 0
-    CONFLICT = 1
-    HARMLESS = 2
-
-    _VALUES_TO_NAMES = {
-        0: "UNKNOWN",
-        1: "CONFLICT",
-        2: "HARMLESS",
-    }
-
-    _NAMES_TO_VALUES = {
-        "UNKNOWN": 0,
-        "CONFLICT": 1,
-        "HARMLESS": 2,
-    }
-
-
 class Header(object):
     """
     Attributes:
@@ -3941,16 +3923,18 @@
      - fills
      - cpu_millis
      - target_ms
+     - due_ms
 
     """
 
 
-    def __init__(self, task=None, image=None, fills=None, cpu_millis=None, target_ms=None,):
+    def __init__(self, task=None, image=None, fills=None, cpu_millis=None, target_ms=None, due_ms=None,):
         self.task = task
         self.image = image
         self.fills = fills
         self.cpu_millis = cpu_millis
         self.target_ms = target_ms
+        self.due_ms = due_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3986,6 +3970,11 @@
                     self.target_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.due_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4016,6 +4005,10 @@
             oprot.writeFieldBegin('target_ms', TType.I32, 5)
             oprot.writeI32(self.target_ms)
             oprot.writeFieldEnd()
+        if self.due_ms is not None:
+            oprot.writeFieldBegin('due_ms', TType.I64, 6)
+            oprot.writeI64(self.due_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4030,6 +4023,8 @@
             raise TProtocolException(message='Required field cpu_millis is unset!')
         if self.target_ms is None:
             raise TProtocolException(message='Required field target_ms is unset!')
+        if self.due_ms is None:
+            raise TProtocolException(message='Required field due_ms is unset!')
         return
 
     def __repr__(self):
@@ -4044,20 +4039,20 @@
         return not (self == other)
 
 
-class ImageRelation(object):
+class ImagePressure(object):
     """
     Attributes:
      - filling
      - serving
-     - relation
+     - value
 
     """
 
 
-    def __init__(self, filling=None, serving=None, relation=None,):
+    def __init__(self, filling=None, serving=None, value=None,):
         self.filling = filling
         self.serving = serving
-        self.relation = relation
+        self.value = value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4078,9 +4073,9 @@
                     self.serving = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.relation = iprot.readI32()
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.value = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -4092,7 +4087,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ImageRelation')
+        oprot.writeStructBegin('ImagePressure')
         if self.filling is not None:
             oprot.writeFieldBegin('filling', TType.STRING, 1)
             oprot.writeString(self.filling.encode('utf-8') if sys.version_info[0] == 2 else self.filling)
@@ -4101,9 +4096,9 @@
             oprot.writeFieldBegin('serving', TType.STRING, 2)
             oprot.writeString(self.serving.encode('utf-8') if sys.version_info[0] == 2 else self.serving)
             oprot.writeFieldEnd()
-        if self.relation is not None:
-            oprot.writeFieldBegin('relation', TType.I32, 3)
-            oprot.writeI32(self.relation)
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.DOUBLE, 4)
+            oprot.writeDouble(self.value)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4113,8 +4108,8 @@
             raise TProtocolException(message='Required field filling is unset!')
         if self.serving is None:
             raise TProtocolException(message='Required field serving is unset!')
-        if self.relation is None:
-            raise TProtocolException(message='Required field relation is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
         return
 
     def __repr__(self):
@@ -4364,19 +4359,19 @@
      - fence
      - ended_through
      - profiles
-     - relations
+     - pressures
 
     """
 
 
-    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, relations=None,):
+    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None,):
         self.outcome = outcome
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
         self.fence = fence
         self.ended_through = ended_through
         self.profiles = profiles
-        self.relations = relations
+        self.pressures = pressures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4423,14 +4418,14 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 9:
                 if ftype == TType.LIST:
-                    self.relations = []
+                    self.pressures = []
                     (_etype153, _size150) = iprot.readListBegin()
                     for _i154 in range(_size150):
-                        _elem155 = ImageRelation()
+                        _elem155 = ImagePressure()
                         _elem155.read(iprot)
-                        self.relations.append(_elem155)
+                        self.pressures.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4471,10 +4466,10 @@
                 iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.relations is not None:
-            oprot.writeFieldBegin('relations', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.relations))
-            for iter157 in self.relations:
+        if self.pressures is not None:
+            oprot.writeFieldBegin('pressures', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.pressures))
+            for iter157 in self.pressures:
                 iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -4494,8 +4489,8 @@
             raise TProtocolException(message='Required field ended_through is unset!')
         if self.profiles is None:
             raise TProtocolException(message='Required field profiles is unset!')
-        if self.relations is None:
-            raise TProtocolException(message='Required field relations is unset!')
+        if self.pressures is None:
+            raise TProtocolException(message='Required field pressures is unset!')
         return
 
     def __repr__(self):
@@ -5474,13 +5469,15 @@
     (3, TType.BOOL, 'fills', None, None, ),  # 3
     (4, TType.I32, 'cpu_millis', None, None, ),  # 4
     (5, TType.I32, 'target_ms', None, None, ),  # 5
+    (6, TType.I64, 'due_ms', None, None, ),  # 6
 )
-all_structs.append(ImageRelation)
-ImageRelation.thrift_spec = (
+all_structs.append(ImagePressure)
+ImagePressure.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'filling', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'serving', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'relation', None, None, ),  # 3
+    None,  # 3
+    (4, TType.DOUBLE, 'value', None, None, ),  # 4
 )
 all_structs.append(WorkerReport)
 WorkerReport.thrift_spec = (
@@ -5507,7 +5504,8 @@
     (5, TType.I64, 'fence', None, None, ),  # 5
     (6, TType.I64, 'ended_through', None, None, ),  # 6
     (7, TType.LIST, 'profiles', (TType.STRUCT, [RunProfile, None], False), None, ),  # 7
-    (8, TType.LIST, 'relations', (TType.STRUCT, [ImageRelation, None], False), None, ),  # 8
+    None,  # 8
+    (9, TType.LIST, 'pressures', (TType.STRUCT, [ImagePressure, None], False), None, ),  # 9
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -10,10 +10,10 @@
 import attrs
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock
-from mulberryslip.conflicts import ConflictModel, Neighbour
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
-from mulberryslip.paces import PaceControl
+from mulberryslip.headrooms import Neighbour, Pressure, PressureModel
+from mulberryslip.paces import FULL_PERCENT, PaceChange, PaceControl
 from mulberryslip.runners import (
     RunListing,
     Runner,
@@ -29,7 +29,7 @@
 from mulberryslip.wire.ttypes import Outcome
 
 from .directories import KnownOwner, PoolDirectory
-from .members import END_CODES, RELATIONS
+from .members import END_CODES
 from .workers import resources_to_wire
 
 REPORT_INTERVAL = timedelta(milliseconds=700)
@@ -128,8 +128,9 @@
         self._grant = Grant()
         self._refused: list[wire.RunRefusal] = []
         self._orders: queue.SimpleQueue = queue.SimpleQueue()
-        self._conflicts = ConflictModel()
-        self._pace = PaceControl(self._conflicts)
+        self._pressures = PressureModel()
+        self._pace = PaceControl(self._pressures)
+        self._pace_lock = threading.Lock()
         self._profiles: dict[str, RunProfile] = {}
         self._starting: set[str] = set()
 
@@ -244,10 +245,8 @@
         neighbours = [
             Neighbour(row, profiles[row.task]) for row in listing.running if row.task in profiles
         ]
-        self._conflicts.observe(
-            worker.worker_id, listing.clock_ms * timedelta(milliseconds=1), neighbours
-        )
-        changes = self._pace.update(neighbours, listing.clock_ms)
+        with self._pace_lock:
+            changes = self._pace.update(neighbours, worker.capacity.cpu_millis, listing.clock_ms)
         for change in changes:
             try:
                 self._runner.pace(
@@ -255,7 +254,8 @@
                 )
             except RunnerError as exc:
                 log(Event.RUNTIME_UNAVAILABLE, call="pace", task=change.task, reason=str(exc))
-                self._pace.forget(change)
+                with self._pace_lock:
+                    self._pace.forget(change)
         if changes:
             log(
                 Event.RUNS_PACED,
@@ -300,8 +300,8 @@
     def _take_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
         with self._lock:
             self._profiles.update((row.task, _profile_of(row)) for row in reply.profiles)
-            self._conflicts.give(
-                (row.filling, row.serving, RELATIONS[row.relation]) for row in reply.relations
+            self._pressures.give(
+                Pressure(row.filling, row.serving, row.value) for row in reply.pressures
             )
             grant = self._grant
             if reply.epoch < grant.epoch:
@@ -423,8 +423,24 @@
             log(Event.RUN_REFUSED, task=order.task, run=order.run, reason=str(exc), certain=False)
             return
         if refusal is None:
+            self._open_run(worker, order, fence)
+        else:
+            self._refuse(order, refusal.value)
+
+    def _open_run(self, worker: WorkerAnnouncement, order: wire.RunStart, fence: int) -> None:
+        """Slow a run down that has just started, if the services beside it need that."""
+        with self._pace_lock:
+            percent = self._pace.open(
+                _profile_of(order.profile), order.run, worker.capacity.cpu_millis
+            )
+        if percent == FULL_PERCENT:
             return
-        self._refuse(order, refusal.value)
+        try:
+            self._runner.pace(worker.worker_id, order.task, order.run, percent, fence)
+        except RunnerError as exc:
+            log(Event.RUNTIME_UNAVAILABLE, call="pace", task=order.task, reason=str(exc))
+            with self._pace_lock:
+                self._pace.forget(PaceChange(order.task, order.run, percent))
 
     def _refuse(self, order: wire.RunStart, reason: str) -> None:
         log(Event.RUN_REFUSED, task=order.task, run=order.run, reason=reason, certain=True)
@@ -471,4 +487,4 @@
 
 
 def _profile_of(row: wire.RunProfile) -> RunProfile:
-    return RunProfile(row.task, row.image, row.fills, row.cpu_millis, row.target_ms)
+    return RunProfile(row.task, row.image, row.fills, row.cpu_millis, row.target_ms, row.due_ms)
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -16,12 +16,12 @@
 from mulberryslip import settings
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock, SystemClock
-from mulberryslip.conflicts import ConflictModel
 from mulberryslip.dispatches import Dispatcher, RunTimes
 from mulberryslip.evacuations import Evacuations
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import MulberryslipError, SettingsError
 from mulberryslip.fleets import Fleet
+from mulberryslip.headrooms import PressureModel
 from mulberryslip.interferences import Interferences
 from mulberryslip.journals import Journal
 from mulberryslip.logs import LogWriter
@@ -412,7 +412,7 @@
         parts.directory,
         parts.source,
         lambda: Session(parts.store, times.store_lease, clock),
-        Dispatcher(RunTimes().expected, ConflictModel()),
+        Dispatcher(RunTimes().expected, PressureModel()),
         identity,
         parts.metrics,
         clock,
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 
 import attrs
-from mulberryslip.conflicts import Relation
 from mulberryslip.models import Resources
 from mulberryslip.runners import EndedRun, EndKind, RunningRun
 from mulberryslip.wire import ttypes as wire
@@ -24,12 +23,6 @@
     wire.EndKind.BROKEN: EndKind.BROKEN,
     wire.EndKind.ALONE: EndKind.ALONE,
 }
-RELATIONS = {
-    wire.Relation.UNKNOWN: Relation.UNKNOWN,
-    wire.Relation.CONFLICT: Relation.CONFLICT,
-    wire.Relation.HARMLESS: Relation.HARMLESS,
-}
-RELATION_CODES = {relation: code for code, relation in RELATIONS.items()}
 END_CODES = {kind: code for code, kind in _END_KINDS.items()}
 
 
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -38,9 +38,9 @@
 
 from .claims import OwnerClaim
 from .directories import KnownOwner, PoolDirectory
-from .members import RELATION_CODES, Member
+from .members import Member
 from .ownerships import Item, PoolTenure, PoolTimes
-from .rounds import ConfigSource, Rounds, profile_to_wire
+from .rounds import ConfigSource, Rounds
 from .sessions import Session
 from .tenures import Identity
 
@@ -477,8 +477,8 @@
     ) -> wire.WorkerReportReply:
         with tenure.lock:
             tasks = [tenure.pool.task(name) for name in req.unprofiled]
-            profiles = [profile_to_wire(task) for task in tasks if task is not None]
-            relations = self._relations(tenure, member)
+            profiles = [self._rounds.profile(task) for task in tasks if task is not None]
+            pressures = self._pressures(tenure, member)
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(tenure.epoch)
@@ -493,10 +493,10 @@
             fence,
             ended_through,
             profiles,
-            relations,
+            pressures,
         )
 
-    def _relations(self, tenure: PoolTenure, member: Member) -> list[wire.ImageRelation]:
+    def _pressures(self, tenure: PoolTenure, member: Member) -> list[wire.ImagePressure]:
         """Return what is known of the images that run on a worker."""
         specs = [
             task.spec for name in member.running if (task := tenure.pool.task(name)) is not None
@@ -504,8 +504,8 @@
         filling = {spec.image for spec in specs if spec.fills}
         serving = {spec.image for spec in specs if spec.target_ms}
         return [
-            wire.ImageRelation(*pair, RELATION_CODES[relation])
-            for *pair, relation in self._dispatcher.conflicts.relations(filling, serving)
+            wire.ImagePressure(known.filling, known.serving, known.value)
+            for known in self._dispatcher.model.known(filling, serving)
         ]
 
     def _carry_out(
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -9,16 +9,15 @@
 from typing import Any, Protocol
 
 from mulberryslip.clocks import Clock
-from mulberryslip.conflicts import Neighbour
 from mulberryslip.dispatches import Dispatcher, Placed
 from mulberryslip.events import Event, log
+from mulberryslip.headrooms import Neighbour
 from mulberryslip.queues import PoolConfig
 from mulberryslip.rooms import WorkerRoom, room_of, step_key
 from mulberryslip.soundness import Progress, Soundness
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
     OUTCOMES,
-    Pool,
     RunAssigned,
     RunOutcome,
     RunOver,
@@ -89,7 +88,6 @@
         self._times = times
         self._clock = clock
         self._soundness = Soundness()
-        self._conflicts: set[tuple[str, str]] = set()
         self._next_expiry = self._next_moves = self._next_save = clock.monotonic()
 
     # Runs that have ended
@@ -131,14 +129,9 @@
             if task is not None and (task.spec.fills or task.spec.target_ms):
                 profile = profile_of(task)
                 neighbours.append(Neighbour(row, profile))
-        at = member.clock_ms * timedelta(milliseconds=1)
-        conflicts = self._dispatcher.conflicts
-        conflicts.observe(member.worker_id, at, neighbours)
-        pairs = conflicts.conflicts()
-        if set(pairs) != self._conflicts:
-            self._conflicts = set(pairs)
-            risks = [[*pair, round(conflicts.risk(*pair), 2)] for pair in sorted(pairs)]
-            log(Event.CONFLICTS_CHANGED, pairs=risks)
+        self._dispatcher.model.observe(
+            member.worker_id, member.received_at, neighbours, member.capacity.cpu_millis
+        )
         progress = [
             Progress(name, row.run, step_key(task), row.progress_percent)
             for name, row in member.running.items()
@@ -206,6 +199,7 @@
         for worker_id, member in list(tenure.members.items()):
             if now - member.received_at > FORGET_AFTER and worker_id not in holders:
                 del tenure.members[worker_id]
+                self._dispatcher.model.forget(worker_id)
         expired = tenure.pool.expired(self._now_ms())
         return [WorkflowsExpired(expired)] if expired else []
 
@@ -268,7 +262,7 @@
             return
         rooms = self._rooms(tenure, config)
         moved = [
-            (task, "disturbs a service") for task in self._dispatcher.misplaced(filling, rooms)
+            (task, "works faster elsewhere") for task in self._dispatcher.misplaced(filling, rooms)
         ]
         moved += [(task, "stands still") for task in self._dispatcher.stranded(stalled, rooms)]
         for task, reason in moved:
@@ -300,7 +294,12 @@
         ]
         for room in rooms:
             room.penalty = self._soundness.penalty(room.worker_id, now)
-            room.strains = _strains(tenure.pool, tenure.members[room.worker_id])
+            room.headrooms = {
+                image: level
+                for image in room.serving
+                if (level := self._dispatcher.model.level(room.worker_id, image)) is not None
+            }
+            room.lows = self._dispatcher.model.lows(room.worker_id)
         return rooms
 
     def assignment(self, tenure: PoolTenure, placed: Placed) -> RunAssigned:
@@ -331,7 +330,7 @@
                     task.workflow.spec.payload,
                     task.checkpoint,
                     task.start_by_ms,
-                    profile_to_wire(task),
+                    self.profile(task),
                 )
             )
             member.has_orders.set()
@@ -373,29 +372,22 @@
                 del member.stopped_at[key]
                 member.unwanted.pop(key, None)
 
+    def profile(self, task: StepTask) -> wire.RunProfile:
+        """Return the wire form of what an agent must know of a run."""
+        profile = profile_of(task)
+        return wire.RunProfile(
+            profile.task,
+            profile.image,
+            profile.fills,
+            profile.cpu_millis,
+            profile.target_ms,
+            self._dispatcher.due_ms(task.workflow),
+        )
+
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
 
 
-def profile_to_wire(task: StepTask) -> wire.RunProfile:
-    """Return the wire form of what an agent must know of a run."""
-    profile = profile_of(task)
-    return wire.RunProfile(
-        profile.task, profile.image, profile.fills, profile.cpu_millis, profile.target_ms
-    )
-
-
-def _strains(pool: Pool, member: Member) -> dict[str, float]:
-    """Return the highest tail of a worker's serving runs by image, as a share of its target."""
-    strains: dict[str, float] = {}
-    for name, row in member.running.items():
-        task = pool.task(name)
-        if task is not None and task.spec.target_ms:
-            image = task.spec.image
-            strains[image] = max(strains.get(image, 0.0), row.gauge / task.spec.target_ms)
-    return strains
-
-
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
     """Return the newest life by VM; a VM runs one worker at a time."""
     newest: dict[str, str] = {}
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -7,9 +7,9 @@
 import attrs
 from mulberryslip import ManualClock, Resources
 from mulberryslip.channels import Address
-from mulberryslip.conflicts import ConflictModel
 from mulberryslip.dispatches import Dispatcher, RunTimes
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError, StoreError
+from mulberryslip.headrooms import PressureModel
 from mulberryslip.metrics import Metrics
 from mulberryslip.queues import PoolConfig, Queue
 from mulberryslip.retries import Deadline
@@ -375,7 +375,7 @@
             directory,
             source,
             make_session,
-            Dispatcher(RunTimes().expected, ConflictModel()),
+            Dispatcher(RunTimes().expected, PressureModel()),
             Identity(worker.id, incarnation, address.host, address.port),
             Metrics(),
             self.clock,
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -24,7 +24,7 @@
 
 
 def start_order(name="a/0/0/0"):
-    profile = wire.RunProfile(name, "", False, 1000, 0)
+    profile = wire.RunProfile(name, "", False, 1000, 0, 0)
     return wire.RunStart(name, 1, "payload", "", 10**9, profile)
 
 
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -5,8 +5,8 @@
 
 import attrs
 import pytest
-from mulberryslip.conflicts import ConflictModel, Relation
-from mulberryslip.dispatches import CONFLICT_PATIENCE_MS, Dispatcher, RunTimes
+from mulberryslip.dispatches import GAIN_PATIENCE_MS, Dispatcher, RunTimes
+from mulberryslip.headrooms import Pressure, PressureModel
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
 from mulberryslip.rooms import room_of
@@ -20,9 +20,13 @@
 WATCH = Queue("watch", service="s", priority=0, stretch_permille=2200, slack_ms=2500)
 
 
-def dispatcher(conflicts=()):
-    model = ConflictModel()
-    model.give((*pair, Relation.CONFLICT) for pair in conflicts)
+HEAVY = 40.0
+"""Pressure by which one run takes an idle service over its target."""
+
+
+def dispatcher(pairs=()):
+    model = PressureModel()
+    model.give(Pressure(*pair, HEAVY) for pair in pairs)
     return Dispatcher(RunTimes().expected, model)
 
 
@@ -111,7 +115,7 @@
     chooser = dispatcher([("x", "p")])
     assert {d.room.worker_id for d in chooser.choose(pool.ready(), rooms(pool, 2), 0)} == {"w1"}
     assert chooser.choose(pool.ready(), rooms(pool, 1), 0) == []
-    assert chooser.choose(pool.ready(), rooms(pool, 1), CONFLICT_PATIENCE_MS + 1)
+    assert chooser.choose(pool.ready(), rooms(pool, 1), GAIN_PATIENCE_MS + 1)
 
 
 def test_strained_worker_gets_no_further_filling_run():
@@ -119,11 +123,40 @@
     pool = Pool()
     add(pool, "b", BATCH, StepSpec(2, 7000, 1000, fills=True, image="x"))
     views = rooms(pool, 2)
-    views[0].strains["p"] = 0.9
-    placed = dispatcher().choose(pool.ready(), views, 0)
+    views[0].lows["p"] = 1.1
+    placed = dispatcher().choose(pool.ready(), views, GAIN_PATIENCE_MS + 1)
     assert {decision.room.worker_id for decision in placed} == {"w1"}
 
 
+def test_filling_work_goes_where_it_can_work_fastest():
+    """Guards against batch work that waits at a slow pace beside a service without headroom."""
+    pool = Pool()
+    add(pool, "w", WATCH, StepSpec(2, 10_000, 1000, lasting=True, image="p", max_per_worker=1))
+    place(pool, dispatcher(), count=2)
+    add(pool, "b", BATCH, StepSpec(1, 7000, 1000, fills=True, image="x"))
+    model = PressureModel()
+    model.give([Pressure("x", "p", 6.0)])
+    views = rooms(pool, 2)
+    for view, headroom in zip(views, (1.5, 3.0), strict=True):
+        view.serving["p"] = 1
+        view.headrooms["p"] = headroom
+    (placed,) = Dispatcher(RunTimes().expected, model).choose(pool.ready(), views, 0)
+    assert placed.room.worker_id == "w1"
+
+
+def test_halted_filling_runs_leave_their_processors_to_others():
+    """Guards against batch work that waits while runs at pace 0 hold all free processors."""
+    pool = Pool()
+    add(pool, "w", WATCH, StepSpec(1, 10_000, 1000, lasting=True, image="p", target_ms=50))
+    place(pool, dispatcher(), count=1)
+    add(pool, "b", BATCH, StepSpec(8, 7000, 1000, fills=True, image="x"))
+    chooser = dispatcher([("x", "p")])
+    place(pool, chooser, GAIN_PATIENCE_MS + 1, count=1)
+    add(pool, "c", BATCH, StepSpec(4, 7000, 1000, fills=True, image="y"))
+    chooser.model.give([Pressure("y", "p", 0.0)])
+    assert len(place(pool, chooser, 0, count=1)) == 4
+
+
 def test_services_of_one_image_share_workers():
     """Guards against services that leave no worker to the batch work that disturbs them.
 
