--- a/packages/core/src/mulberryslip/headrooms.py
+++ b/packages/core/src/mulberryslip/headrooms.py
@@ -80,6 +80,20 @@
     value: float
 
 
+@attrs.frozen
+class PressureEstimate:
+    """What is known of a pair, for another process that goes on learning.
+
+    :param mean: fall of the serving image's headroom for a whole worker.
+    :param deviation: standard deviation of the mean.
+    """
+
+    filling: str
+    serving: str
+    mean: float
+    deviation: float
+
+
 @attrs.define
 class _Estimate:
     mean: float = PRIOR
@@ -164,6 +178,21 @@
             and (serving is None or pair[1] in serving)
         ]
 
+    def estimates(self) -> list[PressureEstimate]:
+        """Return the pairs of which enough is known, to be restored elsewhere."""
+        return [
+            PressureEstimate(*pair, estimate.mean, estimate.variance**0.5)
+            for pair, estimate in self._pairs.items()
+            if estimate.variance < KNOWN_VARIANCE
+        ]
+
+    def restore(self, estimates: Iterable[PressureEstimate], now: timedelta) -> None:
+        """Go on from what another process has learned."""
+        for known in estimates:
+            self._pairs[known.filling, known.serving] = _Estimate(
+                known.mean, min(PRIOR_DEVIATION, known.deviation) ** 2, now
+            )
+
     def level(self, worker_id: str, image: str) -> float | None:
         """Return the usual headroom of an image on a worker without filling runs; None at first."""
         known = self._levels.get((worker_id, image))
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -126,6 +126,20 @@
     workflow_ids: tuple[str, ...] = records.texts("js", MAX_NAME_CHARS)
 
 
+@attrs.frozen
+class PressureLearned:
+    """How much a filling image presses on a serving one; see `headrooms.PressureEstimate`.
+
+    :param mean_milli: thousandths of its mean.
+    :param deviation_milli: thousandths of its standard deviation.
+    """
+
+    filling: str = records.text("f", MAX_NAME_CHARS)
+    serving: str = records.text("s", MAX_NAME_CHARS)
+    mean_milli: int = records.number("m")
+    deviation_milli: int = records.number("d")
+
+
 CODES = MappingProxyType(
     {
         "accepted": WorkflowAccepted,
@@ -134,6 +148,7 @@
         "saved": RunSaved,
         "cancelled": WorkflowCancelled,
         "expired": WorkflowsExpired,
+        "pressure": PressureLearned,
     }
 )
 _CODE_BY_KIND = {kind: code for code, kind in CODES.items()}
@@ -255,6 +270,7 @@
 
     def __init__(self) -> None:
         self.workflows: dict[str, Workflow] = {}
+        self.pressures: dict[tuple[str, str], PressureLearned] = {}
         self._tasks: dict[str, StepTask] = {}
         self._ready: dict[str, StepTask] = {}
         self._held: dict[str, dict[str, StepTask]] = {}
@@ -379,6 +395,11 @@
             del self.workflows[name]
         return bool(expired)
 
+    @apply.register
+    def _(self, event: PressureLearned) -> bool:
+        self.pressures[event.filling, event.serving] = event
+        return True
+
     def publish(self) -> list[Workflow]:
         """Show callers the present states; call it when all applied events are committed.
 
@@ -471,6 +492,7 @@
                 if name not in self._ended
             ],
             "ended": [_ended_row(self.workflows[name]) for name in self._ended],
+            "pressures": [records.encode(learned) for learned in self.pressures.values()],
         }
 
     @classmethod
@@ -485,6 +507,8 @@
                 pool._restore(*row)
             for row in raw["ended"]:
                 pool._restore_ended(*row)
+            for row in raw["pressures"]:
+                pool.apply(records.decode(PressureLearned, row))
         except (TypeError, KeyError, ValueError, IndexError) as exc:
             raise InvalidMessageError(f"invalid pool snapshot: {exc!r}") from exc
         pool.publish()
--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -18,8 +18,12 @@
 from .directories import PoolDirectory
 from .intents import PoolConfigSource
 
-CALL_TIMEOUT = timedelta(milliseconds=2500)
-"""The owner answers a submission after its commit, for which it waits up to 2 s."""
+CALL_TIMEOUT = timedelta(milliseconds=1000)
+"""The owner answers after its commit, within 100 ms unless the store is slow. A longer wait would
+leave no time to ask the next owner when this one is frozen or cut off."""
+
+LAST_ANSWER = timedelta(milliseconds=200)
+"""Time before a caller's deadline at which it gets its last answer, so that this still arrives."""
 
 OWNER_PATIENCE = timedelta(milliseconds=60)
 """Longest wait for an owner before a submission is turned away: callers are better off with an
@@ -159,16 +163,21 @@
         patience: timedelta,
         body: bytes = b"",
     ) -> GatewayOutcome:
-        """Call the owner, another one if it changes, until there is an answer."""
+        """Call the owner, another one if it changes, until there is an answer.
+
+        A call that may have been carried out is repeated until it is known: all calls may be, and
+        neither a refusal nor an early end would tell the caller the truth.
+        """
         request_id = uuid.uuid4().hex
-        waits = Deadline(self._clock, deadline.sooner(patience))
+        last = Deadline(self._clock, max(timedelta(), deadline.remaining() - LAST_ANSWER))
+        waits = Deadline(self._clock, last.sooner(patience))
         lost = ""
         reason = "the pool has no owner"
-        while not deadline.expired():
+        while not last.expired():
             owner = self._directory.wait_for_owner(waits.remaining())
             if owner is not None:
                 try:
-                    timeout = deadline.sooner(CALL_TIMEOUT)
+                    timeout = last.sooner(CALL_TIMEOUT)
                     req = wire.WorkflowRequest(
                         self._header(request_id, timeout), workflow_id, queue.name, body
                     )
@@ -178,10 +187,12 @@
                     reason = reply.reason
                     if reply.outcome == Outcome.OUTCOME_UNKNOWN:
                         lost = reason or "the owner did not decide in time"
+                        waits = last
                 except NotSentError as exc:
                     reason = str(exc)
                 except WireError as exc:
                     reason = lost = str(exc)
+                    waits = last
                 self._directory.suspect(owner.epoch)
             if waits.expired():
                 break
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -298,6 +298,7 @@
             session.stop()
             raise
         tenure = PoolTenure(claim.version, pool, journal, session, claim, self._clock)
+        self._rounds.begin(tenure)
         self._tenure = tenure
         self._directory.offer(KnownOwner(self._address(), claim.version))
         log(
@@ -374,6 +375,7 @@
             events += self._apply(tenure, self._rounds.lost(tenure))
             events += self._apply(tenure, self._rounds.expired(tenure))
             events += self._apply(tenure, self._rounds.saved(tenure))
+            events += self._apply(tenure, self._rounds.learned(tenure))
             placed = self._rounds.place(tenure)
             self._rounds.move_runs(tenure)
             events += self._apply(tenure, [self._rounds.assignment(tenure, p) for p in placed])
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -11,13 +11,15 @@
 from mulberryslip.clocks import Clock
 from mulberryslip.dispatches import Dispatcher, Placed
 from mulberryslip.events import Event, log
-from mulberryslip.headrooms import Neighbour
+from mulberryslip.headrooms import Neighbour, PressureEstimate
 from mulberryslip.queues import PoolConfig
 from mulberryslip.rooms import WorkerRoom, room_of, step_key
 from mulberryslip.soundness import Progress, Soundness
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
     OUTCOMES,
+    Pool,
+    PressureLearned,
     RunAssigned,
     RunOutcome,
     RunOver,
@@ -51,6 +53,12 @@
 SAVE_INTERVAL = timedelta(seconds=1)
 """Workers save about once a second; more records would hold the same checkpoints."""
 
+LEARN_INTERVAL = timedelta(seconds=3)
+"""Time between records of what was learned of images; a new owner learns the rest itself."""
+
+LEARN_STEP_MILLI = 700
+"""Change of a pressure that is worth a record: a third of the least that heavy pairs press."""
+
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
 MOVE_BELOW_PERCENT = 80
@@ -89,6 +97,22 @@
         self._clock = clock
         self._soundness = Soundness()
         self._next_expiry = self._next_moves = self._next_save = clock.monotonic()
+        self._next_learning = clock.monotonic()
+
+    def begin(self, tenure: PoolTenure) -> None:
+        """Take over what earlier owners have learned."""
+        self._dispatcher.model.restore(
+            [
+                PressureEstimate(
+                    known.filling,
+                    known.serving,
+                    known.mean_milli / 1000,
+                    known.deviation_milli / 1000,
+                )
+                for known in tenure.pool.pressures.values()
+            ],
+            self._clock.monotonic(),
+        )
 
     # Runs that have ended
 
@@ -223,6 +247,27 @@
             and task.checkpoint != row.checkpoint
         ]
 
+    def learned(self, tenure: PoolTenure) -> list[Any]:
+        """Return what was learned of images, from time to time, for the next owner."""
+        now = self._clock.monotonic()
+        if now < self._next_learning:
+            return []
+        self._next_learning = now + LEARN_INTERVAL
+        learned = [
+            PressureLearned(
+                known.filling,
+                known.serving,
+                round(known.mean * 1000),
+                round(known.deviation * 1000),
+            )
+            for known in self._dispatcher.model.estimates()
+        ]
+        changed = [row for row in learned if _is_news(tenure.pool, row)]
+        if changed:
+            rows = [[row.filling, row.serving, row.mean_milli] for row in changed]
+            log(Event.PRESSURES_LEARNED, pairs=rows)
+        return changed
+
     # Starts and stops
 
     def place(self, tenure: PoolTenure) -> list[Placed]:
@@ -388,6 +433,11 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
+def _is_news(pool: Pool, row: PressureLearned) -> bool:
+    known = pool.pressures.get((row.filling, row.serving))
+    return known is None or abs(known.mean_milli - row.mean_milli) >= LEARN_STEP_MILLI
+
+
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
     """Return the newest life by VM; a VM runs one worker at a time."""
     newest: dict[str, str] = {}
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -77,6 +77,7 @@
         ([NOT_SENT], Rejected),
         ([NOT_OWNER], Rejected),
         ([LOST], Unknown),
+        ([LOST, NOT_OWNER, NOT_OWNER, NOT_OWNER, NOT_OWNER, OK], Accepted),
         ([LOST, NOT_SENT], Unknown),
         ([LOST, reply(Outcome.NOT_RUN)], Unknown),
         ([reply(Outcome.NOT_RUN, retry_after_ms=1000)], Rejected),
@@ -106,6 +107,14 @@
     assert clock.monotonic() - began <= timedelta(milliseconds=limit_ms)
 
 
+def test_unknown_outcome_is_told_before_the_deadline():
+    """Guards against a caller that has left when it is told that the outcome is unknown."""
+    gateway, _, clock, _ = make(LOST)
+    deadline = Deadline(clock, timedelta(seconds=3))
+    assert isinstance(gateway.submit(QUEUE, "a" * 16, SPEC, deadline), Unknown)
+    assert deadline.remaining() > timedelta(milliseconds=100)
+
+
 def test_states_are_passed_on():
     """Guards against a state that is changed on its way."""
     gateway, _, clock, _ = make(reply(Outcome.OK, "running"))
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 from mulberryslip.exceptions import JournalError, StoreError
+from mulberryslip.headrooms import PressureEstimate
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind
 from mulberryslip.steps import StepSpec
@@ -295,6 +296,19 @@
     assert world.history.resumed["a/0/0/0", 2].startswith("a/0/0/0:1:")
 
 
+def test_what_was_learned_of_images_survives_the_owner(world):
+    """Guards against services that each new owner lets batch work disturb until it has learned."""
+    first = world.owner()
+    model = first._dispatcher.model
+    model.restore([PressureEstimate("x", "p", 6.0, 0.5)], world.clock.monotonic())
+    world.run(20)
+    first.resign("test")
+    world.run(2)
+    world.elect(world.workers[1])
+    known = world.owner()._dispatcher.model.estimates()
+    assert [(row.filling, row.serving, row.mean) for row in known] == [("x", "p", 6.0)]
+
+
 def test_overtaken_owner_commits_and_orders_nothing(world):
     """Guards against two owners that act at the same time."""
     first = world.owner()
--- a/tests/test_workflows.py
+++ b/tests/test_workflows.py
@@ -11,6 +11,7 @@
 from mulberryslip.steps import MAX_STEP_TASKS, MAX_STEPS, StepSpec, WorkflowSpec
 from mulberryslip.workflows import (
     Pool,
+    PressureLearned,
     RunAssigned,
     RunOutcome,
     RunOver,
@@ -151,6 +152,8 @@
             apply(over(task.name, outcome, task.run, "c"))
         elif kind == 3 and number == 0:
             apply(WorkflowCancelled("a0", 4000))
+        elif kind == 3:
+            apply(PressureLearned("x", f"p{number % 3}", 1000 * number, 500))
     state = json.loads(json.dumps(pool.to_snapshot()))
     replayed = Pool()
     for raw in json.loads(json.dumps(events)):
@@ -165,7 +168,17 @@
     }
 
 
-@pytest.mark.parametrize("raw", [None, {}, {"workflows": [[]], "ended": []}, {"workflows": 5}])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        None,
+        {},
+        {"workflows": [[]], "ended": [], "pressures": []},
+        {"workflows": 5},
+        {"workflows": [], "ended": []},
+        {"workflows": [], "ended": [], "pressures": [{"f": "x"}]},
+    ],
+)
 def test_damaged_snapshot_is_refused(raw):
     """Guards against an owner that begins with half of the state."""
     with pytest.raises(InvalidMessageError):
