--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -39,7 +39,7 @@
 GAIN_PATIENCE_MS = 10_000
 """Wait after which a filling task starts wherever it fits: it works while the services are calm."""
 
-MOVE_GAIN = 0.5
+MOVE_GAIN = 0.4
 """Share of full speed that a filling run must win by a move, which costs it a stop and a start."""
 
 DEFAULT_ESTIMATE_MS = 2000
@@ -133,22 +133,22 @@
             placed.append(Placed(task, room))
         return placed
 
-    def misplaced(self, filling: Iterable[StepTask], rooms: Sequence[WorkerRoom]) -> list[StepTask]:
+    def misplaced(
+        self, filling: Iterable[tuple[StepTask, float]], rooms: Sequence[WorkerRoom]
+    ) -> list[StepTask]:
         """Return filling runs to move: services slow them down that would not do so elsewhere.
 
-        Only runs that keep their progress are moved. `rooms` is changed accordingly.
+        :param filling: runs that lose little by a stop, with the share of their full speed at
+            which they work, the most urgent first.
+        :param rooms: changed accordingly.
         """
-        by_worker = {room.worker_id: room for room in rooms}
         moved = []
-        for task in filling:
-            here = by_worker.get(task.worker_id)
-            if here is None or not task.spec.checkpoints or len(moved) >= MAX_MOVES:
-                continue
-            needed = self.loss(task, here) + MOVE_GAIN
-            if needed > 1:
+        for task, speed in filling:
+            if speed + MOVE_GAIN > 1 or len(moved) >= MAX_MOVES:
                 continue
-            room = self._best(task, [room for room in rooms if room is not here], 0)
-            if room is not None and self.gain(task, room) >= needed:
+            others = [room for room in rooms if room.worker_id != task.worker_id]
+            room = self._best(task, others, 0)
+            if room is not None and self.gain(task, room) >= speed + MOVE_GAIN:
                 room.take(task)
                 moved.append(task)
         return moved
@@ -224,14 +224,6 @@
         wanted[task.spec.image] = wanted.get(task.spec.image, 0.0) + own
         return (self._work(room, wanted) - before) / own if own else 1.0
 
-    def loss(self, task: StepTask, room: WorkerRoom) -> float:
-        """Return the work that a worker loses without a filling run, as a share of its speed."""
-        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
-        wanted = self._wanted(room)
-        before = self._work(room, wanted)
-        wanted[task.spec.image] = max(0.0, wanted.get(task.spec.image, 0.0) - own)
-        return (before - self._work(room, wanted)) / own if own else 1.0
-
     def _wanted(self, room: WorkerRoom) -> dict[str, float]:
         capacity = max(1, room.capacity.cpu_millis)
         return {image: millis / capacity for image, millis in room.fill_millis.items()}
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -34,6 +34,7 @@
     :param clock_ms: its clock when it last listed its runs.
     :param received_at: when that listing arrived, on the owner's clock.
     :param running: its runs by task.
+    :param listed_since: when each of them was listed first, by task and run.
     :param listed_through: ends up to this number have been looked at.
     :param ended_through: ends up to this number are committed.
     :param lives: lives seen in this period of ownership.
@@ -56,6 +57,7 @@
     clock_ms: int = 0
     received_at: timedelta = timedelta()
     running: dict[str, RunningRun] = attrs.field(factory=dict)
+    listed_since: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     listed_through: int = 0
     ended_through: int = 0
     lives: int = 0
@@ -95,6 +97,10 @@
             return True
         self.clock_ms = report.clock_ms
         self.running = {row.task: running_of(row) for row in report.running}
+        self.listed_since = {
+            (row.task, row.run): self.listed_since.get((row.task, row.run), now)
+            for row in report.running
+        }
         return True
 
     def clock_at(self, now: timedelta) -> int:
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -14,6 +14,7 @@
 from mulberryslip.headrooms import Neighbour, PressureEstimate
 from mulberryslip.queues import PoolConfig
 from mulberryslip.rooms import WorkerRoom, room_of, step_key
+from mulberryslip.runners import RunningRun
 from mulberryslip.soundness import Progress, Soundness
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
@@ -61,9 +62,15 @@
 
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
+MOVE_AFTER = timedelta(seconds=2)
+"""Time on a worker before which a run's speed says little."""
+
 MOVE_BELOW_PERCENT = 80
 """A filling run that is almost done ends sooner than it is moved."""
 
+ANEW_BELOW_PERCENT = 20
+"""Progress below which a run without checkpoints may begin anew on another worker."""
+
 
 class ConfigSource(Protocol):
     """The part of `intents.PoolConfigSource` that the owner needs."""
@@ -289,14 +296,16 @@
             return
         self._next_moves = now + MOVE_INTERVAL
         filling = [
-            task
+            (task, row.gauge / max(1, task.spec.cpu_millis))
             for member in tenure.members.values()
             for name, row in member.running.items()
             if (task := tenure.pool.task(name)) is not None
             and task.spec.fills
             and task.is_held(row.run)
-            and row.progress_percent < MOVE_BELOW_PERCENT
+            and now - member.listed_since[name, row.run] >= MOVE_AFTER
+            and loses_little(task, row)
         ]
+        filling.sort(key=lambda item: (self._dispatcher.due_ms(item[0].workflow), item[0].name))
         stalled = [
             task
             for member in tenure.members.values()
@@ -438,6 +447,12 @@
     return known is None or abs(known.mean_milli - row.mean_milli) >= LEARN_STEP_MILLI
 
 
+def loses_little(task: StepTask, row: RunningRun) -> bool:
+    """Return whether a run loses little of its work when it is stopped now."""
+    limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else ANEW_BELOW_PERCENT
+    return row.progress_percent < limit
+
+
 def _newest_on_machines(members: Iterable[Member]) -> dict[str, str]:
     """Return the newest life by VM; a VM runs one worker at a time."""
     newest: dict[str, str] = {}
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -8,10 +8,11 @@
 from mulberryslip.exceptions import JournalError, StoreError
 from mulberryslip.headrooms import PressureEstimate
 from mulberryslip.queues import PoolConfig
-from mulberryslip.runners import EndKind
+from mulberryslip.runners import EndKind, RunningRun
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslipd.members import FENCE_LIVES
+from mulberryslipd.rounds import loses_little
 from pool_doubles import CAPACITY, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -368,6 +369,18 @@
     assert world.history.faults == []
 
 
+@pytest.mark.parametrize(
+    ("checkpoints", "percent", "expected"),
+    [(True, 60, True), (True, 90, False), (False, 10, True), (False, 30, False)],
+)
+def test_only_runs_that_lose_little_are_moved(world, checkpoints, percent, expected):
+    """Guards against work that is thrown away to calm a service that can be calmed by the pace."""
+    world.submit("a", attrs.evolve(TASK, checkpoints=checkpoints))
+    world.run(1)
+    task = world.owner()._tenure.pool.task("a/0/0/0")
+    assert loses_little(task, RunningRun("a/0/0/0", 1, "", percent)) is expected
+
+
 def test_worker_that_fails_in_a_row_gets_nothing_for_a_while(world):
     """Guards against tasks that use up their attempts on a worker that fails everything."""
     world.workers[0].kind_of = lambda name: EndKind.FAILED
