--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -130,6 +130,7 @@
                 blocked.add(kind)
                 continue
             room.take(task)
+            self._press_on(task, room)
             placed.append(Placed(task, room))
         return placed
 
@@ -240,6 +241,13 @@
         unused = max(0, room.fill_free_millis) / max(1, room.capacity.cpu_millis)
         return min(unused, sum(shares))
 
+    def _press_on(self, task: StepTask, room: WorkerRoom) -> None:
+        """Account for what a run that starts now takes from the headrooms before it is paced."""
+        if task.spec.fills:
+            own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+            for image in room.lows:
+                room.lows[image] -= self.model.pressure(task.spec.image, image) * own
+
     def _is_abrupt(self, task: StepTask, room: WorkerRoom) -> bool:
         """Return whether a run takes a service over its target before its pace can be set."""
         own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
--- a/packages/core/src/mulberryslip/headrooms.py
+++ b/packages/core/src/mulberryslip/headrooms.py
@@ -6,20 +6,21 @@
 that use the whole worker. About half of the pairs press by 3 to 10, the others hardly at all.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+import math
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import attrs
 
 from .runners import RunningRun, RunProfile
 
-PRIOR = 2.0
-PRIOR_DEVIATION = 2.5
+PRIOR = 3.5
+PRIOR_DEVIATION = 3.5
 """Mean and standard deviation of a pair of which nothing is known."""
 
-SWING = 1.5
+SWING = 1.2
 """Factor by which pressures are taken higher than their means: what an image does to a service
-swings within seconds from a half to twice its mean, and the swings upward do harm."""
+swings within seconds, and the swings upward do harm."""
 
 CAUTION = 0.5
 """Standard deviations by which pressures are taken higher still while little is known of them."""
@@ -49,9 +50,12 @@
 LEVEL_TIME = timedelta(seconds=8)
 """Time over which the usual headroom of a service is averaged: about half a wave of its load."""
 
-KNOWN_VARIANCE = 3.0
+KNOWN_VARIANCE = 6.0
 """Variance below which a pair counts as known; it is half of the prior's."""
 
+TAIL_TIME = timedelta(milliseconds=450)
+"""Time in which tails follow what filling runs use, found by comparing listings of all pairs."""
+
 
 @attrs.frozen
 class Neighbour:
@@ -109,6 +113,29 @@
         return SWING * self.mean + CAUTION * self.variance**0.5
 
 
+class ShownShares:
+    """Shares of a worker's processors that filling images use, as far as they show in the tails."""
+
+    def __init__(self) -> None:
+        self._shares: dict[str, float] = {}
+        self._at: timedelta | None = None
+
+    def update(self, used: Mapping[str, float], at: timedelta) -> dict[str, float]:
+        """Take in the used shares at a time; return the shares that show."""
+        age = timedelta.max if self._at is None else max(timedelta(), at - self._at)
+        weight = 1 - math.exp(-(age / TAIL_TIME))
+        self._at = at
+        shown = {
+            image: (before := self._shares.get(image, 0.0))
+            + weight * (used.get(image, 0.0) - before)
+            for image in self._shares.keys() | used.keys()
+        }
+        self._shares = {
+            image: share for image, share in shown.items() if image in used or share >= MIN_CHANGE
+        }
+        return dict(self._shares)
+
+
 @attrs.define
 class _Listing:
     at: timedelta
@@ -124,6 +151,7 @@
         self._pairs: dict[tuple[str, str], _Estimate] = {}
         self._given: dict[tuple[str, str], float] = {}
         self._seen: dict[str, _Listing] = {}
+        self._shown: dict[str, ShownShares] = {}
         self._levels: dict[tuple[str, str], tuple[float, timedelta]] = {}
 
     def observe(
@@ -135,7 +163,8 @@
         :param neighbours: its serving and filling runs.
         :param cpu_millis: its processors, in thousandths of a core.
         """
-        shares = used_shares(neighbours, cpu_millis)
+        shown = self._shown.setdefault(worker_id, ShownShares())
+        shares = shown.update(used_shares(neighbours, cpu_millis), now)
         serving = [n for n in neighbours if n.headroom is not None]
         lows: dict[str, float] = {}
         for neighbour in serving:
@@ -206,6 +235,7 @@
     def forget(self, worker_id: str) -> None:
         """Drop what is kept of a worker."""
         self._seen.pop(worker_id, None)
+        self._shown.pop(worker_id, None)
         for key in [key for key in self._levels if key[0] == worker_id]:
             del self._levels[key]
 
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Collection, Mapping, Sequence
+from datetime import timedelta
 
 import attrs
 
@@ -19,6 +20,7 @@
     Demand,
     Neighbour,
     PressureModel,
+    ShownShares,
     allot,
     used_shares,
 )
@@ -30,7 +32,7 @@
 """Headroom that filling runs leave to a service. Its own load takes up to 0.35 of headroom in a
 second, the time until a change of pace is decided and shows in the tail."""
 
-RAISE_STEP = 25
+RAISE_STEP = 20
 """Percent by which filling runs speed up each time at most; a wrong pressure shows before that."""
 
 CHANGE_STEP = 10
@@ -76,6 +78,7 @@
         self._set: dict[RunKey, int] = {}
         self._opened: dict[RunKey, int] = {}
         self._left: list[Budget] = []
+        self._shown = ShownShares()
         self._now_ms = 0
         self._over_since: dict[str, int] = {}
 
@@ -140,7 +143,8 @@
         self, fills: Sequence[Neighbour], serving: Sequence[Neighbour], cpu_millis: int
     ) -> list[tuple[RunKey, str, int]]:
         """Return run, image and the percent at which it may work, the most urgent runs first."""
-        shares = used_shares(fills, cpu_millis)
+        used = used_shares(fills, cpu_millis)
+        shares = self._shown.update(used, self._now_ms * timedelta(milliseconds=1))
         demands = [
             Demand(fill.profile.image, fill.profile.cpu_millis / max(1, cpu_millis))
             for fill in fills
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -128,6 +128,18 @@
     assert {decision.room.worker_id for decision in placed} == {"w1"}
 
 
+def test_runs_that_start_together_do_not_take_a_service_over_its_target():
+    """Guards against several runs that are each light enough and start in the same round."""
+    pool = Pool()
+    add(pool, "b", BATCH, StepSpec(6, 7000, 1000, fills=True, image="x"))
+    model = PressureModel()
+    model.give([Pressure("x", "p", 8.0)])
+    (view,) = rooms(pool, 1)
+    view.lows["p"] = 3.0
+    placed = Dispatcher(RunTimes().expected, model).choose(pool.ready(), [view], 0)
+    assert len(placed) == 2
+
+
 def test_filling_work_goes_where_it_can_work_fastest():
     """Guards against batch work that waits at a slow pace beside a service without headroom."""
     pool = Pool()
