Soak the pool with real processes; do not mix up the lives of a worker

Causes: an order for an earlier life of a worker ran in the later one, where it counted as lost although the listing had it; and an agent acknowledged ends of the later life with numbers of the earlier one. Ruled out: late starts (refused by their time), the store's history, two owners. Mend: what a listing has goes before the life that the owner knows; after a call that was broken off an agent acknowledges nothing and starts nothing until the worker has listed its life.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon cli testing
 SEED ?= 1
+SECONDS ?= 30
 
-.PHONY: deps test demo bench chaos mutations check format idl clean
+.PHONY: deps test demo bench chaos soak mutations check format idl clean
 
 deps: $(VENV)/.installed
 
@@ -36,6 +37,9 @@
 chaos: deps
 	$(BIN)/python -m mulberryslip_testing.chaos --seed=$(SEED)
 
+soak: deps
+	cd tests && ../$(BIN)/python soak.py --seed=$(SEED) --seconds=$(SECONDS)
+
 # Removes one mechanism at a time on a copy of the tree; its test must then fail.
 mutations: deps
 	$(BIN)/python -m mulberryslip_testing.mutations
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -126,6 +126,7 @@
         self._announcement: WorkerAnnouncement | None = None
         self._announced = threading.Event()
         self._grant = Grant()
+        self._is_sure = False
         self._refused: list[wire.RunRefusal] = []
         self._orders: queue.SimpleQueue = queue.SimpleQueue()
         self._pressures = PressureModel()
@@ -203,28 +204,36 @@
         if grant.incarnation != worker.incarnation:
             # Without the token of this life an order for an earlier one could be carried out.
             return owner is not None and self._report(owner, worker, None)
+        # A worker that broke a call off may have started anew under its id. What the owner knows of
+        # the ends of its earlier life would make it forget those of the new one.
+        is_sure = self._is_sure
         try:
             listing = self._runner.hold(
                 worker.worker_id,
                 grant.fence,
-                grant.lease_until_ms,
-                grant.ended_through,
+                grant.lease_until_ms if is_sure else 0,
+                grant.ended_through if is_sure else 0,
                 MIXED_INTERVAL if self._is_mixed() else REPORT_INTERVAL,
             )
         except RunnerAbsentError as exc:
+            self._is_sure = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
             return owner is not None and self._report(owner, worker, None, unreachable=True)
         except RunnerFencedError as exc:
+            self._is_sure = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
             self._grant = Grant(epoch=grant.epoch)
             return False
         except RunnerError as exc:
+            self._is_sure = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
             return False
         if listing.incarnation != worker.incarnation:
             # The worker has started anew and will announce itself.
+            self._is_sure = False
             self._grant = Grant(epoch=grant.epoch)
             return False
+        self._is_sure = True
         self._adjust_pace(worker, listing)
         return owner is not None and self._report(owner, worker, listing)
 
@@ -415,6 +424,9 @@
         if newest.incarnation != worker.incarnation or newest.leaving:
             self._refuse(order, "the worker is leaving or has started anew")
             return
+        if not self._is_sure:
+            self._refuse(order, "the worker may have started anew")
+            return
         run = RunOrder(order.task, order.run, order.payload, order.checkpoint, order.start_by_ms)
         try:
             refusal = self._runner.start(worker.worker_id, run, fence)
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -134,18 +134,22 @@
         running = {(row.task, row.run): row for row in report.running}
         for task in tenure.pool.held(member.worker_id):
             name = (task.name, task.run)
-            if task.incarnation != member.incarnation or report.unreachable:
-                reason = "the worker has started anew"
-                events.append(self._over(tenure, task, RunOutcome.LOST, now_ms, reason))
-            elif name in ended:
+            if name in ended:
                 end = ended[name]
                 events.append(
                     self._over(tenure, task, OUTCOMES[end.kind], now_ms, "", end.checkpoint)
                 )
+            elif name in running:
+                # Also in a later life of the worker: it carries out an order for an earlier one
+                # until it has seen its own token.
+                continue
+            elif task.incarnation != member.incarnation or report.unreachable:
+                reason = "the worker has started anew"
+                events.append(self._over(tenure, task, RunOutcome.LOST, now_ms, reason))
             elif name in refused:
                 reason = refused[name]
                 events.append(self._over(tenure, task, RunOutcome.UNSTARTED, now_ms, reason))
-            elif name not in running and report.clock_ms > task.start_by_ms:
+            elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start it in time"
                 events.append(self._over(tenure, task, RunOutcome.UNSTARTED, now_ms, reason))
         self._learn(tenure, member)
@@ -184,7 +188,13 @@
             if now - heard_at > self._times.silence:
                 reason = f"the worker was silent for {now - heard_at}"
             else:
-                held = [task for task in held if newest.get(task.machine, "") > task.incarnation]
+                # A later life under the same id lists what it has started itself.
+                life = "" if member is None else member.incarnation
+                held = [
+                    task
+                    for task in held
+                    if newest.get(task.machine, "") > max(task.incarnation, life)
+                ]
                 reason = "another worker has started on its machine"
             if not held:
                 continue
--- a/tests/platform_doubles.py
+++ b/tests/platform_doubles.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qsl, urlsplit
@@ -14,13 +15,22 @@
 from pool_doubles import MS, History, SimWorker
 
 
+class QuietServer(ThreadingHTTPServer):
+    """Server whose callers may leave before their answer."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class HTTPDouble:
     """A server in a thread; `answer` maps a request to a status and a document."""
 
     def __init__(self):
         handler = self._handler()
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
-        self._server.daemon_threads = True
+        self._server = QuietServer(("127.0.0.1", 0), handler)
         self.url = f"http://127.0.0.1:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+from mulberryslip.runners import EndedRun, EndKind
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire import ttypes as wire
 from pool_doubles import SECOND, PoolWorld
@@ -84,6 +85,38 @@
     assert world.history.starts == 0
 
 
+def test_ends_of_an_unseen_life_are_not_forgotten(world):
+    """Guards against the end of a run that is lost since an earlier life had as many ends.
+
+    The worker breaks a call off, starts anew under its id, and has an end before it announces that.
+    """
+    worker = world.workers[0]
+    agent = agent_of(world)
+    world.submit("a", attrs.evolve(TASK, count=3))
+    world.run(15)
+    assert agent._grant.ended_through == 3
+    worker.is_dark = True
+    world.exchange(worker)
+    worker.is_dark = False
+    worker.begin_life()
+    worker.ended = [EndedRun(1, "b/0/0/0", 1, EndKind.DONE, "")]
+    world.exchange(worker)
+    assert [end.task for end in worker.ended] == ["b/0/0/0"]
+
+
+def test_nothing_starts_after_a_call_that_was_broken_off(world):
+    """Guards against an order for an earlier life that reaches the next one before its token."""
+    worker = world.workers[0]
+    agent = agent_of(world)
+    worker.is_dark = True
+    world.exchange(worker)
+    worker.is_dark = False
+    agent._orders.put((agent._announcement, start_order(), 10**9))
+    agent.carry_out()
+    assert world.history.starts == 0
+    assert [refusal.certain for refusal in agent._refused] == [True]
+
+
 def test_lease_is_extended_only_on_the_word_of_the_owner(world):
     """Guards against runs that go on without an owner, beside those of the next one."""
     worker = world.workers[0]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -207,6 +207,29 @@
     assert world.history.faults == []
 
 
+@pytest.mark.parametrize("run_ms", [100, 5000])
+def test_order_that_reaches_a_later_life_counts(run_ms):
+    """Guards against a task that is started again after its end in a later life was noted.
+
+    A worker that starts anew under its id carries out an order for its earlier life as long as it
+    has not seen the token of the new one.
+    """
+    world = PoolWorld(workers=1, run_ms=lambda name: run_ms)
+    world.elect()
+    world.run(3)
+    (worker,) = world.workers
+    agent, directory = world.agents[worker.id]
+    world.submit("a", TASK)
+    world.step_owners()
+    agent.fetch(directory.owner())
+    worker.begin_life()
+    agent.carry_out()
+    assert worker.runs
+    world.run(5 + run_ms // 100)
+    assert world.shown("a") == "completed"
+    assert (world.history.starts, world.history.faults) == (1, [])
+
+
 def test_worker_that_refuses_connections_runs_nothing(world):
     """Guards against a wait of a whole lease for a worker whose process has ended."""
     world.submit("a")
