Set the pace of runs that an earlier process has paced; let batch work start after 10 s anywhere

Found by reading: an agent that starts anew took all runs to work at full speed, so one that was halted before and may work fully now stayed halted; a run that started slowly jumped to full speed; filling work beside services that are always near their targets never started.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -39,6 +39,9 @@
 GAIN_PATIENCE_MS = 10_000
 """Wait after which a filling task starts wherever it fits: it works while the services are calm."""
 
+ABRUPT_PENALTY = 5.0
+"""Weight of a service that is over its target for some tenths of a second, as of a failed run."""
+
 MOVE_GAIN = 0.4
 """Share of full speed that a filling run must win by a move, which costs it a stop and a start."""
 
@@ -286,11 +289,11 @@
         if spec.rack and spec.rack not in room.labels:
             score -= 2.0
         if spec.fills:
-            if self._is_abrupt(task, room):
-                return None
+            is_abrupt = self._is_abrupt(task, room)
             gain = self.gain(task, room)
-            if gain < MIN_GAIN and waited_ms < GAIN_PATIENCE_MS:
+            if (is_abrupt or gain < MIN_GAIN) and waited_ms < GAIN_PATIENCE_MS:
                 return None
+            score -= ABRUPT_PENALTY * is_abrupt
             left = room.fill_free_millis - sum(room.fill_millis.values())
             return score + left / 100_000 + GAIN_WEIGHT * gain
         if spec.lasting:
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -28,6 +28,7 @@
 
 FULL_PERCENT = 100
 UNKNOWN_PERCENT = -1
+"""Pace of a run that an earlier process may have set, or whose last call had no answer."""
 KEPT_HEADROOM = 1.25
 """Headroom that filling runs leave to a service. Its own load takes up to 0.4 of headroom in a
 second, and a change of pace is decided and shows in the tail within about 0.6 s."""
@@ -99,7 +100,7 @@
         allowed = self._allowed(fills, serving, cpu_millis)
         halted = self._halted({fill.profile.image for fill in fills}, serving, now_ms)
         self._paces = {
-            key: _moved(self._paces.get(key, FULL_PERCENT), 0 if image in halted else percent)
+            key: _moved(self._before(key), 0 if image in halted else percent)
             for key, image, percent in allowed
         }
         return self._changes()
@@ -123,6 +124,11 @@
         """Note that a change was not carried out, so that it is decided again."""
         self._set[change.task, change.run] = UNKNOWN_PERCENT
 
+    def _before(self, key: RunKey) -> int:
+        """Return the pace from which a run goes on."""
+        percent = self._paces.get(key, self._set.get(key, UNKNOWN_PERCENT))
+        return FULL_PERCENT if percent == UNKNOWN_PERCENT else percent
+
     def _halted(
         self, images: Collection[str], serving: Sequence[Neighbour], now_ms: int
     ) -> set[str]:
@@ -182,7 +188,7 @@
         changes = [
             PaceChange(*key, percent)
             for key, percent in wanted.items()
-            if self._set.get(key, FULL_PERCENT) != percent
+            if self._set.get(key, UNKNOWN_PERCENT) != percent
         ]
         self._set.update({(change.task, change.run): change.percent for change in changes})
         return changes
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -140,6 +140,17 @@
     assert len(placed) == 2
 
 
+def test_filling_work_does_not_wait_for_ever_for_a_calm_service():
+    """Guards against batch work that starves where all services are busy all day."""
+    pool = Pool()
+    add(pool, "b", BATCH, StepSpec(1, 7000, 1000, fills=True, image="x"))
+    (view,) = rooms(pool, 1)
+    view.lows["p"] = 1.1
+    chooser = dispatcher([("x", "p")])
+    assert chooser.choose(pool.ready(), [view], GAIN_PATIENCE_MS - 1) == []
+    assert len(chooser.choose(pool.ready(), [view], GAIN_PATIENCE_MS)) == 1
+
+
 def test_filling_work_goes_where_it_can_work_fastest():
     """Guards against batch work that waits at a slow pace beside a service without headroom."""
     pool = Pool()
