Compare workers once for tasks that are alike, and for batch work four times a second

Each waiting or running filling task was compared with all 55 workers in each round. Ruled out: the store, the gateways (0.015 of a core).

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -62,6 +62,9 @@
 MAX_MOVES = 4
 """Filling runs that are moved in one round, so that a wrong conclusion costs little."""
 
+MAX_CANDIDATES = 12
+"""Filling runs that are looked at for a move in one round, each by comparing all workers."""
+
 MAX_STARTING = 24
 """Starts on their way to one worker. An agent starts about 200 tasks a second."""
 
@@ -110,11 +113,14 @@
     def __init__(self, run_time: Callable[[StepTask], timedelta], model: PressureModel):
         self._run_time = run_time
         self.model = model
+        self._works: dict[str, float] = {}
+        self._gains: dict[str, dict[tuple[str, int], float]] = {}
 
     def choose(
         self, waiting: Iterable[StepTask], rooms: Sequence[WorkerRoom], now_ms: int
     ) -> list[Placed]:
         """Return the runs to start now; `rooms` is changed accordingly."""
+        self._forget_gains()
         placed: list[Placed] = []
         reserve = CHECK_RESERVE * sum(room.capacity.cpu_millis for room in rooms)
         blocked: set[tuple[str, int, tuple[str, ...]]] = set()
@@ -132,8 +138,7 @@
             if room is None:
                 blocked.add(kind)
                 continue
-            room.take(task)
-            self._press_on(task, room)
+            self._take(task, room)
             placed.append(Placed(task, room))
         return placed
 
@@ -146,14 +151,16 @@
             which they work, the most urgent first.
         :param rooms: changed accordingly.
         """
+        self._forget_gains()
         moved = []
-        for task, speed in filling:
-            if speed + MOVE_GAIN > 1 or len(moved) >= MAX_MOVES:
-                continue
+        slow = [(task, speed) for task, speed in filling if speed + MOVE_GAIN <= 1]
+        for task, speed in slow[:MAX_CANDIDATES]:
+            if len(moved) >= MAX_MOVES:
+                break
             others = [room for room in rooms if room.worker_id != task.worker_id]
             room = self._best(task, others, 0)
             if room is not None and self.gain(task, room) >= speed + MOVE_GAIN:
-                room.take(task)
+                self._take(task, room)
                 moved.append(task)
         return moved
 
@@ -163,12 +170,13 @@
         :param runs: such runs; they may lose their progress.
         :param rooms: changed accordingly.
         """
+        self._forget_gains()
         moved = []
         for task in runs:
             others = [room for room in rooms if room.worker_id != task.worker_id]
             room = self._best(task, others, 0)
             if room is not None and len(moved) < MAX_MOVES:
-                room.take(task)
+                self._take(task, room)
                 moved.append(task)
         return moved
 
@@ -222,12 +230,33 @@
 
     def gain(self, task: StepTask, room: WorkerRoom) -> float:
         """Return the work that a worker gains by a filling task, as a share of its full speed."""
+        # Tasks of a step are alike, and a worker stays as it is until it gets a run.
+        known = self._gains.setdefault(room.worker_id, {})
+        kind = (task.spec.image, task.spec.cpu_millis)
+        if kind not in known:
+            known[kind] = self._gain(task, room)
+        return known[kind]
+
+    def _gain(self, task: StepTask, room: WorkerRoom) -> float:
         own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
         wanted = self._wanted(room)
-        before = self._work(room, wanted)
+        before = self._works.get(room.worker_id)
+        if before is None:
+            before = self._works[room.worker_id] = self._work(room, wanted)
         wanted[task.spec.image] = wanted.get(task.spec.image, 0.0) + own
         return (self._work(room, wanted) - before) / own if own else 1.0
 
+    def _take(self, task: StepTask, room: WorkerRoom) -> None:
+        """Account for a run that is to start on a worker."""
+        room.take(task)
+        self._press_on(task, room)
+        self._works.pop(room.worker_id, None)
+        self._gains.pop(room.worker_id, None)
+
+    def _forget_gains(self) -> None:
+        self._works.clear()
+        self._gains.clear()
+
     def _wanted(self, room: WorkerRoom) -> dict[str, float]:
         capacity = max(1, room.capacity.cpu_millis)
         return {image: millis / capacity for image, millis in room.fill_millis.items()}
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -62,6 +62,10 @@
 
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
+FILL_INTERVAL = timedelta(milliseconds=250)
+"""Time between two rounds that place filling tasks. They compare all workers, at a cost that would
+delay quick checks, and a quarter of a second matters little to work of several seconds."""
+
 MOVE_AFTER = timedelta(seconds=2)
 """Time on a worker before which a run's speed says little."""
 
@@ -104,7 +108,7 @@
         self._clock = clock
         self._soundness = Soundness()
         self._next_expiry = self._next_moves = self._next_save = clock.monotonic()
-        self._next_learning = clock.monotonic()
+        self._next_learning = self._next_fills = clock.monotonic()
 
     def begin(self, tenure: PoolTenure) -> None:
         """Take over what earlier owners have learned."""
@@ -295,6 +299,13 @@
             return []
         if not tenure.is_live():
             return []
+        now = self._clock.monotonic()
+        if now < self._next_fills:
+            waiting = [task for task in waiting if not task.spec.fills]
+            if not waiting:
+                return []
+        else:
+            self._next_fills = now + FILL_INTERVAL
         rooms = self._rooms(tenure, config)
         return self._dispatcher.choose(waiting, rooms, self._now_ms()) if rooms else []
 
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -140,6 +140,25 @@
     assert len(placed) == 2
 
 
+def test_workers_are_compared_once_for_tasks_that_are_alike(monkeypatch):
+    """Guards against quick checks that wait while the owner compares workers for batch work.
+
+    The load is that of a busy second on 55 workers: ten steps of 30 filling tasks each.
+    """
+    pool = Pool()
+    for number in range(10):
+        step = StepSpec(30, 3500, 1000, fills=True, image=f"x{number}")
+        add(pool, f"b{number}", BATCH, step)
+    chooser = dispatcher()
+    calls = []
+    work = chooser._work
+    monkeypatch.setattr(chooser, "_work", lambda *args: calls.append(args) or work(*args))
+    placed = chooser.choose(pool.ready(), rooms(pool, 55), 0)
+    assert len(placed) == 300
+    # Each kind looks at each worker once, and again at one that got a run; 33,000 without that.
+    assert len(calls) <= 2 * 10 * 55 + 300 * (10 + 1)
+
+
 def test_filling_work_does_not_wait_for_ever_for_a_calm_service():
     """Guards against batch work that starves where all services are busy all day."""
     pool = Pool()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -320,6 +320,22 @@
     assert world.history.resumed["a/0/0/0", 2].startswith("a/0/0/0:1:")
 
 
+def test_filling_work_is_placed_a_few_times_a_second(world):
+    """Guards against an owner whose processor is used up by batch work, so that checks are late."""
+    chooser = world.owner()._dispatcher
+    seen = []
+    choose = chooser.choose
+    chooser.choose = lambda tasks, *args: seen.append(list(tasks)) or choose(seen[-1], *args)
+    world.submit("a", attrs.evolve(TASK, count=3, cpu_millis=9000))
+    world.submit("b", attrs.evolve(TASK, fills=True, cpu_millis=9000, memory_mb=20_000))
+    for _ in range(20):
+        world.owner().step()
+        world.clock.advance(SECOND / 20)
+    rounds = [{task.spec.fills for task in tasks} for tasks in seen]
+    assert all(False in kinds for kinds in rounds[-15:])
+    assert 3 <= sum(True in kinds for kinds in rounds) <= 6
+
+
 def test_what_was_learned_of_images_survives_the_owner(world):
     """Guards against services that each new owner lets batch work disturb until it has learned."""
     first = world.owner()
