Let the test of waiting requests begin when the server has the request

Trace: the wait counts from the moment at which the server's thread finds the data (ready_at); the test counted 0.3 s from the client's send, 2 ms earlier on a busy machine. It now waits until the request is in the server's queue and sleeps 0.3 s after that, so the bound of 400 ms is as strict.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,6 +14,7 @@
 from mulberryslip.configs import ConfigView
 from mulberryslip.wire.ttypes import JobReply, Outcome
 from mulberryslip_testing.applications import call_application
+from mulberryslip_testing.waits import wait_until
 from mulberryslipd.callers import Callers
 from mulberryslipd.listeners import HTTPListener
 from mulberryslipd.responses import MAX_BODY_BYTES, Drain
@@ -358,6 +359,8 @@
     seen = []
     with socket.create_connection(("127.0.0.1", listener.port), 5) as waiting:
         waiting.sendall(request)
+        # The wait counts from the moment at which the server has the request.
+        assert wait_until(lambda: listener._server.requests.qsize > 0, timedelta(seconds=5))
         time.sleep(0.3)
         left = seen.append
         interface.requests.run = lambda req: left(req.deadline.remaining_ms()) or Answered(200)
