--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -95,12 +95,9 @@
         return (self.kind, self.priority, self.fresh, self.due_ms)
 
 
-class RunTimes:
-    """Expected run times of tasks."""
-
-    def expected(self, task: StepTask) -> timedelta:
-        """Return the expected run time of a task."""
-        return timedelta(milliseconds=task.spec.estimate_ms or DEFAULT_ESTIMATE_MS)
+def estimated_run_time(task: StepTask) -> timedelta:
+    """Return the run time of a task as its caller estimates it."""
+    return timedelta(milliseconds=task.spec.estimate_ms or DEFAULT_ESTIMATE_MS)
 
 
 class Dispatcher:
@@ -148,17 +145,17 @@
         """Return filling runs to move: services slow them down that would not do so elsewhere.
 
         :param filling: runs that lose little by a stop, with the share of their full speed at
-            which they work, the most urgent first.
+            which they work.
         :param rooms: changed accordingly.
         """
         self._forget_gains()
         moved = []
         slow = [(task, speed) for task, speed in filling if speed + MOVE_GAIN <= 1]
+        slow.sort(key=lambda item: (self.due_ms(item[0].workflow), item[0].name))
         for task, speed in slow[:MAX_CANDIDATES]:
             if len(moved) >= MAX_MOVES:
                 break
-            others = [room for room in rooms if room.worker_id != task.worker_id]
-            room = self._best(task, others, 0)
+            room = self._best_elsewhere(task, rooms)
             if room is not None and self.gain(task, room) >= speed + MOVE_GAIN:
                 self._take(task, room)
                 moved.append(task)
@@ -173,9 +170,10 @@
         self._forget_gains()
         moved = []
         for task in runs:
-            others = [room for room in rooms if room.worker_id != task.worker_id]
-            room = self._best(task, others, 0)
-            if room is not None and len(moved) < MAX_MOVES:
+            if len(moved) >= MAX_MOVES:
+                break
+            room = self._best_elsewhere(task, rooms)
+            if room is not None:
                 self._take(task, room)
                 moved.append(task)
         return moved
@@ -193,12 +191,11 @@
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the place of a workflow in the queue."""
-        objective = self.objective(workflow)
         due_ms = self.due_ms(workflow)
         if any(step.lasting for step in workflow.spec.steps):
             return Urgency(0, workflow.queue.priority, False, due_ms)
         ready_ms = now_ms + _ms(self.chain(workflow, whole=False))
-        last_ms = workflow.accepted_ms + LATE_FACTOR * _ms(objective)
+        last_ms = workflow.accepted_ms + LATE_FACTOR * (due_ms - workflow.accepted_ms)
         fresh = not any(task.run for task in workflow.tasks())
         kind = 1 if ready_ms <= due_ms else 2 if ready_ms <= last_ms else 3
         if not any(step.fills for step in workflow.spec.steps):
@@ -238,8 +235,8 @@
         return known[kind]
 
     def _gain(self, task: StepTask, room: WorkerRoom) -> float:
-        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
-        wanted = self._wanted(room)
+        own = room.share(task.spec.cpu_millis)
+        wanted = room.fill_shares()
         before = self._works.get(room.worker_id)
         if before is None:
             before = self._works[room.worker_id] = self._work(room, wanted)
@@ -257,10 +254,6 @@
         self._works.clear()
         self._gains.clear()
 
-    def _wanted(self, room: WorkerRoom) -> dict[str, float]:
-        capacity = max(1, room.capacity.cpu_millis)
-        return {image: millis / capacity for image, millis in room.fill_millis.items()}
-
     def _work(self, room: WorkerRoom, wanted: Mapping[str, float]) -> float:
         """Return the share of a worker's processors that its filling runs usually use."""
         budgets = [
@@ -270,31 +263,26 @@
         images = sorted(wanted, key=lambda image: press_cost(image, budgets, self.model))
         demands = [Demand(image, wanted[image]) for image in images]
         shares, _ = allot(demands, budgets, self.model)
-        unused = max(0, room.fill_free_millis) / max(1, room.capacity.cpu_millis)
-        return min(unused, sum(shares))
+        return min(room.share(max(0, room.fill_free_millis)), sum(shares))
 
     def _press_on(self, task: StepTask, room: WorkerRoom) -> None:
         """Account for what a run that starts now takes from the headrooms before it is paced."""
         if task.spec.fills:
-            own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+            own = room.share(task.spec.cpu_millis)
             for image in room.lows:
                 room.lows[image] -= self.model.pressure(task.spec.image, image) * own
 
     def _is_abrupt(self, task: StepTask, room: WorkerRoom) -> bool:
         """Return whether a run takes a service over its target before its pace can be set."""
-        own = task.spec.cpu_millis / max(1, room.capacity.cpu_millis)
+        own = room.share(task.spec.cpu_millis)
         return any(
-            self.model.pressure(task.spec.image, image) > LIGHT
-            and low - self.model.pressure(task.spec.image, image) * own < 1
+            (pressure := self.model.pressure(task.spec.image, image)) > LIGHT
+            and low - pressure * own < 1
             for image, low in room.lows.items()
         )
 
-    def _press(self, room: WorkerRoom, serving: str) -> float:
-        """Return how much the filling runs of a worker press on a serving image at full speed."""
-        millis = sum(
-            self.model.pressure(image, serving) * cpu for image, cpu in room.fill_millis.items()
-        )
-        return millis / max(1, room.capacity.cpu_millis)
+    def _best_elsewhere(self, task: StepTask, rooms: Sequence[WorkerRoom]) -> WorkerRoom | None:
+        return self._best(task, [room for room in rooms if room.worker_id != task.worker_id], 0)
 
     def _best(
         self, task: StepTask, rooms: Sequence[WorkerRoom], waited_ms: int
@@ -323,16 +311,15 @@
             if (is_abrupt or gain < MIN_GAIN) and waited_ms < GAIN_PATIENCE_MS:
                 return None
             score -= ABRUPT_PENALTY * is_abrupt
-            left = room.fill_free_millis - sum(room.fill_millis.values())
-            return score + left / 100_000 + GAIN_WEIGHT * gain
+            return score + room.unused_millis / 100_000 + GAIN_WEIGHT * gain
         if spec.lasting:
             # Services fill one worker after the other, those of one image together, and leave the
             # other workers to batch work, which disturbs most services.
             others = len(room.serving) - (spec.image in room.serving)
             score += OPEN_WEIGHT * bool(room.serving) - SPLIT_WEIGHT * others
-            score -= PRESS_WEIGHT * self._press(room, spec.image)
+            score -= PRESS_WEIGHT * self.model.press(room.fill_shares(), spec.image)
             return score + SAME_WEIGHT * (spec.image in room.serving) - room.free.cpu_millis / 1e5
-        return score + (room.fill_free_millis - sum(room.fill_millis.values())) / 100_000
+        return score + room.unused_millis / 100_000
 
 
 def _ms(duration: timedelta) -> int:
--- a/packages/core/src/mulberryslip/headrooms.py
+++ b/packages/core/src/mulberryslip/headrooms.py
@@ -133,7 +133,7 @@
         self._shares = {
             image: share for image, share in shown.items() if image in used or share >= MIN_CHANGE
         }
-        return dict(self._shares)
+        return self._shares
 
 
 @attrs.define
@@ -191,20 +191,19 @@
             return given
         return self._pairs.get((filling, serving), _Estimate()).careful()
 
-    def known(
-        self, filling: Collection[str] | None = None, serving: Collection[str] | None = None
-    ) -> list[Pressure]:
-        """Return the pairs of which enough is known.
+    def press(self, shares: Mapping[str, float], serving: str) -> float:
+        """Return how far filling runs take the headroom of a serving image down.
 
-        :param filling: only these filling images; None for all.
-        :param serving: only these serving images; None for all.
+        :param shares: what they use of the worker's processors, by image.
         """
+        return sum(self.pressure(filling, serving) * share for filling, share in shares.items())
+
+    def known(self, filling: Collection[str], serving: Collection[str]) -> list[Pressure]:
+        """Return the pairs of some filling and serving images of which enough is known."""
         return [
             Pressure(*pair, round(estimate.careful(), 2))
             for pair, estimate in self._pairs.items()
-            if estimate.variance < KNOWN_VARIANCE
-            and (filling is None or pair[0] in filling)
-            and (serving is None or pair[1] in serving)
+            if estimate.variance < KNOWN_VARIANCE and pair[0] in filling and pair[1] in serving
         ]
 
     def estimates(self) -> list[PressureEstimate]:
--- a/packages/core/src/mulberryslip/paces.py
+++ b/packages/core/src/mulberryslip/paces.py
@@ -29,6 +29,7 @@
 FULL_PERCENT = 100
 UNKNOWN_PERCENT = -1
 """Pace of a run that an earlier process may have set, or whose last call had no answer."""
+
 KEPT_HEADROOM = 1.25
 """Headroom that filling runs leave to a service. Its own load takes up to 0.4 of headroom in a
 second, and a change of pace is decided and shows in the tail within about 0.6 s."""
@@ -113,7 +114,7 @@
         """
         if not profile.fills:
             return FULL_PERCENT
-        demand = Demand(profile.image, profile.cpu_millis / max(1, cpu_millis))
+        demand = _demand(profile, cpu_millis)
         (share,), _ = allot([demand], self._left, self._model)
         percent = _rounded(share, demand.share)
         self._set[profile.task, run] = percent
@@ -151,10 +152,7 @@
         """Return run, image and the percent at which it may work, the most urgent runs first."""
         used = used_shares(fills, cpu_millis)
         shares = self._shown.update(used, self._now_ms * timedelta(milliseconds=1))
-        demands = [
-            Demand(fill.profile.image, fill.profile.cpu_millis / max(1, cpu_millis))
-            for fill in fills
-        ]
+        demands = [_demand(fill.profile, cpu_millis) for fill in fills]
         budgets = [(n.profile.image, self._budget(n, shares)) for n in serving]
         allowed, self._left = allot(demands, budgets, self._model)
         return [
@@ -164,10 +162,7 @@
 
     def _budget(self, neighbour: Neighbour, shares: Mapping[str, float]) -> float:
         """Return how far filling runs may take the headroom of a serving run down in sum."""
-        pressing = sum(
-            self._model.pressure(filling, neighbour.profile.image) * share
-            for filling, share in shares.items()
-        )
+        pressing = self._model.press(shares, neighbour.profile.image)
         budget = neighbour.headroom + pressing - KEPT_HEADROOM
         if neighbour.headroom <= 1:
             return min(budget, OVER_FACTOR * pressing)
@@ -194,6 +189,11 @@
         return changes
 
 
+def _demand(profile: RunProfile, cpu_millis: int) -> Demand:
+    """Return what a run could use of a worker with some processors."""
+    return Demand(profile.image, profile.cpu_millis / max(1, cpu_millis))
+
+
 def _rounded(share: float, wanted: float) -> int:
     """Return a share as a percentage of the wanted one; 0 for one that is not worth a call."""
     percent = int(FULL_PERCENT * share / wanted) if wanted > 0 else FULL_PERCENT
--- a/packages/core/src/mulberryslip/rooms.py
+++ b/packages/core/src/mulberryslip/rooms.py
@@ -18,7 +18,6 @@
     :param fill_free_millis: processors that other than filling runs are not expected to use.
     :param steps: held runs by step, as `workflow/step`.
     :param serving: serving runs by image.
-    :param filling: filling runs by image.
     :param starting: runs that were assigned in this round or have not been seen at work yet.
     :param fill_millis: processors that filling runs can use, by image, in thousandths of a core.
     :param headrooms: usual headroom of the serving runs without filling ones, by image.
@@ -37,13 +36,25 @@
     fill_free_millis: int
     steps: Counter = attrs.field(factory=Counter)
     serving: Counter = attrs.field(factory=Counter)
-    filling: Counter = attrs.field(factory=Counter)
     starting: int = 0
     fill_millis: Counter = attrs.field(factory=Counter)
     headrooms: dict[str, float] = attrs.field(factory=dict)
     lows: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
 
+    @property
+    def unused_millis(self) -> int:
+        """Return the processors that no run is expected to use; filling runs may ask for more."""
+        return self.fill_free_millis - sum(self.fill_millis.values())
+
+    def share(self, cpu_millis: int) -> float:
+        """Return processors as a share of the worker's."""
+        return cpu_millis / max(1, self.capacity.cpu_millis)
+
+    def fill_shares(self) -> dict[str, float]:
+        """Return the shares of the worker's processors that filling runs can use, by image."""
+        return {image: self.share(millis) for image, millis in self.fill_millis.items()}
+
     def take(self, task: StepTask) -> None:
         """Account for one more run."""
         spec = task.spec
@@ -54,7 +65,6 @@
         if spec.target_ms:
             self.serving[spec.image] += 1
         elif spec.fills:
-            self.filling[spec.image] += 1
             self.fill_millis[spec.image] += spec.cpu_millis
         self.starting += 1
 
--- a/packages/core/src/mulberryslip/soundness.py
+++ b/packages/core/src/mulberryslip/soundness.py
@@ -49,7 +49,6 @@
 
 @attrs.define
 class _Track:
-    worker_id: str
     step: str
     percent: int
     moved_at: timedelta
@@ -75,7 +74,7 @@
 
     def __init__(self) -> None:
         self._trust: dict[str, _Trust] = defaultdict(_Trust)
-        self._tracks: dict[tuple[str, int], _Track] = {}
+        self._tracks: dict[str, dict[tuple[str, int], _Track]] = {}
 
     def ended(self, worker_id: str, is_done: bool, now: timedelta) -> bool:
         """Take in the end of a run, done or failed.
@@ -96,31 +95,23 @@
 
     def observe(self, worker_id: str, rows: Iterable[Progress], now: timedelta) -> None:
         """Take in the progress of a worker's runs; the list is complete."""
-        listed = set()
+        before = self._tracks.get(worker_id, {})
+        tracks = {}
         for row in rows:
             key = (row.task, row.run)
-            listed.add(key)
-            track = self._tracks.get(key)
+            track = before.get(key)
             if track is None:
-                self._tracks[key] = _Track(worker_id, row.step, row.percent, now, now)
-                continue
-            self._follow(track, row.percent, now)
-        gone = [
-            key
-            for key, track in self._tracks.items()
-            if track.worker_id == worker_id and key not in listed
-        ]
-        for key in gone:
-            del self._tracks[key]
+                track = _Track(row.step, row.percent, now, now)
+            else:
+                self._follow(track, row.percent, now)
+            tracks[key] = track
+        self._tracks[worker_id] = tracks
         self._compare(worker_id, now)
 
     def stalled(self, worker_id: str, now: timedelta) -> list[tuple[str, int]]:
         """Return the runs of a worker that stand still, by task and run."""
-        return [
-            key
-            for key, track in self._tracks.items()
-            if track.worker_id == worker_id and now - track.moved_at >= STALLED_AFTER
-        ]
+        tracks = self._tracks.get(worker_id, {})
+        return [key for key, track in tracks.items() if now - track.moved_at >= STALLED_AFTER]
 
     def is_slow(self, worker_id: str, now: timedelta) -> bool:
         """Return whether a worker is much slower than the others."""
@@ -154,22 +145,27 @@
         track.seen_at = now
 
     def _compare(self, worker_id: str, now: timedelta) -> None:
-        by_step: dict[str, list[_Track]] = defaultdict(list)
-        for track in self._tracks.values():
-            if track.speed is not None:
-                by_step[track.step].append(track)
+        own = self._speeds([worker_id])
+        others = self._speeds(name for name in self._tracks if name != worker_id) if own else {}
         trust = self._trust[worker_id]
-        for tracks in by_step.values():
-            own = [track.speed for track in tracks if track.worker_id == worker_id]
-            others = [track.speed for track in tracks if track.worker_id != worker_id]
-            if not own or len(others) < 2:
+        for step, speeds in own.items():
+            if len(others.get(step, ())) < 2:
                 continue
-            usual = statistics.median(others)
+            usual = statistics.median(others[step])
             if usual <= 0:
                 continue
-            ratio = min(2.0, statistics.median(own) / usual)
+            ratio = min(2.0, statistics.median(speeds) / usual)
             trust.speed = 0.7 * trust.speed + 0.3 * ratio
             trust.samples += 1
             trust.compared_at = now
         if self.stalled(worker_id, now):
             trust.stalled_at = now
+
+    def _speeds(self, worker_ids: Iterable[str]) -> dict[str, list[float]]:
+        """Return the known speeds of the runs of some workers, by step."""
+        speeds: dict[str, list[float]] = defaultdict(list)
+        for worker_id in worker_ids:
+            for track in self._tracks[worker_id].values():
+                if track.speed is not None:
+                    speeds[track.step].append(track.speed)
+        return speeds
--- a/packages/core/src/mulberryslip/transports.py
+++ b/packages/core/src/mulberryslip/transports.py
@@ -1,15 +1,17 @@
 """HTTP connections to the platform: pools, deadlines and answers that were read whole."""
 
+import json
 import threading
 from collections.abc import Mapping
 from datetime import timedelta
+from typing import Any
 from urllib.parse import quote
 
 import attrs
 import urllib3
 
 from .clocks import Clock, SystemClock
-from .exceptions import StoreError
+from .exceptions import InvalidMessageError, StoreError
 
 _CHUNK_BYTES = 64 * 1024
 
@@ -34,6 +36,19 @@
     headers: Mapping[str, str]
     body: bytes
 
+    def to_object(self) -> dict[str, Any]:
+        """Return the JSON object of the body.
+
+        :raises InvalidMessageError: the body is something else.
+        """
+        try:
+            document = json.loads(self.body)
+        except (ValueError, RecursionError) as exc:
+            raise InvalidMessageError(f"the answer is not JSON: {exc}") from exc
+        if not isinstance(document, dict):
+            raise InvalidMessageError(f"the answer is no object: {self.body[:200]!r}")
+        return document
+
 
 class HTTPTransport:
     """Calls to one HTTP server of the platform.
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -219,21 +219,17 @@
             self._is_sure = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
             return owner is not None and self._report(owner, worker, None, unreachable=True)
-        except RunnerFencedError as exc:
-            self._is_sure = False
-            log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
-            self._grant = Grant(epoch=grant.epoch)
-            return False
         except RunnerError as exc:
             self._is_sure = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
+            if isinstance(exc, RunnerFencedError):
+                self._grant = Grant(epoch=grant.epoch)
             return False
-        if listing.incarnation != worker.incarnation:
+        self._is_sure = listing.incarnation == worker.incarnation
+        if not self._is_sure:
             # The worker has started anew and will announce itself.
-            self._is_sure = False
             self._grant = Grant(epoch=grant.epoch)
             return False
-        self._is_sure = True
         self._adjust_pace(worker, listing)
         return owner is not None and self._report(owner, worker, listing)
 
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -16,7 +16,7 @@
 from mulberryslip import settings
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock, SystemClock
-from mulberryslip.dispatches import Dispatcher, RunTimes
+from mulberryslip.dispatches import Dispatcher, estimated_run_time
 from mulberryslip.evacuations import Evacuations
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import MulberryslipError, SettingsError
@@ -420,7 +420,7 @@
         parts.directory,
         parts.source,
         lambda: Session(parts.store, times.store_lease, clock),
-        Dispatcher(RunTimes().expected, PressureModel()),
+        Dispatcher(estimated_run_time, PressureModel()),
         identity,
         parts.metrics,
         clock,
--- a/packages/daemon/src/mulberryslipd/rounds.py
+++ b/packages/daemon/src/mulberryslipd/rounds.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
+import attrs
 from mulberryslip.clocks import Clock
 from mulberryslip.dispatches import Dispatcher, Placed
 from mulberryslip.events import Event, log
@@ -92,6 +93,21 @@
         """Follow the changes."""
 
 
+@attrs.define
+class _Timer:
+    """Tells when something that is done from time to time is due."""
+
+    interval: timedelta
+    next_at: timedelta
+
+    def is_due(self, now: timedelta) -> bool:
+        """Return whether it is due; it is done then, and due again after the interval."""
+        if now < self.next_at:
+            return False
+        self.next_at = now + self.interval
+        return True
+
+
 class Rounds:
     """Decisions of the owner of a pool.
 
@@ -107,8 +123,12 @@
         self._times = times
         self._clock = clock
         self._soundness = Soundness()
-        self._next_expiry = self._next_moves = self._next_save = clock.monotonic()
-        self._next_learning = self._next_fills = clock.monotonic()
+        now = clock.monotonic()
+        self._expiry = _Timer(EXPIRY_INTERVAL, now)
+        self._saves = _Timer(SAVE_INTERVAL, now)
+        self._learning = _Timer(LEARN_INTERVAL, now)
+        self._fills = _Timer(FILL_INTERVAL, now)
+        self._moves = _Timer(MOVE_INTERVAL, now)
 
     def begin(self, tenure: PoolTenure) -> None:
         """Take over what earlier owners have learned."""
@@ -135,7 +155,7 @@
         events: list[Any] = []
         ended = {(row.task, row.run): ended_of(row) for row in report.ended}
         refused = {(row.task, row.run): row.reason for row in report.refused if row.certain}
-        running = {(row.task, row.run): row for row in report.running}
+        running = {(row.task, row.run) for row in report.running}
         for task in tenure.pool.held(member.worker_id):
             name = (task.name, task.run)
             if name in ended:
@@ -237,9 +257,8 @@
     def expired(self, tenure: PoolTenure) -> list[Any]:
         """Forget workers that are gone; return the event that drops workflows of long ago."""
         now = self._clock.monotonic()
-        if now < self._next_expiry:
+        if not self._expiry.is_due(now):
             return []
-        self._next_expiry = now + EXPIRY_INTERVAL
         holders = set(tenure.pool.holders())
         for worker_id, member in list(tenure.members.items()):
             if now - member.received_at > FORGET_AFTER and worker_id not in holders:
@@ -254,10 +273,8 @@
         Without them, work goes back to its beginning when the owner and the worker are lost at
         the same time.
         """
-        now = self._clock.monotonic()
-        if now < self._next_save:
+        if not self._saves.is_due(self._clock.monotonic()):
             return []
-        self._next_save = now + SAVE_INTERVAL
         return [
             RunSaved(name, row.run, row.checkpoint)
             for member in tenure.members.values()
@@ -270,10 +287,8 @@
 
     def learned(self, tenure: PoolTenure) -> list[Any]:
         """Return what was learned of images, from time to time, for the next owner."""
-        now = self._clock.monotonic()
-        if now < self._next_learning:
+        if not self._learning.is_due(self._clock.monotonic()):
             return []
-        self._next_learning = now + LEARN_INTERVAL
         learned = [
             PressureLearned(
                 known.filling,
@@ -299,13 +314,10 @@
             return []
         if not tenure.is_live():
             return []
-        now = self._clock.monotonic()
-        if now < self._next_fills:
+        if not self._fills.is_due(self._clock.monotonic()):
             waiting = [task for task in waiting if not task.spec.fills]
             if not waiting:
                 return []
-        else:
-            self._next_fills = now + FILL_INTERVAL
         rooms = self._rooms(tenure, config)
         return self._dispatcher.choose(waiting, rooms, self._now_ms()) if rooms else []
 
@@ -313,9 +325,8 @@
         """Order stops for runs that are better off on another worker."""
         now = self._clock.monotonic()
         config = self._source.config()
-        if now < self._next_moves or config is None or not tenure.is_live():
+        if config is None or not tenure.is_live() or not self._moves.is_due(now):
             return
-        self._next_moves = now + MOVE_INTERVAL
         filling = [
             (task, row.gauge / max(1, task.spec.cpu_millis))
             for member in tenure.members.values()
@@ -326,7 +337,6 @@
             and now - member.listed_since[name, row.run] >= MOVE_AFTER
             and loses_little(task, row)
         ]
-        filling.sort(key=lambda item: (self._dispatcher.due_ms(item[0].workflow), item[0].name))
         stalled = [
             task
             for member in tenure.members.values()
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -7,7 +7,7 @@
 import attrs
 from mulberryslip import ManualClock, Resources
 from mulberryslip.channels import Address
-from mulberryslip.dispatches import Dispatcher, RunTimes
+from mulberryslip.dispatches import Dispatcher, estimated_run_time
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError, StoreError
 from mulberryslip.headrooms import PressureModel
 from mulberryslip.metrics import Metrics
@@ -375,7 +375,7 @@
             directory,
             source,
             make_session,
-            Dispatcher(RunTimes().expected, PressureModel()),
+            Dispatcher(estimated_run_time, PressureModel()),
             Identity(worker.id, incarnation, address.host, address.port),
             Metrics(),
             self.clock,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -273,8 +273,12 @@
     def _read(self, http, rng):
         with self.lock:
             sent = rng.choice(list(self.sent.values()))
+        self._observe(http, sent, rng.choice(self.entries))
+
+    def _observe(self, http, sent, entry):
+        """Read the state of a workflow and check it."""
         was_accepted = sent.is_accepted
-        status, document = self._request(http, "GET", rng.choice(self.entries), sent.name)
+        status, document = self._request(http, "GET", entry, sent.name)
         if status == 410 and was_accepted:
             self._say(f"BROKEN {sent.name} was accepted and is said not to exist")
         if status == 200:
@@ -315,9 +319,12 @@
             self._say(f"end {text}")
         healers.clear()
 
-    def _some(self, kind=""):
-        names = [name for name in self.processes if name.startswith(kind)]
-        return self.processes[self.rng.choice(names)]
+    def _some(self):
+        return self.processes[self.rng.choice(list(self.processes))]
+
+    def _some_link(self):
+        name = self.rng.choice(list(self.proxies))
+        return name, self.proxies[name]
 
     def _settle(self):
         deadline = time.monotonic() + SETTLE_S
@@ -325,11 +332,7 @@
         open_ones = [sent for sent in self.sent.values() if sent.is_accepted]
         while open_ones and time.monotonic() < deadline:
             for sent in open_ones:
-                status, document = self._request(http, "GET", self.entries[0], sent.name)
-                if status == 410:
-                    self._say(f"BROKEN {sent.name} was accepted and is said not to exist")
-                if status == 200:
-                    self._note_shown(sent, document["State"])
+                self._observe(http, sent, self.entries[0])
             open_ones = [s for s in open_ones if s.shown not in ("completed", "cancelled")]
             time.sleep(0.3)
 
@@ -386,35 +389,35 @@
 
 
 def cut(soak):
-    name = soak.rng.choice(list(soak.proxies))
-    soak.proxies[name].cut()
-    return soak.proxies[name].restore, f"cut {name}"
+    name, link = soak._some_link()
+    link.cut()
+    return link.restore, f"cut {name}"
 
 
 def reset(soak):
-    name = soak.rng.choice(list(soak.proxies))
-    soak.proxies[name].drop()
+    name, link = soak._some_link()
+    link.drop()
     return lambda: None, f"reset {name}"
 
 
 def silence(soak):
-    name = soak.rng.choice(list(soak.proxies))
+    name, link = soak._some_link()
     direction = soak.rng.choice(list(Direction))
-    soak.proxies[name].silence(direction)
-    return soak.proxies[name].restore, f"silence {name} {direction.value}"
+    link.silence(direction)
+    return link.restore, f"silence {name} {direction.value}"
 
 
 def silence_open(soak):
-    name = soak.rng.choice(list(soak.proxies))
-    soak.proxies[name].silence_open()
-    return soak.proxies[name].drop, f"silence open connections {name}"
+    name, link = soak._some_link()
+    link.silence_open()
+    return link.drop, f"silence open connections {name}"
 
 
 def delay(soak):
-    name = soak.rng.choice(list(soak.proxies))
+    name, link = soak._some_link()
     held = timedelta(milliseconds=soak.rng.randint(50, 400))
-    soak.proxies[name].delay(held, held)
-    return soak.proxies[name].restore, f"delay {name} by {held}"
+    link.delay(held, held)
+    return link.restore, f"delay {name} by {held}"
 
 
 def lose_history(soak):
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -5,7 +5,7 @@
 
 import attrs
 import pytest
-from mulberryslip.dispatches import GAIN_PATIENCE_MS, Dispatcher, RunTimes
+from mulberryslip.dispatches import GAIN_PATIENCE_MS, Dispatcher, estimated_run_time
 from mulberryslip.headrooms import Pressure, PressureModel
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
@@ -27,7 +27,7 @@
 def dispatcher(pairs=()):
     model = PressureModel()
     model.give(Pressure(*pair, HEAVY) for pair in pairs)
-    return Dispatcher(RunTimes().expected, model)
+    return Dispatcher(estimated_run_time, model)
 
 
 def rooms(pool, count=3):
@@ -136,7 +136,7 @@
     model.give([Pressure("x", "p", 8.0)])
     (view,) = rooms(pool, 1)
     view.lows["p"] = 3.0
-    placed = Dispatcher(RunTimes().expected, model).choose(pool.ready(), [view], 0)
+    placed = Dispatcher(estimated_run_time, model).choose(pool.ready(), [view], 0)
     assert len(placed) == 2
 
 
@@ -182,7 +182,7 @@
     for view, headroom in zip(views, (1.5, 3.0), strict=True):
         view.serving["p"] = 1
         view.headrooms["p"] = headroom
-    (placed,) = Dispatcher(RunTimes().expected, model).choose(pool.ready(), views, 0)
+    (placed,) = Dispatcher(estimated_run_time, model).choose(pool.ready(), views, 0)
     assert placed.room.worker_id == "w1"
 
 
