Wait for leases that a previous owner grants after its key was revoked

Cause: when the store deletes the owner key before the store lease expires, the previous owner does not notice until its own lease has run out (3 s) and grants leases to workers until then. The new owner counted a silent worker's lease from its own claim, so it gave up runs up to 3 s early and started them a second time.

Before: the new test fails with 'a/0/0/0 runs on w0 and w1'. After: it passes; 69 tests of pools and agents pass. Conclusion: rule 'no task in two places' held by luck of timing here; a worker lost together with its owner is noticed 3 s later.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -32,7 +32,8 @@
 
     :param incarnation: current incarnation; later ones sort after earlier ones as text.
     :param clock_ms: the worker's clock when it last listed its runs.
-    :param received_at: when that listing arrived, on the owner's clock.
+    :param received_at: when that listing arrived, on the owner's clock; before the first listing,
+        until when the previous owner may have extended the worker's lease.
     :param running: the worker's active runs by task.
     :param first_listed_at: when each active run was listed first, by task and run.
     :param reconciled_through: number of the last run end that was reconciled.
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -63,6 +63,7 @@
     :param journal: receives the events of this term.
     :param session: store lease that the owner key is bound to.
     :param claim: the owner key.
+    :param times: lease times of workers and of the owner.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         session: Session,
         claim: OwnerClaim,
         clock: Clock,
+        times: PoolLeaseTimes,
     ):
         self.epoch = epoch
         self.pool = pool
@@ -80,7 +82,9 @@
         self.session = session
         self.claim = claim
         self.lock = threading.Lock()
-        self.claimed_at = clock.monotonic()
+        # The store may delete the owner key before the store lease expires. The previous owner
+        # then grants leases to workers until it notices, at the latest when its lease expires.
+        self.previous_owner_granted_until = clock.monotonic() + times.store_lease
         self.members: dict[str, Member] = {}
         self.inbox: deque[QueuedCall] = deque()
         self.wake = threading.Event()
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -118,8 +118,7 @@
         with term.lock:
             member = term.members.get(req.worker.worker_id)
             if member is None:
-                # An earlier owner may have extended the worker's lease up to this owner's claim.
-                member = Member(req.worker.worker_id, received_at=term.claimed_at)
+                member = Member(req.worker.worker_id, received_at=term.previous_owner_granted_until)
                 term.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, self._clock.monotonic())
@@ -303,7 +302,7 @@
             claim.release()
             session.stop()
             raise
-        term = PoolTerm(claim.version, pool, journal, session, claim, self._clock)
+        term = PoolTerm(claim.version, pool, journal, session, claim, self._clock, self._times)
         self._scheduler.restore_interference(term)
         self._term = term
         self._directory.update(KnownOwner(self._address(), claim.version))
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -228,7 +228,9 @@
         events: list[Any] = []
         for worker_id in term.pool.workers_with_runs():
             member = term.members.get(worker_id)
-            last_report_at = term.claimed_at if member is None else member.received_at
+            last_report_at = (
+                term.previous_owner_granted_until if member is None else member.received_at
+            )
             worker_tasks = term.pool.active_tasks(worker_id)
             if now - last_report_at > self._times.max_silence:
                 reason = f"no report from the worker for {now - last_report_at}"
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -160,6 +160,32 @@
     assert world.history.violations == []
 
 
+def test_new_owner_waits_for_leases_that_the_previous_owner_still_grants(world):
+    """Guards against a second run while the first has a lease from an owner whose key was revoked.
+
+    The store deletes the key at once. The previous owner cannot reach the store, so it grants
+    leases until its own store lease has expired.
+    """
+    for worker in world.workers:
+        worker.run_ms = lambda name: 60_000
+    world.submit("a")
+    world.run(3)
+    holder = next(worker for worker in world.workers if worker.runs)
+    previous = world.owner()
+    world.renew_sessions()
+    world.store.revoke_lease(world.sessions["w0"][-1].session_id)
+    world.frozen.update(("w0", holder.id))
+    agent, directory = world.agents[holder.id]
+    known = directory.owner()
+    world.elect(next(w for w in world.workers if w.id not in world.frozen))
+    while previous.is_owner():
+        agent.renew_and_report(known)
+        world.round()
+    world.run(50)
+    assert world.history.violations == []
+    assert world.history.starts == 2
+
+
 def test_worker_without_listing_keeps_its_tasks(world):
     """Guards against losing tasks at a takeover, before their worker has listed its runs.
 
