Reject unsuitable workers for best-effort tasks before dividing headroom

Change: an upper bound of the throughput decides first; no division where no service runs; plain dicts in the copies of a round. Equal decisions, but for the order of poor workers once a task has waited 10 s (the bound replaces the exact gain there).

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -1,6 +1,5 @@
 """Capacity accounting for one worker, as done by the owner of the pool."""
 
-from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -37,10 +36,10 @@
     capacity: Resources
     free: Resources
     best_effort_available_millis: int
-    steps: Counter = attrs.field(factory=Counter)
-    latency_critical_runs: Counter = attrs.field(factory=Counter)
+    steps: dict[str, int] = attrs.field(factory=dict)
+    latency_critical_runs: dict[str, int] = attrs.field(factory=dict)
     pending_starts: int = 0
-    best_effort_millis: Counter = attrs.field(factory=Counter)
+    best_effort_millis: dict[str, int] = attrs.field(factory=dict)
     baseline_headrooms: dict[str, float] = attrs.field(factory=dict)
     lowest_headrooms: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
@@ -53,6 +52,11 @@
         """
         return self.best_effort_available_millis - sum(self.best_effort_millis.values())
 
+    @property
+    def best_effort_available_share(self) -> float:
+        """Return the share of the processors that best-effort runs can use, at least 0."""
+        return self.cpu_share(max(0, self.best_effort_available_millis))
+
     def cpu_share(self, cpu_millis: int) -> float:
         """Convert thousandths of a core to a share of the worker's processors."""
         return cpu_millis / max(1, self.capacity.cpu_millis)
@@ -85,11 +89,11 @@
         self.free -= spec.demand
         if not spec.fills:
             self.best_effort_available_millis -= expected_cpu_millis(task)
-        self.steps[step_key(task)] += 1
+        _add(self.steps, step_key(task), 1)
         if spec.target_ms:
-            self.latency_critical_runs[spec.image] += 1
+            _add(self.latency_critical_runs, spec.image, 1)
         elif spec.fills:
-            self.best_effort_millis[spec.image] += spec.cpu_millis
+            _add(self.best_effort_millis, spec.image, spec.cpu_millis)
         self.pending_starts += 1
 
     def admits(self, task: StepTask) -> bool:
@@ -101,7 +105,12 @@
             return False
         if spec.required_label and spec.required_label not in self.labels:
             return False
-        return not spec.max_per_worker or self.steps[step_key(task)] < spec.max_per_worker
+        return not spec.max_per_worker or self.steps.get(step_key(task), 0) < spec.max_per_worker
+
+
+def _add(amounts: dict[str, int], key: str, amount: int) -> None:
+    # A `Counter` takes several times as long to copy, which each round does for each worker.
+    amounts[key] = amounts.get(key, 0) + amount
 
 
 LONG_RUNNING_UTILIZATION = 0.5
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -271,12 +271,18 @@
 
     def _compute_marginal_throughput(self, task: StepTask, worker: WorkerCapacity) -> float:
         share = worker.cpu_share(task.spec.cpu_millis)
+        if not share:
+            return 1.0
         wanted = worker.best_effort_shares()
         before = self._throughputs.get(worker.worker_id)
         if before is None:
             before = self._throughputs[worker.worker_id] = self._throughput(worker, wanted)
+        upper_bound = (worker.best_effort_available_share - before) / share
+        if upper_bound < MIN_MARGINAL_THROUGHPUT:
+            # On a full fleet this holds for most workers and spares the division of headroom.
+            return max(0.0, upper_bound)
         wanted[task.spec.image] = wanted.get(task.spec.image, 0.0) + share
-        return (self._throughput(worker, wanted) - before) / share if share else 1.0
+        return (self._throughput(worker, wanted) - before) / share
 
     def _reserve(self, task: StepTask, worker: WorkerCapacity) -> None:
         """Reserve capacity on a worker for a run that is to start there."""
@@ -298,10 +304,12 @@
             (image, worker.baseline_headrooms.get(image, DEFAULT_HEADROOM) - RESERVED_HEADROOM)
             for image in worker.latency_critical_runs
         ]
+        if not budgets:
+            return min(worker.best_effort_available_share, sum(wanted.values()))
         images = sorted(wanted, key=lambda image: max_budget_fraction(image, budgets, self.model))
         demands = [Demand(image, wanted[image]) for image in images]
         shares, _ = allocate_headroom(demands, budgets, self.model)
-        return min(worker.cpu_share(max(0, worker.best_effort_available_millis)), sum(shares))
+        return min(worker.best_effort_available_share, sum(shares))
 
     def _deduct_interference(self, task: StepTask, worker: WorkerCapacity) -> None:
         """Deduct the interference of a run that starts now, until its duty cycle is adjusted."""
@@ -349,11 +357,12 @@
         if spec.rack and spec.rack not in worker.labels:
             score -= 2.0
         if spec.fills:
+            needs_good_worker = not _is_long_wait(wait_ms)
             violates_objective = self._would_violate_objective(task, worker)
+            if violates_objective and needs_good_worker:
+                return None
             throughput_gain = self.marginal_throughput(task, worker)
-            if (
-                violates_objective or throughput_gain < MIN_MARGINAL_THROUGHPUT
-            ) and not _is_long_wait(wait_ms):
+            if throughput_gain < MIN_MARGINAL_THROUGHPUT and needs_good_worker:
                 return None
             score -= OBJECTIVE_VIOLATION_PENALTY * violates_objective
             return score + worker.unused_millis / 100_000 + THROUGHPUT_WEIGHT * throughput_gain
