--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -14,6 +14,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
 from mulberryslip.headrooms import ColocatedRun, ImageInterference, InterferenceModel
+from mulberryslip.intervals import ReportInterval
 from mulberryslip.runners import (
     RunListing,
     Runner,
@@ -33,10 +34,11 @@
 from .workers import resources_to_wire
 
 REPORT_INTERVAL = timedelta(milliseconds=700)
-"""Time between reports while no run ends. A lease of 6 s outlasts several lost reports."""
+"""Time between listings, and so shortest time between reports, while no run ends. A lease of 6 s
+outlasts several lost reports."""
 
 COLOCATED_REPORT_INTERVAL = timedelta(milliseconds=400)
-"""Time between reports while best-effort and latency-critical runs share the worker.
+"""The same while best-effort and latency-critical runs share the worker.
 
 Shorter than `REPORT_INTERVAL`, since interference can arise at any time.
 """
@@ -139,6 +141,9 @@
         self._duty_cycles_lock = threading.Lock()
         self._profiles: dict[str, RunProfile] = {}
         self._starting_tasks: set[str] = set()
+        self._report_interval = ReportInterval()
+        self._reported_at: timedelta | None = None
+        self._reported_leaving = False
 
     # Calls from the worker
 
@@ -202,9 +207,9 @@
                 self._clock.wait(stop, RETRY_PAUSE)
 
     def renew_and_report(self, owner: KnownOwner | None) -> bool:
-        """Renew the lease, list the runs and report them to the owner.
+        """Renew the lease, list the runs and report them to the owner if a report is due.
 
-        :returns: whether the owner accepted the report.
+        :returns: whether the owner accepted the report, or no report was due.
         """
         worker = self._announcement
         grant = self._grant
@@ -221,7 +226,7 @@
                 grant.fence,
                 grant.lease_until_ms if is_confirmed else 0,
                 grant.ended_through if is_confirmed else 0,
-                COLOCATED_REPORT_INTERVAL if self._is_colocated() else REPORT_INTERVAL,
+                self._listing_interval(),
             )
         except RunnerExitedError as exc:
             self._is_incarnation_confirmed = False
@@ -239,7 +244,24 @@
             self._grant = Grant(epoch=grant.epoch)
             return False
         self._adjust_duty_cycles(worker, listing)
-        return owner is not None and self._report(owner, worker, listing)
+        if owner is None:
+            return False
+        return not self._is_report_due(owner, worker, listing) or self._report(
+            owner, worker, listing
+        )
+
+    def _is_report_due(
+        self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing
+    ) -> bool:
+        """Return whether a listing says something new or the last report is old enough."""
+        if listing.ended or self._pending_refusals or self._reported_at is None:
+            return True
+        if owner.epoch != self._grant.epoch or worker.leaving != self._reported_leaving:
+            return True
+        return self._clock.monotonic() - self._reported_at >= self._report_interval.interval()
+
+    def _listing_interval(self) -> timedelta:
+        return COLOCATED_REPORT_INTERVAL if self._is_colocated() else REPORT_INTERVAL
 
     def _is_colocated(self) -> bool:
         with self._lock:
@@ -303,17 +325,24 @@
         with self._lock:
             refused, self._pending_refusals = self._pending_refusals, []
         req = self._report_request(worker, listing, refused, unreachable)
+        self._reported_at = self._clock.monotonic()
         try:
             reply = self._channels.call(owner.address, "report", req, REPORT_TIMEOUT)
         except WireError as exc:
+            self._reported_at = None
             log(Event.CONNECTION_DROPPED, peer=str(owner.address), reason=f"report: {exc}")
             self._directory.report_failure(owner.epoch)
             with self._lock:
                 self._pending_refusals = refused + self._pending_refusals
             return False
         if reply.outcome != Outcome.OK:
+            self._reported_at = None
             self._directory.report_failure(owner.epoch)
             return False
+        self._reported_leaving = worker.leaving
+        if not req.ended:
+            # The reply to a report with ended runs waits for the commit.
+            self._report_interval.observe(self._clock.monotonic() - self._reported_at)
         self._update_grant(worker, reply)
         return True
 
