Survive malformed messages and unexpected errors in the pool's owner and agents

Announcements, listings, store responses and configurations of other writers could raise errors that nobody caught (infinite numbers, wrong types, lone surrogates). Tests: tests/test_robustness.py, with input generated by hypothesis.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -59,6 +59,9 @@
 """Minimum increase in speed, as a share of full speed, for which a best-effort run is moved; a
 move costs the run a stop and a start."""
 
+MAX_ESTIMATE_MS = 31 * 24 * 3600 * 1000
+"""Longest run time that is assumed for a task, whatever its caller estimates."""
+
 DEFAULT_ESTIMATE_MS = 2000
 """Run time assumed for a task without an estimate from its caller and without a measurement."""
 
@@ -118,7 +121,9 @@
 
 def estimated_run_time(task: StepTask) -> timedelta:
     """Return the run time that the caller estimated for a task, or the default."""
-    return timedelta(milliseconds=task.spec.estimate_ms or DEFAULT_ESTIMATE_MS)
+    return timedelta(
+        milliseconds=min(task.spec.estimate_ms or DEFAULT_ESTIMATE_MS, MAX_ESTIMATE_MS)
+    )
 
 
 class Dispatcher:
@@ -239,7 +244,7 @@
     def objective(self, workflow: Workflow) -> timedelta:
         """Return the time within which a workflow should complete after it was accepted."""
         critical_path = self.critical_path(workflow, include_done=True)
-        return critical_path * workflow.queue.stretch_permille // 1000 + workflow.queue.slack
+        return workflow.queue.stretched(critical_path) + workflow.queue.slack
 
     def due_ms(self, workflow: Workflow) -> int:
         """Return the deadline of a workflow, in milliseconds since 1970."""
--- a/packages/core/src/mulberryslip/queues.py
+++ b/packages/core/src/mulberryslip/queues.py
@@ -8,6 +8,11 @@
 from . import records
 from .transitions import MAX_ID_CHARS
 
+MAX_SLACK_MS = 366 * 24 * 3600 * 1000
+MAX_STRETCH_PERMILLE = 1_000_000
+"""Limits beyond which larger values of `Queue` make no difference. Without them, times computed
+from a queue's parameters would exceed the range of `timedelta`."""
+
 
 @attrs.frozen
 class Queue:
@@ -38,7 +43,11 @@
     @property
     def slack(self) -> timedelta:
         """Return the fixed part of the objective for a workflow's duration."""
-        return timedelta(milliseconds=self.slack_ms)
+        return timedelta(milliseconds=min(self.slack_ms, MAX_SLACK_MS))
+
+    def stretched(self, duration: timedelta) -> timedelta:
+        """Return a duration multiplied by the queue's stretch."""
+        return duration * min(self.stretch_permille, MAX_STRETCH_PERMILLE) // 1000
 
 
 @attrs.frozen
--- a/packages/core/src/mulberryslip/records.py
+++ b/packages/core/src/mulberryslip/records.py
@@ -86,6 +86,18 @@
     return encoded
 
 
+def check(record: Any) -> None:
+    """Check that a record can be decoded again.
+
+    :raises InvalidMessageError: when a field is invalid.
+    """
+    for field in _record_fields(type(record)).values():
+        value = getattr(record, field.name)
+        if not field.metadata["is_valid"](value):
+            name = type(record).__name__
+            raise InvalidMessageError(f"{name}.{field.name}: {_abbreviated(value)} is not allowed")
+
+
 def decode(kind: type[_T], raw: object) -> _T:
     """Decode a record from its JSON form.
 
--- a/packages/core/src/mulberryslip/steps.py
+++ b/packages/core/src/mulberryslip/steps.py
@@ -15,6 +15,13 @@
 MAX_STEP_TASKS = 4096
 MAX_NAME_CHARS = 256
 
+MAX_CHECKPOINT_CHARS = 4096
+"""Longest checkpoint of a task that the journal holds."""
+
+MAX_AMOUNT = 2**31 - 1
+"""Largest amount of a resource, and largest latency objective in milliseconds, that messages to
+agents can hold."""
+
 
 @attrs.frozen
 class StepSpec:
@@ -146,4 +153,8 @@
             return "gangs are not supported"
         if self.occurrences:
             return "set times are not supported"
+        for number, step in enumerate(self.steps):
+            for name in ("cpu_millis", "memory_mb", "accelerators", "target_ms"):
+                if getattr(step, name) > MAX_AMOUNT:
+                    return f"step {number}: {name} over {MAX_AMOUNT} is not supported"
         return ""
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -18,7 +18,7 @@
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
-from .steps import MAX_NAME_CHARS, StepSpec, WorkflowSpec
+from .steps import MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec, WorkflowSpec
 
 MAX_SPEC_CHARS = 700_000
 """Keeps an accepted workflow within the 900 KB that a journal record may have."""
@@ -102,7 +102,7 @@
     run: int = records.number("r")
     outcome: str = records.choice("o", _OUTCOME_NAMES)
     at_ms: int = records.number("at")
-    checkpoint: str = records.text("c", MAX_NAME_CHARS, "")
+    checkpoint: str = records.text("c", MAX_CHECKPOINT_CHARS, "")
 
 
 @attrs.frozen
@@ -111,7 +111,7 @@
 
     task: str = records.text("t", MAX_NAME_CHARS)
     run: int = records.number("r")
-    checkpoint: str = records.text("c", MAX_NAME_CHARS)
+    checkpoint: str = records.text("c", MAX_CHECKPOINT_CHARS)
 
 
 @attrs.frozen
--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -17,6 +17,7 @@
 
 WATCH_TIMEOUT = timedelta(seconds=10)
 RETRY_BASE = timedelta(milliseconds=100)
+MAX_PORT = 65535
 MIN_READ_INTERVAL = timedelta(milliseconds=200)
 """Minimum time between reads of the owner key while the known owner does not reply."""
 
@@ -97,7 +98,10 @@
             try:
                 revision = self._watch_once(revision)
                 outage.record_success()
-            except StoreError as exc:
+            except Exception as exc:
+                # Without this thread the process would never hear of another owner.
+                if not isinstance(exc, StoreError):
+                    log(Event.INTERNAL_ERROR, what="watch owner", reason=repr(exc))
                 outage.record_failure(exc)
                 revision = 0
                 self._clock.wait(stop, backoff(outage.failures, self._rng, RETRY_BASE))
@@ -118,6 +122,8 @@
                 self.refresh()
             except StoreError as exc:
                 log(Event.STORE_UNAVAILABLE, call="read owner", reason=str(exc))
+            except Exception as exc:
+                log(Event.INTERNAL_ERROR, what="read owner", reason=repr(exc))
             self._clock.wait(stop, MIN_READ_INTERVAL)
 
     def _watch_once(self, revision: int) -> int:
@@ -138,7 +144,9 @@
         try:
             record = json.loads(stored.value)
             address = Address(str(record["host"]), int(record["port"]))
-        except (ValueError, KeyError, TypeError) as exc:
+            if not 0 < address.port <= MAX_PORT:
+                raise ValueError(f"port {address.port}")
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
             log(Event.MESSAGE_INVALID, what=self._key, reason=repr(exc))
             return
         self.update(KnownOwner(address, stored.version))
--- a/packages/daemon/src/mulberryslipd/intents.py
+++ b/packages/daemon/src/mulberryslipd/intents.py
@@ -87,7 +87,10 @@
             try:
                 self._apply_changes(self._confirm_interval)
                 outage.record_success()
-            except StoreError as exc:
+            except Exception as exc:
+                # Without this thread the configuration would never change again.
+                if not isinstance(exc, StoreError):
+                    log(Event.INTERNAL_ERROR, what="watch pool config", reason=repr(exc))
                 outage.record_failure(exc)
                 self._clock.wait(stop, backoff(outage.failures, self._rng, RETRY_BASE))
 
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -6,8 +6,11 @@
 
 import attrs
 from mulberryslip.capacities import WorkerCapacity
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import InvalidMessageError
 from mulberryslip.models import Resources
 from mulberryslip.runners import EndedRun, EndKind, RunningRun
+from mulberryslip.steps import MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS
 from mulberryslip.wire import ttypes as wire
 
 from .workers import resources_from_wire
@@ -131,11 +134,43 @@
         self.stop_reasons.clear()
 
 
+def check_report(report: wire.WorkerReport) -> None:
+    """Check the values of a report before anything is derived from them.
+
+    :raises InvalidMessageError: when a value is out of its range.
+    """
+    worker = report.worker
+    for name in ("worker_id", "incarnation", "machine"):
+        if len(getattr(worker, name)) > MAX_NAME_CHARS:
+            raise InvalidMessageError(f"{name} of more than {MAX_NAME_CHARS} characters")
+    capacity = worker.capacity
+    numbers = [report.clock_ms, worker.remaining_ms, capacity.cpu_millis, capacity.memory_mb]
+    numbers += [number for row in report.running for number in (row.run, row.progress_percent)]
+    numbers += [number for row in report.ended for number in (row.number, row.run)]
+    numbers += [row.gauge for row in report.running]
+    if min(numbers) < 0:
+        raise InvalidMessageError("a number is negative")
+    unknown = [row.kind for row in report.ended if row.kind not in _END_KINDS]
+    if unknown:
+        raise InvalidMessageError(f"a run ended in an unknown way: {unknown[0]}")
+
+
 def running_of(row: wire.RunStatus) -> RunningRun:
     """Convert the wire form of an active run."""
-    return RunningRun(row.task, row.run, row.checkpoint, row.progress_percent, row.gauge)
+    checkpoint = _storable_checkpoint(row)
+    return RunningRun(row.task, row.run, checkpoint, row.progress_percent, row.gauge)
 
 
 def ended_of(row: wire.RunEnd) -> EndedRun:
     """Convert the wire form of an ended run."""
-    return EndedRun(row.number, row.task, row.run, _END_KINDS[row.kind], row.checkpoint)
+    checkpoint = _storable_checkpoint(row)
+    return EndedRun(row.number, row.task, row.run, _END_KINDS[row.kind], checkpoint)
+
+
+def _storable_checkpoint(row: wire.RunStatus | wire.RunEnd) -> str:
+    """Return a run's checkpoint; empty when the journal cannot hold it."""
+    if len(row.checkpoint) <= MAX_CHECKPOINT_CHARS:
+        return row.checkpoint
+    reason = f"a checkpoint of {len(row.checkpoint)} characters is not kept"
+    log(Event.MESSAGE_INVALID, what=row.task, reason=reason)
+    return ""
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -44,11 +44,13 @@
     """A call that waits for the decision thread.
 
     :param decide: returns the call's events; the decision thread calls it with the lock held.
+    :param size: size of the request, in bytes.
     :param done: set once the outcome is known.
     :param is_dequeued: whether a round has removed it from the inbox.
     """
 
     decide: Callable[[], list[Any]]
+    size: int = 0
     done: threading.Event = attrs.field(factory=threading.Event)
     is_dequeued: bool = False
     outcome: int = Outcome.OUTCOME_UNKNOWN
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from typing import Any
 
+from mulberryslip import records
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
 from mulberryslip.dispatches import Dispatcher
@@ -38,7 +39,7 @@
 
 from .claims import OwnerClaim
 from .directories import KnownOwner, PoolOwnerDirectory
-from .members import Member
+from .members import Member, check_report
 from .ownerships import PoolLeaseTimes, PoolTerm, QueuedCall
 from .schedulers import ConfigSource, PoolScheduler
 from .sessions import Session
@@ -55,6 +56,11 @@
 
 CLAIM_PAUSE = timedelta(milliseconds=500)
 COMMIT_TIMEOUT = timedelta(seconds=2)
+
+MAX_ROUND_BYTES = 256 * 1024
+"""Size of the requests that one round handles. Their events fit into one journal record of 900 KB,
+also when their text takes up to three times the space there."""
+
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
@@ -115,6 +121,11 @@
         term = self._live_term()
         if term is None:
             return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
+        try:
+            check_report(req)
+        except InvalidMessageError as exc:
+            log(Event.MESSAGE_INVALID, what=f"report of {req.agent}", reason=str(exc))
+            return wire.WorkerReportReply(Outcome.INVALID, 0, 0, 0, 0, [], [])
         with term.lock:
             member = term.members.get(req.worker.worker_id)
             if member is None:
@@ -187,7 +198,7 @@
                 return []
             return [accepted_event(req.workflow_id, queue, spec, self._now_ms())]
 
-        reply = self._decide_and_commit(term, decide, "queued")
+        reply = self._decide_and_commit(term, QueuedCall(decide, len(req.body)), "queued")
         self._metrics.count(f"submissions_{Outcome._VALUES_TO_NAMES[reply.outcome].lower()}")
         if reply.outcome == Outcome.OK:
             log(
@@ -230,7 +241,7 @@
                 return []
             return [WorkflowCancelled(req.workflow_id, self._now_ms())]
 
-        reply = self._decide_and_commit(term, decide, "cancelled")
+        reply = self._decide_and_commit(term, QueuedCall(decide), "cancelled")
         if reply.outcome == Outcome.OK:
             log(
                 Event.WORKFLOW_CANCELLED,
@@ -371,18 +382,19 @@
         """
         term = self._term
         with term.lock:
-            queued_calls = list(term.inbox)
-            term.inbox.clear()
+            queued_calls = self._take_calls(term)
             events: list[Any] = []
             for queued in queued_calls:
-                queued.is_dequeued = True
-                events += self._apply(term, queued.decide())
-            events += self._apply(term, self._scheduler.lost_runs(term))
-            events += self._apply(term, self._scheduler.expire(term))
-            events += self._apply(term, self._scheduler.new_checkpoints(term))
-            events += self._apply(term, self._scheduler.learned_interference(term))
-            placed = self._scheduler.place(term)
-            self._scheduler.move_runs(term)
+                events += self._apply(term, self._decide(queued))
+            for part in (
+                self._scheduler.lost_runs,
+                self._scheduler.expire,
+                self._scheduler.new_checkpoints,
+                self._scheduler.learned_interference,
+            ):
+                events += self._apply(term, self._run_part(part, term))
+            placed = self._run_part(self._scheduler.place, term)
+            self._run_part(self._scheduler.move_runs, term)
             events += self._apply(
                 term, [self._scheduler.assignment(term, placement) for placement in placed]
             )
@@ -400,12 +412,46 @@
             self._scheduler.queue_start_commands(term, placed)
             self._scheduler.queue_stop_commands(term)
         for queued in queued_calls:
-            queued.outcome = Outcome.OK
+            if queued.outcome == Outcome.OUTCOME_UNKNOWN:
+                queued.outcome = Outcome.OK
             queued.done.set()
 
+    def _take_calls(self, term: PoolTerm) -> list[QueuedCall]:
+        """Remove the calls from the inbox that this round handles."""
+        taken: list[QueuedCall] = []
+        size = 0
+        while term.inbox and (not taken or size + term.inbox[0].size <= MAX_ROUND_BYTES):
+            queued = term.inbox.popleft()
+            queued.is_dequeued = True
+            size += queued.size
+            taken.append(queued)
+        if term.inbox:
+            term.wake.set()
+        return taken
+
+    def _decide(self, queued: QueuedCall) -> list[Any]:
+        """Return the events of a call; reject the call if it cannot be decided."""
+        try:
+            return queued.decide()
+        except Exception as exc:
+            # One call that cannot be decided must not end the ownership: its caller would repeat
+            # it to each next owner.
+            log(Event.INTERNAL_ERROR, what="decide", reason=repr(exc))
+            queued.outcome, queued.reason = Outcome.NOT_RUN, "internal error"
+            return []
+
+    def _run_part(self, part: Callable[[PoolTerm], list[Any] | None], term: PoolTerm) -> list[Any]:
+        """Return the result of a part of a round; if it fails, the round continues without it."""
+        try:
+            return part(term) or []
+        except Exception as exc:
+            # The error would repeat under each next owner, and renewals of leases must continue.
+            log(Event.INTERNAL_ERROR, what=part.__name__, reason=repr(exc))
+            return []
+
     def _apply(self, term: PoolTerm, events: list[Any]) -> list[Any]:
         """Apply events to the state and return those that changed it."""
-        return [event for event in events if term.pool.apply(event)]
+        return [event for event in events if _is_storable(event) and term.pool.apply(event)]
 
     def _commit(self, term: PoolTerm, events: list[Any]) -> None:
         """Append events to the journal, retrying until the outcome is known.
@@ -516,10 +562,9 @@
         ]
 
     def _decide_and_commit(
-        self, term: PoolTerm, decide: Callable[[], list[Any]], shown: str
+        self, term: PoolTerm, queued: QueuedCall, shown: str
     ) -> wire.WorkflowReply:
         """Queue a call for the decision thread and wait until its events are committed."""
-        queued = QueuedCall(decide)
         with term.lock:
             term.inbox.append(queued)
         term.wake.set()
@@ -543,6 +588,16 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
+def _is_storable(event: Any) -> bool:
+    """Return whether the next owner could read an event from the journal."""
+    try:
+        records.check(event)
+    except InvalidMessageError as exc:
+        log(Event.MESSAGE_INVALID, what="journal event", reason=str(exc))
+        return False
+    return True
+
+
 def _recover(journal: Journal) -> Pool:
     recovery = journal.open()
     pool = Pool() if recovery.state is None else Pool.from_snapshot(recovery.state)
--- /dev/null
+++ b/tests/test_robustness.py
@@ -0,0 +1,412 @@
+"""Tests that no malformed message and no unexpected error stops a process or one of its threads."""
+
+import io
+import json
+import random
+import threading
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock, records
+from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
+from mulberryslip.outcomes import Committed, Conflict, Unknown
+from mulberryslip.queues import PoolConfig, Queue
+from mulberryslip.runners import RunListing, RunnerError
+from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, StepSpec
+from mulberryslip.stores import Listing, StoredValue
+from mulberryslip.transports import HTTPResponse
+from mulberryslip.wire import ttypes as wire
+from mulberryslip.wire.ttypes import Outcome
+from mulberryslip.workflows import RunAssigned
+from mulberryslip_platform.documents import decode_config
+from mulberryslip_platform.stores import PlatformStore
+from mulberryslip_platform.workers import PlatformRunner, announcements_application
+from mulberryslipd.directories import PoolOwnerDirectory
+from mulberryslipd.intents import PoolConfigSource
+from mulberryslipd.pools import MAX_ROUND_BYTES
+from pool_doubles import MS, PoolWorld
+
+TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+
+# `json` writes and reads infinity, which the JSON text 1e999 also becomes.
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=8,
+)
+
+BEAT = {
+    "Service": "ledger",
+    "Address": "10.0.0.9:8080",
+    "Zone": "east",
+    "State": "ready",
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
+    "Labels": ["a", "r1"],
+    "Seq": 4,
+    "born": 17,
+    "Machine": "m1",
+    "RemainingMs": 5,
+}
+LISTING = {"ClockMs": 5, "born": 17, "Running": [], "Ended": []}
+ITEM = {"Key": "a", "Value": "eA==", "Rev": 3, "Created": 2, "Lease": 0}
+ROUTE = {
+    "Name": "r-1",
+    "Host": "a.example",
+    "Prefix": "/a/",
+    "Service": "ledger",
+    "Priority": 1,
+    "Attempts": 2,
+    "Stretch": 1.5,
+    "SloMs": 300,
+}
+
+
+def with_other_value(document):
+    """Return a strategy for a document in which one field has any JSON value."""
+    return st.tuples(st.sampled_from(sorted(document)), JSON).map(
+        lambda change: {**document, change[0]: change[1]}
+    )
+
+
+def encoded(document):
+    """Return the JSON text of a document as bytes."""
+    return json.dumps(document).encode()
+
+
+class FixedTransport:
+    """A transport whose server returns one body to every call."""
+
+    def __init__(self, body):
+        self._body = body
+
+    def send(self, *args, **kwargs):
+        return HTTPResponse(200, {}, self._body)
+
+
+# Malformed input at the boundary to the platform
+
+
+@settings(max_examples=150)
+@given(
+    st.binary(max_size=20) | (with_other_value(BEAT) | JSON).map(lambda d: json.dumps(d).encode())
+)
+def test_any_announcement_gets_a_response(body):
+    """Guards against an announcement of another writer that ends the thread that reads it."""
+    taken, statuses = [], []
+    application = announcements_application(taken.append, taken.append)
+    environ = {
+        "REQUEST_METHOD": "PUT",
+        "PATH_INFO": "/-/instances/w0",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    application(environ, lambda status, head: statuses.append(status))
+    assert statuses == [["400 Bad Request"], ["200 OK"]][len(taken)]
+
+
+@pytest.mark.parametrize("length", ["x", "-1", str(2**40)])
+def test_announcement_of_unusable_length_is_refused(length):
+    """Guards against an announcement that fills the memory, or that is never answered."""
+    statuses = []
+    application = announcements_application(None, None)
+    environ = {
+        "REQUEST_METHOD": "PUT",
+        "PATH_INFO": "/-/instances/w0",
+        "CONTENT_LENGTH": length,
+        "wsgi.input": io.BytesIO(b"{}"),
+    }
+    application(environ, lambda status, head: statuses.append(status))
+    assert statuses == ["400 Bad Request"]
+
+
+def test_announcement_under_an_overlong_id_is_refused():
+    """Guards against a worker id that no journal record can hold."""
+    statuses = []
+    body = json.dumps(BEAT).encode()
+    environ = {
+        "REQUEST_METHOD": "PUT",
+        "PATH_INFO": "/-/instances/" + "w" * 300,
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    announcements_application(None, None)(environ, lambda status, head: statuses.append(status))
+    assert statuses == ["400 Bad Request"]
+
+
+ROWS = st.lists(st.lists(JSON, max_size=6) | JSON, max_size=2)
+
+
+@settings(max_examples=150)
+@given(
+    with_other_value(LISTING)
+    | st.tuples(st.sampled_from(["Running", "Ended"]), ROWS).map(
+        lambda rows: {**LISTING, rows[0]: rows[1]}
+    )
+)
+def test_any_listing_is_decoded_or_a_runner_error(document):
+    """Guards against a worker's response that ends the thread that renews its lease."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    runner._transport = FixedTransport(json.dumps(document).encode())
+    try:
+        listing = runner.extend_lease("w0", 1, 0, 0, 0 * MS)
+    except RunnerError:
+        return
+    assert isinstance(listing, RunListing)
+
+
+@settings(max_examples=150)
+@given(
+    st.sampled_from(["items", "events"]),
+    st.lists(with_other_value(ITEM) | JSON, max_size=2) | JSON,
+    st.just(4) | JSON,
+)
+def test_any_store_response_is_decoded_or_a_store_error(name, rows, as_of):
+    """Guards against a store response that ends the thread that watches the store."""
+    store = PlatformStore("http://127.0.0.1:9")
+    body = json.dumps({name: rows, "AsOf": as_of, "Rev": as_of, **ITEM}).encode()
+    store._transport = FixedTransport(body)
+    for read in (lambda: store.list("a"), lambda: store.watch("a", 1, MS)):
+        try:
+            values = read().values
+        except StoreError:
+            continue
+        for value in values:
+            assert (type(value.key), type(value.value), type(value.version)) == (str, bytes, int)
+    assert isinstance(store.put("a", b"x", 0), Committed | Conflict | Unknown)
+
+
+@settings(max_examples=150)
+@given(
+    JSON
+    | with_other_value({"Version": 7, "Routes": [ROUTE]})
+    | with_other_value(ROUTE).map(lambda route: {"Version": 7, "Routes": [route]})
+)
+def test_any_configuration_is_decoded_or_a_config_error(document):
+    """Guards against a configuration that ends its thread, or that no journal record can hold."""
+    stored = StoredValue("op/config", json.dumps(document).encode(), 1)
+    try:
+        config = decode_config({"op/config": stored})
+    except ConfigError:
+        return
+    for queue in config.queues.values():
+        assert records.decode(Queue, records.encode(queue)) == queue
+
+
+@pytest.mark.parametrize("value", ['{"host": "x", "port": 1e999}', '{"host": "x", "port": -1}'])
+def test_owner_key_of_another_writer_is_ignored(value):
+    """Guards against an owner key that ends the thread that watches it."""
+    world = PoolWorld(workers=1)
+    world.store.put("pools/0/owner", value.encode(), 0)
+    agent, directory = world.agents["w0"]
+    directory.refresh()
+    assert directory.owner() is None
+
+
+# Unexpected errors in threads
+
+
+class FailingStore:
+    """A store whose first calls fail in a way that its callers do not expect.
+
+    :param stop: set once a later call has returned.
+    """
+
+    def __init__(self, stop, failures=3):
+        self._stop = stop
+        self._failures = failures
+
+    def _call(self, *args):
+        if self._failures:
+            self._failures -= 1
+            raise AttributeError("unexpected")
+        self._stop.set()
+        return Listing((), 1)
+
+    list = watch = _call
+
+
+def make_directory(store):
+    return PoolOwnerDirectory(store, "k", ManualClock(), random.Random(1))
+
+
+def make_source(store):
+    return PoolConfigSource(
+        store, "op/", lambda documents: PoolConfig(), ManualClock(), random.Random(1)
+    )
+
+
+@pytest.mark.parametrize("make", [make_directory, make_source])
+def test_watching_thread_survives_unexpected_errors(make):
+    """Guards against a process that never again hears of a new owner or configuration."""
+    stop = threading.Event()
+    make(FailingStore(stop)).run(stop)
+    assert stop.is_set()
+
+
+# Malformed messages to the owner of the pool
+
+
+@pytest.fixture
+def world():
+    world = PoolWorld()
+    world.elect()
+    world.run(3)
+    return world
+
+
+def report_of(world, **changes):
+    """Return the report of the first worker, with some fields changed."""
+    agent, _ = world.agents["w0"]
+    listing = world.workers[0].extend_lease("w0", agent._grant.fence, 0, 0, 0 * MS)
+    req = agent._report_request(agent._announcement, listing, [], False)
+    for name, value in changes.items():
+        setattr(req, name, value)
+    return req
+
+
+def assert_serves(world, workflow_id="z"):
+    """Check that a task still runs to its end under the same owner."""
+    epoch = world.owner()._term.epoch
+    assert world.submit(workflow_id).outcome == Outcome.OK
+    world.run(12)
+    assert world.shown(workflow_id) == "completed"
+    assert world.owner()._term.epoch == epoch
+    assert world.history.violations == []
+
+
+END = wire.RunEnd(1, "a/0/0/0", 1, wire.EndKind.DONE, "")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"ended": [wire.RunEnd(1, "a/0/0/0", 1, 99, "")]},
+        {"ended": [wire.RunEnd(-1, "a/0/0/0", 1, wire.EndKind.DONE, "")]},
+        {"ended": [END, wire.RunEnd(2, "", -5, wire.EndKind.DONE, "")]},
+        {"running": [wire.RunStatus("a/0/0/0", -1, "", 900, -7)]},
+        {"clock_ms": -1},
+        {"worker": "w" * 300},
+    ],
+)
+def test_malformed_report_is_rejected_alone(world, changes):
+    """Guards against a report that ends the ownership, and then that of each successor."""
+    req = report_of(world)
+    worker_id = changes.pop("worker", None)
+    for name, value in changes.items():
+        setattr(req, name, value)
+    if worker_id:
+        req.worker.worker_id = worker_id
+    assert world.owner().report(req).outcome == Outcome.INVALID
+    world.step_owners()
+    assert_serves(world)
+
+
+def test_unexpected_error_in_one_call_does_not_end_the_ownership(world, monkeypatch):
+    """Guards against one call that the owner cannot decide and that ends its term."""
+    scheduler = world.owner()._scheduler
+    reconcile = scheduler.reconcile
+
+    def fail_once(*args):
+        monkeypatch.setattr(scheduler, "reconcile", reconcile)
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(scheduler, "reconcile", fail_once)
+    assert_serves(world)
+
+
+@pytest.mark.parametrize("part", ["lost_runs", "new_checkpoints", "learned_interference"])
+def test_unexpected_error_in_one_part_of_a_round_does_not_end_the_ownership(
+    world, monkeypatch, part
+):
+    """Guards against a decision that fails in every round and leaves the pool without an owner."""
+
+    def fail(*args):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(world.owner()._scheduler, part, fail)
+    assert_serves(world)
+
+
+@pytest.mark.parametrize(
+    ("step", "outcome"),
+    [
+        (attrs.evolve(TASK, estimate_ms=MAX_AMOUNT), Outcome.OK),
+        (attrs.evolve(TASK, estimate_ms=records.MAX_NUMBER), Outcome.OK),
+        (attrs.evolve(TASK, fills=True, cpu_millis=MAX_AMOUNT), Outcome.OK),
+        (attrs.evolve(TASK, fills=True, cpu_millis=MAX_AMOUNT + 1), Outcome.INVALID),
+        (attrs.evolve(TASK, lasting=True, target_ms=MAX_AMOUNT + 1), Outcome.INVALID),
+    ],
+)
+def test_extreme_amounts_do_not_end_the_ownership(world, step, outcome):
+    """Guards against an accepted workflow that no owner can schedule."""
+    assert world.submit("a", step).outcome == outcome
+    world.run(3)
+    assert_serves(world)
+
+
+def test_extreme_parameters_of_a_queue_do_not_end_the_ownership(world):
+    """Guards against a configuration with which no owner can schedule."""
+    extreme = Queue(
+        "extreme",
+        prefix="/x/",
+        service="ledger",
+        stretch_permille=records.MAX_NUMBER,
+        slack_ms=records.MAX_NUMBER,
+    )
+    for source in world.sources.values():
+        source.value = PoolConfig.from_queues(2, [*source.value.queues.values(), extreme])
+    world.submit("a", attrs.evolve(TASK, estimate_ms=60_000), queue="extreme")
+    world.run(3)
+    assert_serves(world)
+
+
+def test_overlong_checkpoint_does_not_damage_the_journal(world):
+    """Guards against a journal record that the next owner cannot read."""
+    step = attrs.evolve(TASK, checkpoints=True)
+    checkpoint = "c" * (MAX_CHECKPOINT_CHARS + 1)
+    world.workers[0]._checkpoint = world.workers[1]._checkpoint = lambda run: checkpoint
+    world.workers[2]._checkpoint = lambda run: checkpoint
+    for worker in world.workers:
+        worker.run_ms = lambda name: 3000
+    world.submit("a", step)
+    world.run(10)
+    world.owner().resign("test")
+    world.elect(world.workers[1])
+    world.run(20)
+    assert world.shown("a") == "completed"
+
+
+def test_large_submissions_are_divided_among_records(world):
+    """Guards against a record over the store's limit, which the owner would repeat for ever."""
+    rng = random.Random(1)
+    payload = "".join(chr(rng.randrange(0x4E00, 0x9FFF)) for _ in range(20_000))
+    owner = world.owner()
+    bodies = [
+        json.dumps({"payload": payload + str(number), "steps": [{"count": 1}]}).encode()
+        for number in range(20)
+    ]
+    assert sum(map(len, bodies)) > 4 * MAX_ROUND_BYTES
+    term = owner._term
+    outcomes = []
+
+    def submit(number):
+        header = wire.Header("r1", 1000, 1, "test", "t")
+        req = wire.WorkflowRequest(header, f"a{number}", "checks", bodies[number])
+        outcomes.append(owner.submit(req).outcome)
+
+    world.clock.on_wait = lambda: threading.Event().wait(0.005)
+    threads = [threading.Thread(target=submit, args=(number,)) for number in range(20)]
+    with term.lock:
+        for thread in threads:
+            thread.start()
+    while any(thread.is_alive() for thread in threads):
+        owner.step()
+    assert len(outcomes) == 20
+
+
+def test_event_that_no_record_can_hold_is_refused():
+    """Guards against a journal that no later owner can read."""
+    with pytest.raises(InvalidMessageError):
+        records.check(RunAssigned("a/0/0/0", 1, "w" * 300, "1@w0", "m0", 5))
