Count the start window from the time at which a placement is decided

Ruled out: grants by reports, which count from the listing; starts of an owner whose lease has ended, which are checked after the commit. Change: assignments count from a time taken before the candidates are chosen. Before: the new test fails for delays of 4 and 9 s (start by 12100 ms, latest 5100 ms). After: it passes; 59 tests of test_pools pass.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -393,10 +393,12 @@
                 self._scheduler.learned_interference,
             ):
                 events += self._apply(term, self._run_part(part, term))
+            decided_at = self._clock.monotonic()
             placed = self._run_part(self._scheduler.place, term)
             self._run_part(self._scheduler.move_runs, term)
             events += self._apply(
-                term, [self._scheduler.assignment(term, placement) for placement in placed]
+                term,
+                [self._scheduler.assignment(term, placement, decided_at) for placement in placed],
             )
         try:
             if events:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -445,12 +445,18 @@
             member.allocation_version = version
         return member.allocation
 
-    def assignment(self, term: PoolTerm, decision: PlacementDecision) -> RunAssigned:
-        """Return the event that assigns a run to its chosen worker."""
+    def assignment(
+        self, term: PoolTerm, decision: PlacementDecision, decided_at: timedelta
+    ) -> RunAssigned:
+        """Return the event that assigns a run to its chosen worker.
+
+        :param decided_at: time before the placement was decided, on this process's clock. The start
+            window begins then, so a round that was slow or paused does not extend it: a start also
+            renews the worker's lease, which must not outlast the lease that reports grant.
+        """
         task, candidate = decision.task, decision.worker
         member = term.members[candidate.worker_id]
-        clock_ms = member.clock_at(self._clock.monotonic())
-        start_by_ms = clock_ms + START_WINDOW // timedelta(milliseconds=1)
+        start_by_ms = member.clock_at(decided_at) + START_WINDOW // timedelta(milliseconds=1)
         return RunAssigned(
             task.name,
             task.run + 1,
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -12,8 +12,8 @@
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslipd.members import FENCES_PER_EPOCH
-from mulberryslipd.schedulers import is_cheap_to_stop
-from pool_doubles import CAPACITY, QUEUE, SECOND, PoolWorld
+from mulberryslipd.schedulers import MAX_REPORT_AGE, START_WINDOW, is_cheap_to_stop
+from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 
@@ -135,6 +135,30 @@
     assert (world.history.starts, world.history.violations) == (1, [])
 
 
+@pytest.mark.parametrize("delay_s", [1, 4, 9])
+def test_slow_round_does_not_extend_a_lease(world, monkeypatch, delay_s):
+    """Guards against starts that renew a lease after the owner has given up the worker's runs.
+
+    The owner is paused while it decides, or its round takes seconds on a large fleet.
+    """
+    dispatcher = world.owner()._dispatcher
+    schedule = dispatcher.schedule
+
+    def schedule_slowly(*args):
+        placed = schedule(*args)
+        for _ in range(delay_s):
+            world.clock.advance(SECOND)
+            world.renew_sessions()
+        return placed
+
+    monkeypatch.setattr(dispatcher, "schedule", schedule_slowly)
+    listed_ms = {name: member.clock_ms for name, member in world.owner()._term.members.items()}
+    world.submit("a")
+    task = world.owner()._term.pool.task("a/0/0/0")
+    latest_ms = listed_ms[task.worker_id] + (MAX_REPORT_AGE + START_WINDOW) // MS
+    assert task.start_by_ms <= latest_ms
+
+
 def test_lost_start_is_repeated(world):
     """Guards against a task that waits forever after its start command was lost."""
     lost = []
