Take the arrival of a report as its time, not the end of its wait for the lock

Cause: the owner noted the time of a report after it got the term's lock. Safe for leases: a grant counts from the listing, which is older than its arrival, so runs are not given up before it ends. Before: the new test fails (the clock is 2 s behind). After: it passes; 60 tests of test_pools pass.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -118,6 +118,8 @@
 
     def report(self, req: wire.WorkerReport) -> wire.WorkerReportReply:
         """Process a worker's report; if it lists ended runs, reply once these are committed."""
+        # Before waiting for the lock: the report's age decides how long its worker gets new runs.
+        received_at = self._clock.monotonic()
         term = self._live_term()
         if term is None:
             return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
@@ -132,7 +134,7 @@
                 member = Member(req.worker.worker_id, received_at=term.previous_owner_granted_until)
                 term.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
-            is_new = member.observe(req, self._clock.monotonic())
+            is_new = member.observe(req, received_at)
             queued = QueuedCall(
                 lambda: self._scheduler.reconcile(term, member, req) if is_new else []
             )
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -159,6 +159,35 @@
     assert task.start_by_ms <= latest_ms
 
 
+class SlowLock:
+    """A lock that other threads hold for some seconds before it can be taken."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def __enter__(self):
+        self._clock.advance(2 * SECOND)
+
+    def __exit__(self, *exc_info):
+        pass
+
+
+def test_age_of_a_report_includes_its_wait_for_the_lock(world):
+    """Guards against starts that reach their worker after their deadline.
+
+    An owner behind with its work would take a report for new that has waited for seconds.
+    """
+    term = world.owner()._term
+    agent, _ = world.agents["w0"]
+    listing = world.workers[0].extend_lease("w0", agent._grant.fence, 0, 0, SECOND)
+    req = agent._report_request(agent._announcement, listing, [], False)
+    term.lock, lock = SlowLock(world.clock), term.lock
+    world.owner().report(req)
+    term.lock = lock
+    member = term.members["w0"]
+    assert member.clock_at(world.clock.monotonic()) == world.workers[0].clock_ms()
+
+
 def test_lost_start_is_repeated(world):
     """Guards against a task that waits forever after its start command was lost."""
     lost = []
