Divide large fleets into pools with an owner each

Weighed: two levels (the workflow's owner asks owners of workers for capacity) keeps all capacity in reach of each workflow, but each start then depends on two processes; a layout in the store that follows the fleet needs workflows to move between journals. Fixed pools need neither: an agent derives its pool from its id and data centre, a gateway that of a workflow from its id. Agents are assigned by the number in their id, so a pool has its share of each data centre and rack. Replaces `pool.number`, which gateways could not choose. Not solved here: work does not move between pools; labels that only one pool has.

--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -12,6 +12,7 @@
 
 from .exceptions import SettingsError
 from .models import Resources
+from .partitions import MAX_POOLS, pool_count
 
 ROLES = ("entry", "worker", "gateway", "agent")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -23,13 +24,13 @@
 class Key:
     """One key of the settings file.
 
-    :param value_type: type of the TOML value.
+    :param value_type: type or types of the TOML value.
     :param allowed: description of the allowed values for error messages.
     :param check: predicate that tells whether a value of the right type is allowed.
     :param default: value when the key is absent, or `REQUIRED`.
     """
 
-    value_type: type
+    value_type: type | tuple[type, ...]
     allowed: str
     check: Any
     default: Any
@@ -42,6 +43,10 @@
     return Key(int, f"an integer from {low} to {high}", lambda v: low <= v <= high, default)
 
 
+def _number(low: float, high: float, default: Any = REQUIRED) -> Key:
+    return Key((int, float), f"a number from {low} to {high}", lambda v: low <= v <= high, default)
+
+
 def _name(default: Any = REQUIRED) -> Key:
     return Key(
         str,
@@ -136,6 +141,7 @@
     "url": _url(),
     "timeout_ms": _integer(50, 60_000, 1000),
     "lease_ttl_ms": _integer(300, 60_000, 3000),
+    "writes_per_s": _number(0, 1e9, 0),
 }
 CLUSTER_KEYS = {"shards": _integer(1, 1024, 4)}
 TIMING_KEYS = {
@@ -187,7 +193,7 @@
     "worker_url": _url(),
 }
 POOL_KEYS = {
-    "number": _integer(0, 1023, 0),
+    "count": _integer(0, MAX_POOLS, 0),
     "lease_ms": _integer(500, 600_000, 6000),
 }
 ADAPTER_KEYS = {"module": Key(str, "a Python module name", str.isidentifier, REQUIRED)}
@@ -219,7 +225,7 @@
     :param cluster: number of shards; must be equal on all processes.
     :param timing: intervals and leases in milliseconds; must be equal on all processes.
     :param role: keys of the role's own table, such as `[entry]` or `[worker]`.
-    :param pool: number and lease of the pool; empty for roles without one.
+    :param pool: number of pools and lease of workers; empty for roles without pools.
     :param adapter: module of the platform's adapter; empty for roles without one.
     """
 
@@ -250,6 +256,10 @@
         """Return the time to live of an entry's store lease."""
         return timedelta(milliseconds=self.store["lease_ttl_ms"])
 
+    def pools(self) -> int:
+        """Return the number of pools that the workers are divided into."""
+        return self.pool["count"] or pool_count(self.store["writes_per_s"])
+
     def capacity(self) -> Resources:
         """Return a worker's total capacity."""
         return Resources(
@@ -341,7 +351,7 @@
             return None
         return spec.default
     has_type = isinstance(value, spec.value_type) and not (
-        spec.value_type is int and isinstance(value, bool)
+        spec.value_type is not bool and isinstance(value, bool)
     )
     if not has_type or not spec.check(value):
         errors.append(f"{path} = {value!r}: must be {spec.allowed}")
--- a/packages/daemon/src/mulberryslipd/daemons.py
+++ b/packages/daemon/src/mulberryslipd/daemons.py
@@ -62,7 +62,7 @@
     """
 
     name: str
-    directory: PoolOwnerDirectory
+    directories: Sequence[PoolOwnerDirectory]
     source: PoolConfigSource
     channels: ChannelPool
     drain: Drain
@@ -77,7 +77,7 @@
         """Start all threads and servers."""
         loops = [
             ("pool-config", self.source.run),
-            ("owner-watch", self.directory.run),
+            *(("owner-watch", directory.run) for directory in self.directories),
         ]
         start_loops(loops, self._stop)
         for listener in (self.callers, self.health, self.metrics):
--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -22,6 +22,11 @@
 """Minimum time between reads of the owner key while the known owner does not reply."""
 
 
+def owner_key(pool: int) -> str:
+    """Return the store key that names the owner of a pool."""
+    return f"pools/{pool}/owner"
+
+
 @attrs.frozen
 class KnownOwner:
     """The owner of the pool.
--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -2,6 +2,7 @@
 
 import random
 import uuid
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -10,6 +11,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import NotSentError, StoreError, WireError
 from mulberryslip.metrics import Metrics
+from mulberryslip.partitions import partition_of
 from mulberryslip.queues import Queue
 from mulberryslip.retries import Deadline
 from mulberryslip.steps import WorkflowSpec
@@ -98,9 +100,9 @@
 
 
 class Gateway:
-    """Serves callers' requests about workflows by calling the owner of the pool.
+    """Serves callers' requests about workflows by calling the owner of their pool.
 
-    :param directory: tracks the owner of the pool.
+    :param directories: track the owners of the pools, by the number of the pool.
     :param channels: connections to agents.
     :param source: the operators' configuration.
     """
@@ -108,7 +110,7 @@
     def __init__(
         self,
         name: str,
-        directory: PoolOwnerDirectory,
+        directories: Sequence[PoolOwnerDirectory],
         channels: ChannelPool,
         source: PoolConfigSource,
         metrics: Metrics,
@@ -117,9 +119,9 @@
     ):
         self._name = name
         self._rng = rng
-        self._rejecting_since: timedelta | None = None
+        self._rejecting_since: dict[int, timedelta] = {}
         self._incarnation = uuid.uuid4().hex
-        self._directory = directory
+        self._directories = directories
         self._channels = channels
         self._source = source
         self._metrics = metrics
@@ -150,27 +152,41 @@
     ) -> GatewayOutcome:
         """Submit a workflow."""
         started = self._clock.monotonic()
+        pool = self._pool_of(workflow_id)
+        body = spec.to_json().encode()
         outcome = self._call(
-            "submit", queue, workflow_id, deadline, SUBMIT_OWNER_TIMEOUT, spec.to_json().encode()
+            "submit", pool, queue, workflow_id, deadline, SUBMIT_OWNER_TIMEOUT, body
         )
-        outcome = self._with_retry_after(outcome)
+        outcome = self._with_retry_after(outcome, pool)
         self._metrics.record("", "submit", queue.name, self._clock.monotonic() - started)
         self._metrics.count(f"submit_{type(outcome).__name__.lower()}")
         return outcome
 
     def status(self, queue: Queue, workflow_id: str, deadline: Deadline) -> GatewayOutcome:
         """Return the state of a workflow."""
-        return self._call("status", queue, workflow_id, deadline, READ_OWNER_TIMEOUT)
+        pool = self._pool_of(workflow_id)
+        return self._call("status", pool, queue, workflow_id, deadline, READ_OWNER_TIMEOUT)
 
     def cancel(self, queue: Queue, workflow_id: str, deadline: Deadline) -> GatewayOutcome:
         """Cancel a workflow."""
-        return self._call("cancel", queue, workflow_id, deadline, READ_OWNER_TIMEOUT)
+        pool = self._pool_of(workflow_id)
+        return self._call("cancel", pool, queue, workflow_id, deadline, READ_OWNER_TIMEOUT)
 
     def waiting(self, queue: Queue, deadline: Deadline) -> GatewayOutcome:
-        """Return how many workflows of a queue have not begun."""
-        return self._call("waiting", queue, "", deadline, READ_OWNER_TIMEOUT)
-
-    def _with_retry_after(self, outcome: GatewayOutcome) -> GatewayOutcome:
+        """Return how many workflows of a queue have not begun, in all pools."""
+        total = 0
+        for pool in range(len(self._directories)):
+            outcome = self._call("waiting", pool, queue, "", deadline, READ_OWNER_TIMEOUT)
+            if not isinstance(outcome, Shown):
+                # A sum without one of the pools would be too low.
+                return outcome
+            total += outcome.waiting
+        return replace(outcome, waiting=total)
+
+    def _pool_of(self, workflow_id: str) -> int:
+        return partition_of(workflow_id, len(self._directories))
+
+    def _with_retry_after(self, outcome: GatewayOutcome, pool: int) -> GatewayOutcome:
         """Set the retry time of a rejected call.
 
         An outage that has lasted for some time is likely to last as long again. Callers retry only
@@ -178,13 +194,11 @@
         """
         now = self._clock.monotonic()
         if not isinstance(outcome, Rejected):
-            self._rejecting_since = None
+            self._rejecting_since.pop(pool, None)
             return outcome
         if outcome.retry_after is None:
             return outcome
-        if self._rejecting_since is None:
-            self._rejecting_since = now
-        age = now - self._rejecting_since
+        age = now - self._rejecting_since.setdefault(pool, now)
         wait = max(outcome.retry_after, min(age, MAX_RETRY_AFTER))
         jitter = 1 + RETRY_AFTER_JITTER * self._rng.random() if age > outcome.retry_after else 1.0
         return replace(outcome, retry_after=wait * jitter)
@@ -192,13 +206,14 @@
     def _call(
         self,
         method: str,
+        pool: int,
         queue: Queue,
         workflow_id: str,
         deadline: Deadline,
         owner_timeout: timedelta,
         body: bytes = b"",
     ) -> GatewayOutcome:
-        """Call the owner, or its successor if it changes, until there is a definite reply.
+        """Call a pool's owner, or its successor if it changes, until there is a definite reply.
 
         A call that may have been executed is repeated until its outcome is known. All calls are
         safe to repeat, and neither a rejection nor giving up early would be a correct response.
@@ -206,14 +221,15 @@
         :param owner_timeout: maximum wait for an owner while the call is certainly not executed.
         """
         request_id = uuid.uuid4().hex
+        directory = self._directories[pool]
         response_deadline = Deadline(
             self._clock, max(timedelta(), deadline.remaining() - FINAL_RESPONSE_MARGIN)
         )
         owner_deadline = Deadline(self._clock, response_deadline.cap(owner_timeout))
         unknown_reason = ""
-        reason = "the pool has no owner"
+        reason = f"pool {pool} has no owner"
         while not response_deadline.expired():
-            owner = self._directory.wait_for_owner(owner_deadline.remaining())
+            owner = directory.wait_for_owner(owner_deadline.remaining())
             if owner is not None:
                 try:
                     timeout = response_deadline.cap(CALL_TIMEOUT)
@@ -234,7 +250,7 @@
                 except WireError as exc:
                     reason = unknown_reason = str(exc)
                     owner_deadline = response_deadline
-                self._directory.report_failure(owner.epoch)
+                directory.report_failure(owner.epoch)
             if owner_deadline.expired():
                 break
             self._clock.sleep(owner_deadline.cap(RETRY_PAUSE))
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -26,6 +26,7 @@
 from mulberryslip.journals import Journal
 from mulberryslip.logs import LogWriter
 from mulberryslip.metrics import Metrics
+from mulberryslip.partitions import pool_of_agent
 from mulberryslip.placements import Placement
 from mulberryslip.quotas import Quotas
 from mulberryslip.runtimes import HTTPRuntime
@@ -37,7 +38,7 @@
 
 from .agents import Agent, PoolService
 from .daemons import AgentDaemon, GatewayDaemon, metrics_application
-from .directories import PoolOwnerDirectory
+from .directories import PoolOwnerDirectory, owner_key
 from .entries import EntryDaemon, EntryOptions
 from .gateways import Gateway
 from .intents import PoolConfigSource
@@ -327,7 +328,6 @@
 
     adapter: ModuleType
     store: Any
-    directory: PoolOwnerDirectory
     source: PoolConfigSource
     channels: ChannelPool
     metrics: Metrics
@@ -337,11 +337,9 @@
     """Construct the components that gateways and agents have in common."""
     adapter = importlib.import_module(cfg.adapter["module"])
     store = adapter.PlatformStore(cfg.store["url"], cfg.store_timeout(), clock)
-    key = f"pools/{cfg.pool['number']}/owner"
     return PoolParts(
         adapter=adapter,
         store=store,
-        directory=PoolOwnerDirectory(store, key, clock, random.Random()),
         source=PoolConfigSource(
             store, adapter.OPERATOR_PREFIX, adapter.decode_config, clock, random.Random()
         ),
@@ -350,13 +348,22 @@
     )
 
 
+def build_directory(parts: PoolParts, pool: int, clock: Clock) -> PoolOwnerDirectory:
+    """Construct the directory of a pool's owner.
+
+    :param pool: number of the pool.
+    """
+    return PoolOwnerDirectory(parts.store, owner_key(pool), clock, random.Random())
+
+
 def build_gateway(cfg: Settings, clock: Clock) -> GatewayDaemon:
     """Construct a gateway."""
     parts = build_pool_parts(cfg, clock)
     name = cfg.process["id"]
+    directories = [build_directory(parts, pool, clock) for pool in range(cfg.pools())]
     gateway = Gateway(
         name,
-        parts.directory,
+        directories,
         parts.channels,
         parts.source,
         parts.metrics,
@@ -368,7 +375,7 @@
     health = parts.adapter.health_application(gateway.is_ready, drain)
     return GatewayDaemon(
         name=name,
-        directory=parts.directory,
+        directories=directories,
         source=parts.source,
         channels=parts.channels,
         drain=drain,
@@ -384,12 +391,13 @@
     """Construct an agent and its pool owner, which stays inactive until it is elected."""
     parts = build_pool_parts(cfg, clock)
     name = cfg.process["id"]
+    pool = pool_of_agent(name, cfg.process["data_centre"], cfg.pools())
+    directory = build_directory(parts, pool, clock)
     address = Address.parse(cfg.role["wire"])
     runner = parts.adapter.PlatformRunner(cfg.role["worker_url"], clock)
-    agent = Agent(runner, parts.directory, parts.channels, address, name, clock)
-    owner = build_pool_owner(
-        cfg, parts, OwnerIdentity(name, uuid.uuid4().hex, *_host_and_port(address)), clock
-    )
+    agent = Agent(runner, directory, parts.channels, address, name, clock)
+    identity = OwnerIdentity(name, uuid.uuid4().hex, *_host_and_port(address))
+    owner = build_pool_owner(cfg, parts, pool, directory, identity, clock)
     server = Server(
         PoolWire.Processor(PoolService(owner)),
         address.host,
@@ -402,7 +410,7 @@
         name=name,
         agent=agent,
         owner=owner,
-        directory=parts.directory,
+        directory=directory,
         server=server,
         channels=parts.channels,
         announcements=_listener(cfg.role["announcements"], announcements, AUXILIARY_THREADS),
@@ -412,16 +420,25 @@
 
 
 def build_pool_owner(
-    cfg: Settings, parts: PoolParts, identity: OwnerIdentity, clock: Clock
+    cfg: Settings,
+    parts: PoolParts,
+    pool: int,
+    directory: PoolOwnerDirectory,
+    identity: OwnerIdentity,
+    clock: Clock,
 ) -> PoolOwner:
-    """Construct the owner of the pool."""
+    """Construct the owner of a pool.
+
+    :param pool: number of the pool.
+    :param directory: tracks the owner of this pool.
+    """
     times = PoolLeaseTimes(
         lease=timedelta(milliseconds=cfg.pool["lease_ms"]), store_lease=cfg.store_lease_ttl()
     )
     return PoolOwner(
-        cfg.pool["number"],
+        pool,
         parts.store,
-        parts.directory,
+        directory,
         parts.source,
         lambda: Session(parts.store, times.store_lease, clock),
         Dispatcher(estimated_run_time, InterferenceModel()),
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -38,7 +38,7 @@
 )
 
 from .claims import OwnerClaim
-from .directories import KnownOwner, PoolOwnerDirectory
+from .directories import KnownOwner, PoolOwnerDirectory, owner_key
 from .members import Member, check_report
 from .ownerships import PoolLeaseTimes, PoolTerm, QueuedCall
 from .schedulers import ConfigSource, PoolScheduler
@@ -96,7 +96,7 @@
         times: PoolLeaseTimes | None = None,
     ):
         self._number = number
-        self._key = f"pools/{number}/owner"
+        self._key = owner_key(number)
         self._store = store
         self._directory = directory
         self._source = source
--- a/packages/daemon/src/mulberryslipd/services.py
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -3,7 +3,6 @@
 import json
 import random
 import threading
-import zlib
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any, Protocol
@@ -16,6 +15,7 @@
 from mulberryslip.exceptions import NotSentError, StoreError, WireError
 from mulberryslip.fleets import Fleet
 from mulberryslip.models import WorkerDescription
+from mulberryslip.partitions import partition_of
 from mulberryslip.retries import Deadline, backoff
 from mulberryslip.stores import Store
 from mulberryslip.wire.ttypes import (
@@ -137,11 +137,6 @@
         return None
 
 
-def shard_of(job_id: str, shards: int) -> int:
-    """Return the number of the shard that a job id or request id belongs to."""
-    return zlib.crc32(job_id.encode()) % shards
-
-
 class ShardClient:
     """Call the owner of a shard, in this process or at another entry.
 
@@ -184,7 +179,7 @@
         def make_request() -> JobRequest:
             return JobRequest(self._header(request_id, deadline), job_id, body)
 
-        shard = shard_of(job_id, self.shards)
+        shard = partition_of(job_id, self.shards)
         return self._call_owner(shard, method, make_request, deadline, retry_lost=True)
 
     def list_jobs(self, shard: int, request_id: str, deadline: Deadline) -> JobReply:
@@ -209,7 +204,7 @@
         def make_request() -> ClaimRequest:
             return ClaimRequest(self._header(claim_id, deadline), claim_id, worker_id)
 
-        shard = shard_of(claim_id, self.shards)
+        shard = partition_of(claim_id, self.shards)
         return self._call_owner(shard, "claim_request", make_request, deadline, retry_lost=False)
 
     def serve(self, shard: int, method: str, req: Any) -> Any:
@@ -345,7 +340,9 @@
 
     def claim_request(self, req: ClaimRequest) -> ClaimReply:
         """Claim or release a request id."""
-        return self._calls.serve(shard_of(req.claim_id, self._calls.shards), "claim_request", req)
+        return self._calls.serve(
+            partition_of(req.claim_id, self._calls.shards), "claim_request", req
+        )
 
     def list_jobs(self, req: ShardRequest) -> JobReply:
         """Return the jobs of a shard."""
@@ -356,7 +353,7 @@
         return self._job("explain_job", req)
 
     def _job(self, method: str, req: JobRequest) -> JobReply:
-        return self._calls.serve(shard_of(req.job_id, self._calls.shards), method, req)
+        return self._calls.serve(partition_of(req.job_id, self._calls.shards), method, req)
 
 
 def _validate_worker(worker: WireDescription) -> str:
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -8,12 +8,13 @@
 from mulberryslip.channels import Address
 from mulberryslip.exceptions import NotSentError, ReplyLostError, StoreUnavailableError
 from mulberryslip.metrics import Metrics
+from mulberryslip.partitions import partition_of
 from mulberryslip.queues import PoolConfig, Queue
 from mulberryslip.retries import Deadline
 from mulberryslip.steps import StepSpec, WorkflowSpec
 from mulberryslip.wire.ttypes import Outcome, WorkflowReply
 from mulberryslip_testing.fakes import FakeStore
-from mulberryslipd.directories import KnownOwner, PoolOwnerDirectory
+from mulberryslipd.directories import KnownOwner, PoolOwnerDirectory, owner_key
 from mulberryslipd.gateways import Accepted, Gateway, Missing, Rejected, Shown, Unknown
 from mulberryslipd.intents import PoolConfigSource
 
@@ -57,7 +58,7 @@
         store, "op/", lambda documents: PoolConfig.from_queues(3, [QUEUE]), clock, random.Random(1)
     )
     channels = ScriptedChannels(clock, *replies)
-    gateway = Gateway("g", directory, channels, source, Metrics(), clock, random.Random(1))
+    gateway = Gateway("g", [directory], channels, source, Metrics(), clock, random.Random(1))
     return gateway, channels, clock, source
 
 
@@ -154,6 +155,92 @@
     assert served_fraction(is_fixed=True) < 0.9
 
 
+class PoolChannels:
+    """Channels to the owners of several pools, which hold their workflows in memory."""
+
+    def __init__(self):
+        self.workflows = {}
+        self.without_reply = set()
+
+    def call(self, address, method, req, timeout):
+        if address in self.without_reply:
+            raise NotSentError("refused")
+        held = self.workflows.setdefault(address, set())
+        if method == "submit":
+            held.add(req.workflow_id)
+        elif method == "waiting":
+            return WorkflowReply(Outcome.OK, "", "", len(held), 0)
+        elif req.workflow_id not in held:
+            return reply(Outcome.NOT_FOUND)
+        return OK
+
+
+OWNERS = [Address("10.0.0.1", 7000 + pool) for pool in range(4)]
+
+
+def make_gateways(count):
+    """Return gateways of one deployment with four pools, and their channels and clock."""
+    clock = WaitingClock()
+    store = FakeStore(clock)
+    channels = PoolChannels()
+    gateways = []
+    for number in range(count):
+        directories = [
+            PoolOwnerDirectory(store, owner_key(pool), clock, random.Random(1)) for pool in range(4)
+        ]
+        for address, directory in zip(OWNERS, directories, strict=True):
+            directory.update(KnownOwner(address, 5))
+        source = PoolConfigSource(store, "op/", lambda documents: None, clock, random.Random(1))
+        gateways.append(
+            Gateway(f"g{number}", directories, channels, source, Metrics(), clock, random.Random(1))
+        )
+    return gateways, channels, clock
+
+
+IDS = [f"{number:016x}" for number in range(40)]
+
+
+def test_all_gateways_call_the_same_pool_about_a_workflow():
+    """Guards against a workflow in two pools, and against 410 for one that another pool has."""
+    gateways, channels, clock = make_gateways(3)
+    deadline = Deadline(clock, timedelta(seconds=3))
+    for workflow_id in IDS:
+        for gateway in gateways:
+            assert isinstance(gateway.submit(QUEUE, workflow_id, SPEC, deadline), Accepted)
+            assert isinstance(gateway.status(QUEUE, workflow_id, deadline), Shown)
+            assert isinstance(gateway.cancel(QUEUE, workflow_id, deadline), Shown)
+    assert sorted(set.union(*channels.workflows.values())) == IDS
+    assert sum(map(len, channels.workflows.values())) == len(IDS)
+    assert len(channels.workflows) == len(OWNERS)
+
+
+def test_waiting_workflows_of_all_pools_are_counted():
+    """Guards against a number of waiting workflows that leaves out a pool."""
+    (gateway,), channels, clock = make_gateways(1)
+    deadline = Deadline(clock, timedelta(seconds=3))
+    for workflow_id in IDS:
+        gateway.submit(QUEUE, workflow_id, SPEC, deadline)
+    assert gateway.waiting(QUEUE, deadline) == Shown("", len(IDS))
+    channels.without_reply.add(OWNERS[2])
+    assert isinstance(gateway.waiting(QUEUE, deadline), Rejected)
+
+
+def test_pool_without_an_owner_delays_only_its_own_callers():
+    """Guards against one pool's outage that lengthens the retry times of all callers."""
+    (gateway,), channels, clock = make_gateways(1)
+    channels.without_reply.add(OWNERS[partition_of(IDS[0], 4)])
+    deadline = Deadline(clock, timedelta(seconds=60))
+    outcomes = {}
+    for _ in range(20):
+        clock.advance(timedelta(milliseconds=200))
+        for workflow_id in IDS:
+            outcomes[workflow_id] = gateway.submit(QUEUE, workflow_id, SPEC, deadline)
+    assert outcomes[IDS[0]].retry_after > timedelta(seconds=2)
+    for workflow_id, outcome in outcomes.items():
+        is_same_pool = partition_of(workflow_id, 4) == partition_of(IDS[0], 4)
+        assert isinstance(outcome, Rejected if is_same_pool else Accepted)
+
+
 def test_states_are_returned_unchanged():
     """Guards against a state that the gateway changes."""
     gateway, _, clock, _ = make(reply(Outcome.OK, "running"))
