Do not count the silence of a worker as a stall of its runs

Cause (warning of other operators: a machine that was only slow to report had its running work given up): a run counted as stalled when its last progress was 1.5 s ago, also when no report had arrived since. The owner then stopped the run as 'stands still' and started it elsewhere, without its progress since the last checkpoint. Ruled out: giving up of silent workers' runs, which waits for the lease. Change: a run stalls only by reports that show the same progress 1.5 s apart. Before: the new tests fail (the run is stopped after 4 s without reports). After: they pass; 72 tests of health and pools pass.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -123,10 +123,17 @@
         self._index_steps(worker_id, before, tracks)
         self._update_relative_speed(worker_id, now)
 
-    def stalled_runs(self, worker_id: str, now: timedelta) -> list[tuple[str, int]]:
-        """Return the stalled runs of a worker, by task and run."""
+    def stalled_runs(self, worker_id: str) -> list[tuple[str, int]]:
+        """Return the runs of a worker that its reports show without progress, by task and run.
+
+        The time after the last report does not count: a worker that is silent may make progress.
+        """
         tracks = self._tracks.get(worker_id, {})
-        return [key for key, track in tracks.items() if now - track.progressed_at >= STALLED_AFTER]
+        return [
+            key
+            for key, track in tracks.items()
+            if track.seen_at - track.progressed_at >= STALLED_AFTER
+        ]
 
     def is_slow(self, worker_id: str, now: timedelta) -> bool:
         """Return whether a worker is much slower than the others."""
@@ -187,7 +194,7 @@
             state.speed = 0.7 * state.speed + 0.3 * ratio
             state.samples += 1
             state.compared_at = now
-        if self.stalled_runs(worker_id, now):
+        if self.stalled_runs(worker_id):
             state.stalled_at = now
 
     def _speeds(self, step: str, worker_ids: Iterable[str]) -> list[float]:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -373,7 +373,7 @@
         stalled = [
             task
             for member in term.members.values()
-            for name, run in self._health.stalled_runs(member.worker_id, now)
+            for name, run in self._health.stalled_runs(member.worker_id)
             if (task := term.pool.task(name)) is not None and task.has_active_run(run)
         ]
         if not best_effort and not stalled:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -480,6 +480,21 @@
     assert world.call("status", "a").outcome == Outcome.NOT_FOUND
 
 
+def test_runs_of_a_worker_that_is_slow_to_report_continue(world, monkeypatch):
+    """Guards against running work that is stopped because its worker's reports are delayed."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 20_000
+    world.submit("a")
+    world.run(4)
+    holder = next(worker for worker in world.workers if worker.runs)
+    monkeypatch.setattr(world.agents[holder.id][0], "renew_and_report", lambda owner: True)
+    world.run(20)
+    monkeypatch.undo()
+    world.run(10)
+    assert world.history.starts == 1
+    assert [run.run for run in holder.runs.values()] == [1]
+
+
 def test_stalled_runs_are_moved(world):
     """Guards against tasks stuck on a worker that reports normally but makes no progress."""
     world.workers[0].is_hung = True
