--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -7,7 +7,7 @@
 
 import enum
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from functools import singledispatchmethod
 from types import MappingProxyType
 from typing import Any
@@ -551,9 +551,9 @@
                 pool._restore_ended(*row)
             for row in raw["pressures"]:
                 pool.apply(records.decode(InterferenceEstimated, row))
+            pool.publish()
         except (TypeError, KeyError, ValueError, IndexError) as exc:
             raise InvalidMessageError(f"invalid pool snapshot: {exc!r}") from exc
-        pool.publish()
         return pool
 
     def _restore_active(
@@ -565,11 +565,13 @@
         ended_ms: int,
         rows: list,
     ) -> None:
+        _check_types((started, failed, cancelled, ended_ms), (bool, bool, bool, int))
         self.apply(records.decode(WorkflowAccepted, accepted))
         workflow = self.workflows[accepted["j"]]
         workflow.is_started, workflow.is_failed = started, failed
         workflow.is_cancelled, workflow.ended_ms = cancelled, ended_ms
         for task, row in zip(workflow.tasks(), rows, strict=True):
+            _check_types(row, _TASK_ROW_TYPES)
             phase, task.run, task.worker_id, task.incarnation, task.machine = row[:5]
             task.start_by_ms, task.failures, task.checkpoint = row[5:8]
             failed_on, task.waiting_since_ms = row[8:]
@@ -587,6 +589,7 @@
                     self._ready.update((task.name, task) for task in waiting)
 
     def _restore_ended(self, workflow_id: str, queue: str, shown: str, ended_ms: int) -> None:
+        _check_types((workflow_id, queue, shown, ended_ms), (str, str, str, int))
         workflow = Workflow(workflow_id, Queue(queue), WorkflowSpec("", ()), 0)
         workflow.is_failed = shown == "failed"
         workflow.is_cancelled = shown == "cancelled"
@@ -633,5 +636,18 @@
     return [records.encode(accepted), *flags, workflow.ended_ms, tasks]
 
 
+_TASK_ROW_TYPES = (str, int, str, str, str, int, int, str, list, int)
+
+
+def _check_types(row: Sequence[object], types: Sequence[type]) -> None:
+    """Check the types of the fields of a snapshot's row.
+
+    :raises TypeError: when one of them is wrong.
+    """
+    for value, expected in zip(row, types, strict=True):
+        if type(value) is not expected:
+            raise TypeError(f"{value!r:.60} is not of type {expected.__name__}")
+
+
 def _ended_row(workflow: Workflow) -> list[object]:
     return [workflow.workflow_id, workflow.queue.name, workflow.state, workflow.ended_ms]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -68,7 +68,7 @@
 
 
 def test_runs_of_a_silent_worker_do_not_stall():
-    """Guards against running work that is stopped because its worker does not report for a while."""
+    """Guards against running work that is stopped because its worker is slow to report."""
     health = WorkerHealth()
     health.record_progress("a", progress("a", 5), SECOND)
     health.record_progress("b", progress("b", 5), 9 * SECOND)
--- /dev/null
+++ b/tests/test_malformed.py
@@ -0,0 +1,220 @@
+"""Tests with generated input of callers, peers, settings files and the journal."""
+
+import contextlib
+import io
+import json
+import socket
+import struct
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from mulberryslip import ManualClock
+from mulberryslip.channels import Address, ChannelPool
+from mulberryslip.exceptions import InvalidMessageError, SettingsError
+from mulberryslip.servers import Server
+from mulberryslip.settings import parse
+from mulberryslip.steps import StepSpec, WorkflowSpec
+from mulberryslip.wire import PoolService as PoolWire
+from mulberryslip.wire import ttypes as wire
+from mulberryslip.wire.ttypes import Outcome
+from mulberryslip.workflows import (
+    Pool,
+    RunAssigned,
+    RunEnded,
+    WorkflowCancelled,
+    accepted_event,
+    decode_event,
+    encode_event,
+)
+from mulberryslip_platform.callers import callers_application
+from mulberryslipd.gateways import Accepted
+from mulberryslipd.responses import Drain
+from pool_doubles import QUEUE
+
+ROOT = Path(__file__).parent.parent
+CLOCK = ManualClock()
+
+# `json` writes and reads infinity, which the JSON text 1e999 also becomes.
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=8,
+)
+
+
+def with_other_value(document):
+    """Return a strategy for a document in which one field has any JSON value."""
+    return st.tuples(st.sampled_from(sorted(document)), JSON).map(
+        lambda change: {**document, change[0]: change[1]}
+    )
+
+
+# Callers
+
+STEP = {
+    "Count": 2,
+    "Cpu": 500,
+    "MemMb": 256,
+    "EstimateMs": 900,
+    "After": [],
+    "Checkpoints": True,
+    "RequiredLabel": "a",
+    "Affinity": "r1",
+    "Image": "i",
+    "TargetMs": 5,
+    "MaxPerServer": 1,
+}
+SUBMISSION = {"Spec": "text", "Steps": [STEP], "Times": 0}
+
+
+class AcceptingGateway:
+    """A gateway that accepts all workflows, which must survive their encoding for the owner."""
+
+    def find_queue(self, host, path):
+        return QUEUE
+
+    def submit(self, queue, workflow_id, spec, deadline):
+        assert WorkflowSpec.from_json(spec.to_json().encode()) == spec
+        return Accepted("queued")
+
+
+@settings(max_examples=300)
+@given(
+    (
+        with_other_value(SUBMISSION)
+        | with_other_value(STEP).map(lambda step: {**SUBMISSION, "Steps": [step]})
+        | JSON
+    ).map(lambda document: json.dumps(document).encode())
+    | st.binary(max_size=30),
+    st.text(max_size=8),
+)
+def test_any_submission_gets_a_response(body, deadline):
+    """Guards against a submission that is answered by an internal error, or that no owner reads."""
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/checks/" + "0" * 16,
+        "REQUEST_URI": "/checks/" + "0" * 16,
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+        "HTTP_X_DEADLINE_MS": deadline,
+    }
+    statuses = []
+    application = callers_application(AcceptingGateway(), Drain(CLOCK), CLOCK)
+    b"".join(application(environ, lambda status, head: statuses.append(int(status.split()[0]))))
+    assert statuses in ([200], [400])
+
+
+# Peers
+
+
+class EchoOwner:
+    """Handlers of the pool's Thrift service that only echo."""
+
+    def ping(self, token):
+        return token
+
+    def status(self, req):
+        return wire.WorkflowReply(Outcome.OK, "", req.workflow_id, 0, 0)
+
+
+@pytest.fixture(scope="module")
+def server():
+    server = Server(PoolWire.Processor(EchoOwner()), "127.0.0.1", 0)
+    server.start()
+    yield server
+    server.stop(timedelta())
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(st.binary(max_size=80), st.booleans())
+def test_any_bytes_of_a_peer_leave_the_server_serving(server, data, is_framed):
+    """Guards against one malformed message that ends the server or one of its threads."""
+    with socket.create_connection(("127.0.0.1", server.port), 5) as conn:
+        conn.sendall(struct.pack(">I", len(data)) + data if is_framed else data)
+        conn.shutdown(socket.SHUT_WR)
+        # The server closes a connection with unread bytes, which resets it.
+        with contextlib.suppress(ConnectionResetError):
+            while conn.recv(4096):
+                pass
+    channels = ChannelPool(PoolWire.Client)
+    req = wire.WorkflowRequest(wire.Header("r1", 1000, 1, "test", "t"), "a", "checks", b"")
+    address = Address("127.0.0.1", server.port)
+    reply = channels.call(address, "status", req, timedelta(seconds=5))
+    channels.close()
+    assert reply.shown == "a"
+
+
+# Settings
+
+EXAMPLES = sorted((ROOT / "examples").glob("*/*-1.toml")) + sorted(
+    (ROOT / "examples").glob("*/*-01.toml")
+)
+
+
+@pytest.mark.parametrize("example", EXAMPLES, ids=lambda path: f"{path.parent.name}/{path.name}")
+@settings(max_examples=150)
+@given(data=st.data())
+def test_any_value_in_settings_is_taken_or_named(example, data):
+    """Guards against settings that stop a process with a traceback instead of a clear error."""
+    document = tomllib.loads(example.read_text())
+    table = data.draw(st.sampled_from(sorted(document)))
+    document[table] = data.draw(JSON | with_other_value(document[table]))
+    try:
+        parse(document)
+    except SettingsError as exc:
+        assert all(fault.startswith(table) for fault in exc.faults), exc.faults
+
+
+# Journal records and snapshots
+
+SPEC = WorkflowSpec("p", (StepSpec(count=2), StepSpec(after=(0,))))
+EVENTS = [
+    accepted_event("a", QUEUE, SPEC, 5),
+    RunAssigned("a/0/0/0", 1, "w0", "1@w0", "m0", 5),
+    RunEnded("a/0/0/0", 1, "done", 9, "c"),
+    WorkflowCancelled("a", 12),
+]
+
+
+def make_pool():
+    pool = Pool()
+    for event in EVENTS:
+        pool.apply(event)
+    return pool
+
+
+@settings(max_examples=300)
+@given(
+    st.sampled_from([encode_event(event) for event in EVENTS]).flatmap(with_other_value)
+    | st.dictionaries(st.text(max_size=3), JSON)
+)
+def test_any_journal_record_is_decoded_or_invalid(raw):
+    """Guards against a damaged record that is reported as an internal error of the owner."""
+    try:
+        event = decode_event(raw)
+    except InvalidMessageError:
+        return
+    pool = Pool()
+    pool.apply(EVENTS[0])
+    pool.apply(event)
+
+
+@settings(max_examples=300)
+@given(st.data())
+def test_any_snapshot_is_restored_or_invalid(data):
+    """Guards against a damaged snapshot that is reported as an internal error of the owner."""
+    raw = json.loads(json.dumps(make_pool().to_snapshot()))
+    part = data.draw(st.sampled_from(sorted(raw)))
+    if raw[part] and data.draw(st.booleans()):
+        row = data.draw(st.integers(0, len(raw[part][0]) - 1))
+        raw[part][0][row] = data.draw(JSON)
+    else:
+        raw[part] = data.draw(JSON)
+    try:
+        Pool.from_snapshot(raw)
+    except InvalidMessageError:
+        return
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -324,14 +324,32 @@
 }
 
 
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+
+
+def fill(template, fields):
+    """Fill in a template of a settings file as the platform does."""
+
+    def fill_section(match):
+        value = fields.get(match[1])
+        return "" if value is None else match[2].replace("{{.}}", value)
+
+    text = SECTION.sub(fill_section, template)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
+
+
 @pytest.mark.parametrize("role", ["agent", "gateway"])
-def test_settings_template_gives_valid_settings(role):
+@pytest.mark.parametrize(
+    ("writes_per_s", "pools"), [(None, 1), ("400", 1), ("1200.0", 1), ("3200", 4)]
+)
+def test_settings_template_gives_valid_settings(role, writes_per_s, pools):
     """Guards against a settings template with which a process does not start on the platform."""
-    text = (ROOT / "deploy" / f"{role}.toml").read_text()
-    filled = re.sub(r"\{\{([\w.]+)\}\}", lambda match: {**FIELDS, "Role": role}[match[1]], text)
-    cfg = parse(tomllib.loads(filled))
+    template = (ROOT / "deploy" / f"{role}.toml").read_text()
+    fields = {**FIELDS, "Role": role, "platform.WritesPerS": writes_per_s}
+    cfg = parse(tomllib.loads(fill(template, fields)))
     assert cfg.process["role"] == role
     assert cfg.pool["lease_ms"] == 6000
+    assert cfg.pools() == pools
 
 
 @pytest.mark.parametrize(
@@ -340,6 +358,8 @@
         ({"agent": {"wire": "nowhere"}}, "agent.wire"),
         ({"agent": {"worker_url": "10.0.0.1"}}, "agent.worker_url"),
         ({"pool": {"lease_ms": 0}}, "pool.lease_ms"),
+        ({"pool": {"count": 65}}, "pool.count"),
+        ({"store": {"writes_per_s": True}}, "store.writes_per_s"),
         ({"adapter": {"module": "a b"}}, "adapter.module"),
         ({"adapter": {}}, "adapter.module"),
         ({"entry": {}}, "entry"),
