Let a gateway watch all pools at the same time

Cause: the HTTP client allows four long polls. A gateway with four pools needs five watches; the fifth waited for a connection, failed after 0.6 s and was repeated, so changes of an owner or of the configuration arrived late. Change: the number of watches follows the number of pools. Before: the new test fails (4 watches, 9 wanted). After: it passes; the path test also runs with two pools.

--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -65,6 +65,10 @@
 MAX_POOL_CONNECTIONS = 1024
 """Limit for connections to a pool owner: two from each agent and several from each gateway."""
 
+SPARE_WATCHES = 3
+"""Watches of a process beside those of the pools' owners: that of the configuration, and watches
+that the store still holds open after the process has given them up."""
+
 USAGE = """\
 usage: mulberryslipd --config=FILE.toml [--check]
 
@@ -336,7 +340,8 @@
 def build_pool_parts(cfg: Settings, clock: Clock) -> PoolParts:
     """Construct the components that gateways and agents have in common."""
     adapter = importlib.import_module(cfg.adapter["module"])
-    store = adapter.PlatformStore(cfg.store["url"], cfg.store_timeout(), clock)
+    max_watches = cfg.pools() + SPARE_WATCHES
+    store = adapter.PlatformStore(cfg.store["url"], cfg.store_timeout(), clock, max_watches)
     return PoolParts(
         adapter=adapter,
         store=store,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,6 +26,8 @@
 from mulberryslip.settings import parse
 from mulberryslip.steps import StepSpec
 from mulberryslip.stores import StoredValue
+from mulberryslip.wire import ttypes as wire
+from mulberryslip.wire.ttypes import Outcome
 from mulberryslip_platform import (
     OPERATOR_PREFIX,
     PlatformRunner,
@@ -380,7 +382,7 @@
         return server.getsockname()[1]
 
 
-def settings(role, name, store_url, **own):
+def settings(role, name, store_url, pools=1, **own):
     addresses = {key: f"127.0.0.1:{free_port()}" for key in own.pop("addresses")}
     return parse(
         {
@@ -388,20 +390,23 @@
             "adapter": {"module": "mulberryslip_platform"},
             "store": {"url": store_url},
             "timing": {"stop_grace_ms": 0},
+            "pool": {"count": pools},
             role: {**addresses, **own},
         }
     )
 
 
-def test_workflow_completes_on_test_doubles(store_server):
+@pytest.mark.parametrize("pools", [1, 2])
+def test_workflow_completes_on_test_doubles(store_server, pools):
     """Guards against components that work alone but not together.
 
-    A workflow of two steps passes from a caller through a gateway, the owner and two agents to
-    workers and is reported as completed; then the owner stops and another agent takes over.
+    A workflow of two steps passes from a caller through a gateway, the owner of its pool and two
+    agents to workers and is reported as completed; then the owner stops and another agent of the
+    pool takes over.
     """
     store_server.operate("op/config", CONFIG)
     history = History()
-    workers = [PlatformWorkerServer(number, history) for number in range(2)]
+    workers = [PlatformWorkerServer(number, history) for number in range(2 * pools)]
     history.specs[ID] = type("Spec", (), {"steps": [StepSpec(), StepSpec(after=(0,))]})
     agents = []
     stop = threading.Event()
@@ -410,6 +415,7 @@
             "agent",
             f"agent-{number}",
             store_server.url,
+            pools,
             addresses=("wire", "announcements", "metrics"),
             worker_url=worker.url,
         )
@@ -419,19 +425,20 @@
             target=send_announcements, args=(cfg.role["announcements"], worker, stop), daemon=True
         ).start()
     cfg = settings(
-        "gateway", "gateway-1", store_server.url, addresses=("callers", "health", "metrics")
+        "gateway", "gateway-1", store_server.url, pools, addresses=("callers", "health", "metrics")
     )
     gateway = build(cfg, CLOCK)
     gateway.start()
     http = urllib3.PoolManager(retries=False, timeout=5, headers={"Host": "nony24.example"})
     url = f"http://{cfg.role['callers']}/lohu930/{ID}"
     try:
-        assert wait_until(lambda: any(agent.owner.is_owner() for agent in agents), 10 * SECOND)
+        assert wait_until(lambda: len(owners_of(agents)) == pools, 10 * SECOND)
         assert wait_until(
             lambda: http.request("POST", url, json=two_steps()).status == 200, 10 * SECOND
         )
         assert wait_until(lambda: shown_state(http, url) == "completed", 20 * SECOND)
-        first = next(agent for agent in agents if agent.owner.is_owner())
+        request = wire.WorkflowRequest(wire.Header("r1", 1000, 1, "test", "t"), ID, "", b"")
+        first = next(agent for agent in agents if agent.owner.status(request).outcome == Outcome.OK)
         first.stop()
         assert wait_until(lambda: shown_state(http, url) == "completed", 10 * SECOND)
         assert http.request("GET", f"http://{cfg.role['health']}/").status == 200
@@ -449,6 +456,44 @@
     assert http.request("GET", f"http://{cfg.role['health']}/").status == 503
 
 
+def owners_of(agents):
+    """Return the agent processes that own their pool."""
+    return [agent for agent in agents if agent.owner.is_owner()]
+
+
+class CountingStoreServer(PlatformStoreServer):
+    """A store that counts the watches that wait at the same time."""
+
+    def __init__(self):
+        self.watches = self.most_watches = 0
+        self._lock = threading.Lock()
+        super().__init__()
+
+    def _watch(self, query, body, rest):
+        with self._lock:
+            self.watches += 1
+            self.most_watches = max(self.most_watches, self.watches)
+        try:
+            return super()._watch(query, body, rest)
+        finally:
+            with self._lock:
+                self.watches -= 1
+
+
+def test_gateway_watches_all_pools_at_the_same_time():
+    """Guards against watches that wait for each other's connections, and so miss changes."""
+    store = CountingStoreServer()
+    store.operate("op/config", CONFIG)
+    cfg = settings("gateway", "g", store.url, 8, addresses=("callers", "health", "metrics"))
+    gateway = build(cfg, CLOCK)
+    gateway.start()
+    try:
+        assert wait_until(lambda: store.most_watches == 9, 5 * SECOND)
+    finally:
+        gateway.stop()
+        store.stop()
+
+
 def two_steps():
     return {"Spec": "text", "Steps": [{"Count": 2, "Cpu": 100}, {"After": [0], "Cpu": 100}]}
 
