--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -83,7 +83,7 @@
             self._newest_epoch = owner.epoch
             self._owner = owner
             self._cond.notify_all()
-        log(Event.OWNER_FOUND, owner=str(owner.address), epoch=owner.epoch)
+        log(Event.OWNER_FOUND, key=self._key, owner=str(owner.address), epoch=owner.epoch)
 
     def report_failure(self, epoch: int) -> None:
         """Request a new read of the key, since the owner of this epoch failed to serve a call."""
@@ -165,4 +165,4 @@
                 return
             self._owner = None
             self._cond.notify_all()
-        log(Event.OWNER_LOST, owner=str(lost.address), epoch=lost.epoch)
+        log(Event.OWNER_LOST, key=self._key, owner=str(lost.address), epoch=lost.epoch)
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -207,6 +207,7 @@
                 Event.WORKFLOW_ACCEPTED,
                 request_id=req.header.request_id,
                 workflow=req.workflow_id,
+                pool=self._number,
                 queue=queue.name,
                 config=config.revision,
                 steps=len(spec.steps),
