Refuse deeply nested documents before they are parsed; wait for a suspended process to stand still

The depth is now counted without recursion (limit 64, documents have six levels); the new table fails without the count. - test_workers (suspended process): SIGSTOP takes effect later on a busy machine; by the record the start ran 7 ms after the signal was sent, while the process still ran, which is allowed. The test now waits until all threads stand still; the bound of 0.6 s for the lapse still counts from the signal.

--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -5,6 +5,7 @@
 
 import enum
 import functools
+import itertools
 import json
 import re
 from collections.abc import Mapping
@@ -24,6 +25,13 @@
 
 MAX_CHANGES_KEPT = 64
 
+MAX_NESTING_DEPTH = 64
+"""Deepest nesting of objects and lists in JSON text; a document has six levels."""
+
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_DEPTH_CHANGES = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
+_NOT_BRACKETS = bytes(byte for byte in range(256) if byte not in _DEPTH_CHANGES)
+
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 """Names appear in URL paths and log lines. They are lower case, so that two names never differ only
 in case."""
@@ -286,6 +294,8 @@
     :param where: name of the text for error messages.
     :raises ConfigError: when it is not JSON, repeats a name in an object, or nests too deeply.
     """
+    if _nesting_depth(body) > MAX_NESTING_DEPTH:
+        raise ConfigError(f"{where} is not valid JSON: nested deeper than {MAX_NESTING_DEPTH}")
     try:
         return json.loads(
             body, object_pairs_hook=_reject_duplicates, parse_constant=_reject_constant
@@ -294,6 +304,12 @@
         raise ConfigError(f"{where} is not valid JSON: {exc}") from exc
 
 
+def _nesting_depth(body: bytes) -> int:
+    """Return how deeply objects and lists are nested in JSON text, without parsing it."""
+    brackets = _STRING.sub(b"", body).translate(None, delete=_NOT_BRACKETS)
+    return max(itertools.accumulate(_DEPTH_CHANGES[bracket] for bracket in brackets), default=0)
+
+
 def parse_document(raw: object) -> ConfigView:
     """Validate a whole document.
 
--- a/tests/test_configs.py
+++ b/tests/test_configs.py
@@ -26,6 +26,7 @@
     ConfigView,
     DataCentre,
     DataCentreState,
+    parse_json,
     parse_template,
 )
 from mulberryslip.exceptions import ConfigError
@@ -133,6 +134,28 @@
         assert fragment in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("body", "is_too_deep"),
+    [
+        (b"[" * 64 + b"]" * 64, False),
+        (b"[" * 65 + b"]" * 65, True),
+        (b'{"a":' * 65, True),
+        (b'["' + b"[" * 500 + b'"]', False),
+        (b'["\\"' + b"[" * 500 + b'"]', False),
+        (b"[],{}," * 500, False),
+        (b'"' + b"[" * 65, True),
+    ],
+)
+def test_deeply_nested_text_is_refused_before_it_is_parsed(body, is_too_deep):
+    """Guards against text that fills the stack, where an object's finalizer fails too."""
+    try:
+        parse_json("document", body)
+    except ConfigError as exc:
+        assert ("nested deeper" in str(exc)) is is_too_deep
+    else:
+        assert not is_too_deep
+
+
 @pytest.mark.parametrize(
     ("change", "error", "fragments"),
     [
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from datetime import timedelta
+from pathlib import Path
 
 import attrs
 import pytest
@@ -902,6 +903,13 @@
 """
 
 
+def is_suspended(pid):
+    """Return whether all threads of a process stand still."""
+    threads = Path(f"/proc/{pid}/task").iterdir()
+    states = [(thread / "stat").read_text().rpartition(")")[2].split()[0] for thread in threads]
+    return set(states) == {"T"}
+
+
 def test_suspended_process_leaves_no_task_running_and_starts_none(site):
     """Guards against a resumed worker that carries out decisions made before it was suspended."""
     command = [sys.executable, "-c", PROCESS, site.runtime.base_url("w-1")]
@@ -919,6 +927,8 @@
         assert reservation.granted
         process.send_signal(signal.SIGSTOP)
         frozen_at = time.time()
+        # The signal takes effect later on a busy machine; a start before that is allowed.
+        wait_for(lambda: is_suspended(process.pid))
         with pytest.raises(WireError):
             site.entry.start(port, late, reservation.reservation_id, task_input(1))
         lapsed = wait_for(lambda: site.history("lapsed"))
