Read the owner key less often while the store does not answer

Change: the pause grows with consecutive failures up to 1 s, with jitter; the first failure and the recovery are logged.

--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -119,17 +119,20 @@
         self._apply_listing(self._store.list(self._key))
 
     def _run_reads(self, stop: threading.Event) -> None:
+        outage = OutageLog("read owner")
         while not stop.is_set():
             if not self._clock.wait(self._read_requested, WATCH_TIMEOUT):
                 continue
             self._read_requested.clear()
             try:
                 self.refresh()
-            except StoreError as exc:
-                log(Event.STORE_UNAVAILABLE, call="read owner", reason=str(exc))
+                outage.record_success()
             except Exception as exc:
-                log(Event.INTERNAL_ERROR, what="read owner", reason=repr(exc))
-            self._clock.wait(stop, MIN_READ_INTERVAL)
+                if not isinstance(exc, StoreError):
+                    log(Event.INTERNAL_ERROR, what="read owner", reason=repr(exc))
+                outage.record_failure(exc)
+            pause = backoff(outage.failures, self._rng, 2 * MIN_READ_INTERVAL)
+            self._clock.wait(stop, max(MIN_READ_INTERVAL, pause))
 
     def _watch_once(self, revision: int) -> int:
         if revision == 0:
--- a/tests/test_directories.py
+++ b/tests/test_directories.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import threading
 from datetime import timedelta
 
 import pytest
@@ -10,7 +11,7 @@
 from mulberryslip.exceptions import ConfigError, StoreError, StoreUnavailableError
 from mulberryslip.queues import PoolConfig
 from mulberryslip_testing.fakes import FakeStore
-from mulberryslipd.directories import KnownOwner, PoolOwnerDirectory
+from mulberryslipd.directories import MIN_READ_INTERVAL, KnownOwner, PoolOwnerDirectory
 from mulberryslipd.intents import PoolConfigSource
 
 KEY = "pools/0/owner"
@@ -92,6 +93,40 @@
     assert directory.owner() is None
 
 
+class SteppingClock(ManualClock):
+    """Clock on which a wait for an event that is not set takes its whole time."""
+
+    def __init__(self, stop, duration):
+        super().__init__()
+        self._stop = stop
+        self._ends_at = self.monotonic() + duration
+
+    def wait(self, event, timeout):
+        if not event.is_set():
+            self.advance(timeout)
+        if self.monotonic() >= self._ends_at:
+            self._stop.set()
+        return event.is_set()
+
+
+def test_reads_of_a_cut_machine_become_rarer(store, monkeypatch):
+    """Guards against a cut machine that asks the store as often as one that is served."""
+    stop = threading.Event()
+    directory = PoolOwnerDirectory(store, KEY, SteppingClock(stop, 30 * SECOND), random.Random(1))
+    directory.update(owner(5))
+    reads = []
+
+    def fail(prefix):
+        reads.append(prefix)
+        directory.report_failure(5)
+        raise StoreUnavailableError("cut off")
+
+    monkeypatch.setattr(store, "list", fail)
+    directory.report_failure(5)
+    directory._run_reads(stop)
+    assert len(reads) < 30 * SECOND / (2 * MIN_READ_INTERVAL)
+
+
 class Documents:
     """The operators' documents: a configuration revision and excluded data centres."""
 
