--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -12,6 +12,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from json_strategies import JSON, with_other_value
 from mulberryslip import ManualClock
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.exceptions import InvalidMessageError, SettingsError
@@ -38,20 +39,6 @@
 ROOT = Path(__file__).parent.parent
 CLOCK = ManualClock()
 
-# `json` writes and reads infinity, which the JSON text 1e999 also becomes.
-JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
-    max_leaves=8,
-)
-
-
-def with_other_value(document):
-    """Return a strategy for a document in which one field has any JSON value."""
-    return st.tuples(st.sampled_from(sorted(document)), JSON).map(
-        lambda change: {**document, change[0]: change[1]}
-    )
-
 
 # Callers
 
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from json_strategies import JSON, with_other_value
 from mulberryslip import ManualClock, records
 from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
 from mulberryslip.outcomes import Committed, Conflict, Unknown
@@ -30,13 +31,6 @@
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 
-# `json` writes and reads infinity, which the JSON text 1e999 also becomes.
-JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
-    max_leaves=8,
-)
-
 BEAT = {
     "Service": "ledger",
     "Address": "10.0.0.9:8080",
@@ -63,18 +57,6 @@
 }
 
 
-def with_other_value(document):
-    """Return a strategy for a document in which one field has any JSON value."""
-    return st.tuples(st.sampled_from(sorted(document)), JSON).map(
-        lambda change: {**document, change[0]: change[1]}
-    )
-
-
-def encoded(document):
-    """Return the JSON text of a document as bytes."""
-    return json.dumps(document).encode()
-
-
 class FixedTransport:
     """A transport whose server returns one body to every call."""
 
