Divide a fleet into pools of about 80 workers

Cause of the loss with four: workflows are divided by their id alone, so some pools are full while others are idle. Change: one pool for each 1600 writes/s that the store allows.

--- a/packages/core/src/mulberryslip/partitions.py
+++ b/packages/core/src/mulberryslip/partitions.py
@@ -9,9 +9,10 @@
 import re
 import zlib
 
-WRITES_PER_POOL = 800
+WRITES_PER_POOL = 1600
 """Writes per second that the store must allow for each pool. The platform allows about 20 writes a
-second per worker, so a pool has about 40 workers; an owner is able to serve twice as many."""
+second per worker, so a pool has about 80 workers. Capacity does not move between pools, so smaller
+pools would leave workers idle while others are full."""
 
 MAX_POOLS = 64
 
