--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -1,4 +1,4 @@
-"""The gateway: forwards calls about workflows from callers to the owner of the pool."""
+"""The gateway: forwards calls about workflows from callers to the owner of their pool."""
 
 import random
 import uuid
