--- a/packages/daemon/src/mulberryslipd/owners.py
+++ b/packages/daemon/src/mulberryslipd/owners.py
@@ -402,8 +402,11 @@
             job = term.shard.jobs.get(job_id)
             for task in job.tasks if job else ():
                 key = task.key(job_id)
-                if task.phase_name == "cancelled" and task.attempt:
-                    held.setdefault(task.worker_id, []).append(Attempt(key, task.attempt))
+                if task.phase_name == "cancelled":
+                    # Capacity may be reserved for a task that was waiting.
+                    self._placement.forget_task(key)
+                    if task.attempt:
+                        held.setdefault(task.worker_id, []).append(Attempt(key, task.attempt))
         return held
 
     def _status(self, term: ShardTerm, job_id: str) -> JobReply:
--- a/packages/daemon/src/mulberryslipd/starters.py
+++ b/packages/daemon/src/mulberryslipd/starters.py
@@ -87,6 +87,9 @@
     def explain(self, key: TaskKey) -> str:
         """Return why a task waits."""
 
+    def forget_task(self, key: TaskKey) -> None:
+        """Drop the state of a waiting task, including its reservation."""
+
 
 class ConfigProvider(Protocol):
     """The part of `sources.ConfigSource` that an owner needs."""
--- a/packages/testing/src/mulberryslip_testing/slopes.py
+++ b/packages/testing/src/mulberryslip_testing/slopes.py
@@ -164,7 +164,7 @@
     """Print the measurements for each size."""
     rows = [measure_entry(int(count)) for count in _WORKERS.value]
     rows += [measure_worker(int(count)) for count in _TASKS.value]
-    headers = ("PROCESS", "% OF A CORE", "MB", "STORE CALLS/S")
+    headers = ("PROCESS", "% OF A CORE", "MiB", "STORE CALLS/S")
     print(tabulate(rows, headers, tablefmt="plain", disable_numparse=True))
 
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -8,7 +8,7 @@
 
 import attrs
 import pytest
-from mulberryslip import SystemClock
+from mulberryslip import SystemClock, TaskKey
 from mulberryslip.actions import Action, ActionKind
 from mulberryslip.evacuations import EvacuationPlanner
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError
@@ -275,6 +275,18 @@
     assert cluster.workers[0].held == {}
 
 
+def test_cancelled_task_keeps_no_reservation():
+    """Guards against capacity that stays reserved for a task which is not going to start."""
+    cluster = Cluster(workers=1)
+    owner = cluster.owner()
+    submit(owner, tasks=12)
+    cluster.run(owner, 2)
+    waiting = [TaskKey("j", index) for index in range(8, 12)]
+    assert any(owner._placement.explain(key) != "not ranked yet" for key in waiting)
+    owner.cancel(wire.JobRequest(header(), "j", b""))
+    assert all(owner._placement.explain(key) == "not ranked yet" for key in waiting)
+
+
 def test_result_of_a_cancelled_or_lost_attempt_is_acknowledged_but_not_kept():
     """Guards against a late result that overwrites a job's state or is reported endlessly."""
     cluster = Cluster(workers=1)
