--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -120,16 +120,18 @@
 @given(st.binary(max_size=80), st.booleans())
 def test_any_bytes_of_a_peer_leave_the_server_serving(server, data, is_framed):
     """Guards against one malformed message that ends the server or one of its threads."""
-    with socket.create_connection(("127.0.0.1", server.port), 5) as conn:
-        # The server closes a connection with unread bytes, which resets it, at any time.
-        with contextlib.suppress(OSError):
-            conn.sendall(struct.pack(">I", len(data)) + data if is_framed else data)
-            conn.shutdown(socket.SHUT_WR)
-            while conn.recv(4096):
-                pass
+    address = Address("127.0.0.1", server.port)
+    # The server closes a connection with unread bytes, which resets it, at any time.
+    with (
+        contextlib.suppress(OSError),
+        socket.create_connection((address.host, address.port), 5) as conn,
+    ):
+        conn.sendall(struct.pack(">I", len(data)) + data if is_framed else data)
+        conn.shutdown(socket.SHUT_WR)
+        while conn.recv(4096):
+            pass
     channels = ChannelPool(PoolWire.Client)
     req = wire.WorkflowRequest(wire.Header("r1", 1000, 1, "test", "t"), "a", "checks", b"")
-    address = Address("127.0.0.1", server.port)
     reply = channels.call(address, "status", req, timedelta(seconds=5))
     channels.close()
     assert reply.shown == "a"
