Do not say 'not run' of a submission whose first send is being committed

Cause: a submission that is sent again while the record of its first send is still being written (the store does not answer, or the owner resigns) was rejected as 'not run' from the owner's inbox. Found by reading for the warning on lost answers; shown by three cases that failed: time-out of the inbox, outage of the store, hand-over.

Both cases of the test failed before; it is refused as invalid now.

Ruled out: cancellations, which may be repeated; a successor, which reads the record or prevents it.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -187,7 +187,8 @@
             )
         try:
             spec = WorkflowSpec.from_json(req.body)
-        except JobError as exc:
+            records.check(accepted_event(req.workflow_id, queue, spec, self._now_ms()))
+        except (JobError, InvalidMessageError) as exc:
             return _reply(Outcome.INVALID, str(exc))
         reason = spec.unsupported_reason() or (
             "advice is not supported" if queue.requires_ticket else ""
@@ -201,6 +202,12 @@
             return [accepted_event(req.workflow_id, queue, spec, self._now_ms())]
 
         reply = self._decide_and_commit(term, QueuedCall(decide, len(req.body)), "queued")
+        if reply.outcome == Outcome.NOT_RUN:
+            with term.lock:
+                is_in_commit = req.workflow_id in term.pool.workflows
+            if is_in_commit:
+                # An earlier send of this submission is in a record that may be written still.
+                reply = _reply(Outcome.OUTCOME_UNKNOWN, reply.reason)
         self._metrics.count(f"submissions_{Outcome._VALUES_TO_NAMES[reply.outcome].lower()}")
         if reply.outcome == Outcome.OK:
             log(
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -480,6 +480,37 @@
     assert world.call("status", "a").outcome == Outcome.NOT_FOUND
 
 
+@pytest.mark.parametrize(
+    "reject",
+    [
+        lambda owner, term: None,
+        lambda owner, term: owner._reject_queued(term),
+        lambda owner, term: owner.resign("planned stop"),
+    ],
+    ids=["timeout", "store outage", "hand-over"],
+)
+def test_resubmission_during_an_unfinished_commit_is_not_refused_as_not_run(world, reject):
+    """Guards against "not run" for a workflow whose record may already be in the journal.
+
+    The answer to the first send is lost, and the caller sends the submission again while the owner
+    still tries to write its record.
+    """
+    owner, term = world.owner(), world.owner()._term
+    outcomes = []
+
+    def resubmit():
+        if "a" not in term.pool.workflows or outcomes:
+            return
+        world.clock.on_wait = lambda: reject(owner, term)
+        outcomes.append(world.submit("a").outcome)
+        world.store.set_faults(outage="")
+
+    world.clock.on_sleep = resubmit
+    world.store.set_faults(outage="drop")
+    world.submit("a")
+    assert outcomes == [Outcome.OUTCOME_UNKNOWN]
+
+
 def test_runs_of_a_worker_that_is_slow_to_report_continue(world, monkeypatch):
     """Guards against running work that is stopped because its worker's reports are delayed."""
     for worker in world.workers:
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -15,12 +15,12 @@
 from mulberryslip.outcomes import Committed, Conflict, Unknown
 from mulberryslip.queues import PoolConfig, Queue
 from mulberryslip.runners import RunListing, RunnerError
-from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, StepSpec
+from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec
 from mulberryslip.stores import Listing, StoredValue
 from mulberryslip.transports import HTTPResponse
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.wire.ttypes import Outcome
-from mulberryslip.workflows import RunAssigned
+from mulberryslip.workflows import MAX_SPEC_CHARS, RunAssigned
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
@@ -328,6 +328,16 @@
     assert_serves(world)
 
 
+@pytest.mark.parametrize(
+    ("workflow_id", "payload"), [("w" * (MAX_NAME_CHARS + 1), ""), ("a", "x" * (MAX_SPEC_CHARS))]
+)
+def test_submission_that_no_record_can_hold_is_refused(world, workflow_id, payload):
+    """Guards against a submission that is accepted but neither stored nor run."""
+    body = json.dumps({"payload": payload, "steps": [{"count": 1}]}).encode()
+    assert world.call("submit", workflow_id, body).outcome == Outcome.INVALID
+    assert_serves(world)
+
+
 def test_extreme_parameters_of_a_queue_do_not_end_the_ownership(world):
     """Guards against a configuration with which no owner can schedule."""
     extreme = Queue(
