Measure progress on the worker's clock, and give long tasks more time before they count as stalled

Cause: the time without progress of a run was measured between the arrivals of two reports. After a VM had been suspended for some seconds (its clock stands still, its runs go on afterwards), the first report showed the same percent as the last one, so the runs counted as stalled and were moved: test_runs_of_a_suspended_vm_continue failed with 2 starts instead of 1. Besides, a task of more than 150 s gains less than one percent in 1.5 s; it would have been moved again and again and never have ended. The time now follows the estimate (5 %), and grows with the number of runs, since estimates may be missing.

Ruled out: reports that are merely late, which carry progress; slow workers, which gain percents. The bounds for the users' deployments (tasks of 1.6 to 15 s) stay at 1.5 s, for a first and second run.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -24,8 +24,12 @@
 worker with a stalled run is excluded for the first of these times."""
 
 STALLED_AFTER = timedelta(milliseconds=1500)
-"""Time without progress after which a run counts as stalled. A task that takes 15 s advances by one
-percent every 0.15 s."""
+"""Shortest time without progress after which a run counts as stalled. A task that takes 15 s
+advances by one percent every 0.15 s."""
+
+STALLED_AFTER_SHARE = 0.05
+"""Share of its estimated run time after which a run without progress counts as stalled, if that is
+longer than `STALLED_AFTER`. Progress is reported in whole percent."""
 
 SLOW_SPEED_RATIO = 0.45
 """A worker is slow if its speed relative to tasks of the same step on other workers is below this.
@@ -55,6 +59,7 @@
 class _ProgressTrack:
     step: str
     percent: int
+    stalled_after: timedelta
     progressed_at: timedelta
     seen_at: timedelta
     speed: float | None = None
@@ -68,12 +73,24 @@
     :param run: number of the run.
     :param step: name of the step; tasks of a step do similar work.
     :param percent: share of the work that is done.
+    :param estimate: run time that the caller estimated; zero if unknown.
     """
 
     task: str
     run: int
     step: str
     percent: int
+    estimate: timedelta = timedelta()
+
+    @property
+    def stalled_after(self) -> timedelta:
+        """Return the time without progress after which the run counts as stalled.
+
+        It grows with the number of runs: an estimate may be far too short, and a task that were
+        moved after the same time again and again would never end.
+        """
+        patience = max(STALLED_AFTER, STALLED_AFTER_SHARE * self.estimate)
+        return patience * max(1, self.run - 1)
 
 
 class WorkerHealth:
@@ -103,10 +120,19 @@
         state.next_exclusion = min(MAX_EXCLUSION, 2 * state.next_exclusion)
         return True
 
-    def record_progress(self, worker_id: str, rows: Iterable[RunProgress], now: timedelta) -> None:
+    def record_progress(
+        self,
+        worker_id: str,
+        rows: Iterable[RunProgress],
+        listed_at: timedelta,
+        now: timedelta,
+    ) -> None:
         """Record the progress of a worker's runs.
 
         :param rows: all runs of the worker; runs that are missing are dropped.
+        :param listed_at: time of the listing on the worker's clock. Progress is measured on this
+            clock, so the time for which a VM is suspended or its reports are delayed does not
+            count as time without progress.
         :param now: monotonic time.
         """
         before = self._tracks.get(worker_id, {})
@@ -115,9 +141,11 @@
             key = (row.task, row.run)
             track = before.get(key)
             if track is None:
-                track = _ProgressTrack(row.step, row.percent, now, now)
+                track = _ProgressTrack(
+                    row.step, row.percent, row.stalled_after, listed_at, listed_at
+                )
             else:
-                self._update_track(track, row.percent, now)
+                self._update_track(track, row.percent, listed_at)
             tracks[key] = track
         self._tracks[worker_id] = tracks
         self._index_steps(worker_id, before, tracks)
@@ -126,13 +154,13 @@
     def stalled_runs(self, worker_id: str) -> list[tuple[str, int]]:
         """Return the runs of a worker that its reports show without progress, by task and run.
 
-        The time after the last report does not count: a worker that is silent may make progress.
+        The time after the last listing does not count: a worker that is silent may make progress.
         """
         tracks = self._tracks.get(worker_id, {})
         return [
             key
             for key, track in tracks.items()
-            if track.seen_at - track.progressed_at >= STALLED_AFTER
+            if track.seen_at - track.progressed_at >= track.stalled_after
         ]
 
     def is_slow(self, worker_id: str, now: timedelta) -> bool:
@@ -156,15 +184,15 @@
         # After a failure, prefer workers whose last run succeeded.
         return 0.1 if state.failures else 0.0
 
-    def _update_track(self, track: _ProgressTrack, percent: int, now: timedelta) -> None:
-        seconds = (now - track.seen_at).total_seconds()
+    def _update_track(self, track: _ProgressTrack, percent: int, listed_at: timedelta) -> None:
+        seconds = (listed_at - track.seen_at).total_seconds()
         if seconds > 0:
             speed = max(0, percent - track.percent) / seconds
             track.speed = speed if track.speed is None else (track.speed + speed) / 2
         if percent != track.percent:
-            track.progressed_at = now
+            track.progressed_at = listed_at
         track.percent = percent
-        track.seen_at = now
+        track.seen_at = listed_at
 
     def _index_steps(
         self,
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -11,7 +11,7 @@
 import attrs
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
-from mulberryslip.dispatches import Dispatcher, PlacementDecision
+from mulberryslip.dispatches import MAX_ESTIMATE_MS, Dispatcher, PlacementDecision
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
 from mulberryslip.health import RunProgress, WorkerHealth
@@ -215,13 +215,24 @@
             member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
         )
         progress = [
-            RunProgress(name, status.run, step_key(task), status.progress_percent)
+            RunProgress(
+                name,
+                status.run,
+                step_key(task),
+                status.progress_percent,
+                timedelta(milliseconds=min(task.spec.estimate_ms, MAX_ESTIMATE_MS)),
+            )
             for name, status in member.running.items()
             if (task := term.pool.task(name)) is not None
             and not task.spec.fills
             and not task.spec.lasting
         ]
-        self._health.record_progress(member.worker_id, progress, self._clock.monotonic())
+        self._health.record_progress(
+            member.worker_id,
+            progress,
+            timedelta(milliseconds=member.clock_ms),
+            self._clock.monotonic(),
+        )
 
     def lost_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for runs that have certainly ended because their worker is lost.
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -526,6 +526,25 @@
     assert [run.run for run in holder.runs.values()] == [1]
 
 
+def test_runs_of_a_suspended_vm_continue(world):
+    """Guards against running work that is moved because its VM was suspended for some seconds."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 100_000
+    world.workers[0].leaving = True
+    world.run(1)
+    world.submit("a")
+    world.run(7)
+    holder = next(worker for worker in world.workers if worker.runs)
+    world.frozen.add(holder.id)
+    suspended_at = world.clock.monotonic()
+    world.run(20)
+    holder.incarnation_began_at += world.clock.monotonic() - suspended_at
+    world.frozen.discard(holder.id)
+    world.run(10)
+    assert world.history.starts == 1
+    assert [run.run for run in holder.runs.values()] == [1]
+
+
 def test_stalled_runs_are_moved(world):
     """Guards against tasks stuck on a worker that reports normally but makes no progress."""
     world.workers[0].is_hung = True
