Let the runtime refuse a start that it executes after the worker has given it up

Cause: a start without a response is given up after two runtime leases, and the task is assigned again. The start carried a session that the worker kept renewing, so a runtime that executed it seconds late accepted it, and two attempts ran at a time. The session of a start without a response is now abandoned: it expires within one lease. The new test failed before (one start event).

Ruled out: a start delayed by a suspended worker, for which the session is read before the reservation is checked.

--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -372,12 +372,19 @@
             log(Event.START_REFUSED, task=held.runtime_id, reason=str(exc))
             return Outcome.NOT_RUN, f"{exc.code}: {exc}"
         except RuntimeAdapterError as exc:
+            self._abandon_session(session_id)
             return Outcome.OUTCOME_UNKNOWN, str(exc)
         with self._lock:
             held.is_confirmed = True
         log(Event.TASK_STARTED, task=held.runtime_id)
         return Outcome.OK, ""
 
+    def _abandon_session(self, session_id: str) -> None:
+        """Let a session expire, so that the runtime refuses a start that it executes late."""
+        with self._lock:
+            if self._session_id == session_id:
+                self._session_id = ""
+
     def _renew_session(self) -> None:
         if self._session_id and self._runtime.renew_session(self._session_id):
             return
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,5 +1,6 @@
 """Worker process against stand-ins of the runtime and the target, and fake entries."""
 
+import contextlib
 import json
 import signal
 import subprocess
@@ -14,7 +15,12 @@
 from mulberryslip import Attempt, ManualClock, Resources, SystemClock, TaskClass, TaskKey, runtimes
 from mulberryslip.admissions import Admission
 from mulberryslip.channels import Address, ChannelPool
-from mulberryslip.exceptions import NotSentError, RuntimeAdapterError, WireError
+from mulberryslip.exceptions import (
+    NotSentError,
+    RuntimeAdapterError,
+    RuntimeRefusedError,
+    WireError,
+)
 from mulberryslip.outcomes import Answered, NotRun, OutcomeUnknown
 from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.servers import Server
@@ -547,20 +553,32 @@
     """Runtime adapter that calls the runtime stand-in without a network.
 
     `lost` maps a path to when its call fails: "before" the call takes effect, or "after".
+    With "late", a call that changes something is kept in `late_calls` and can be executed later.
     """
 
     def __init__(self, runtime_stand_in):
         super().__init__("http://unused")
         self.runtime_stand_in = runtime_stand_in
         self.lost = {}
+        self.late_calls = []
         self.before_start = lambda: None
 
+    def execute_late_calls(self):
+        """Execute the calls that got no response in time."""
+        self.lost = {}
+        for call in self.late_calls:
+            with contextlib.suppress(RuntimeRefusedError):
+                self._call(*call)
+
     def _call(self, method, path, body=None):
         if (method, path) == ("POST", "/tasks"):
             self.before_start()
         last = path.rsplit("/", 1)[-1]
         if self.lost.get(last) == "before":
             raise RuntimeAdapterError("the response was lost")
+        if self.lost.get(last) == "late" and method != "GET":
+            self.late_calls.append((method, path, body))
+            raise RuntimeAdapterError("no response in time")
         data = b"" if body is None else json.dumps(body).encode()
         status, response = self.runtime_stand_in.handle(method, f"/workers/w-1{path}", "", data)
         if self.lost.get(last) == "after":
@@ -735,6 +753,18 @@
         assert bench.admission.used() == Resources()
 
 
+def test_start_that_was_given_up_is_not_executed_later(bench):
+    """Guards against two attempts of a task when the runtime executes a start seconds late."""
+    bench.grant()
+    bench.runtime.lost = {"tasks": "late"}
+    assert bench.run()[0] == wire.Outcome.OUTCOME_UNKNOWN
+    for _ in range(10):
+        bench.step()
+    assert bench.report().state == wire.TaskState.SUSPENDED
+    bench.runtime.execute_late_calls()
+    assert bench.events("start") == []
+
+
 def test_stop_is_repeated_until_the_runtime_confirms_it(bench):
     """Guards against capacity that is released while the task still runs."""
     bench.grant()
