Let an owner confirm its key, so that it stops granting leases once the key is gone

Cause: the owner counted its permission from the renewals of its store lease only. If the store deletes the key while the lease goes on, an idle owner (nothing to commit, so nothing fences it) stayed the owner for agents that do not hear of the successor, and extended leases beyond the time at which the successor gives up their runs. The test failed: the owner was still live after a store lease. The key is now read three times in each store lease by a thread of its own, and the permission ends one store lease after the last read that found it, which is what previous_owner_granted_until of the successor assumes.

--- a/packages/daemon/src/mulberryslipd/claims.py
+++ b/packages/daemon/src/mulberryslipd/claims.py
@@ -57,6 +57,14 @@
         self.version = outcome.version
         return True
 
+    def is_current(self) -> bool:
+        """Return whether the key still names this owner.
+
+        :raises StoreError: the store did not answer.
+        """
+        stored = self._store.get(self._key)
+        return stored is not None and stored.version == self.version
+
     def release(self) -> None:
         """Delete the key, so that other processes can claim it at once."""
         if not self.version:
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -8,6 +8,8 @@
 
 import attrs
 from mulberryslip.clocks import Clock
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import StoreError
 from mulberryslip.journals import Journal
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool
@@ -15,12 +17,16 @@
 from .claims import OwnerClaim
 from .members import Member
 from .sessions import Session
+from .sources import OutageLog
 
 CLOCK_RATE_FACTOR = 1.03
 """Factor that covers a worker's clock being up to 2 % slow."""
 
 LEASE_MARGIN = timedelta(milliseconds=200)
 
+CONFIRMATIONS_PER_LEASE = 3
+"""Confirmations of the owner key per store lease; two in a row may fail."""
+
 
 @attrs.frozen
 class PoolLeaseTimes:
@@ -65,6 +71,7 @@
     :param journal: receives the events of this term.
     :param session: store lease that the owner key is bound to.
     :param claim: the owner key.
+    :param claimed_at: time before the owner key was written, on the process's clock.
     :param times: lease times of workers and of the owner.
     """
 
@@ -75,6 +82,7 @@
         journal: Journal,
         session: Session,
         claim: OwnerClaim,
+        claimed_at: timedelta,
         clock: Clock,
         times: PoolLeaseTimes,
     ):
@@ -84,8 +92,12 @@
         self.session = session
         self.claim = claim
         self.lock = threading.Lock()
+        self._clock = clock
+        self._times = times
+        self._confirmed_until = claimed_at + times.store_lease
         # The store may delete the owner key before the store lease expires. The previous owner
-        # then grants leases to workers until it notices, at the latest when its lease expires.
+        # then grants leases to workers until it notices, at the latest one store lease after it has
+        # last confirmed its key.
         self.previous_owner_granted_until = clock.monotonic() + times.store_lease
         self.members: dict[str, Member] = {}
         self.unchecked_workers: set[str] = set()
@@ -97,7 +109,40 @@
 
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
-        return not self.ended.is_set() and self.is_claimed() and self.session.valid()
+        return (
+            not self.ended.is_set()
+            and self.is_claimed()
+            and self.session.valid()
+            and self._clock.monotonic() < self._confirmed_until
+        )
+
+    def confirm_key(self) -> None:
+        """Confirm that the owner key still names this process; end the term if it does not.
+
+        The key can be gone although the store lease is renewed.
+
+        :raises StoreError: the store did not answer; the last confirmation expires after a store
+            lease.
+        """
+        sent_at = self._clock.monotonic()
+        if self.claim.is_current():
+            self._confirmed_until = sent_at + self._times.store_lease
+            return
+        self.ended.set()
+        self.wake.set()
+
+    def run_confirmations(self) -> None:
+        """Confirm the owner key several times in each store lease, until the term ends."""
+        outage = OutageLog("confirm owner key")
+        while not self._clock.wait(self.ended, self._times.store_lease / CONFIRMATIONS_PER_LEASE):
+            try:
+                self.confirm_key()
+                outage.record_success()
+            except Exception as exc:
+                # Without confirmations the term would end although the key is there.
+                if not isinstance(exc, StoreError):
+                    log(Event.INTERNAL_ERROR, what="confirm owner key", reason=repr(exc))
+                outage.record_failure(exc)
 
     def is_claimed(self) -> bool:
         """Return whether this process may still hold the ownership.
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -310,6 +310,7 @@
         session = self._make_session()
         session.renew()
         claim = OwnerClaim(self._key, self._store, session, self._identity)
+        claimed_at = self._clock.monotonic()
         if not session.valid() or not claim.create_key():
             session.stop()
             return False
@@ -323,7 +324,9 @@
             claim.release()
             session.stop()
             raise
-        term = PoolTerm(claim.version, pool, journal, session, claim, self._clock, self._times)
+        term = PoolTerm(
+            claim.version, pool, journal, session, claim, claimed_at, self._clock, self._times
+        )
         self._scheduler.restore_interference(term)
         self._term = term
         self._directory.update(KnownOwner(self._address(), claim.version))
@@ -372,7 +375,8 @@
         threading.Thread(
             target=self._source.run, args=(term.ended,), name="pool-config", daemon=True
         ).start()
-        while term.is_claimed() and not stop.is_set():
+        threading.Thread(target=term.run_confirmations, name="owner-key", daemon=True).start()
+        while term.is_claimed() and not term.ended.is_set() and not stop.is_set():
             self._clock.wait(term.wake, IDLE_INTERVAL)
             # Calls that arrive during the pause are handled in the same round.
             self._clock.sleep(ROUND_INTERVAL)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -12,10 +12,12 @@
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslipd.members import FENCES_PER_EPOCH
+from mulberryslipd.ownerships import PoolLeaseTimes
 from mulberryslipd.schedulers import MAX_REPORT_AGE, START_WINDOW, is_cheap_to_stop
 from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+STORE_LEASE = PoolLeaseTimes().store_lease
 
 
 @pytest.fixture
@@ -445,6 +447,17 @@
     assert world.history.violations == []
 
 
+def test_owner_whose_key_was_deleted_stops_granting_leases(world):
+    """Guards against an idle owner that extends leases after a successor has counted them out.
+
+    Its store lease goes on, so renewals succeed; only its key is gone.
+    """
+    first = world.owner()
+    world.store.delete("pools/0/owner", first._term.epoch)
+    world.run(STORE_LEASE // (200 * MS) + 1)
+    assert not first.is_owner()
+
+
 @pytest.mark.parametrize("is_frozen", [False, True])
 def test_nothing_starts_in_a_data_centre_that_was_taken_out(world, is_frozen):
     """Guards against starts in a data centre taken out, or with an outdated configuration."""
