Hand a pool over through a peer when its owner has lost the store

Cause: when the store turns away the owner's VM only, nothing can be accepted or started until the store lease of the owner expires.

Change: an owner whose renewals and records fail asks, in its replies to reports, one agent after another to take the pool over. That agent reads the owner key, and deletes it if it reaches the store; then all agents may claim as after any other loss of the key. The old owner is fenced as in a hand-over by expiry. The decision is in handovers.py; when the store fails for all VMs nobody can delete the key, and the owner keeps it.

Ruled out: a shorter store lease, which also ends when responses of the store are lost for two seconds; taking over from an owner that is silent to agents, which may be well and only cut off from them.

Tests: both new tests of pools; with the deletion taken out, the first one fails. The reply to a report has a new optional field, which older agents ignore.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -350,6 +350,7 @@
   6: required i64 ended_through,   // ends up to this number are committed
   7: required list<RunProfile> profiles, // of the tasks named as unprofiled
   9: required list<ImagePressure> pressures, // of the images that run on the worker
+  10: optional bool take_over,     // the owner has lost the store; the agent may claim the pool
 }
 
 struct OrdersRequest {
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4360,11 +4360,12 @@
      - ended_through
      - profiles
      - pressures
+     - take_over
 
     """
 
 
-    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None,):
+    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None, take_over=None,):
         self.outcome = outcome
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
@@ -4372,6 +4373,7 @@
         self.ended_through = ended_through
         self.profiles = profiles
         self.pressures = pressures
+        self.take_over = take_over
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4429,6 +4431,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.take_over = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4473,6 +4480,10 @@
                 iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.take_over is not None:
+            oprot.writeFieldBegin('take_over', TType.BOOL, 10)
+            oprot.writeBool(self.take_over)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5506,6 +5517,7 @@
     (7, TType.LIST, 'profiles', (TType.STRUCT, [RunProfile, None], False), None, ),  # 7
     None,  # 8
     (9, TType.LIST, 'pressures', (TType.STRUCT, [ImagePressure, None], False), None, ),  # 9
+    (10, TType.BOOL, 'take_over', None, None, ),  # 10
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -111,6 +111,8 @@
 
     :param runner: the worker.
     :param address: Thrift address of this process.
+    :param take_over: called with the epoch of an owner that asks this process to take its pool
+        over; returns at once.
     """
 
     def __init__(
@@ -121,7 +123,9 @@
         address: Address,
         name: str,
         clock: Clock,
+        take_over: Callable[[int], None],
     ):
+        self._take_over = take_over
         self._runner = runner
         self._directory = directory
         self._channels = channels
@@ -344,6 +348,8 @@
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
         self._update_grant(worker, reply)
+        if reply.take_over:
+            self._take_over(reply.epoch)
         return True
 
     def _update_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -400,9 +400,9 @@
     directory = build_directory(parts, pool, clock)
     address = Address.parse(cfg.role["wire"])
     runner = parts.adapter.PlatformRunner(cfg.role["worker_url"], clock)
-    agent = Agent(runner, directory, parts.channels, address, name, clock)
     identity = OwnerIdentity(name, uuid.uuid4().hex, *_host_and_port(address))
     owner = build_pool_owner(cfg, parts, pool, directory, identity, clock)
+    agent = Agent(runner, directory, parts.channels, address, name, clock, owner.request_takeover)
     server = Server(
         PoolWire.Processor(PoolService(owner)),
         address.host,
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -10,6 +10,7 @@
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import StoreError
+from mulberryslip.handovers import HandoverPolicy
 from mulberryslip.journals import Journal
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool
@@ -91,6 +92,7 @@
         self.journal = journal
         self.session = session
         self.claim = claim
+        self.handover = HandoverPolicy()
         self.lock = threading.Lock()
         self._clock = clock
         self._times = times
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -109,6 +109,7 @@
         self._times = times or PoolLeaseTimes()
         self._scheduler = PoolScheduler(source, dispatcher, self._times, clock)
         self._term: PoolTerm | None = None
+        self._takeover_epoch = 0
 
     def is_owner(self) -> bool:
         """Return whether this process owns the pool now."""
@@ -140,7 +141,7 @@
             )
             term.inbox.append(queued)
         term.wake.set()
-        if req.ended:
+        if req.ended and not self._is_store_lost(term):
             self._clock.wait(queued.done, COMMIT_TIMEOUT)
         return self._report_reply(term, member, req)
 
@@ -274,6 +275,7 @@
     def run(self, stop: threading.Event) -> None:
         """Own the pool whenever it has no other owner, until stopped."""
         while not stop.is_set():
+            self.release_for_takeover()
             known = self._directory.owner()
             if known is not None and known.address != self._address():
                 self._clock.wait(stop, RETRY_PAUSE)
@@ -339,6 +341,36 @@
         )
         return True
 
+    def request_takeover(self, epoch: int) -> None:
+        """Ask this process to take the pool over from an owner that has lost the store.
+
+        :param epoch: epoch of that owner.
+        """
+        self._takeover_epoch = epoch
+
+    def release_for_takeover(self) -> None:
+        """Delete the key of an owner that has asked for it, so that the pool can be claimed.
+
+        That owner may still act as the owner until its store lease expires: its records and
+        commands are refused, and `previous_owner_granted_until` covers the leases it grants.
+        """
+        epoch, self._takeover_epoch = self._takeover_epoch, 0
+        known = self._directory.owner()
+        if not epoch or known is None or known.epoch != epoch:
+            return
+        try:
+            # Reading first tells whether this process reaches the store. A write that fails in an
+            # outage for all VMs could take effect afterwards, when the owner is well again.
+            stored = self._store.get(self._key)
+            if stored is None or stored.version != epoch:
+                return
+            self._store.delete(self._key, epoch)
+            self._directory.refresh()
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="delete owner key", reason=str(exc))
+            return
+        log(Event.OWNER_KEY_DELETED, pool=self._number, owner=str(known.address), epoch=epoch)
+
     def _delete_stale_key(self) -> bool:
         """Delete the owner key of an earlier process at this address, which has certainly ended.
 
@@ -475,6 +507,7 @@
         :raises FencedError: another owner has taken over; the events may or may not be committed.
         """
         raw = [encode_event(event) for event in events]
+        started_at = self._clock.monotonic()
         pause = RETRY_PAUSE
         failed = False
         while True:
@@ -487,6 +520,8 @@
                 if not failed:
                     log(Event.STORE_UNAVAILABLE, call="append", reason=str(exc))
                 failed = True
+                with term.lock:
+                    term.handover.record_commit_failure(started_at)
                 if not term.is_claimed():
                     raise FencedError("the store lease has ended", unresolved=True) from exc
                 # Calls that are not part of this record cannot be committed in time.
@@ -494,6 +529,8 @@
                 self._clock.sleep(pause)
                 pause = min(pause * 2, MAX_RETRY_PAUSE)
         if failed:
+            with term.lock:
+                term.handover.record_commit()
             log(Event.STORE_RECOVERED, call="append")
         if term.journal.snapshot_due:
             self._write_snapshot(term)
@@ -553,8 +590,13 @@
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(term.epoch)
+            take_over = req.agent != str(self._address()) and term.handover.take_request(
+                self._clock.monotonic(), term.session.failing_since
+            )
         if not term.is_live():
             return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
+        if take_over:
+            log(Event.TAKEOVER_REQUESTED, pool=self._number, epoch=term.epoch, agent=req.agent)
         is_current = is_current and req.listed
         lease_until = req.clock_ms + self._times.lease // timedelta(milliseconds=1)
         return wire.WorkerReportReply(
@@ -565,8 +607,13 @@
             ended_through,
             profiles,
             interference,
+            take_over,
         )
 
+    def _is_store_lost(self, term: PoolTerm) -> bool:
+        with term.lock:
+            return term.handover.is_store_lost(self._clock.monotonic(), term.session.failing_since)
+
     def _interference(self, term: PoolTerm, member: Member) -> list[wire.ImagePressure]:
         """Return the known interference between the images that run on a worker."""
         specs = [task.spec for name in member.running if (task := term.pool.task(name)) is not None]
--- a/packages/daemon/src/mulberryslipd/sessions.py
+++ b/packages/daemon/src/mulberryslipd/sessions.py
@@ -58,6 +58,7 @@
         self._session_id = ""
         self._valid_until = clock.monotonic()
         self._failures = 0
+        self._failing_since: timedelta | None = None
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="session", daemon=True)
 
@@ -76,6 +77,12 @@
         with self._lock:
             return max(timedelta(), self._valid_until - self._clock.monotonic())
 
+    @property
+    def failing_since(self) -> timedelta | None:
+        """When the first renewal was sent that failed since the last successful one, if any."""
+        with self._lock:
+            return self._failing_since
+
     def start(self) -> None:
         """Start the renewal thread."""
         self._thread.start()
@@ -101,10 +108,15 @@
 
         :returns: time to wait before the next renewal.
         """
+        sent = self._clock.monotonic()
         try:
             self._renew_or_grant()
         except StoreError as exc:
+            with self._lock:
+                self._failing_since = self._failing_since or sent
             return self._handle_failure(exc)
+        with self._lock:
+            self._failing_since = None
         if self._failures:
             log(Event.STORE_RECOVERED, call="renew_lease", failures=self._failures)
         self._failures = 0
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -8,7 +8,13 @@
 from mulberryslip import ManualClock, Resources
 from mulberryslip.channels import Address
 from mulberryslip.dispatches import Dispatcher, estimated_run_time
-from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError, StoreError
+from mulberryslip.exceptions import (
+    FencedError,
+    NotSentError,
+    ReplyLostError,
+    StoreError,
+    StoreUnavailableError,
+)
 from mulberryslip.headrooms import InterferenceModel
 from mulberryslip.metrics import Metrics
 from mulberryslip.queues import PoolConfig, Queue
@@ -319,6 +325,19 @@
         return reply
 
 
+class ProcessStore:
+    """The store as one process reaches it; the path can be cut for each process."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+
+    def __getattr__(self, method):
+        if self._name in self._world.store_cut:
+            raise StoreUnavailableError(f"{self._name} does not reach the store")
+        return getattr(self._world.store, method)
+
+
 class PoolWorld:
     """Workers with their agents, and owners that compete for the pool.
 
@@ -334,6 +353,7 @@
         self.history = History()
         self.services = {}
         self.cut = set()
+        self.store_cut = set()
         self.reply_loss_rate = 0.0
         self.workers = [
             SimWorker(number, self.clock, self.history, **worker_options)
@@ -361,19 +381,20 @@
     def start_process(self, worker):
         """Start the agent process of a worker, in place of one that ended without a shutdown."""
         address = self.address(worker)
-        directory = PoolOwnerDirectory(self.store, "pools/0/owner", self.clock, self.rng)
+        store = ProcessStore(self, worker.id)
+        directory = PoolOwnerDirectory(store, "pools/0/owner", self.clock, self.rng)
         source = ManualConfigSource(self.clock)
         self.sources[worker.id] = source
         sessions = self.sessions[worker.id] = []
 
         def make_session():
-            sessions.append(ManualSession(self.store, 3 * SECOND, self.clock, rng=self.rng))
+            sessions.append(ManualSession(store, 3 * SECOND, self.clock, rng=self.rng))
             return sessions[-1]
 
         incarnation = f"{worker.id}-{self.rng.random()}"
         owner = PoolOwner(
             0,
-            self.store,
+            store,
             directory,
             source,
             make_session,
@@ -385,7 +406,15 @@
             PoolLeaseTimes(lease=6 * SECOND),
         )
         channels = DirectChannels(self, worker.id)
-        agent = Agent(worker, directory, channels, address, worker.id, self.clock)
+        agent = Agent(
+            worker,
+            directory,
+            channels,
+            address,
+            worker.id,
+            self.clock,
+            owner.request_takeover,
+        )
         self.owners[worker.id] = owner
         self.agents[worker.id] = (agent, directory)
         self.services[address] = PoolService(owner)
@@ -416,6 +445,12 @@
             except FencedError:
                 owner.resign("fenced")
 
+    def run_takeovers(self):
+        """Let each process take the pool over if an owner has asked it to."""
+        for name, owner in self.owners.items():
+            if name not in self.frozen:
+                owner.release_for_takeover()
+
     def renew_sessions(self):
         for name, sessions in self.sessions.items():
             if name not in self.frozen:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -18,6 +18,7 @@
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 STORE_LEASE = PoolLeaseTimes().store_lease
+OWNER_KEY = "pools/0/owner"
 
 
 @pytest.fixture
@@ -458,6 +459,56 @@
     assert not first.is_owner()
 
 
+def run_others_while_the_owner_waits(world):
+    """Let all processes but the owner go on while its record cannot be written."""
+
+    def go_on():
+        world.renew_sessions()
+        for worker in world.workers[1:]:
+            world.run_agent(worker)
+        world.run_takeovers()
+        if world.store.state.get(OWNER_KEY) is None:
+            world.elect(world.workers[1])
+            # The first owner reaches the store again, and finds that it has been replaced.
+            world.store_cut.clear()
+
+    world.clock.on_sleep = go_on
+
+
+def test_peer_takes_the_pool_over_from_an_owner_that_has_lost_the_store(world):
+    """Guards against work that waits for a store lease while other VMs reach the store."""
+    cut_at = world.clock.monotonic()
+    world.store_cut.add("w0")
+    run_others_while_the_owner_waits(world)
+    world.submit("a")
+    assert world.clock.monotonic() - cut_at < STORE_LEASE / 2
+    world.clock.on_sleep = lambda: None
+    assert not world.owners["w0"].is_owner()
+    assert world.submit("b").outcome == Outcome.OK
+    world.run(20)
+    assert world.shown("b") == "completed"
+    assert world.history.violations == []
+
+
+def test_outage_of_the_store_for_all_does_not_change_the_owner(world):
+    """Guards against a hand-over that no process can complete, and that takes effect later."""
+    epoch = world.owner()._term.epoch
+    world.store.set_faults(outage="refuse")
+    run_others_while_the_owner_waits(world)
+    go_on = world.clock.on_sleep
+    outage_ends = world.clock.monotonic() + STORE_LEASE / 2
+
+    def end_outage():
+        if world.clock.monotonic() > outage_ends:
+            world.store.set_faults(outage="")
+        go_on()
+
+    world.clock.on_sleep = end_outage
+    world.submit("a")
+    assert world.owner()._term.epoch == epoch
+    assert world.shown("a")
+
+
 @pytest.mark.parametrize("is_frozen", [False, True])
 def test_nothing_starts_in_a_data_centre_that_was_taken_out(world, is_frozen):
     """Guards against starts in a data centre taken out, or with an outdated configuration."""
@@ -625,8 +676,10 @@
     expected = {}
 
     def end_outage():
+        world.renew_sessions()
         if rng.random() < 0.2:
             world.store.set_faults(outage="")
+            world.store_cut.clear()
 
     world.clock.on_sleep = end_outage
     for turn in range(250):
@@ -640,7 +693,8 @@
                 expected[f"a{turn}"] = "running" if lasting else "completed"
         _inject_fault(world, rng)
         world.round(timedelta(milliseconds=rng.randint(20, 400)))
-        if world.owner() is None:
+        world.run_takeovers()
+        if world.owner() is None or world.store.state.get(OWNER_KEY) is None:
             _claim(world, rng)
         assert world.history.violations == [], (seed, turn)
     _end_all_faults(world)
@@ -678,6 +732,10 @@
         worker.loses_reply = lambda: False
     elif draw < 0.57:
         worker.run_delayed_starts()
+    elif draw < 0.60:
+        world.store_cut.add(worker.id)
+    elif draw < 0.68:
+        world.store_cut.discard(worker.id)
     world.reply_loss_rate = rng.choice([0.0, 0.0, 0.1])
 
 
@@ -694,12 +752,14 @@
 def _end_all_faults(world):
     world.store.set_faults(outage="")
     world.cut.clear()
+    world.store_cut.clear()
     world.frozen.clear()
     world.reply_loss_rate = 0.0
     for worker in world.workers:
         worker.loses_reply = lambda: False
     for _ in range(40):
-        if world.owner() is not None:
+        world.run_takeovers()
+        if world.owner() is not None and world.store.state.get(OWNER_KEY) is not None:
             return
         world.round()
         _claim(world, world.rng)
