Keep a leaving worker out when its agent restarts and hears a delayed announcement

Cause: the owner took 'leaving' from each report. An agent that restarts forgets that its worker leaves, and an announcement that the worker sent earlier and that arrives late says 'ready'; the owner then started tasks there again. An incarnation that leaves does not return, so the owner keeps it until the worker's next incarnation.

Ruled out: announcements that overtake each other at one agent process, which has their sequence numbers.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -96,7 +96,8 @@
         self.machine = worker.machine
         self.labels = frozenset(worker.labels)
         self.capacity = resources_from_wire(worker.capacity)
-        self.leaving = worker.leaving
+        # An incarnation that leaves does not return; an announcement that says so arrived late.
+        self.leaving = self.leaving or worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
         if not report.listed and not report.unreachable:
@@ -125,6 +126,7 @@
     def _begin_incarnation(self, incarnation: str) -> None:
         self.incarnation = incarnation
         self.incarnations += 1
+        self.leaving = False
         self.clock_ms = 0
         self.reconciled_through = self.ended_through = 0
         self.running = {}
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -533,6 +533,24 @@
     assert not any(worker.runs for worker in world.workers[1:])
 
 
+def test_leaving_worker_stays_out_when_its_agent_restarts(world):
+    """Guards against starts on a worker that has said that it leaves.
+
+    Its agent is restarted, and then gets an announcement that was sent before and delayed.
+    """
+    delayed = {worker.id: worker.announcement() for worker in world.workers}
+    for worker in world.workers:
+        worker.leaving = True
+    world.run(2)
+    for worker in world.workers[1:]:
+        world.start_process(worker)
+        world.agents[worker.id][0].announce(delayed[worker.id])
+        world.run_agent(worker)
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.step_owners()
+    assert world.owner()._term.pool.workers_with_runs() == []
+
+
 def test_uncommitted_submission_is_refused_as_not_run(world):
     """Guards against a wrong or late refusal during a store outage."""
     world.clock.on_wait = lambda: None
