Confirm the owner key in the measurement of an owner's cost

Without it the measured owner ended its term after one store lease, and reports were answered in vain.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -341,6 +341,14 @@
         )
         return True
 
+    def confirm_key(self) -> None:
+        """Confirm the owner key once, if this process owns the pool.
+
+        :raises StoreError: the store did not answer.
+        """
+        if self._term is not None:
+            self._term.confirm_key()
+
     def request_takeover(self, epoch: int) -> None:
         """Ask this process to take the pool over from an owner that has lost the store.
 
--- a/packages/testing/src/mulberryslip_testing/owners.py
+++ b/packages/testing/src/mulberryslip_testing/owners.py
@@ -236,6 +236,7 @@
         self.clock.advance(ROUND)
         for session in self._sessions:
             session.renew()
+        self.owner.confirm_key()
         reports = [(worker, worker.report()) for worker in self._workers]
         due = [(worker, req) for worker, req in reports if req is not None]
         self.usage.reports += len(due)
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -457,13 +457,8 @@
                 for session in sessions[-1:]:
                     if session.session_id:
                         session.renew()
-                self.confirm_key(self.owners[name])
-
-    def confirm_key(self, owner):
-        """Let an owner confirm its key, if it reaches the store."""
-        if owner._term is not None:
-            with contextlib.suppress(StoreError):
-                owner._term.confirm_key()
+                with contextlib.suppress(StoreError):
+                    self.owners[name].confirm_key()
 
     def announce_workers(self):
         """Announce all reachable workers to their agents."""
