Try to connect several times within the timeout of a call to the platform

Cause: when all processes restart at once, opening packets to the store are dropped; a lost one is sent again by the operating system after a second, longer than the timeout of a call (0.6 s on the platform). A call now makes three attempts to connect within the same timeout. No request is repeated: only attempts that sent nothing.

Ruled out: keeping the claim after a failed read, which would still cost the timeout. Test: three of five cases fail without the change.

--- a/packages/core/src/mulberryslip/transports.py
+++ b/packages/core/src/mulberryslip/transports.py
@@ -1,8 +1,9 @@
 """HTTP client for the platform's services: connection pools, deadlines and complete responses."""
 
+import functools
 import json
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
 from urllib.parse import quote
@@ -20,6 +21,10 @@
 of 5 Mbit/s, so that a configuration of several hundred kilobytes still arrives there beside other
 traffic."""
 
+CONNECT_ATTEMPTS = 3
+"""Attempts to connect within the timeout of a call. When many processes connect at once, opening
+packets are dropped, and the operating system sends them again only after a second."""
+
 NOT_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -59,9 +64,9 @@
 class HTTPTransport:
     """HTTP client of one server of the platform.
 
-    It never retries on its own: a repeated call could take effect twice, and retries during an
-    outage would use up the server's rate limit. The number of connections is bounded; a call that
-    gets none within the timeout fails.
+    It never repeats a request on its own, only attempts to connect: a repeated call could take
+    effect twice, and retries during an outage would use up the server's rate limit. The number of
+    connections is bounded; a call that gets none within the timeout fails.
 
     :param base_url: `http://host:port`, optionally with a path.
     :param timeout: limit for connecting, for the headers and for a small body of a response; a
@@ -119,20 +124,23 @@
             the server cannot have received the request.
         """
         query = "&".join(f"{name}={quote(value, safe='')}" for name, value in fields.items())
+        url = f"{self._base_path}{path}?{query}" if query else self._base_path + path
         pool = self._pools[server_wait > timedelta()]
         read_timeout = self._timeout + server_wait.total_seconds()
+        send_once = functools.partial(
+            pool.urlopen,
+            method,
+            url,
+            body=body,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=self._timeout / CONNECT_ATTEMPTS, read=read_timeout),
+            pool_timeout=self._timeout,
+            preload_content=False,
+        )
         try:
-            resp = pool.urlopen(
-                method,
-                f"{self._base_path}{path}?{query}" if query else self._base_path + path,
-                body=body,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(connect=self._timeout, read=read_timeout),
-                pool_timeout=self._timeout,
-                preload_content=False,
-            )
+            resp = _send_once_connected(send_once)
             return HTTPResponse(resp.status, resp.headers, self._read_body(resp))
         except urllib3.exceptions.ReadTimeoutError:
             self._replace_pool(pool)
@@ -176,3 +184,15 @@
         return urllib3.HTTPConnectionPool(
             host, port, maxsize=self._pool_sizes[is_long_poll], block=True
         )
+
+
+def _send_once_connected(
+    send_once: Callable[[], urllib3.BaseHTTPResponse],
+) -> urllib3.BaseHTTPResponse:
+    """Send a request; repeat only what fails because no connection was made in time."""
+    for _ in range(CONNECT_ATTEMPTS - 1):
+        try:
+            return send_once()
+        except urllib3.exceptions.ConnectTimeoutError:
+            continue
+    return send_once()
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -6,7 +6,7 @@
 
 import pytest
 import urllib3
-from mulberryslip.transports import MIN_BYTES_PER_S, HTTPTransport
+from mulberryslip.transports import CONNECT_ATTEMPTS, MIN_BYTES_PER_S, HTTPTransport
 
 TIMEOUT = timedelta(milliseconds=200)
 
@@ -59,3 +59,45 @@
     """Guards against a thread that is blocked for minutes by a response that trickles in."""
     with pytest.raises(urllib3.exceptions.HTTPError):
         call(server, MIN_BYTES_PER_S, MIN_BYTES_PER_S // 10)
+
+
+CONNECT_TIMEOUT = urllib3.exceptions.ConnectTimeoutError("timed out")
+READ_TIMEOUT = urllib3.exceptions.ReadTimeoutError(None, "/x", "timed out")
+REFUSED = urllib3.exceptions.NewConnectionError(None, "refused")
+
+
+@pytest.mark.parametrize(
+    ("errors", "is_sent"),
+    [
+        ([CONNECT_TIMEOUT], True),
+        ([CONNECT_TIMEOUT] * (CONNECT_ATTEMPTS - 1), True),
+        ([CONNECT_TIMEOUT] * CONNECT_ATTEMPTS, False),
+        ([REFUSED], False),
+        ([READ_TIMEOUT], False),
+    ],
+    ids=["one lost packet", "several", "unreachable", "refused", "request lost"],
+)
+def test_only_lost_connection_attempts_are_repeated(server, monkeypatch, errors, is_sent):
+    """Guards against a call that fails for one lost packet, and against a request sent twice.
+
+    Load: all processes of a fleet restart and connect to the store at the same moment.
+    """
+    errors = list(errors)
+    urlopen = urllib3.HTTPConnectionPool.urlopen
+    connect_timeouts = []
+
+    def fail_first(pool, *args, timeout, **kwargs):
+        connect_timeouts.append(timeout.connect_timeout)
+        if errors:
+            raise errors.pop(0)
+        return urlopen(pool, *args, timeout=timeout, **kwargs)
+
+    monkeypatch.setattr(urllib3.HTTPConnectionPool, "urlopen", fail_first)
+    if is_sent:
+        assert call(server, 10, MIN_BYTES_PER_S).body == b"x" * 10
+    else:
+        transport = HTTPTransport(f"http://127.0.0.1:{server.getsockname()[1]}", TIMEOUT)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            transport.send("POST", "/x", {}, b"")
+    assert errors == []
+    assert sum(connect_timeouts) <= TIMEOUT.total_seconds() + 1e-9
