Do not say 'not run' of a repeated cancellation either; survive unexpected errors in a takeover

The same fault as for submissions: a cancellation that is sent again while the record of its first send is being written was refused as 'not run'. Three cases of the test failed. The rule now stands where calls are rejected. The thread that owns pools called the new deletion of an owner key without a guard; an unexpected error there would have ended it (the test failed). Renamed test_resubmission_during_... to test_repeated_call_during_..., with the method as a parameter; its cases for submissions are as before.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -86,8 +86,8 @@
     def stalled_after(self) -> timedelta:
         """Return the time without progress after which the run counts as stalled.
 
-        It grows with the number of runs: an estimate may be far too short, and a task that were
-        moved after the same time again and again would never end.
+        It grows with the number of runs: an estimate may be far too short, and a task that is moved
+        after the same time again and again never ends.
         """
         patience = max(STALLED_AFTER, STALLED_AFTER_SHARE * self.estimate)
         return patience * max(1, self.run - 1)
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -202,13 +202,12 @@
                 return []
             return [accepted_event(req.workflow_id, queue, spec, self._now_ms())]
 
-        reply = self._decide_and_commit(term, QueuedCall(decide, len(req.body)), "queued")
-        if reply.outcome == Outcome.NOT_RUN:
-            with term.lock:
-                is_in_commit = req.workflow_id in term.pool.workflows
-            if is_in_commit:
-                # An earlier send of this submission is in a record that may be written still.
-                reply = _reply(Outcome.OUTCOME_UNKNOWN, reply.reason)
+        reply = self._decide_and_commit(
+            term,
+            QueuedCall(decide, len(req.body)),
+            "queued",
+            lambda: req.workflow_id in term.pool.workflows,
+        )
         self._metrics.count(f"submissions_{Outcome._VALUES_TO_NAMES[reply.outcome].lower()}")
         if reply.outcome == Outcome.OK:
             log(
@@ -252,7 +251,9 @@
                 return []
             return [WorkflowCancelled(req.workflow_id, self._now_ms())]
 
-        reply = self._decide_and_commit(term, QueuedCall(decide), "cancelled")
+        reply = self._decide_and_commit(
+            term, QueuedCall(decide), "cancelled", lambda: workflow.is_ended
+        )
         if reply.outcome == Outcome.OK:
             log(
                 Event.WORKFLOW_CANCELLED,
@@ -377,6 +378,10 @@
         except StoreError as exc:
             log(Event.STORE_UNAVAILABLE, call="delete owner key", reason=str(exc))
             return
+        except Exception as exc:
+            # This thread must survive, or the process could never own the pool again.
+            log(Event.INTERNAL_ERROR, what="delete owner key", reason=repr(exc))
+            return
         log(Event.OWNER_KEY_DELETED, pool=self._number, owner=str(known.address), epoch=epoch)
 
     def _delete_stale_key(self) -> bool:
@@ -633,9 +638,13 @@
         ]
 
     def _decide_and_commit(
-        self, term: PoolTerm, queued: QueuedCall, shown: str
+        self, term: PoolTerm, queued: QueuedCall, shown: str, is_applied: Callable[[], bool]
     ) -> wire.WorkflowReply:
-        """Queue a call for the decision thread and wait until its events are committed."""
+        """Queue a call for the decision thread and wait until its events are committed.
+
+        :param is_applied: whether the call has changed the state. If so although it was rejected,
+            an earlier send of it is in a record that may still be written.
+        """
         with term.lock:
             term.inbox.append(queued)
         term.wake.set()
@@ -644,6 +653,8 @@
             if not queued.done.is_set() and not queued.is_dequeued and queued in term.inbox:
                 term.inbox.remove(queued)
                 self._reject(queued)
+            if queued.outcome == Outcome.NOT_RUN and is_applied():
+                return _reply(Outcome.OUTCOME_UNKNOWN, queued.reason)
         retry_after = 0
         if queued.outcome == Outcome.NOT_RUN:
             retry_after = RETRY_AFTER // timedelta(milliseconds=1)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -562,6 +562,7 @@
     assert world.call("status", "a").outcome == Outcome.NOT_FOUND
 
 
+@pytest.mark.parametrize("method", ["submit", "cancel"])
 @pytest.mark.parametrize(
     "reject",
     [
@@ -571,25 +572,36 @@
     ],
     ids=["timeout", "store outage", "hand-over"],
 )
-def test_resubmission_during_an_unfinished_commit_is_not_refused_as_not_run(world, reject):
-    """Guards against "not run" for a workflow whose record may already be in the journal.
+def test_repeated_call_during_an_unfinished_commit_is_not_refused_as_not_run(world, reject, method):
+    """Guards against "not run" for a call whose record may already be in the journal.
 
-    The answer to the first send is lost, and the caller sends the submission again while the owner
-    still tries to write its record.
+    The answer to the first send is lost, and the caller sends the call again while the owner still
+    tries to write its record.
     """
     owner, term = world.owner(), world.owner()._term
+    send = {
+        "submit": lambda: world.submit("a"),
+        "cancel": lambda: world.call("cancel", "a"),
+    }[method]
+    if method == "cancel":
+        world.submit("a", attrs.evolve(TASK, lasting=True))
     outcomes = []
 
-    def resubmit():
-        if "a" not in term.pool.workflows or outcomes:
+    def repeat():
+        if outcomes:
             return
         world.clock.on_wait = lambda: reject(owner, term)
-        outcomes.append(world.submit("a").outcome)
+        outcomes.append(None)
+        outcomes[0] = send().outcome
         world.store.set_faults(outage="")
 
-    world.clock.on_sleep = resubmit
+    is_decided = {
+        "submit": lambda: "a" in term.pool.workflows,
+        "cancel": lambda: term.pool.workflows["a"].is_cancelled,
+    }[method]
+    world.clock.on_sleep = lambda: is_decided() and repeat()
     world.store.set_faults(outage="drop")
-    world.submit("a")
+    send()
     assert outcomes == [Outcome.OUTCOME_UNKNOWN]
 
 
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -227,6 +227,18 @@
     assert stop.is_set()
 
 
+def test_unexpected_error_in_a_takeover_does_not_end_the_owner_thread(monkeypatch):
+    """Guards against a process that can never own the pool again."""
+    world = PoolWorld(workers=2)
+    epoch = world.elect()._term.epoch
+    _, directory = world.agents["w1"]
+    directory.refresh()
+    monkeypatch.setattr(directory, "refresh", lambda: 1 / 0)
+    world.owners["w1"].request_takeover(epoch)
+    world.owners["w1"].release_for_takeover()
+    assert world.store.state.get("pools/0/owner") is None
+
+
 # Malformed messages to the owner of the pool
 
 
