Start services and checks before best-effort tasks are placed when many wait at once

Load: all VMs return at once and everything that ran starts again. Services and checks are now placed by themselves; if they are 32 or more, best-effort tasks wait for the next round. Order among services and checks, and among best-effort tasks, is unchanged. test_best_effort_tasks_are_placed_a_few_times_a_second now counts rounds instead of calls of the dispatcher, with the same bounds, since a round may call it twice. The new test fails without the change.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -75,6 +75,11 @@
 """Time between two rounds that place best-effort tasks. Their placement compares all workers, which
 would delay quick checks, and a quarter of a second matters little to tasks of several seconds."""
 
+URGENT_BURST = 32
+"""Starts of services and checks in one round after which best-effort tasks wait for the next round.
+When all workers return at once, placing hundreds of best-effort tasks would delay these starts,
+which are sent after the round."""
+
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
 """Shortest time that a run must have spent on a worker before it may be moved; before that, its
 measured speed is not meaningful."""
@@ -358,12 +363,20 @@
             return []
         if not term.is_live():
             return []
-        if not self._best_effort_timer.is_due(self._clock.monotonic()):
-            waiting = [task for task in waiting if not task.spec.fills]
-            if not waiting:
-                return []
-        candidates = self._candidates(term, config)
-        return self._dispatcher.schedule(waiting, candidates, self._now_ms()) if candidates else []
+        now_ms = self._now_ms()
+        urgent = [task for task in waiting if not task.spec.fills]
+        best_effort = [task for task in waiting if task.spec.fills]
+        candidates: list[WorkerCapacity] | None = None
+        decisions: list[PlacementDecision] = []
+        if urgent:
+            candidates = self._candidates(term, config)
+            decisions = self._dispatcher.schedule(urgent, candidates, now_ms)
+        if len(decisions) >= URGENT_BURST or not best_effort:
+            return decisions
+        if self._best_effort_timer.is_due(self._clock.monotonic()):
+            candidates = candidates or self._candidates(term, config)
+            decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
+        return decisions
 
     def move_runs(self, term: PoolTerm) -> None:
         """Mark runs to stop that are expected to progress faster on another worker."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -9,11 +9,17 @@
 from mulberryslip.headrooms import InterferenceEstimate
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, RunningRun
-from mulberryslip.steps import StepSpec
+from mulberryslip.steps import StepSpec, WorkflowSpec
 from mulberryslip.wire.ttypes import Outcome
+from mulberryslip.workflows import accepted_event
 from mulberryslipd.members import FENCES_PER_EPOCH
 from mulberryslipd.ownerships import PoolLeaseTimes
-from mulberryslipd.schedulers import MAX_REPORT_AGE, START_WINDOW, is_cheap_to_stop
+from mulberryslipd.schedulers import (
+    MAX_REPORT_AGE,
+    START_WINDOW,
+    URGENT_BURST,
+    is_cheap_to_stop,
+)
 from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -404,20 +410,57 @@
 
 def test_best_effort_tasks_are_placed_a_few_times_a_second(world):
     """Guards against placing best-effort tasks so often that the owner delays quick checks."""
-    dispatcher = world.owner()._dispatcher
-    seen = []
-    schedule = dispatcher.schedule
-    dispatcher.schedule = lambda tasks, *args: seen.append(list(tasks)) or schedule(seen[-1], *args)
+    seen = record_scheduled_kinds(world)
     world.submit("a", attrs.evolve(TASK, count=3, cpu_millis=9000))
     world.submit("b", attrs.evolve(TASK, fills=True, cpu_millis=9000, memory_mb=20_000))
+    rounds = []
     for _ in range(20):
+        seen.clear()
         world.owner().step()
+        rounds.append(set(seen))
         world.clock.advance(SECOND / 20)
-    rounds = [{task.spec.fills for task in tasks} for tasks in seen]
     assert all(False in kinds for kinds in rounds[-15:])
     assert 3 <= sum(True in kinds for kinds in rounds) <= 6
 
 
+def record_scheduled_kinds(world):
+    """Record for each task that is scheduled whether it is a best-effort task."""
+    dispatcher = world.owner()._dispatcher
+    seen = []
+    schedule = dispatcher.schedule
+
+    def record(tasks, *args):
+        seen.extend(task.spec.fills for task in tasks)
+        return schedule(tasks, *args)
+
+    dispatcher.schedule = record
+    return seen
+
+
+@pytest.mark.parametrize(("services", "is_delayed"), [(URGENT_BURST, True), (3, False)])
+def test_burst_of_services_and_checks_starts_before_best_effort_tasks(world, services, is_delayed):
+    """Guards against services that wait until hundreds of best-effort tasks are placed.
+
+    Load: all VMs return at once, and everything that ran has to start again.
+    """
+    seen = record_scheduled_kinds(world)
+    world.clock.on_wait = lambda: None
+    for number in range(services):
+        world.owner()._term.pool.apply(accepted(f"s{number}", attrs.evolve(TASK, cpu_millis=100)))
+    world.owner()._term.pool.apply(accepted("b", attrs.evolve(TASK, count=9, fills=True)))
+    rounds = []
+    for _ in range(2):
+        seen.clear()
+        world.owner().step()
+        rounds.append(set(seen))
+    assert (True in rounds[0]) is not is_delayed
+    assert True in rounds[0] | rounds[1]
+
+
+def accepted(workflow_id, step):
+    return accepted_event(workflow_id, QUEUE, WorkflowSpec("payload", (step,)), 1)
+
+
 def test_interference_estimates_survive_the_owner(world):
     """Guards against interference with services while each new owner learns the estimates again."""
     first = world.owner()
