--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -347,8 +347,9 @@
 
         :raises StoreError: the store did not answer.
         """
-        if self._term is not None:
-            self._term.confirm_key()
+        term = self._term
+        if term is not None:
+            term.confirm_key()
 
     def request_takeover(self, epoch: int) -> None:
         """Ask this process to take the pool over from an owner that has lost the store.
@@ -373,7 +374,7 @@
             stored = self._store.get(self._key)
             if stored is None or stored.version != epoch:
                 return
-            self._store.delete(self._key, epoch)
+            outcome = self._store.delete(self._key, epoch)
             self._directory.refresh()
         except StoreError as exc:
             log(Event.STORE_UNAVAILABLE, call="delete owner key", reason=str(exc))
@@ -382,7 +383,13 @@
             # This thread must survive, or the process could never own the pool again.
             log(Event.INTERNAL_ERROR, what="delete owner key", reason=repr(exc))
             return
-        log(Event.OWNER_KEY_DELETED, pool=self._number, owner=str(known.address), epoch=epoch)
+        log(
+            Event.OWNER_KEY_DELETED,
+            pool=self._number,
+            owner=str(known.address),
+            epoch=epoch,
+            outcome=type(outcome).__name__.lower(),
+        )
 
     def _delete_stale_key(self) -> bool:
         """Delete the owner key of an earlier process at this address, which has certainly ended.
