Keep fleets of less than 400 workers in one pool, so that services find the room that there is

Workflows are divided by their ids alone, and services reserve four fifths of the processors, so one of two pools can be full.

Change: one pool for each 4000 writes/s instead of 1600, so 160 and 300 workers have one.

Ruled out: a slow or missing owner (both pools had one all the time), a reserve that the task may not use (it may after 1 s).

--- a/packages/core/src/mulberryslip/partitions.py
+++ b/packages/core/src/mulberryslip/partitions.py
@@ -9,10 +9,11 @@
 import re
 import zlib
 
-WRITES_PER_POOL = 1600
+WRITES_PER_POOL = 4000
 """Writes per second that the store must allow for each pool. The platform allows about 20 writes a
-second per worker, so a pool has about 80 workers. Capacity does not move between pools, so smaller
-pools would leave workers idle while others are full."""
+second per worker, so a pool has 200 workers or more. Capacity does not move between pools, and
+workflows are divided by their ids alone: services that reserve most of the processors can fill one
+pool while another has room. So a fleet is divided only when one owner could not carry it."""
 
 MAX_POOLS = 64
 
