--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -342,7 +342,7 @@
 
 @pytest.mark.parametrize("role", ["agent", "gateway"])
 @pytest.mark.parametrize(
-    ("writes_per_s", "pools"), [(None, 1), ("400", 1), ("1200.0", 1), ("3200", 2)]
+    ("writes_per_s", "pools"), [(None, 1), ("400", 1), ("1200.0", 1), ("3200", 1), ("8000", 2)]
 )
 def test_settings_template_gives_valid_settings(role, writes_per_s, pools):
     """Guards against a settings template with which a process does not start on the platform."""
--- a/tests/test_transports.py
+++ b/tests/test_transports.py
@@ -83,21 +83,28 @@
     Load: all processes of a fleet restart and connect to the store at the same moment.
     """
     errors = list(errors)
-    urlopen = urllib3.HTTPConnectionPool.urlopen
+    transport = HTTPTransport(f"http://127.0.0.1:{server.getsockname()[1]}", TIMEOUT)
+    pool = transport._pools[False]
+    urlopen = pool.urlopen
     connect_timeouts = []
 
-    def fail_first(pool, *args, timeout, **kwargs):
+    def fail_first(*args, timeout, **kwargs):
         connect_timeouts.append(timeout.connect_timeout)
         if errors:
             raise errors.pop(0)
-        return urlopen(pool, *args, timeout=timeout, **kwargs)
+        return urlopen(*args, timeout=timeout, **kwargs)
 
-    monkeypatch.setattr(urllib3.HTTPConnectionPool, "urlopen", fail_first)
+    monkeypatch.setattr(pool, "urlopen", fail_first)
     if is_sent:
-        assert call(server, 10, MIN_BYTES_PER_S).body == b"x" * 10
+        serving = threading.Thread(
+            target=serve_slowly, args=(server, 10, MIN_BYTES_PER_S), daemon=True
+        )
+        serving.start()
+        assert transport.send("POST", "/x", {}, b"").body == b"x" * 10
+        serving.join(5)
     else:
-        transport = HTTPTransport(f"http://127.0.0.1:{server.getsockname()[1]}", TIMEOUT)
         with pytest.raises(urllib3.exceptions.HTTPError):
             transport.send("POST", "/x", {}, b"")
+    transport.close()
     assert errors == []
     assert sum(connect_timeouts) <= TIMEOUT.total_seconds() + 1e-9
