Do not end a task because of a listing that was requested before its start was confirmed

A listing of the runtime's tasks that had been requested before the start arrived was applied after the reply to the start. The check for starts still in flight no longer held then, since the start was confirmed. A listing counts now only if it was requested after the confirmation. The new test failed before.

--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -81,7 +81,7 @@
     """Attempt that this worker holds until the owner has acknowledged its end.
 
     `version` counts the changes to be reported to the owner; `acknowledged_version` is the newest
-    version that the owner has committed.
+    version that the owner has committed. `confirmed_at` is when the runtime replied to the start.
     """
 
     attempt: Attempt
@@ -98,6 +98,7 @@
     throttle_permille: int = FULL_PERMILLE
     owner_throttle_permille: int = FULL_PERMILLE
     is_confirmed: bool = False
+    confirmed_at: timedelta | None = None
     stop_command: TaskStopCommand | None = None
     checkpoint_due: timedelta | None = None
     version: int = 0
@@ -376,6 +377,7 @@
             return Outcome.OUTCOME_UNKNOWN, str(exc)
         with self._lock:
             held.is_confirmed = True
+            held.confirmed_at = self._clock.monotonic()
         log(Event.TASK_STARTED, task=held.runtime_id)
         return Outcome.OK, ""
 
@@ -505,6 +507,9 @@
         """End a task that the runtime does not list."""
         if held.started >= listed_after:
             return
+        if held.confirmed_at is not None and held.confirmed_at >= listed_after:
+            # The listing was requested before the runtime confirmed the start.
+            return
         waited = listed_after - held.started
         if not held.is_confirmed and waited < UNCONFIRMED_START_LEASES * self._runtime_lease:
             # A start without a response may still be in flight. Its lease is not renewed, so the
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -765,6 +765,29 @@
     assert bench.events("start") == []
 
 
+def test_listing_from_before_a_start_does_not_end_its_task(bench, monkeypatch):
+    """Guards against a second attempt of a task whose start was confirmed during a listing."""
+    bench.grant()
+    is_listed = threading.Event()
+    bench.runtime.before_start = lambda: is_listed.wait(5)
+    starting = threading.Thread(target=bench.run)
+    starting.start()
+    wait_for(lambda: bench.report() is not None)
+    tasks = bench.runtime.tasks
+
+    def list_before_the_start():
+        listed = tasks()
+        is_listed.set()
+        starting.join(5)
+        return listed
+
+    monkeypatch.setattr(bench.runtime, "tasks", list_before_the_start)
+    bench.clock.advance(10 * MS)
+    bench.executions.tick()
+    assert bench.events("start") == ["start"]
+    assert bench.report().is_running
+
+
 def test_stop_is_repeated_until_the_runtime_confirms_it(bench):
     """Guards against capacity that is released while the task still runs."""
     bench.grant()
