--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -96,7 +96,7 @@
         self.machine = worker.machine
         self.labels = frozenset(worker.labels)
         self.capacity = resources_from_wire(worker.capacity)
-        # An incarnation that leaves does not return; an announcement that says so arrived late.
+        # An incarnation that leaves does not return: a later 'ready' is a delayed announcement.
         self.leaving = self.leaving or worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
--- a/packages/testing/src/mulberryslip_testing/owners.py
+++ b/packages/testing/src/mulberryslip_testing/owners.py
@@ -34,7 +34,7 @@
 SIMULATED_TIME = timedelta(seconds=12)
 ROUND = timedelta(milliseconds=50)
 LEASE = timedelta(seconds=3)
-QUEUE = Queue("work", prefix="/work/", service="ledger", max_attempts=3, slack_ms=500)
+QUEUE = Queue("work", prefix="/batches/", service="ledger", max_attempts=3, slack_ms=500)
 CAPACITY = wire.Resources(64_000, 256_000, 0, 8)
 CHECK_MS = 1600
 BATCH_MS = 4400
