Log why a service or a check waits for a worker; notes on long-running tasks that do not run

Users saw a long-running task that does not run although there is room for it. Event 437 (RUN_WAITING) names the task that has waited longest and counts the workers by reason, once a second while a task of a service or a check has waited for more than 2 s. No decision changes: the conditions of placement are the same ones, with a name each.

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -98,14 +98,20 @@
 
     def admits(self, task: StepTask) -> bool:
         """Return whether a run fits on this worker and its step may run here."""
+        return not self.refusal(task)
+
+    def refusal(self, task: StepTask) -> str:
+        """Return why a run may not start on this worker; empty if it fits and may run here."""
         if self.service != task.workflow.queue.service:
-            return False
+            return "another service"
         spec = task.spec
         if not spec.demand.fits(self.free):
-            return False
+            return "no room"
         if spec.required_label and spec.required_label not in self.labels:
-            return False
-        return not spec.max_per_worker or self.steps.get(step_key(task), 0) < spec.max_per_worker
+            return "label missing"
+        if spec.max_per_worker and self.steps.get(step_key(task), 0) >= spec.max_per_worker:
+            return "spread limit"
+        return ""
 
 
 def _add(amounts: dict[str, int], key: str, amount: int) -> None:
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -14,6 +14,7 @@
 
 import functools
 import heapq
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from datetime import timedelta
 
@@ -217,6 +218,10 @@
                 moved.append(task)
         return moved
 
+    def wait_reasons(self, task: StepTask, workers: Iterable[WorkerCapacity]) -> Counter[str]:
+        """Return why workers do not get a waiting task, with the number of workers."""
+        return Counter(_refusal(task, worker) or "not chosen" for worker in workers)
+
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
         """Return waiting tasks in scheduling order."""
         urgencies: dict[str, tuple] = {}
@@ -349,11 +354,7 @@
 
     def _score(self, task: StepTask, worker: WorkerCapacity, wait_ms: int) -> float | None:
         """Return the score of a worker for a task, or None if the task may not start there."""
-        if (
-            worker.pending_starts >= MAX_PENDING_STARTS
-            or worker.penalty >= EXCLUSION_PENALTY
-            or not worker.admits(task)
-        ):
+        if _refusal(task, worker):
             return None
         spec = task.spec
         score = -10.0 * worker.penalty
@@ -427,6 +428,15 @@
             heapq.heapreplace(self._heap, (-value, position))
 
 
+def _refusal(task: StepTask, worker: WorkerCapacity) -> str:
+    """Return why a task may not start on a worker; empty if it may."""
+    if worker.pending_starts >= MAX_PENDING_STARTS:
+        return "too many starts at once"
+    if worker.penalty >= EXCLUSION_PENALTY:
+        return "excluded"
+    return worker.refusal(task)
+
+
 def _is_long_wait(wait_ms: int) -> bool:
     """Return whether a best-effort task has waited so long that any worker will do."""
     return wait_ms >= ANY_WORKER_WAIT_MS
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -4,7 +4,7 @@
 """
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -80,6 +80,11 @@
 When all workers return at once, placing hundreds of best-effort tasks would delay these starts,
 which are sent after the round."""
 
+LONG_WAIT_MS = 2000
+"""Time after which it is logged why a service or a check has not been started."""
+
+WAIT_LOG_INTERVAL = timedelta(seconds=1)
+
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
 """Shortest time that a run must have spent on a worker before it may be moved; before that, its
 measured speed is not meaningful."""
@@ -146,6 +151,7 @@
         self._best_effort_timer = _Timer(BEST_EFFORT_INTERVAL, now)
         self._move_timer = _Timer(MOVE_INTERVAL, now)
         self._lost_runs_timer = _Timer(LOST_RUNS_INTERVAL, now)
+        self._wait_log_timer = _Timer(WAIT_LOG_INTERVAL, now)
 
     def restore_interference(self, term: PoolTerm) -> None:
         """Restore the interference estimates that earlier owners recorded."""
@@ -371,6 +377,9 @@
         if urgent:
             candidates = self._candidates(term, config)
             decisions = self._dispatcher.schedule(urgent, candidates, now_ms)
+            placed = {decision.task.name for decision in decisions}
+            unplaced = [task for task in urgent if task.name not in placed]
+            self._log_long_waits(term, config, unplaced, candidates, now_ms)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
@@ -418,18 +427,10 @@
     def _candidates(self, term: PoolTerm, config: PoolConfig) -> list[WorkerCapacity]:
         """Return the workers that may get new runs, with their free resources."""
         now = self._clock.monotonic()
-        services = config.services()
-        newest = _newest_incarnations(term.members.values())
         candidates = [
             self._allocated_capacity(term, member).copy()
-            for member in term.members.values()
-            if member.clock_ms
-            and not member.leaving
-            and not member.is_absent
-            and newest.get(member.machine, "") <= member.incarnation
-            and member.service in services
-            and member.data_centre not in config.data_centres_out
-            and now - member.received_at <= MAX_REPORT_AGE
+            for member, reason in self._availability(term, config)
+            if not reason
         ]
         for candidate in candidates:
             candidate.penalty = self._health.penalty(candidate.worker_id, now)
@@ -444,6 +445,54 @@
             )
         return candidates
 
+    def _availability(self, term: PoolTerm, config: PoolConfig) -> Iterator[tuple[Member, str]]:
+        """Yield each worker with the reason why it may not get runs; empty if it may."""
+        now = self._clock.monotonic()
+        services = config.services()
+        newest = _newest_incarnations(term.members.values())
+        for member in term.members.values():
+            if not member.clock_ms:
+                reason = "no listing yet"
+            elif member.leaving:
+                reason = "leaving"
+            elif member.is_absent:
+                reason = "process ended"
+            elif newest.get(member.machine, "") > member.incarnation:
+                reason = "replaced by a newer worker"
+            elif member.service not in services:
+                reason = "another service"
+            elif member.data_centre in config.data_centres_out:
+                reason = "data centre out"
+            elif now - member.received_at > MAX_REPORT_AGE:
+                reason = "no recent report"
+            else:
+                reason = ""
+            yield member, reason
+
+    def _log_long_waits(
+        self,
+        term: PoolTerm,
+        config: PoolConfig,
+        waiting: Iterable[StepTask],
+        candidates: list[WorkerCapacity],
+        now_ms: int,
+    ) -> None:
+        """Log why the task that has waited longest is not started, if it has waited too long."""
+        overdue = [task for task in waiting if now_ms - task.waiting_since_ms >= LONG_WAIT_MS]
+        if not overdue or not self._wait_log_timer.is_due(self._clock.monotonic()):
+            return
+        longest = min(overdue, key=lambda task: task.waiting_since_ms)
+        reasons = self._dispatcher.wait_reasons(longest, candidates)
+        reasons.update(reason for _, reason in self._availability(term, config) if reason)
+        log(
+            Event.RUN_WAITING,
+            task=longest.name,
+            lasting=longest.spec.lasting,
+            waited_ms=now_ms - longest.waiting_since_ms,
+            overdue=len(overdue),
+            reasons=dict(reasons),
+        )
+
     def _allocated_capacity(self, term: PoolTerm, member: Member) -> WorkerCapacity:
         """Return the capacity of a worker, computed again only after its allocation changed."""
         version = (
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -6,7 +6,12 @@
 import attrs
 import pytest
 from mulberryslip.capacities import worker_capacity_of
-from mulberryslip.dispatches import ANY_WORKER_WAIT_MS, Dispatcher, estimated_run_time
+from mulberryslip.dispatches import (
+    ANY_WORKER_WAIT_MS,
+    MAX_PENDING_STARTS,
+    Dispatcher,
+    estimated_run_time,
+)
 from mulberryslip.headrooms import ImageInterference, InterferenceModel
 from mulberryslip.health import EXCLUSION_PENALTY
 from mulberryslip.models import Resources
@@ -105,6 +110,29 @@
     assert {decision.worker.worker_id for decision in place(pool, dispatcher())} == allowed
 
 
+@pytest.mark.parametrize(
+    ("step", "change", "reason"),
+    [
+        (StepSpec(cpu_millis=65_000), {}, "no room"),
+        (StepSpec(required_label="r9"), {}, "label missing"),
+        (StepSpec(max_per_worker=1), {"steps": {"a/0": 1}}, "spread limit"),
+        (StepSpec(), {"service": "other"}, "another service"),
+        (StepSpec(), {"penalty": EXCLUSION_PENALTY}, "excluded"),
+        (StepSpec(), {"pending_starts": MAX_PENDING_STARTS}, "too many starts at once"),
+        (StepSpec(), {}, "not chosen"),
+    ],
+)
+def test_reason_of_a_wait_is_known(step, change, reason):
+    """Guards against a task that waits while no log tells why."""
+    pool = Pool()
+    add(pool, "a", CHECKS, step)
+    workers = make_workers(pool, 2)
+    for worker in workers:
+        for name, value in change.items():
+            setattr(worker, name, value)
+    assert dispatcher().wait_reasons(pool.ready()[0], workers) == {reason: 2}
+
+
 def test_excluded_worker_gets_no_runs():
     """Guards against runs assigned to a worker that fails all of them."""
     pool = Pool()
