Start long-running tasks on excluded workers as a last resort; do not let exclusions outlast the fault

Cause: the owner excludes a worker after two consecutive failed runs, for 4, 8, 16 and 30 s, however many workers are excluded already. Workers that all failed for a while are all excluded, and stay so long after they are well. The class of fault: a precaution that moves load away from a part is applied to the whole, where there is nowhere to move it to.

Ruled out: the owner did not hold the tasks to be running (they were waiting), and no worker was out of use for another reason than the two that had crashed.

Change: a long-running task that has waited 1 s may start on an excluded worker, since its attempts are not limited; at most a third of the workers are excluded for longer than 4 s; a worker that fails again after an exclusion gets one short run in 2 s until one succeeds. Before, all that had been waiting was sent to it at once, and failed there.

Tests that failed before: test_service_starts_soon_after_all_workers_have_failed_their_runs[11, 20], test_checks_run_soon_after_all_workers_have_failed_their_runs[20], test_failing_workers_are_probed_with_single_runs (90 starts in 20 s on three failing workers, 18 allowed).

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -25,6 +25,8 @@
         by image.
     :param lowest_headrooms: lowest current headroom of the latency-critical runs, by image.
     :param penalty: penalty for using the worker, at least 0; placement prefers lower values.
+    :param is_probed: whether the worker may get only one run in this round, not counting
+        long-running ones.
     """
 
     worker_id: str
@@ -43,6 +45,7 @@
     baseline_headrooms: dict[str, float] = attrs.field(factory=dict)
     lowest_headrooms: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
+    is_probed: bool = False
 
     @property
     def unused_millis(self) -> int:
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -36,9 +36,10 @@
 """Share of the processors that long-running tasks leave to short tasks. The short checks of both
 users need 5 to 6 % of the fleet on average and arrive in bursts."""
 
-RESERVE_ACCESS_WAIT_MS = 1000
-"""Waiting time after which a long-running task may use the reserve, because its users have no
-service until it starts."""
+LAST_RESORT_WAIT_MS = 1000
+"""Waiting time after which a long-running task may use the reserve and excluded workers, because
+its users have no service until it starts. Its attempts are not limited, so a failure costs little.
+"""
 
 DEFAULT_HEADROOM = 2.0
 """Headroom assumed for a service without measurements. A latency objective is about five times the
@@ -158,11 +159,17 @@
             spec = task.spec
             wait_ms = now_ms - task.waiting_since_ms
             # The tasks of a step have the same requirements, so they share one ranking.
-            key = (task.workflow.workflow_id, task.step, task.failed_on, _is_long_wait(wait_ms))
+            key = (
+                task.workflow.workflow_id,
+                task.step,
+                task.failed_on,
+                _is_long_wait(wait_ms),
+                _needs_last_resort(task, wait_ms),
+            )
             if ranking is None or ranking.key != key:
                 score = functools.partial(self._score, task, wait_ms=wait_ms)
                 ranking = _Ranking(key, score, workers)
-            may_use_reserve = not spec.lasting or wait_ms >= RESERVE_ACCESS_WAIT_MS
+            may_use_reserve = not spec.lasting or _needs_last_resort(task, wait_ms)
             if not may_use_reserve and free_millis - spec.cpu_millis < reserve:
                 continue
             worker = ranking.best()
@@ -218,9 +225,14 @@
                 moved.append(task)
         return moved
 
-    def wait_reasons(self, task: StepTask, workers: Iterable[WorkerCapacity]) -> Counter[str]:
-        """Return why workers do not get a waiting task, with the number of workers."""
-        return Counter(_refusal(task, worker) or "not chosen" for worker in workers)
+    def wait_reasons(
+        self, task: StepTask, workers: Iterable[WorkerCapacity], wait_ms: int
+    ) -> Counter[str]:
+        """Return why workers do not get a waiting task, with the number of workers.
+
+        :param wait_ms: how long the task has been waiting, in milliseconds.
+        """
+        return Counter(_refusal(task, worker, wait_ms) or "not chosen" for worker in workers)
 
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
         """Return waiting tasks in scheduling order."""
@@ -354,7 +366,7 @@
 
     def _score(self, task: StepTask, worker: WorkerCapacity, wait_ms: int) -> float | None:
         """Return the score of a worker for a task, or None if the task may not start there."""
-        if _refusal(task, worker):
+        if _refusal(task, worker, wait_ms):
             return None
         spec = task.spec
         score = -10.0 * worker.penalty
@@ -428,15 +440,21 @@
             heapq.heapreplace(self._heap, (-value, position))
 
 
-def _refusal(task: StepTask, worker: WorkerCapacity) -> str:
+def _refusal(task: StepTask, worker: WorkerCapacity, wait_ms: int) -> str:
     """Return why a task may not start on a worker; empty if it may."""
-    if worker.pending_starts >= MAX_PENDING_STARTS:
+    is_probe = worker.is_probed and not task.spec.lasting
+    if worker.pending_starts >= (1 if is_probe else MAX_PENDING_STARTS):
         return "too many starts at once"
-    if worker.penalty >= EXCLUSION_PENALTY:
+    if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
         return "excluded"
     return worker.refusal(task)
 
 
+def _needs_last_resort(task: StepTask, wait_ms: int) -> bool:
+    """Return whether a task has waited so long for its users that any room will do."""
+    return task.spec.lasting and wait_ms >= LAST_RESORT_WAIT_MS
+
+
 def _is_long_wait(wait_ms: int) -> bool:
     """Return whether a best-effort task has waited so long that any worker will do."""
     return wait_ms >= ANY_WORKER_WAIT_MS
--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -23,6 +23,18 @@
 exclusion and is reset by a successful run, so a healthy worker is soon used again. A
 worker with a stalled run is excluded for the first of these times."""
 
+FLEET_SHARE = 3
+"""At most one in this many workers is excluded for longer than `INITIAL_EXCLUSION`. A longer
+exclusion moves work to other workers; if these fail as well, it only keeps the fleet idle after the
+fault has ended."""
+
+EXCLUSIONS_BEFORE_PROBES = 2
+"""Consecutive exclusions after which a worker is probed with single runs until one succeeds, so
+that a worker that still fails uses up few attempts."""
+
+PROBE_INTERVAL = timedelta(seconds=2)
+"""Time between two probes of a worker. Short checks end or fail sooner."""
+
 STALLED_AFTER = timedelta(milliseconds=1500)
 """Shortest time without progress after which a run counts as stalled. A task that takes 15 s
 advances by one percent every 0.15 s."""
@@ -49,6 +61,8 @@
     failures: int = 0
     excluded_until: timedelta = timedelta()
     next_exclusion: timedelta = INITIAL_EXCLUSION
+    exclusions: int = 0
+    next_probe_at: timedelta = timedelta()
     speed: float = 1.0
     samples: int = 0
     compared_at: timedelta = timedelta()
@@ -101,25 +115,43 @@
         self._tracks: dict[str, dict[tuple[str, int], _ProgressTrack]] = {}
         self._workers_by_step: dict[str, set[str]] = defaultdict(set)
 
-    def record_run_end(self, worker_id: str, is_done: bool, now: timedelta) -> bool:
+    def record_run_end(
+        self, worker_id: str, is_done: bool, now: timedelta, fleet_size: int | None = None
+    ) -> bool:
         """Record the end of a run.
 
         :param is_done: whether the run succeeded.
         :param now: monotonic time.
+        :param fleet_size: number of workers in the pool; None if unknown.
         :returns: whether the worker is newly excluded.
         """
         state = self._states[worker_id]
         if is_done:
-            state.failures = 0
+            state.failures = state.exclusions = 0
             state.next_exclusion = INITIAL_EXCLUSION
+            state.next_probe_at = now
             return False
         state.failures += 1
         if state.failures < FAILURES_BEFORE_EXCLUSION or now < state.excluded_until:
             return False
-        state.excluded_until = now + state.next_exclusion
-        state.next_exclusion = min(MAX_EXCLUSION, 2 * state.next_exclusion)
+        excluded = 1 + sum(now < other.excluded_until for other in self._states.values())
+        state.exclusions += 1
+        if fleet_size is not None and excluded * FLEET_SHARE > fleet_size:
+            state.excluded_until = now + INITIAL_EXCLUSION
+        else:
+            state.excluded_until = now + state.next_exclusion
+            state.next_exclusion = min(MAX_EXCLUSION, 2 * state.next_exclusion)
         return True
 
+    def is_probed(self, worker_id: str) -> bool:
+        """Return whether a worker may get single runs only, until one of them succeeds."""
+        state = self._states.get(worker_id)
+        return state is not None and state.exclusions >= EXCLUSIONS_BEFORE_PROBES
+
+    def record_probe(self, worker_id: str, now: timedelta) -> None:
+        """Record that a run is started on a worker that is probed."""
+        self._states[worker_id].next_probe_at = now + PROBE_INTERVAL
+
     def record_progress(
         self,
         worker_id: str,
@@ -175,7 +207,7 @@
         state = self._states.get(worker_id)
         if state is None:
             return 0.0
-        if now < state.excluded_until:
+        if now < max(state.excluded_until, state.next_probe_at):
             return EXCLUSION_PENALTY
         if state.stalled_at is not None and now - state.stalled_at < INITIAL_EXCLUSION:
             return EXCLUSION_PENALTY
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -297,7 +297,8 @@
             checkpoint = status.checkpoint
         if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
             is_done = outcome is RunOutcome.DONE
-            if self._health.record_run_end(task.worker_id, is_done, self._clock.monotonic()):
+            now = self._clock.monotonic()
+            if self._health.record_run_end(task.worker_id, is_done, now, len(term.members)):
                 log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="consecutive runs failed")
         log(
             Event.RUN_ENDED,
@@ -363,6 +364,14 @@
 
     def place(self, term: PoolTerm) -> list[PlacementDecision]:
         """Choose workers for ready tasks; return the placements to commit and start."""
+        decisions = self._choose_workers(term)
+        now = self._clock.monotonic()
+        for decision in decisions:
+            if decision.worker.is_probed and not decision.task.spec.lasting:
+                self._health.record_probe(decision.worker.worker_id, now)
+        return decisions
+
+    def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
         waiting = term.pool.ready()
         config = self._source.config()
         if not waiting or config is None or self._source.age() > CONFIG_MAX_AGE:
@@ -377,9 +386,7 @@
         if urgent:
             candidates = self._candidates(term, config)
             decisions = self._dispatcher.schedule(urgent, candidates, now_ms)
-            placed = {decision.task.name for decision in decisions}
-            unplaced = [task for task in urgent if task.name not in placed]
-            self._log_long_waits(term, config, unplaced, candidates, now_ms)
+            self._log_long_waits(term, config, urgent, decisions, candidates, now_ms)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
@@ -434,6 +441,7 @@
         ]
         for candidate in candidates:
             candidate.penalty = self._health.penalty(candidate.worker_id, now)
+            candidate.is_probed = self._health.is_probed(candidate.worker_id)
             candidate.baseline_headrooms = {
                 image: level
                 for image in candidate.latency_critical_runs
@@ -474,21 +482,26 @@
         term: PoolTerm,
         config: PoolConfig,
         waiting: Iterable[StepTask],
+        decisions: Iterable[PlacementDecision],
         candidates: list[WorkerCapacity],
         now_ms: int,
     ) -> None:
         """Log why the task that has waited longest is not started, if it has waited too long."""
         overdue = [task for task in waiting if now_ms - task.waiting_since_ms >= LONG_WAIT_MS]
+        if overdue:
+            placed = {decision.task.name for decision in decisions}
+            overdue = [task for task in overdue if task.name not in placed]
         if not overdue or not self._wait_log_timer.is_due(self._clock.monotonic()):
             return
         longest = min(overdue, key=lambda task: task.waiting_since_ms)
-        reasons = self._dispatcher.wait_reasons(longest, candidates)
+        wait_ms = now_ms - longest.waiting_since_ms
+        reasons = self._dispatcher.wait_reasons(longest, candidates, wait_ms)
         reasons.update(reason for _, reason in self._availability(term, config) if reason)
         log(
             Event.RUN_WAITING,
             task=longest.name,
             lasting=longest.spec.lasting,
-            waited_ms=now_ms - longest.waiting_since_ms,
+            waited_ms=wait_ms,
             overdue=len(overdue),
             reasons=dict(reasons),
         )
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -8,6 +8,7 @@
 from mulberryslip.capacities import worker_capacity_of
 from mulberryslip.dispatches import (
     ANY_WORKER_WAIT_MS,
+    LAST_RESORT_WAIT_MS,
     MAX_PENDING_STARTS,
     Dispatcher,
     estimated_run_time,
@@ -110,6 +111,24 @@
     assert {decision.worker.worker_id for decision in place(pool, dispatcher())} == allowed
 
 
+@pytest.mark.parametrize(
+    ("lasting", "wait_ms", "starts"),
+    [
+        (False, LAST_RESORT_WAIT_MS, 0),
+        (True, LAST_RESORT_WAIT_MS - 1, 0),
+        (True, LAST_RESORT_WAIT_MS, 1),
+    ],
+)
+def test_excluded_worker_is_the_last_resort_of_a_service(lasting, wait_ms, starts):
+    """Guards against a long-running task that waits beside room on excluded workers."""
+    pool = Pool()
+    add(pool, "a", WATCH, StepSpec(1, 1000, lasting=lasting))
+    workers = make_workers(pool, 2)
+    for worker in workers:
+        worker.penalty = EXCLUSION_PENALTY
+    assert len(dispatcher().schedule(pool.ready(), workers, wait_ms)) == starts
+
+
 @pytest.mark.parametrize(
     ("step", "change", "reason"),
     [
@@ -130,7 +149,7 @@
     for worker in workers:
         for name, value in change.items():
             setattr(worker, name, value)
-    assert dispatcher().wait_reasons(pool.ready()[0], workers) == {reason: 2}
+    assert dispatcher().wait_reasons(pool.ready()[0], workers, 0) == {reason: 2}
 
 
 def test_excluded_worker_gets_no_runs():
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -3,7 +3,14 @@
 from datetime import timedelta
 
 import pytest
-from mulberryslip.health import EXCLUSION_PENALTY, INITIAL_EXCLUSION, RunProgress, WorkerHealth
+from mulberryslip.health import (
+    EXCLUSION_PENALTY,
+    FAILURES_BEFORE_EXCLUSION,
+    FLEET_SHARE,
+    INITIAL_EXCLUSION,
+    RunProgress,
+    WorkerHealth,
+)
 
 SECOND = timedelta(seconds=1)
 
@@ -42,6 +49,44 @@
     assert lengths == [INITIAL_EXCLUSION, 2 * INITIAL_EXCLUSION, 4 * INITIAL_EXCLUSION]
 
 
+@pytest.mark.parametrize(
+    ("failing", "fleet_size", "longest_s"), [(1, 12, 16), (4, 12, 16), (12, 12, 4)]
+)
+def test_long_exclusions_are_limited_to_a_share_of_the_fleet(failing, fleet_size, longest_s):
+    """Guards against a fleet that stays idle because all of its workers are excluded."""
+    health = WorkerHealth()
+    now = SECOND
+    for _ in range(3):
+        for number in range(failing):
+            for _ in range(FAILURES_BEFORE_EXCLUSION):
+                health.record_run_end(f"w{number}", False, now, fleet_size)
+        lengths = [0] * failing
+        while any(health.penalty(f"w{n}", now) >= EXCLUSION_PENALTY for n in range(failing)):
+            for number in range(failing):
+                lengths[number] += health.penalty(f"w{number}", now) >= EXCLUSION_PENALTY
+            now += SECOND
+    long = [length for length in lengths if length > INITIAL_EXCLUSION / SECOND]
+    assert len(long) * FLEET_SHARE <= fleet_size
+    assert lengths[-1] == longest_s
+
+
+def test_worker_that_fails_again_is_probed_until_a_run_succeeds():
+    """Guards against many attempts wasted on a worker whose exclusion has just ended."""
+    health = WorkerHealth()
+    now = SECOND
+    for expected in (False, True):
+        while not health.record_run_end("w", False, now):
+            pass
+        assert health.is_probed("w") is expected
+        now += 10 * SECOND
+    assert health.penalty("w", now) < EXCLUSION_PENALTY
+    health.record_probe("w", now)
+    assert health.penalty("w", now) >= EXCLUSION_PENALTY
+    health.record_run_end("w", True, now)
+    assert not health.is_probed("w")
+    assert health.penalty("w", now) < EXCLUSION_PENALTY
+
+
 def progress(worker, percent):
     return [RunProgress(f"{worker}-{index}", 1, "job/0", percent) for index in range(2)]
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -7,6 +7,7 @@
 import pytest
 from mulberryslip.exceptions import JournalError, StoreError
 from mulberryslip.headrooms import InterferenceEstimate
+from mulberryslip.health import INITIAL_EXCLUSION
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, RunningRun
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -25,6 +26,7 @@
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 STORE_LEASE = PoolLeaseTimes().store_lease
 OWNER_KEY = "pools/0/owner"
+ROUNDS_PER_SECOND = 5
 
 
 @pytest.fixture
@@ -716,6 +718,44 @@
     assert not world.workers[0].runs
 
 
+@pytest.mark.parametrize("fault_s", [5, 11, 20])
+def test_service_starts_soon_after_all_workers_have_failed_their_runs(world, fault_s):
+    """Guards against a long-running task that waits because every worker is excluded."""
+    fail_all_runs(world, fault_s)
+    world.submit("s", attrs.evolve(TASK, lasting=True))
+    world.run(3 * ROUNDS_PER_SECOND)
+    assert world.held_tasks("s")
+
+
+@pytest.mark.parametrize("fault_s", [5, 11, 20])
+def test_checks_run_soon_after_all_workers_have_failed_their_runs(world, fault_s):
+    """Guards against exclusions that keep the whole pool idle long after a fault has ended."""
+    fail_all_runs(world, fault_s)
+    world.submit("c")
+    world.run(7 * ROUNDS_PER_SECOND)
+    assert world.shown("c") == "completed"
+
+
+def test_failing_workers_are_probed_with_single_runs(world):
+    """Guards against tasks that use up their attempts on workers that keep failing."""
+    fail_all_runs(world, 10)
+    started = world.history.starts
+    fail_all_runs(world, 20, first=1000)
+    probes = 20 * SECOND // INITIAL_EXCLUSION + 1
+    assert 0 < world.history.starts - started <= probes * len(world.workers)
+
+
+def fail_all_runs(world, seconds, first=0):
+    """Let all runs fail for some seconds, while five checks arrive each second."""
+    for worker in world.workers:
+        worker.end_kind_of = lambda name: EndKind.FAILED
+    for number in range(first, first + seconds * ROUNDS_PER_SECOND):
+        world.submit(f"f{number}", attrs.evolve(TASK, cpu_millis=100))
+        world.round()
+    for worker in world.workers:
+        worker.end_kind_of = lambda name: EndKind.DONE
+
+
 def test_queue_unknown_to_the_owner_is_a_retryable_refusal(world):
     """Guards against a final refusal of a new queue that the owner has not read yet."""
     reply = world.submit("a", queue="added-just-now")
