--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -148,6 +148,8 @@
         self._report_interval = ReportInterval()
         self._reported_at: timedelta | None = None
         self._reported_leaving = False
+        self._reported_absence = ("", 0)
+        self._absent_incarnation = ""
 
     # Calls from the worker
 
@@ -213,7 +215,8 @@
     def renew_and_report(self, owner: KnownOwner | None) -> bool:
         """Renew the lease, list the runs and report them to the owner if a report is due.
 
-        :returns: whether the owner accepted the report, or no report was due.
+        :returns: whether to continue at once; False when the worker or the owner could not be
+            reached.
         """
         worker = self._announcement
         grant = self._grant
@@ -234,8 +237,13 @@
             )
         except RunnerExitedError as exc:
             self._is_incarnation_confirmed = False
-            log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
-            return owner is not None and self._report(owner, worker, None, unreachable=True)
+            if self._absent_incarnation != worker.incarnation:
+                self._absent_incarnation = worker.incarnation
+                log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
+            if owner is not None and self._is_absence_report_due(owner, worker):
+                self._reported_absence = (worker.incarnation, owner.epoch)
+                self._report(owner, worker, None, unreachable=True)
+            return False
         except RunnerError as exc:
             self._is_incarnation_confirmed = False
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
@@ -264,6 +272,14 @@
             return True
         return self._clock.monotonic() - self._reported_at >= self._report_interval.interval()
 
+    def _is_absence_report_due(self, owner: KnownOwner, worker: WorkerAnnouncement) -> bool:
+        """Return whether the owner has to hear, or hear again, that the worker has ended."""
+        if self._reported_at is None or self._pending_refusals:
+            return True
+        if self._reported_absence != (worker.incarnation, owner.epoch):
+            return True
+        return self._clock.monotonic() - self._reported_at >= REPORT_INTERVAL
+
     def _listing_interval(self) -> timedelta:
         return COLOCATED_REPORT_INTERVAL if self._is_colocated() else REPORT_INTERVAL
 
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -7,6 +7,7 @@
 from mulberryslip.runners import EndedRun, EndKind
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire import ttypes as wire
+from mulberryslipd.agents import REPORT_INTERVAL, RETRY_PAUSE
 from pool_doubles import SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -51,6 +52,33 @@
     assert calls == []
 
 
+def test_ended_worker_is_reported_at_once_and_then_seldom(world):
+    """Guards against a loop of calls and reports as fast as the processor allows."""
+    agent, directory = world.agents["w0"]
+    owner = directory.owner()
+    world.workers[0].is_down = True
+    reports = []
+    report = agent._channels.call
+    agent._channels.call = lambda *args: reports.append(args) or report(*args)
+    for _ in range(20):
+        # The holder pauses after a call that returns False.
+        assert not agent.renew_and_report(owner)
+        world.clock.advance(RETRY_PAUSE)
+    assert 1 <= len(reports) <= 1 + 20 * RETRY_PAUSE // REPORT_INTERVAL
+
+
+def test_next_owner_hears_at_once_that_a_worker_has_ended(world):
+    """Guards against a new owner that waits for a worker whose end the previous one knew."""
+    agent, directory = world.agents["w0"]
+    world.workers[0].is_down = True
+    agent.renew_and_report(directory.owner())
+    reports = []
+    report = agent._channels.call
+    agent._channels.call = lambda *args: reports.append(args) or report(*args)
+    agent.renew_and_report(attrs.evolve(directory.owner(), epoch=directory.owner().epoch + 1))
+    assert len(reports) == 1
+
+
 @pytest.mark.parametrize(
     ("change", "is_taken"),
     [
