Take the fencing token of a worker's new id as it is, not the higher one of its predecessor

When it then came back under a new id, the agent kept the higher token for its lease calls, and the owner gave starts the lower one of the new id: the worker refused all starts as 'fence' until the owner changed, and looked healthy meanwhile. Long-running tasks that were packed there did not run (the class: what belongs to one incarnation is kept for the next).

A token is kept as a maximum only within one incarnation. A delayed command for an earlier id is refused by the id that it names.

Test that failed before: test_worker_with_a_new_id_runs_tasks_after_restarts_under_the_previous_id.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -381,7 +381,8 @@
             self._grant = Grant(
                 worker.incarnation,
                 reply.epoch,
-                max(reply.fence, grant.fence),
+                # A worker under a new id has seen no token; that of its predecessor can be higher.
+                max(reply.fence, grant.fence if is_same_incarnation else 0),
                 max(reply.lease_until_ms, grant.lease_until_ms if is_same_incarnation else 0),
                 max(reply.ended_through, grant.ended_through if is_same_incarnation else 0),
             )
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -342,6 +342,21 @@
     assert world.history.violations == []
 
 
+def test_worker_with_a_new_id_runs_tasks_after_restarts_under_the_previous_id(world):
+    """Guards against starts that are all refused because their fencing token is too low."""
+    worker = world.workers[0]
+    for _ in range(3):
+        worker.restart()
+        world.run(2 * ROUNDS_PER_SECOND)
+    worker.id = f"{worker.id}-b"
+    world.update_worker_id(worker)
+    worker.restart()
+    world.run(2 * ROUNDS_PER_SECOND)
+    world.submit("s", attrs.evolve(TASK, lasting=True, required_label=f"rack-{worker.id}"))
+    world.run(2 * ROUNDS_PER_SECOND)
+    assert list(worker.runs) == ["s/0/0/0"]
+
+
 @pytest.mark.parametrize("run_ms", [100, 5000])
 def test_start_command_run_by_a_later_incarnation_counts(run_ms):
     """Guards against repeating a task whose run in a later incarnation has already ended.
