Judge a silent worker only by listings of VMs that were requested after it was heard last

Evidence was kept by worker id.

Evidence now belongs to one silence: the worker, its VM and when it was heard last. A report in between makes it another one.

Test that failed before: test_listing_requested_before_the_last_report_does_not_end_later_runs ('s/0/0/0 runs on w2 and w0'). Open: a list that is 4 s old can still mislead the owner about a worker that came back and was cut off at once (question 4 in docs/platform.md).

--- a/packages/core/src/mulberryslip/vms.py
+++ b/packages/core/src/mulberryslip/vms.py
@@ -5,9 +5,12 @@
 lease that any owner can have granted before its tasks run again.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
+from datetime import timedelta
 from typing import Protocol
 
+import attrs
+
 LISTINGS_TO_CONFIRM = 2
 """Consecutive listings that must show another state of the VM. One listing may be outdated."""
 
@@ -24,39 +27,46 @@
         """
 
 
+@attrs.frozen
+class Silence:
+    """Silence of one worker.
+
+    :param vm: VM of the worker.
+    :param since: when the worker was heard last, on the owner's monotonic clock.
+    """
+
+    worker: str
+    vm: str
+    since: timedelta
+
+
 class WorkerAbsences:
     """Silent workers and the listings that show them absent. Not thread-safe."""
 
     def __init__(self) -> None:
-        self._vm_by_worker: dict[str, str] = {}
-        self._listings: dict[str, int] = {}
+        self._listings: dict[Silence, int] = {}
 
-    def set_silent(self, vm_by_worker: Mapping[str, str]) -> None:
+    def set_silent(self, silences: Collection[Silence]) -> None:
         """Set which workers with runs are silent; the evidence against all others is dropped."""
-        self._vm_by_worker = dict(vm_by_worker)
-        self._listings = {
-            worker: count for worker, count in self._listings.items() if worker in vm_by_worker
-        }
+        self._listings = {silence: self._listings.get(silence, 0) for silence in silences}
 
-    def silent(self) -> dict[str, str]:
-        """Return the VMs of the silent workers, by worker id."""
-        return dict(self._vm_by_worker)
+    def silences(self) -> list[Silence]:
+        """Return the silent workers."""
+        return list(self._listings)
 
-    def record_listing(self, asked: Mapping[str, str], worker_by_vm: Mapping[str, str]) -> None:
+    def record_listing(self, asked: Iterable[Silence], worker_by_vm: Mapping[str, str]) -> None:
         """Record a listing.
 
-        :param asked: `silent` before the listing was requested. A worker that has been heard since
-            then is not judged by it.
+        :param asked: `silences` before the listing was requested. A worker that has been heard
+            since then is not judged by it.
         :param worker_by_vm: the listing, see `VMInventory`.
         """
-        for worker, vm in self._vm_by_worker.items():
-            if asked.get(worker) != vm:
+        for silence in asked:
+            if silence not in self._listings:
                 continue
-            if worker_by_vm.get(vm, worker) == worker:
-                self._listings.pop(worker, None)
-            else:
-                self._listings[worker] = self._listings.get(worker, 0) + 1
-
-    def has_ended(self, worker: str) -> bool:
-        """Return whether the listings show that a silent worker has ended."""
-        return self._listings.get(worker, 0) >= LISTINGS_TO_CONFIRM
+            is_there = worker_by_vm.get(silence.vm, silence.worker) == silence.worker
+            self._listings[silence] = 0 if is_there else self._listings[silence] + 1
+
+    def has_ended(self, silence: Silence) -> bool:
+        """Return whether the listings show that a worker has ended since it was heard last."""
+        return self._listings.get(silence, 0) >= LISTINGS_TO_CONFIRM
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -158,7 +158,7 @@
         :raises InventoryError: the platform did not answer.
         """
         with self.lock:
-            asked = self.absences.silent()
+            asked = self.absences.silences()
         if not asked:
             return
         worker_by_vm = inventory.workers_by_vm()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -17,6 +17,7 @@
 from mulberryslip.health import RunProgress, WorkerHealth
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import RunningRun
+from mulberryslip.vms import Silence
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
     OUTCOME_BY_END_KIND,
@@ -255,7 +256,7 @@
             return []
         newest = _newest_incarnations(term.members.values())
         events: list[Any] = []
-        silent: dict[str, str] = {}
+        silences: list[Silence] = []
         for worker_id in term.pool.workers_with_runs():
             member = term.members.get(worker_id)
             last_report_at = (
@@ -263,11 +264,12 @@
             )
             worker_tasks = term.pool.active_tasks(worker_id)
             last_heard_at = term.started_at if member is None else member.received_at
-            if now - last_heard_at > MAX_REPORT_AGE and worker_tasks[0].machine:
-                silent[worker_id] = worker_tasks[0].machine
+            silence = Silence(worker_id, worker_tasks[0].machine, last_heard_at)
+            if now - last_heard_at > MAX_REPORT_AGE and silence.vm:
+                silences.append(silence)
             if now - last_report_at > self._times.max_silence:
                 reason = f"no report from the worker for {now - last_report_at}"
-            elif worker_id in silent and term.absences.has_ended(worker_id):
+            elif term.absences.has_ended(silence):
                 reason = "its VM does not run the worker any more"
             else:
                 # A later incarnation under the same id reports the runs that it has started itself.
@@ -286,7 +288,7 @@
                 for task in worker_tasks
             ]
             log(Event.WORKER_LOST, worker=worker_id, reason=reason)
-        term.absences.set_silent(silent)
+        term.absences.set_silent(silences)
         return events
 
     def _run_ended_event(
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -295,6 +295,52 @@
     assert world.history.violations == []
 
 
+def test_listing_requested_before_the_last_report_does_not_end_later_runs(world):
+    """Guards against a second run because of a listing that is older than the last report.
+
+    The second listing is requested while the worker is down; before its answer is handled the
+    worker is back, has reported, got a run, and the owner's process was paused for 2.3 s.
+    """
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    w2 = world.workers[2]
+    world.submit("a", attrs.evolve(TASK, lasting=True, required_label="rack-w2"))
+    world.run(ROUNDS_PER_SECOND)
+    assert w2.runs
+    w2.restart()
+    w2.is_vm_off = w2.is_unreachable = True
+    world.cut |= {w2.id, world.address(w2)}
+    for other in world.workers[:2]:
+        other.leaving = True
+    world.submit("s", attrs.evolve(TASK, lasting=True))
+    answers = []
+
+    def listing():
+        rows = {worker.machine: "" if worker.is_vm_off else worker.id for worker in world.workers}
+        answers.append(rows)
+        if len(answers) == 2:
+            # Lost workers are looked for once in 100 ms.
+            world.step_owners()
+            w2.is_vm_off = w2.is_unreachable = False
+            world.cut -= {w2.id, world.address(w2)}
+            world.announce_workers()
+            for _ in range(4):
+                world.run_agent(w2)
+                world.step_owners()
+            assert "s/0/0/0" in w2.runs
+            world.cut |= {w2.id, world.address(w2)}
+            for other in world.workers[:2]:
+                other.restart()
+            world.announce_workers()
+            world.clock.advance(2300 * MS)
+        return rows
+
+    world.inventory.workers_by_vm = listing
+    world.run(6 * ROUNDS_PER_SECOND)
+    assert len(answers) >= 2
+    assert world.history.violations == []
+
+
 def test_worker_without_listing_keeps_its_tasks(world):
     """Guards against losing tasks at a takeover, before their worker has listed its runs.
 
