Let a failed run of a service outweigh the company of its image

Failures of long-running tasks do not exclude a worker, so nothing ended it.

Test that failed before: test_service_leaves_a_worker_that_fails_it_although_its_image_runs_there.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -53,9 +53,12 @@
 """Waiting time after which a best-effort task starts on any worker where it fits: it makes progress
 whenever the load of the services there is low."""
 
+FAILED_HERE_PENALTY = 10.0
+"""Score penalty of a worker on which the task has failed before. It outweighs the advantage of a
+worker with services of the same image, or the task would fail there again and again."""
+
 OBJECTIVE_VIOLATION_PENALTY = 5.0
-"""Score penalty for violating a service's latency objective for some tenths of a second; the same
-as for a worker on which the task has failed before."""
+"""Score penalty for violating a service's latency objective for some tenths of a second."""
 
 MIN_MOVE_GAIN = 0.4
 """Minimum increase in speed, as a share of full speed, for which a best-effort run is moved; a
@@ -371,7 +374,7 @@
         spec = task.spec
         score = -10.0 * worker.penalty
         if worker.worker_id in task.failed_on:
-            score -= 5.0
+            score -= FAILED_HERE_PENALTY
         if spec.rack and spec.rack not in worker.labels:
             score -= 2.0
         if spec.fills:
--- a/tests/test_unreliable_workers.py
+++ b/tests/test_unreliable_workers.py
@@ -2,7 +2,7 @@
 
 import attrs
 import pytest
-from mulberryslip.runners import StartRefusal
+from mulberryslip.runners import EndKind, StartRefusal
 from mulberryslip.steps import StepSpec
 from pool_doubles import PoolWorld
 
@@ -96,3 +96,17 @@
         world.round()
         waited += 1
     assert waited <= 5 * ROUNDS_PER_SECOND, waited / ROUNDS_PER_SECOND
+
+
+def test_service_leaves_a_worker_that_fails_it_although_its_image_runs_there(world):
+    """Guards against a task that fails again and again beside others of its image."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    world.submit("s", SERVICE)
+    world.run(2 * ROUNDS_PER_SECOND)
+    holder = next(worker for worker in world.workers if worker.runs)
+    holder.run_ms = lambda name: 10
+    holder.end_kind_of = lambda name: EndKind.FAILED
+    world.submit("t", SERVICE)
+    world.run(6 * ROUNDS_PER_SECOND)
+    assert any("t/0/0/0" in worker.runs for worker in world.workers if worker is not holder)
