Do not exclude most of a pool for runs that seem to stand still

If more than a third of the workers that may get runs have stalled ones, these are avoided and not excluded. Runs are still not moved to such a worker, since a move costs their progress.

Test that failed before: test_check_runs_beside_long_runs_that_seem_to_stand_still.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -8,7 +8,7 @@
 
 import statistics
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
 import attrs
@@ -24,9 +24,9 @@
 worker with a stalled run is excluded for the first of these times."""
 
 FLEET_SHARE = 3
-"""At most one in this many workers is excluded for longer than `INITIAL_EXCLUSION`. A longer
-exclusion moves work to other workers; if these fail as well, it only keeps the fleet idle after the
-fault has ended."""
+"""At most one in this many workers is excluded for longer than `INITIAL_EXCLUSION`, or for stalled
+runs. Such an exclusion moves work to other workers; if these fail or stall as well, it only keeps
+the fleet idle."""
 
 EXCLUSIONS_BEFORE_PROBES = 2
 """Consecutive exclusions after which a worker is probed with single runs until one succeeds, so
@@ -75,6 +75,11 @@
     stalled_at: timedelta | None = None
     unstarted_until: timedelta = timedelta()
 
+    @property
+    def unavailable_until(self) -> timedelta:
+        """Return when the exclusion for failed runs ends, or the time between two probes."""
+        return max(self.excluded_until, self.next_probe_at)
+
 
 @attrs.define
 class _ProgressTrack:
@@ -213,14 +218,25 @@
             return False
         return now - state.compared_at < COMPARISON_MAX_AGE and state.speed < SLOW_SPEED_RATIO
 
+    def penalties(self, worker_ids: Sequence[str], now: timedelta) -> dict[str, float]:
+        """Return the penalties of the workers that may get runs.
+
+        Workers with stalled runs are only avoided, not excluded, if they are too many.
+        """
+        penalties = {worker_id: self.penalty(worker_id, now) for worker_id in worker_ids}
+        stalled = [worker_id for worker_id in worker_ids if self._has_stalled(worker_id, now)]
+        if len(stalled) * FLEET_SHARE > len(worker_ids):
+            for worker_id in stalled:
+                if now >= self._states[worker_id].unavailable_until:
+                    penalties[worker_id] = EXCLUSION_PENALTY / 2
+        return penalties
+
     def penalty(self, worker_id: str, now: timedelta) -> float:
         """Return the penalty of a worker: 0 if healthy, `EXCLUSION_PENALTY` or more if excluded."""
         state = self._states.get(worker_id)
         if state is None:
             return 0.0
-        if now < max(state.excluded_until, state.next_probe_at):
-            return EXCLUSION_PENALTY
-        if state.stalled_at is not None and now - state.stalled_at < INITIAL_EXCLUSION:
+        if now < state.unavailable_until or self._has_stalled(worker_id, now):
             return EXCLUSION_PENALTY
         if now < state.unstarted_until:
             return UNSTARTED_PENALTY
@@ -229,6 +245,15 @@
         # After a failure, prefer workers whose last run succeeded.
         return 0.1 if state.failures else 0.0
 
+    def _has_stalled(self, worker_id: str, now: timedelta) -> bool:
+        """Return whether a run of a worker stood still until shortly before."""
+        state = self._states.get(worker_id)
+        return (
+            state is not None
+            and state.stalled_at is not None
+            and now - state.stalled_at < INITIAL_EXCLUSION
+        )
+
     def _update_track(self, track: _ProgressTrack, percent: int, listed_at: timedelta) -> None:
         seconds = (listed_at - track.seen_at).total_seconds()
         if seconds > 0:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -430,6 +430,9 @@
         if not best_effort and not stalled:
             return
         candidates = self._candidates(term, config)
+        for candidate in candidates:
+            # A run that moves loses progress, so no worker with stalled runs gets it.
+            candidate.penalty = self._health.penalty(candidate.worker_id, now)
         moved = [
             (task, "works faster elsewhere")
             for task in self._dispatcher.select_moves(best_effort, candidates)
@@ -450,8 +453,10 @@
             for member, reason in self._availability(term, config)
             if not reason
         ]
+        worker_ids = [candidate.worker_id for candidate in candidates]
+        penalties = self._health.penalties(worker_ids, now)
         for candidate in candidates:
-            candidate.penalty = self._health.penalty(candidate.worker_id, now)
+            candidate.penalty = penalties[candidate.worker_id]
             candidate.is_probed = self._health.is_probed(candidate.worker_id)
             candidate.baseline_headrooms = {
                 image: level
--- a/tests/test_unreliable_workers.py
+++ b/tests/test_unreliable_workers.py
@@ -110,3 +110,19 @@
     world.submit("t", SERVICE)
     world.run(6 * ROUNDS_PER_SECOND)
     assert any("t/0/0/0" in worker.runs for worker in world.workers if worker is not holder)
+
+
+def test_check_runs_beside_long_runs_that_seem_to_stand_still(world):
+    """Guards against checks that wait because each worker has a run without visible progress.
+
+    A run of 300 s advances by one percent in 3 s, and its caller has given no estimate.
+    """
+    for worker in world.workers:
+        worker.run_ms = lambda name: 300_000 if name.startswith("long") else 1000
+    world.submit("long", attrs.evolve(TASK, count=3, max_per_worker=1))
+    world.run(10 * ROUNDS_PER_SECOND)
+    assert all(worker.runs for worker in world.workers)
+    world.submit("c")
+    world.run(5 * ROUNDS_PER_SECOND)
+    assert world.shown("c") == "completed"
+    assert world.history.starts == 4
