Run the tasks of accepted workflows on their service also after their route was removed

After the last such route was removed, the long-running tasks of accepted workflows were not restarted. The queue of a workflow is kept as it was when the workflow was accepted, and each placement compares the task's service with the worker's, so the filter added nothing else.

Test that failed before: test_service_restarts_after_its_route_was_removed.

--- a/packages/core/src/mulberryslip/queues.py
+++ b/packages/core/src/mulberryslip/queues.py
@@ -78,7 +78,3 @@
             if queue.host in ("", host) and path.startswith(queue.prefix)
         ]
         return max(candidates, key=lambda queue: len(queue.prefix), default=None)
-
-    def services(self) -> frozenset[str]:
-        """Return the services whose workers run the tasks of any queue."""
-        return frozenset(queue.service for queue in self.queues.values())
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -472,7 +472,6 @@
     def _availability(self, term: PoolTerm, config: PoolConfig) -> Iterator[tuple[Member, str]]:
         """Yield each worker with the reason why it may not get runs; empty if it may."""
         now = self._clock.monotonic()
-        services = config.services()
         newest = _newest_incarnations(term.members.values())
         for member in term.members.values():
             if not member.clock_ms:
@@ -483,8 +482,6 @@
                 reason = "process ended"
             elif newest.get(member.machine, "") > member.incarnation:
                 reason = "replaced by a newer worker"
-            elif member.service not in services:
-                reason = "another service"
             elif member.data_centre in config.data_centres_out:
                 reason = "data centre out"
             elif now - member.received_at > MAX_REPORT_AGE:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -437,6 +437,21 @@
     assert world.history.starts == 2
 
 
+def test_service_restarts_after_its_route_was_removed(world):
+    """Guards against an accepted service that has no worker because its route is gone."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    world.submit("s", attrs.evolve(TASK, lasting=True))
+    world.run(3)
+    holder = next(worker for worker in world.workers if worker.runs)
+    for source in world.sources.values():
+        source.value = PoolConfig.from_queues(2, [attrs.evolve(QUEUE, name="q", service="other")])
+    world.run(3)
+    holder.restart()
+    world.run(3 * ROUNDS_PER_SECOND)
+    assert [task for worker in world.workers for task in worker.runs] == ["s/0/0/0"]
+
+
 def test_new_worker_on_a_machine_frees_the_tasks_of_the_previous_one(world):
     """Guards against waiting a whole lease after machines lost power and restarted.
 
