Count only workers that report for the share of long exclusions

After 8 of 12 had gone, the remaining four could all be excluded for 16 s, and a check waited 18 s after the fault. Open: the share is not counted by label, so the only worker with a label can be excluded for up to 30 s.

Test that failed before: test_workers_that_are_gone_do_not_count_for_the_share_of_long_exclusions.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -307,7 +307,8 @@
         if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
             is_done = outcome is RunOutcome.DONE
             now = self._clock.monotonic()
-            if self._health.record_run_end(task.worker_id, is_done, now, len(term.members)):
+            fleet_size = self._fleet_size(term, now)
+            if self._health.record_run_end(task.worker_id, is_done, now, fleet_size):
                 log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="consecutive runs failed")
         if outcome is RunOutcome.UNSTARTED:
             self._health.record_unstarted(task.worker_id, self._clock.monotonic())
@@ -321,6 +322,15 @@
         )
         return RunEnded(task.name, task.run, outcome.value, now_ms, checkpoint)
 
+    def _fleet_size(self, term: PoolTerm, now: timedelta) -> int:
+        """Return the number of workers that report and do not leave."""
+        return sum(
+            not member.leaving
+            and not member.is_absent
+            and now - member.received_at <= MAX_REPORT_AGE
+            for member in term.members.values()
+        )
+
     def expire(self, term: PoolTerm) -> list[Any]:
         """Remove workers that are gone; return the event that drops expired workflows."""
         now = self._clock.monotonic()
--- a/tests/test_unreliable_workers.py
+++ b/tests/test_unreliable_workers.py
@@ -126,3 +126,23 @@
     world.run(5 * ROUNDS_PER_SECOND)
     assert world.shown("c") == "completed"
     assert world.history.starts == 4
+
+
+def test_workers_that_are_gone_do_not_count_for_the_share_of_long_exclusions():
+    """Guards against a third of the former workers, which are all that are left, being excluded."""
+    world = new_world(12)
+    for worker in world.workers[4:]:
+        worker.leaving = True
+    world.run(3)
+    for worker in world.workers[4:]:
+        world.switch_off(worker)
+    for worker in world.workers[:4]:
+        worker.end_kind_of = lambda name: EndKind.FAILED
+    for number in range(16 * ROUNDS_PER_SECOND):
+        world.submit(f"f{number}", attrs.evolve(TASK, cpu_millis=100))
+        world.round()
+    for worker in world.workers[:4]:
+        worker.end_kind_of = lambda name: EndKind.DONE
+    world.submit("c")
+    world.run(7 * ROUNDS_PER_SECOND)
+    assert world.shown("c") == "completed"
