Do not let a clock that was set back prolong the wait of a service

After the owner's clock was set back by 30 s, or under a next owner whose clock is behind, a long-running task got neither the reserve nor excluded workers for that time.

A wait that seems to begin in the future begins now.

Test that failed before: test_service_uses_the_reserve_although_the_time_of_day_was_set_back[30].

--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -304,6 +304,16 @@
         """Return the tasks that are waiting for a worker."""
         return list(self._ready.values())
 
+    def bound_waits(self, now_ms: int) -> None:
+        """Let waits that seem to begin later begin now.
+
+        They do after the time of day was set back, or under an owner whose clock is behind.
+
+        :param now_ms: current time, in milliseconds since 1970.
+        """
+        for task in self._ready.values():
+            task.waiting_since_ms = min(task.waiting_since_ms, now_ms)
+
     def active_tasks(self, worker_id: str) -> list[StepTask]:
         """Return the tasks whose runs take up capacity on a worker."""
         return list(self._active_by_worker.get(worker_id, {}).values())
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -400,6 +400,7 @@
         if not term.is_live():
             return []
         now_ms = self._now_ms()
+        term.pool.bound_waits(now_ms)
         urgent = [task for task in waiting if not task.spec.fills]
         best_effort = [task for task in waiting if task.spec.fills]
         candidates: list[WorkerCapacity] | None = None
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -478,6 +478,19 @@
     assert world.history.starts >= 1
 
 
+@pytest.mark.parametrize("back_s", [0, 2, 30])
+def test_service_uses_the_reserve_although_the_time_of_day_was_set_back(back_s):
+    """Guards against a service that waits for the time by which a clock was set back."""
+    world = PoolWorld(workers=1)
+    world.elect()
+    world.run(3)
+    world.submit("a", attrs.evolve(TASK, lasting=True, cpu_millis=CAPACITY.cpu_millis))
+    now = world.clock.now
+    world.clock.now = lambda: now() - back_s * SECOND
+    world.run(3 * ROUNDS_PER_SECOND)
+    assert world.history.starts >= 1
+
+
 def test_ends_are_acknowledged_only_after_their_commit(world):
     """Guards against a run end that the worker has dropped and the next owner does not know."""
     world.submit("a")
