Tests: workers whose capacity shrinks and grows while they run

The users' LIMIT rule now says that a worker's Capacity may change, that what is being stopped still counts, and that a lower capacity counts 3 s and one announcement after the worker first said so. Nothing played such a worker.

SimWorker has a capacity that tests can change; History checks each start against it as the rule says, over all runs on the worker, those being stopped included, best-effort runs by their memory. The stand-in over HTTP announces it. The random faults of test_pools and the faults of the soak change capacities; random workflows now also have best-effort steps with memory.

--- a/tests/platform_doubles.py
+++ b/tests/platform_doubles.py
@@ -198,7 +198,8 @@
     def beat(self):
         """Return the next announcement of the worker."""
         worker = self.worker
-        worker.sequence += 1
+        worker.begin_announcement()
+        cpu_millis, memory_mb, accelerators, _ = worker.capacity.amounts()
         return {
             "Service": "ledger",
             "Address": self.url.removeprefix("http://"),
@@ -207,7 +208,7 @@
             "Slots": 8,
             "State": "draining" if worker.leaving else "ready",
             "ColdLeftMs": 0,
-            "Capacity": {"Cpu": 8000, "MemMb": 16000, "Gpu": 0},
+            "Capacity": {"Cpu": cpu_millis, "MemMb": memory_mb, "Gpu": accelerators},
             "Labels": ["a", "r1"],
             "ClockMs": worker.clock_ms(),
             "Seq": worker.sequence,
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -45,6 +45,8 @@
 MS = timedelta(milliseconds=1)
 QUEUE = Queue("checks", prefix="/checks/", service="ledger", max_attempts=2, slack_ms=300)
 CAPACITY = Resources(8000, 16000, 0)
+CONTACT = timedelta(seconds=3)
+"""Time that the rule LIMIT allows, besides one announcement, before a lower capacity counts."""
 
 
 class SimClock(ManualClock):
@@ -109,16 +111,29 @@
 class SimWorker:
     """A worker that follows the platform's rules: one lease and one fencing token.
 
-    It lists ended runs until they are acknowledged.
+    It lists ended runs until they are acknowledged. Its capacity may change while it runs; it
+    starts whatever it is told to start.
+
+    :param announcement_interval: time between two announcements.
     """
 
-    def __init__(self, number, clock, history, run_ms=lambda name: 1000, data_centre="east"):
+    def __init__(
+        self,
+        number,
+        clock,
+        history,
+        run_ms=lambda name: 1000,
+        data_centre="east",
+        announcement_interval=200 * MS,
+    ):
         self.id = f"w{number}"
         self.machine = f"m{number}"
         self._clock = clock
         self._history = history
         self.run_ms = run_ms
         self.data_centre = data_centre
+        self.announcement_interval = announcement_interval
+        self.capacity = CAPACITY
         self.end_kind_of = lambda name: EndKind.DONE
         self.loses_reply = lambda: False
         self.is_unreachable = False
@@ -141,6 +156,7 @@
         self.next_end_number = 1
         self.lapsed_through_number = 0
         self.leaving = False
+        self.announced_capacities = []
 
     @property
     def incarnation(self):
@@ -149,8 +165,32 @@
     def clock_ms(self):
         return 1000 + (self._clock.monotonic() - self.incarnation_began_at) // MS
 
-    def announcement(self):
+    def begin_announcement(self):
+        """Count one more announcement and note since when it says this capacity."""
         self.sequence += 1
+        announced = self.announced_capacities
+        if not announced or announced[-1][0] != self.capacity:
+            announced.append((self.capacity, self._clock.monotonic()))
+
+    def counted_capacity(self):
+        """Return the capacity that a start is checked against.
+
+        A higher capacity counts as soon as it is announced. A lower one counts `CONTACT` and one
+        announcement after it was announced first.
+        """
+        if not self.announced_capacities:
+            return self.capacity
+        counted, superseded_at = self.announced_capacities[-1]
+        for capacity, announced_at in reversed(self.announced_capacities[:-1]):
+            allowed_until = superseded_at + CONTACT + self.announcement_interval
+            if self._clock.monotonic() > allowed_until:
+                break
+            counted = Resources(*map(max, counted.amounts(), capacity.amounts()))
+            superseded_at = announced_at
+        return counted
+
+    def announcement(self):
+        self.begin_announcement()
         return WorkerAnnouncement(
             worker_id=self.id,
             incarnation=self.incarnation,
@@ -158,7 +198,7 @@
             data_centre=self.data_centre,
             machine=self.machine,
             labels=("a", f"rack-{self.id}"),
-            capacity=CAPACITY,
+            capacity=self.capacity,
             leaving=self.leaving,
             remaining=timedelta(seconds=2),
             sequence=self.sequence,
@@ -296,8 +336,10 @@
             if not names <= self.done_tasks:
                 self.violations.append(f"{command.task} started before step {dependency} was done")
         used = sum((run.spec.demand for run in worker.runs.values()), spec.demand)
-        if not used.fits(CAPACITY):
-            self.violations.append(f"{worker.id} is over its capacity: {used}")
+        if not used.fits(worker.counted_capacity()):
+            self.violations.append(
+                f"{worker.id} is over its capacity {worker.counted_capacity()}: {used}"
+            )
         return spec
 
     def record_acknowledged_end(self, worker, end):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -22,11 +22,12 @@
 import attrs
 import urllib3
 from absl import app, flags
+from mulberryslip.models import Resources
 from mulberryslip.steps import StepSpec, WorkflowSpec
 from mulberryslip_testing.clusters import PORT_RANGE, Process
 from mulberryslip_testing.proxies import Direction, Proxy
 from platform_doubles import PlatformStoreServer, PlatformWorkerServer
-from pool_doubles import History
+from pool_doubles import CAPACITY, History
 
 ROOT = Path(__file__).parent.parent
 HOST = "nony24.example"
@@ -45,6 +46,8 @@
 lease, and some consecutive runs on few workers."""
 
 FAULT_INTERVAL_S = (0.5, 4.0)
+ANNOUNCEMENT_INTERVAL_S = 0.3
+LOWER_CAPACITIES = (Resources(1500, 16000), Resources(8000, 1000), Resources())
 READY_TIMEOUT_S = 20.0
 
 
@@ -121,6 +124,7 @@
             # The guarantees involve several workers, so all their state changes under one lock.
             worker.lock = shared
             worker.worker.run_ms = lambda name: 300 + hash(name) % 700
+            worker.worker.announcement_interval = timedelta(seconds=ANNOUNCEMENT_INTERVAL_S)
         ports = free_ports(self.rng, 3 * (workers + gateways))
         self.processes, self.proxies, self.entries, self.announcers = {}, {}, [], []
         for number, worker in enumerate(self.workers):
@@ -221,7 +225,7 @@
                 http.request("PUT", url, json=worker.beat())
             except urllib3.exceptions.HTTPError:
                 pass  # The worker's agent is down; the next announcement follows.
-            time.sleep(0.3)
+            time.sleep(ANNOUNCEMENT_INTERVAL_S)
 
     def _is_ready(self):
         deadline = time.monotonic() + READY_TIMEOUT_S
@@ -484,6 +488,16 @@
     return recover, f"lose start replies of {worker.id}"
 
 
+def lower_capacity(soak):
+    worker = soak.rng.choice(soak.workers).worker
+    worker.capacity = soak.rng.choice(LOWER_CAPACITIES)
+
+    def recover():
+        worker.capacity = CAPACITY
+
+    return recover, f"lower the capacity of {worker.id} to {worker.capacity.amounts()}"
+
+
 def change_config(soak):
     CONFIG["Version"] += 1
     soak.store.operate("op/config", CONFIG)
@@ -505,6 +519,7 @@
     cut_store,
     restart_worker,
     lose_start_replies,
+    lower_capacity,
     change_config,
 ]
 
--- /dev/null
+++ b/tests/test_changing_capacity.py
@@ -0,0 +1,143 @@
+"""Tests of workers whose capacity shrinks and grows while they run."""
+
+import attrs
+import pytest
+from mulberryslip.models import Resources
+from mulberryslip.runners import StartCommand
+from mulberryslip.steps import StepSpec, WorkflowSpec
+from pool_doubles import CAPACITY, CONTACT, MS, PoolWorld
+
+TASK = StepSpec(cpu_millis=1000, memory_mb=1000)
+LONG_MS = 60_000
+LOWER = Resources(2000, 2500, 0)
+LATEST_USE = CONTACT + 200 * MS
+"""Time after which a lower capacity counts: `CONTACT` and one announcement."""
+
+
+def make_world(workers=1):
+    world = PoolWorld(workers=workers, run_ms=lambda name: LONG_MS)
+    world.elect()
+    world.run(3)
+    return world
+
+
+@pytest.fixture
+def world():
+    return make_world()
+
+
+def lower_capacity(world, capacity=LOWER):
+    """Lower the capacity of the first worker and wait until the lower one counts."""
+    worker = world.workers[0]
+    worker.capacity = capacity
+    world.run(2 + LATEST_USE // (200 * MS))
+    assert worker.counted_capacity() == capacity
+    return worker
+
+
+@pytest.mark.parametrize(
+    ("capacities", "elapsed_ms", "expected"),
+    [
+        ([Resources(8000)], 0, Resources(8000)),
+        ([Resources(8000), Resources(4000)], 3200, Resources(8000)),
+        ([Resources(8000), Resources(4000)], 3201, Resources(4000)),
+        ([Resources(4000), Resources(8000)], 0, Resources(8000)),
+        ([Resources(8000, 100), Resources(4000, 200)], 0, Resources(8000, 200)),
+        ([Resources(8000), Resources(6000), Resources(4000)], 3150, Resources(6000)),
+        ([Resources(8000), Resources(6000), Resources(4000)], 3050, Resources(8000)),
+    ],
+)
+def test_simulated_worker_counts_capacity_as_the_rule_says(world, capacities, elapsed_ms, expected):
+    """Guards against a check of the capacity that is less strict than the rule."""
+    worker = world.workers[0]
+    worker.announced_capacities = []
+    for capacity in capacities:
+        world.clock.advance(100 * MS)
+        worker.capacity = capacity
+        worker.announcement()
+    world.clock.advance(elapsed_ms * MS)
+    assert worker.counted_capacity() == expected
+
+
+@pytest.mark.parametrize(
+    ("running", "starting", "is_allowed"),
+    [
+        (TASK, TASK, True),
+        (TASK, attrs.evolve(TASK, cpu_millis=1001), False),
+        (TASK, attrs.evolve(TASK, memory_mb=1501), False),
+        (TASK, attrs.evolve(TASK, cpu_millis=9000, fills=True), True),
+        (TASK, attrs.evolve(TASK, memory_mb=1501, fills=True), False),
+        (attrs.evolve(TASK, cpu_millis=9000, fills=True), TASK, True),
+        (attrs.evolve(TASK, cpu_millis=2001), attrs.evolve(TASK, cpu_millis=0), False),
+    ],
+)
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_simulated_worker_finds_starts_over_its_capacity(
+    running, starting, is_allowed, is_stopping
+):
+    """Guards against a check that misses stopping runs, or the memory of best-effort runs."""
+    world = make_world()
+    worker = world.workers[0]
+    world.history.specs["a"] = WorkflowSpec("payload", (running, starting))
+    worker.start(worker.id, StartCommand("a/0/0/0", 1, "", "", 10**6), 10**9)
+    if is_stopping:
+        worker.stop(worker.id, "a/0/0/0", 1, 10**9)
+    worker.announced_capacities = [(LOWER, world.clock.monotonic())]
+    worker.start(worker.id, StartCommand("a/0/1/0", 1, "", "", 10**6), 10**9)
+    assert (world.history.violations == []) is is_allowed
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        TASK,
+        attrs.evolve(TASK, fills=True),
+        attrs.evolve(TASK, lasting=True),
+        attrs.evolve(TASK, cpu_millis=0),
+        attrs.evolve(TASK, cpu_millis=0, memory_mb=0),
+    ],
+)
+def test_worker_over_its_capacity_gets_no_runs_and_keeps_those_it_has(world, step):
+    """Guards against starts on a worker that has less room than its runs need.
+
+    The rule does not say whether a run may start that needs nothing of what is short.
+    """
+    world.submit("a", attrs.evolve(TASK, count=4))
+    world.run(3)
+    worker = lower_capacity(world)
+    world.submit("b", step)
+    world.run(60)
+    assert sorted(worker.runs) == [f"a/0/0/{index}" for index in range(4)]
+    assert (world.history.starts, world.history.violations) == (4, [])
+
+
+def test_grown_capacity_is_used_at_once(world):
+    """Guards against room that stays unused after a worker has grown back."""
+    worker = lower_capacity(world)
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.run(5)
+    assert len(worker.runs) == 2
+    worker.capacity = CAPACITY
+    world.run(2)
+    assert len(worker.runs) == 8
+    assert world.history.violations == []
+
+
+@pytest.mark.parametrize("is_agent_new", [False, True])
+def test_new_owner_places_by_the_lower_capacity(is_agent_new):
+    """Guards against an owner that starts runs by the capacity which its predecessor knew first."""
+    world = make_world(workers=2)
+    world.submit("a", attrs.evolve(TASK, count=16))
+    world.run(2)
+    world.workers[1].capacity = Resources()
+    lower_capacity(world)
+    world.owner().resign("test")
+    for worker in world.workers if is_agent_new else []:
+        world.start_process(worker)
+    world.run(2)
+    world.elect(world.workers[1])
+    for worker in world.workers:
+        worker.runs = dict(list(worker.runs.items())[:1])
+    world.run(20)
+    assert [len(worker.runs) for worker in world.workers] == [2, 1]
+    assert world.history.violations == []
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -7,6 +7,7 @@
 import pytest
 from mulberryslip.exceptions import JournalError, StoreError
 from mulberryslip.headrooms import InterferenceEstimate
+from mulberryslip.models import Resources
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, RunningRun
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -23,6 +24,7 @@
 from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+CAPACITIES = [CAPACITY, Resources(4000, 16000), Resources(8000, 4000), Resources(3000, 500)]
 STORE_LEASE = PoolLeaseTimes().store_lease
 OWNER_KEY = "pools/0/owner"
 
@@ -757,9 +759,7 @@
     world.clock.on_sleep = end_outage
     for turn in range(250):
         if turn % 5 == 0 and world.owner() is not None:
-            steps = [
-                attrs.evolve(TASK, count=rng.randint(1, 5), cpu_millis=rng.choice([500, 3000]))
-            ]
+            steps = [_random_step(rng)]
             lasting = rng.random() < 0.1
             steps.append(attrs.evolve(TASK, after=(0,), lasting=lasting))
             if world.submit(f"a{turn}", *steps).outcome == Outcome.OK:
@@ -776,6 +776,13 @@
     assert world.history.violations == []
 
 
+def _random_step(rng):
+    step = attrs.evolve(TASK, count=rng.randint(1, 5), cpu_millis=rng.choice([500, 3000]))
+    if rng.random() < 0.3:
+        return attrs.evolve(step, fills=True, memory_mb=rng.choice([1000, 5000]))
+    return step
+
+
 def _run_ms(name):
     return 300 + zlib.crc32(name.encode()) % 2500
 
@@ -809,6 +816,8 @@
         world.store_cut.add(worker.id)
     elif draw < 0.68:
         world.store_cut.discard(worker.id)
+    elif draw < 0.76:
+        worker.capacity = rng.choice(CAPACITIES)
     world.reply_loss_rate = rng.choice([0.0, 0.0, 0.1])
 
 
@@ -830,6 +839,7 @@
     world.reply_loss_rate = 0.0
     for worker in world.workers:
         worker.loses_reply = lambda: False
+        worker.capacity = CAPACITY
     for _ in range(40):
         world.run_takeovers()
         if world.owner() is not None and world.store.state.get(OWNER_KEY) is not None:
