Take a worker's capacity only from reports that can be ordered

A report without a listing, which an agent sends to learn its fencing token, carries no worker clock and so cannot be told from an older one. One that was delayed replaced the capacity of a worker that had shrunk since, and the next round filled the worker by the old capacity.

Once a worker has listed its runs, its capacity comes from listings alone, which are ordered by the worker's clock. The agent lists the runs right after it has its token, so a new capacity is not missed. Nothing is placed on a worker before its first listing.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -95,7 +95,9 @@
         self.data_centre = worker.data_centre
         self.machine = worker.machine
         self.labels = frozenset(worker.labels)
-        self.capacity = resources_from_wire(worker.capacity)
+        if report.listed or not self.clock_ms:
+            # Only listings are ordered; a report without one may be older than the last listing.
+            self.capacity = resources_from_wire(worker.capacity)
         # An incarnation that leaves does not return: a later 'ready' is a delayed announcement.
         self.leaving = self.leaving or worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -141,3 +141,18 @@
     world.run(20)
     assert [len(worker.runs) for worker in world.workers] == [2, 1]
     assert world.history.violations == []
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_late_report_does_not_bring_back_an_older_capacity(world, is_listed):
+    """Guards against starts by the capacity in a report that was overtaken by newer ones."""
+    worker = world.workers[0]
+    agent, _ = world.agents[worker.id]
+    listing = worker.extend_lease(worker.id, worker.fence, 0, 0, 0 * MS) if is_listed else None
+    late = agent._report_request(agent._announcement, listing, [], False)
+    lower_capacity(world)
+    world.owner().report(late)
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.run(1)
+    assert world.history.violations == []
+    assert len(worker.runs) == 2
