Report a changed capacity with the next listing

Owners saw the capacity of a worker up to 2.1 s late: an agent sends a report that says nothing new at its regular interval, which grows to 1.4 s under load, and a changed capacity did not count as new. Besides, it described the worker as announced before the listing began, and a listing waits up to 0.7 s for a run to end. Room that had grown stayed unused for that time, and with a lost report a lower capacity could reach the owner after it had begun to count (rule LIMIT).

Evidence: test_changed_capacity_is_reported_at_once and test_leaving_is_reported_although_the_listing_began_before failed before: the owner still had the old capacity, or took the leaving worker for ready, after the report.

A report is due when the capacity differs from that of the last accepted listing, and it takes the newest announcement of the incarnation that was listed.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -15,6 +15,7 @@
 from mulberryslip.exceptions import WireError
 from mulberryslip.headrooms import ColocatedRun, ImageInterference, InterferenceModel
 from mulberryslip.intervals import ReportInterval
+from mulberryslip.models import Resources
 from mulberryslip.runners import (
     RunListing,
     Runner,
@@ -148,6 +149,7 @@
         self._report_interval = ReportInterval()
         self._reported_at: timedelta | None = None
         self._reported_leaving = False
+        self._reported_capacity = Resources()
 
     # Calls from the worker
 
@@ -247,6 +249,7 @@
             # The worker has restarted and will announce its new incarnation.
             self._grant = Grant(epoch=grant.epoch)
             return False
+        worker = self._newest_announcement(worker)
         self._adjust_duty_cycles(worker, listing)
         if owner is None:
             return False
@@ -254,6 +257,11 @@
             owner, worker, listing
         )
 
+    def _newest_announcement(self, worker: WorkerAnnouncement) -> WorkerAnnouncement:
+        """Return the newest announcement of the incarnation that made the given one."""
+        newest = self._announcement
+        return newest if newest.incarnation == worker.incarnation else worker
+
     def _is_report_due(
         self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing
     ) -> bool:
@@ -262,6 +270,8 @@
             return True
         if owner.epoch != self._grant.epoch or worker.leaving != self._reported_leaving:
             return True
+        if worker.capacity != self._reported_capacity:
+            return True
         return self._clock.monotonic() - self._reported_at >= self._report_interval.interval()
 
     def _listing_interval(self) -> timedelta:
@@ -344,6 +354,8 @@
             self._directory.report_failure(owner.epoch)
             return False
         self._reported_leaving = worker.leaving
+        if listing is not None:
+            self._reported_capacity = worker.capacity
         if not req.ended:
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -5,7 +5,7 @@
 from mulberryslip.models import Resources
 from mulberryslip.runners import StartCommand
 from mulberryslip.steps import StepSpec, WorkflowSpec
-from pool_doubles import CAPACITY, CONTACT, MS, PoolWorld
+from pool_doubles import CAPACITY, CONTACT, MS, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=1000)
 LONG_MS = 60_000
@@ -156,3 +156,45 @@
     world.run(1)
     assert world.history.violations == []
     assert len(worker.runs) == 2
+
+
+@pytest.mark.parametrize("capacity", [LOWER, Resources(16000, 32000)])
+@pytest.mark.parametrize("is_during_listing", [False, True])
+def test_changed_capacity_is_reported_at_once(world, capacity, is_during_listing):
+    """Guards against an owner that uses an outdated capacity until the next regular report.
+
+    A listing takes up to 0.7 s, since the worker waits for a run to end.
+    """
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    agent._report_interval.observe(10 * SECOND)
+    agent.renew_and_report(directory.owner())
+    worker.capacity = capacity
+    extend_lease = worker.extend_lease
+
+    def announce_and_list(*args):
+        agent.announce(worker.announcement())
+        return extend_lease(*args)
+
+    if is_during_listing:
+        worker.extend_lease = announce_and_list
+    else:
+        agent.announce(worker.announcement())
+    agent.renew_and_report(directory.owner())
+    assert world.owner()._term.members[worker.id].capacity == capacity
+
+
+def test_leaving_is_reported_although_the_listing_began_before(world):
+    """Guards against an owner that learns a listing later than needed that a worker leaves."""
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    extend_lease = worker.extend_lease
+
+    def announce_and_list(*args):
+        worker.leaving = True
+        agent.announce(worker.announcement())
+        return extend_lease(*args)
+
+    worker.extend_lease = announce_and_list
+    agent.renew_and_report(directory.owner())
+    assert world.owner()._term.members[worker.id].leaving
