Refuse starts that were placed by a higher capacity than the worker has

A start carries a time after which the worker refuses it, but no capacity. Its owner places runs by a report that is up to 2.2 s old, and the start may then wait 1.5 s in the agent or on its way; 3.7 s after a worker had first said that it has less room, a start could still bring it over.

The agent remembers the highest capacity by which the owner may place runs: that of the last accepted listing, and that of later ones whose reply was lost. It refuses a start if its newest announcement has less. The owner then places the run again by the new capacity. Until an owner has accepted a listing from this process, the agent fetches no commands, since an earlier process may have reported more.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -149,7 +149,8 @@
         self._report_interval = ReportInterval()
         self._reported_at: timedelta | None = None
         self._reported_leaving = False
-        self._reported_capacity = Resources()
+        # Highest capacity by which the owner may place runs on this incarnation of the worker.
+        self._owner_capacity: Resources | None = None
 
     # Calls from the worker
 
@@ -162,6 +163,8 @@
             self._announcement = announcement
             is_new = known is None or known.incarnation != announcement.incarnation
             is_leaving = announcement.leaving and (is_new or not known.leaving)
+            if is_new:
+                self._owner_capacity = None
         self._announced.set()
         if is_new:
             log(
@@ -270,7 +273,7 @@
             return True
         if owner.epoch != self._grant.epoch or worker.leaving != self._reported_leaving:
             return True
-        if worker.capacity != self._reported_capacity:
+        if worker.capacity != self._owner_capacity:
             return True
         return self._clock.monotonic() - self._reported_at >= self._report_interval.interval()
 
@@ -338,6 +341,9 @@
         """
         with self._lock:
             refused, self._pending_refusals = self._pending_refusals, []
+            if listing is not None and self._owner_capacity is not None:
+                # The owner may accept a report whose reply is lost.
+                self._owner_capacity = _highest(self._owner_capacity, worker.capacity)
         req = self._report_request(worker, listing, refused, unreachable)
         self._reported_at = self._clock.monotonic()
         try:
@@ -354,8 +360,9 @@
             self._directory.report_failure(owner.epoch)
             return False
         self._reported_leaving = worker.leaving
-        if listing is not None:
-            self._reported_capacity = worker.capacity
+        with self._lock:
+            if listing is not None and worker.incarnation == self._announcement.incarnation:
+                self._owner_capacity = worker.capacity
         if not req.ended:
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
@@ -431,7 +438,12 @@
 
         :returns: whether the owner replied with commands of its current epoch.
         """
-        worker, grant = self._announcement, self._grant
+        with self._lock:
+            worker, grant, capacity = self._announcement, self._grant, self._owner_capacity
+        if capacity is None:
+            # The owner may know a higher capacity from an agent that ran here before.
+            return False
+        worker = attrs.evolve(worker, capacity=capacity)
         timeout = COMMANDS_WAIT + CALL_TIMEOUT
         req = wire.OrdersRequest(
             self._header(timeout),
@@ -478,6 +490,10 @@
             self.execute_next_command()
 
     def _start_run(self, worker: WorkerAnnouncement, command: wire.RunStart, fence: int) -> None:
+        """Start a run, unless it was meant for a worker in another state.
+
+        :param worker: the worker as the owner may have known it when it placed the run.
+        """
         newest = self._announcement
         if newest.incarnation != worker.incarnation or newest.leaving:
             self._refuse(command, "the worker is leaving or has started anew")
@@ -485,6 +501,9 @@
         if not self._is_incarnation_confirmed:
             self._refuse(command, "the worker may have started anew")
             return
+        if not worker.capacity.fits(newest.capacity):
+            self._refuse(command, "the worker's capacity has shrunk")
+            return
         run = StartCommand(
             command.task, command.run, command.payload, command.checkpoint, command.start_by_ms
         )
@@ -501,7 +520,7 @@
             )
             return
         if refusal is None:
-            self._set_initial_duty_cycle(worker, command, fence)
+            self._set_initial_duty_cycle(newest, command, fence)
         else:
             self._refuse(command, refusal.value)
 
@@ -550,6 +569,10 @@
         )
 
 
+def _highest(first: Resources, second: Resources) -> Resources:
+    return Resources(*map(max, first.amounts(), second.amounts()))
+
+
 def _is_older(announcement: WorkerAnnouncement, known: WorkerAnnouncement) -> bool:
     if announcement.incarnation != known.incarnation:
         return announcement.incarnation < known.incarnation
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -198,3 +198,56 @@
     worker.extend_lease = announce_and_list
     agent.renew_and_report(directory.owner())
     assert world.owner()._term.members[worker.id].leaving
+
+
+def start_later(world, worker):
+    """Execute the agent's pending commands after some time; return what the worker then runs."""
+    agent, _ = world.agents[worker.id]
+    world.clock.advance(1300 * MS)
+    while agent.has_pending_commands():
+        agent.execute_next_command()
+    return sorted(worker.runs)
+
+
+@pytest.mark.parametrize("is_lower", [True, False])
+def test_start_that_waits_is_refused_after_the_capacity_has_shrunk(world, is_lower):
+    """Guards against starts by an older capacity that wait in the agent, or are on their way.
+
+    The agent's reports are delayed, and its calls to the worker take long.
+    """
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    capacity = LOWER if is_lower else Resources(16000, 32000)
+    worker.capacity = capacity
+    agent.announce(worker.announcement())
+    world.clock.advance(2000 * MS)
+    world.renew_sessions()
+    agent.announce(worker.announcement())
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.step_owners()
+    assert agent.fetch_commands(directory.owner())
+    started = start_later(world, worker)
+    assert world.history.violations == []
+    assert len(started) == (0 if is_lower else 8)
+    world.run(5)
+    assert len(worker.runs) == (2 if is_lower else 8)
+    assert world.history.violations == []
+
+
+def test_report_with_unknown_outcome_counts_as_accepted(world):
+    """Guards against starts by a capacity that the owner knows from a report without a reply."""
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    lower_capacity(world)
+    worker.capacity = CAPACITY
+    agent.announce(worker.announcement())
+    world.reply_loss_rate = 1.0
+    agent.renew_and_report(directory.owner())
+    world.reply_loss_rate = 0.0
+    worker.capacity = LOWER
+    agent.announce(worker.announcement())
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.step_owners()
+    directory.refresh()
+    agent.fetch_commands(directory.owner())
+    assert start_later(world, worker) == []
