Take back unsent starts when the capacity of their worker has shrunk

A start that waited at the owner for its commit, or for the agent to fetch it, was sent although a report had since said that the worker has less room. The agent cannot find it out: the owner knows the lower capacity when the start is fetched.

Evidence: test_unsent_starts_are_taken_back_after_the_capacity_has_shrunk failed in both cases before: 8 runs were started on a worker with room for 2.

Unsent starts of a worker are dropped when a report lowers its capacity, as are starts whose commit ends after such a report. They have never left the owner, so the next report ends these runs as not started, and their tasks are placed again at once.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -46,6 +46,8 @@
     :param is_absent: whether the worker's process has ended.
     :param starts: start commands that the agent has not fetched yet.
     :param stops: stop commands that the agent has not fetched yet.
+    :param withdrawn: runs whose start commands were withdrawn before the agent fetched them, by
+        task and run.
     :param stop_sent_at: when the last stop command was queued, by task and run.
     :param stop_reasons: why to stop runs whose tasks continue elsewhere, by task and run.
     :param has_commands: set while commands wait for the agent.
@@ -73,6 +75,7 @@
     is_absent: bool = False
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
+    withdrawn: set[tuple[str, int]] = attrs.field(factory=set)
     stop_sent_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_commands: threading.Event = attrs.field(factory=threading.Event)
@@ -97,7 +100,7 @@
         self.labels = frozenset(worker.labels)
         if report.listed or not self.clock_ms:
             # Only listings are ordered; a report without one may be older than the last listing.
-            self.capacity = resources_from_wire(worker.capacity)
+            self._set_capacity(resources_from_wire(worker.capacity))
         # An incarnation that leaves does not return: a later 'ready' is a delayed announcement.
         self.leaving = self.leaving or worker.leaving
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
@@ -125,6 +128,13 @@
         """Return the fencing token for calls to this incarnation of the worker."""
         return epoch * FENCES_PER_EPOCH + self.incarnations % FENCES_PER_EPOCH
 
+    def _set_capacity(self, capacity: Resources) -> None:
+        if not self.capacity.fits(capacity):
+            # The starts were placed by the higher capacity.
+            self.withdrawn.update((start.task, start.run) for start in self.starts)
+            self.starts.clear()
+        self.capacity = capacity
+
     def _begin_incarnation(self, incarnation: str) -> None:
         self.incarnation = incarnation
         self.incarnations += 1
@@ -134,6 +144,7 @@
         self.running = {}
         self.starts.clear()
         self.stops.clear()
+        self.withdrawn.clear()
         self.stop_sent_at.clear()
         self.stop_reasons.clear()
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -198,11 +198,17 @@
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+            elif key in member.withdrawn:
+                reason = "the worker's capacity shrank before the start was sent"
+                events.append(
+                    self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
+                )
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+        member.withdrawn.clear()
         self._observe_report(term, member)
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
@@ -501,6 +507,9 @@
             member = term.members[task.worker_id]
             if member.incarnation != task.incarnation or not task.has_active_run(task.run):
                 continue
+            if not decision.worker.capacity.fits(member.capacity):
+                member.withdrawn.add((task.name, task.run))
+                continue
             member.starts.append(
                 wire.RunStart(
                     task.name,
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -5,7 +5,8 @@
 from mulberryslip.models import Resources
 from mulberryslip.runners import StartCommand
 from mulberryslip.steps import StepSpec, WorkflowSpec
-from pool_doubles import CAPACITY, CONTACT, MS, SECOND, PoolWorld
+from mulberryslip.workflows import accepted_event
+from pool_doubles import CAPACITY, CONTACT, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=1000)
 LONG_MS = 60_000
@@ -26,6 +27,10 @@
     return make_world()
 
 
+def accepted(workflow_id, step):
+    return accepted_event(workflow_id, QUEUE, WorkflowSpec("payload", (step,)), 1)
+
+
 def lower_capacity(world, capacity=LOWER):
     """Lower the capacity of the first worker and wait until the lower one counts."""
     worker = world.workers[0]
@@ -251,3 +256,36 @@
     directory.refresh()
     agent.fetch_commands(directory.owner())
     assert start_later(world, worker) == []
+
+
+@pytest.mark.parametrize("is_committing", [False, True])
+def test_unsent_starts_are_taken_back_after_the_capacity_has_shrunk(world, is_committing):
+    """Guards against starts by an older capacity that wait at the owner, or for their commit."""
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+
+    def shrink():
+        worker.capacity = LOWER
+        agent.announce(worker.announcement())
+        agent.renew_and_report(directory.owner())
+
+    journal = world.owner()._term.journal
+    append = journal.append
+
+    def shrink_and_append(events):
+        journal.append = append
+        shrink()
+        append(events)
+
+    if is_committing:
+        journal.append = shrink_and_append
+    world.history.specs["a"] = WorkflowSpec("payload", (TASK,))
+    world.owner()._term.pool.apply(accepted("a", attrs.evolve(TASK, count=8)))
+    world.owner().step()
+    if not is_committing:
+        shrink()
+    agent.fetch_commands(directory.owner())
+    assert len(start_later(world, worker)) <= 2
+    world.run(3)
+    assert len(worker.runs) == 2
+    assert world.history.violations == []
