Place nothing by an announcement that is more than 3 s old

An agent took the first announcement that it heard after its start for the newest. A delayed one from before the restart brought back a capacity that the worker had since announced to be lower; the agent reported it, and its owner, old or new, filled the worker by it.

Evidence: test_announcement_from_before_a_restart_of_the_agent_starts_nothing failed in both cases before: the simulated worker recorded starts over its capacity.

Announcements carry the worker's clock, as listings do, so their age is known on one clock, however late they arrive. From 3 s on, the agent refuses starts and reports no capacity, so the worker keeps its runs and gets no new ones until it announces itself again. A capacity that was announced less than 3 s ago may be used by the rule. Announcements without a clock are taken as before. The owner learns no interference from listings of a worker without processors, whose shares would be meaningless (test_worker_without_processors_teaches_no_interference[capacity1] failed before).

--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -156,6 +156,7 @@
     :param leaving: whether the worker is about to shut down.
     :param remaining: minimum time until a leaving worker shuts down.
     :param sequence: increases with each announcement of one incarnation.
+    :param clock_ms: the worker's monotonic clock at that time, in milliseconds; 0 if unknown.
     """
 
     worker_id: str
@@ -168,6 +169,7 @@
     leaving: bool
     remaining: timedelta
     sequence: int
+    clock_ms: int = 0
 
 
 class Runner(Protocol):
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -44,6 +44,10 @@
 Shorter than `REPORT_INTERVAL`, since interference can arise at any time.
 """
 
+MAX_ANNOUNCEMENT_AGE = timedelta(seconds=3)
+"""Age from which an announcement does not count for starts. The worker may have announced a lower
+capacity since, and workers must not be filled beyond that 3 s later."""
+
 COMMANDS_WAIT = timedelta(seconds=2)
 CALL_TIMEOUT = timedelta(seconds=1)
 REPORT_TIMEOUT = timedelta(milliseconds=2500)
@@ -151,6 +155,8 @@
         self._reported_leaving = False
         # Highest capacity by which the owner may place runs on this incarnation of the worker.
         self._owner_capacity: Resources | None = None
+        # The worker's clock when it last listed its runs, and when that listing arrived.
+        self._listed = (0, clock.monotonic())
 
     # Calls from the worker
 
@@ -252,8 +258,12 @@
             # The worker has restarted and will announce its new incarnation.
             self._grant = Grant(epoch=grant.epoch)
             return False
+        self._listed = (listing.clock_ms, self._clock.monotonic())
         worker = self._newest_announcement(worker)
         self._adjust_duty_cycles(worker, listing)
+        if self._is_outdated(worker):
+            # Without capacity, the worker keeps its runs and gets no new ones.
+            worker = attrs.evolve(worker, capacity=Resources())
         if owner is None:
             return False
         return not self._is_report_due(owner, worker, listing) or self._report(
@@ -265,6 +275,16 @@
         newest = self._announcement
         return newest if newest.incarnation == worker.incarnation else worker
 
+    def _is_outdated(self, worker: WorkerAnnouncement) -> bool:
+        """Return whether an announcement of the listed incarnation is too old for starts.
+
+        Its age is measured on the worker's clock, since an announcement can arrive late.
+        """
+        listed_ms, listed_at = self._listed
+        age = timedelta(milliseconds=listed_ms - worker.clock_ms)
+        age += self._clock.monotonic() - listed_at
+        return worker.clock_ms > 0 and age > MAX_ANNOUNCEMENT_AGE
+
     def _is_report_due(
         self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing
     ) -> bool:
@@ -501,6 +521,9 @@
         if not self._is_incarnation_confirmed:
             self._refuse(command, "the worker may have started anew")
             return
+        if self._is_outdated(newest):
+            self._refuse(command, "the worker has not announced itself recently")
+            return
         if not worker.capacity.fits(newest.capacity):
             self._refuse(command, "the worker's capacity has shrunk")
             return
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -222,9 +222,11 @@
             if task is not None and (task.spec.fills or task.spec.target_ms):
                 profile = run_profile(task)
                 colocated_runs.append(ColocatedRun(status, profile))
-        self._dispatcher.model.observe(
-            member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
-        )
+        if member.capacity.cpu_millis:
+            # Without processors there are no shares of them to learn from.
+            self._dispatcher.model.observe(
+                member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
+            )
         progress = [
             RunProgress(
                 name,
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -202,6 +202,7 @@
             leaving=self.leaving,
             remaining=timedelta(seconds=2),
             sequence=self.sequence,
+            clock_ms=self.clock_ms(),
         )
 
     def start(self, worker_id, command, fence):
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -289,3 +289,66 @@
     world.run(3)
     assert len(worker.runs) == 2
     assert world.history.violations == []
+
+
+@pytest.mark.parametrize("is_owner_new", [False, True])
+def test_announcement_from_before_a_restart_of_the_agent_starts_nothing(is_owner_new):
+    """Guards against starts by an older capacity that reaches a restarted agent late.
+
+    The agent does not know that the worker has announced a lower one since.
+    """
+    world = make_world(workers=2)
+    world.owner().resign("test")
+    world.elect(world.workers[1])
+    worker = world.workers[0]
+    delayed = worker.announcement()
+    lower_capacity(world)
+    world.start_process(worker)
+    if is_owner_new:
+        world.start_process(world.workers[1])
+        world.elect(world.workers[1])
+    agent, _ = world.agents[worker.id]
+    agent.announce(delayed)
+    world.submit("a", attrs.evolve(TASK, count=24, cpu_millis=500))
+    for _ in range(10):
+        world.run_agent(worker)
+        world.clock.advance(100 * MS)
+        world.renew_sessions()
+        world.step_owners()
+    assert world.history.violations == []
+    assert not worker.runs
+    world.run(20)
+    assert len(worker.runs) == 2
+    assert world.history.violations == []
+
+
+@pytest.mark.parametrize("capacity", [LOWER, Resources(0, 2500)])
+def test_worker_without_processors_teaches_no_interference(world, monkeypatch, capacity):
+    """Guards against estimates derived from shares of a capacity that has shrunk to nothing."""
+    seen = []
+    model = world.owner()._dispatcher.model
+    monkeypatch.setattr(model, "observe", lambda *args: seen.append(args[-1]))
+    world.workers[0].capacity = capacity
+    world.run(3)
+    assert seen == [capacity.cpu_millis] * len(seen)
+    assert bool(seen) is bool(capacity.cpu_millis)
+
+
+def test_worker_whose_announcements_stay_away_keeps_its_runs(world):
+    """Guards against runs that end, or assignments without end, while announcements are missing."""
+    worker = world.workers[0]
+    world.submit("a", TASK)
+    world.run(3)
+    starts = world.history.starts
+    for _ in range(50):
+        world.renew_sessions()
+        world.run_agent(worker)
+        world.step_owners()
+        world.clock.advance(200 * MS)
+        if world.clock.monotonic() > 5 * SECOND and "b" not in world.history.specs:
+            world.submit("b", TASK)
+    assert list(worker.runs) == ["a/0/0/0"]
+    assert world.history.starts == starts
+    assert world.owner()._term.pool.task("b/0/0/0").run == 0
+    world.run(3)
+    assert len(worker.runs) == 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 import urllib3
 from mulberryslip import SystemClock
 from mulberryslip.exceptions import ConfigError, SettingsError, StoreError
+from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
 from mulberryslip.runners import (
     EndKind,
@@ -213,6 +214,8 @@
         ({"Capacity": {"Cpu": "many"}}, False),
         ({"Seq": None}, False),
         ({"Labels": 5}, False),
+        ({"ClockMs": "late"}, False),
+        ({"ClockMs": None}, True),
     ],
 )
 def test_announcement_is_checked(worker_server, change, is_taken):
@@ -224,6 +227,17 @@
     assert bool(taken) is is_taken
 
 
+def test_announcement_says_when_and_with_which_capacity_it_was_made(worker_server):
+    """Guards against an outdated announcement, or a changed capacity, that goes unnoticed."""
+    taken = []
+    application = announcements_application(taken.append, taken.append)
+    worker_server.worker.capacity = Resources(1000, 2000, 3)
+    beat = worker_server.beat()
+    call(application, "PUT", "/-/instances/w0", beat)
+    assert taken[0].clock_ms == beat["ClockMs"] > 0
+    assert taken[0].capacity == Resources(1000, 2000, 3)
+
+
 def call(application, method, path, document=None, **headers):
     """Call a WSGI application and return its status, headers and body."""
     body = b"" if document is None else json.dumps(document).encode()
