Count listed runs that are not assigned against the capacity of their worker

Free capacity was what the assigned runs left. A run that the pool had given up, but that a worker still lists, took up no capacity for the owner: one that a later incarnation started by a command for the earlier one, or one whose workflow was dropped. It is stopped, which takes a while, and other runs were started in its room.

Evidence: test_listed_run_that_is_not_assigned_takes_up_capacity (all four cases) and test_worker_that_lists_a_run_with_known_needs_is_filled_beside_it failed before with starts over the capacity, and test_listed_run_that_is_not_assigned_counts_for_the_spread_limit with a second task of the step on one worker.

Such a run now counts as long as it is listed; if its task is unknown, it counts as needing the whole worker. They are determined once per listing and change of the assigned runs.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -12,6 +12,7 @@
 from mulberryslip.runners import EndedRun, EndKind, RunningRun
 from mulberryslip.steps import MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS
 from mulberryslip.wire import ttypes as wire
+from mulberryslip.workflows import StepTask
 
 from .workers import resources_from_wire
 
@@ -51,6 +52,8 @@
     :param stop_sent_at: when the last stop command was queued, by task and run.
     :param stop_reasons: why to stop runs whose tasks continue elsewhere, by task and run.
     :param has_commands: set while commands wait for the agent.
+    :param unassigned: tasks of listed runs that are not active; None for an unknown task.
+    :param unassigned_version: what `unassigned` was computed from.
     :param allocation: capacity of the worker without the assigned runs; None before it is computed.
     :param allocation_version: what `allocation` was computed from.
     """
@@ -79,6 +82,8 @@
     stop_sent_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_commands: threading.Event = attrs.field(factory=threading.Event)
+    unassigned: tuple[StepTask | None, ...] = ()
+    unassigned_version: tuple = ()
     allocation: WorkerCapacity | None = None
     allocation_version: tuple = ()
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -454,8 +454,14 @@
 
     def _allocated_capacity(self, term: PoolTerm, member: Member) -> WorkerCapacity:
         """Return the capacity of a worker, computed again only after its allocation changed."""
+        assigned_version = term.pool.allocation_version(member.worker_id)
+        listing_version = (assigned_version, member.incarnation, member.clock_ms)
+        if member.unassigned_version != listing_version:
+            member.unassigned = _unassigned_runs(term.pool, member)
+            member.unassigned_version = listing_version
         version = (
-            term.pool.allocation_version(member.worker_id),
+            assigned_version,
+            member.unassigned,
             member.incarnation,
             member.machine,
             member.service,
@@ -472,8 +478,14 @@
                 member.data_centre,
                 member.labels,
                 member.capacity,
-                term.pool.active_tasks(member.worker_id),
+                [
+                    *term.pool.active_tasks(member.worker_id),
+                    *(task for task in member.unassigned if task is not None),
+                ],
             )
+            if None in member.unassigned:
+                # A run of unknown needs may take up the whole worker.
+                member.allocation.free -= member.capacity
             member.allocation_version = version
         return member.allocation
 
@@ -597,6 +609,18 @@
     )
 
 
+def _unassigned_runs(pool: Pool, member: Member) -> tuple[StepTask | None, ...]:
+    """Return the tasks of listed runs that are not active; None for an unknown task.
+
+    These runs are being stopped, and take up capacity until they are no longer listed.
+    """
+    return tuple(
+        task
+        for name, status in member.running.items()
+        if (task := pool.task(name)) is None or not task.has_active_run(status.run)
+    )
+
+
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
     """Return whether a run loses little progress when it is stopped now."""
     limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else RESTART_BELOW_PERCENT
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -5,7 +5,7 @@
 from mulberryslip.models import Resources
 from mulberryslip.runners import StartCommand
 from mulberryslip.steps import StepSpec, WorkflowSpec
-from mulberryslip.workflows import accepted_event
+from mulberryslip.workflows import RunEnded, accepted_event
 from pool_doubles import CAPACITY, CONTACT, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=1000)
@@ -352,3 +352,63 @@
     assert world.owner()._term.pool.task("b/0/0/0").run == 0
     world.run(3)
     assert len(worker.runs) == 2
+
+
+def over_capacity(world):
+    return [violation for violation in world.history.violations if "capacity" in violation]
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+@pytest.mark.parametrize(
+    "step", [attrs.evolve(TASK, cpu_millis=5000), attrs.evolve(TASK, memory_mb=9000, fills=True)]
+)
+def test_listed_run_that_is_not_assigned_takes_up_capacity(world, step, is_known):
+    """Guards against starts in the room of a run that the pool gave up and that still runs.
+
+    The task of such a run has another run, or was dropped with its workflow.
+    """
+    worker = world.workers[0]
+    world.submit("a", step)
+    world.run(3)
+    assert world.owner()._term.pool.apply(RunEnded("a/0/0/0", 1, "lost", 1))
+    if not is_known:
+        world.call("cancel", "a")
+        assert world.owner()._term.pool.task("a/0/0/0") is None
+    worker.stop = lambda *args: None
+    world.submit("b", step)
+    world.run(10)
+    assert over_capacity(world) == []
+    assert [(run.task, run.run) for run in worker.runs.values()] == [("a/0/0/0", 1)]
+    del worker.stop
+    world.run(15)
+    assert [(run.task, run.run) for run in worker.runs.values()] in (
+        [("a/0/0/0", 2)],
+        [("b/0/0/0", 1)],
+    )
+    assert over_capacity(world) == []
+
+
+def test_worker_that_lists_a_run_with_known_needs_is_filled_beside_it(world):
+    """Guards against capacity that stays unused beside a run that is being stopped."""
+    worker = world.workers[0]
+    world.submit("a", attrs.evolve(TASK, cpu_millis=5000))
+    world.run(3)
+    world.owner()._term.pool.apply(RunEnded("a/0/0/0", 1, "lost", 1))
+    worker.stop = lambda *args: None
+    world.submit("b", attrs.evolve(TASK, count=5))
+    world.run(10)
+    assert len([task for task in worker.runs if task.startswith("b")]) == 3
+    assert over_capacity(world) == []
+
+
+def test_listed_run_that_is_not_assigned_counts_for_the_spread_limit(world):
+    """Guards against more tasks of a step on one worker than `max_per_worker` allows."""
+    worker = world.workers[0]
+    world.submit("a", attrs.evolve(TASK, count=2, max_per_worker=1))
+    world.run(3)
+    (running,) = worker.runs
+    world.owner()._term.pool.apply(RunEnded(running, 1, "lost", 1))
+    worker.stop = lambda *args: None
+    world.run(10)
+    assert list(worker.runs) == [running]
+    assert worker.runs[running].run == 1
