Do not count processors that an overcommitted worker lacks as a reserve for others

Callers saw services start a second later than they could: free processors are summed over the candidates to keep a reserve for short tasks, and a worker that has shrunk below what it runs has a negative amount, which ate into the reserve of the others.

Evidence: test_worker_over_its_capacity_does_not_delay_services_on_others failed before: the service did not start although another worker was empty.

Such a worker now adds nothing to the sum.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -151,7 +151,7 @@
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         reserve = SHORT_TASK_RESERVE * sum(worker.capacity.cpu_millis for worker in workers)
-        free_millis = sum(worker.free.cpu_millis for worker in workers)
+        free_millis = sum(max(0, worker.free.cpu_millis) for worker in workers)
         ranking: _Ranking | None = None
         for task in self.order(waiting, now_ms):
             spec = task.spec
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -412,3 +412,21 @@
     world.run(10)
     assert list(worker.runs) == [running]
     assert worker.runs[running].run == 1
+
+
+def test_worker_over_its_capacity_does_not_delay_services_on_others():
+    """Guards against a service that waits because of a worker that has shrunk below its runs.
+
+    Processors that one worker lacks are no reserve that others have to keep free.
+    """
+    world = make_world(workers=2)
+    world.workers[1].leaving = True
+    world.run(2)
+    world.submit("a", attrs.evolve(TASK, count=8))
+    world.run(2)
+    lower_capacity(world, Resources(500, 16000))
+    world.workers[1].restart()
+    world.run(3)
+    world.submit("b", attrs.evolve(TASK, lasting=True))
+    world.run(1)
+    assert list(world.workers[1].runs) == ["b/0/0/0"]
