--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -362,6 +362,9 @@
         service = self._world.services.get(address)
         if service is None:
             raise NotSentError(f"{address} refuses connections")
+        if method == "report" and self._world.rng.random() < self._world.report_delay_rate:
+            self._world.delayed_reports.append((address, req))
+            raise ReplyLostError(f"no reply from {address}")
         reply = getattr(service, method)(req)
         if state == "lost":
             raise ReplyLostError(f"no reply from {address}")
@@ -398,6 +401,8 @@
         self.cut = set()
         self.store_cut = set()
         self.reply_loss_rate = 0.0
+        self.report_delay_rate = 0.0
+        self.delayed_reports = []
         self.workers = [
             SimWorker(number, self.clock, self.history, **worker_options)
             for number in range(workers)
@@ -509,6 +514,13 @@
             if not worker.is_down and not worker.is_unreachable:
                 self.agents[worker.id][0].announce(worker.announcement())
 
+    def deliver_delayed_reports(self):
+        """Deliver the reports that were delayed, in any order."""
+        delayed, self.delayed_reports = self.delayed_reports, []
+        self.rng.shuffle(delayed)
+        for address, req in delayed:
+            self.services[address].report(req)
+
     def run_agent(self, worker):
         """Let one agent renew its worker's lease, report, fetch commands and execute them."""
         agent, directory = self.agents[worker.id]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -749,6 +749,7 @@
     world.elect()
     world.run(3)
     expected = {}
+    delayed_announcements = []
 
     def end_outage():
         world.renew_sessions()
@@ -764,7 +765,7 @@
             steps.append(attrs.evolve(TASK, after=(0,), lasting=lasting))
             if world.submit(f"a{turn}", *steps).outcome == Outcome.OK:
                 expected[f"a{turn}"] = "running" if lasting else "completed"
-        _inject_fault(world, rng)
+        _inject_fault(world, rng, delayed_announcements)
         world.round(timedelta(milliseconds=rng.randint(20, 400)))
         world.run_takeovers()
         if world.owner() is None or world.store.state.get(OWNER_KEY) is None:
@@ -787,7 +788,7 @@
     return 300 + zlib.crc32(name.encode()) % 2500
 
 
-def _inject_fault(world, rng):
+def _inject_fault(world, rng, delayed_announcements):
     worker = rng.choice(world.workers)
     draw = rng.random()
     if draw < 0.02:
@@ -818,7 +819,16 @@
         world.store_cut.discard(worker.id)
     elif draw < 0.76:
         worker.capacity = rng.choice(CAPACITIES)
+    elif draw < 0.80:
+        world.deliver_delayed_reports()
+    elif draw < 0.84:
+        delayed_announcements.append((worker, worker.incarnation, worker.announcement()))
+    elif draw < 0.88 and delayed_announcements:
+        sender, incarnation, announcement = delayed_announcements.pop()
+        if sender.incarnation == incarnation:
+            world.agents[sender.id][0].announce(announcement)
     world.reply_loss_rate = rng.choice([0.0, 0.0, 0.1])
+    world.report_delay_rate = rng.choice([0.0, 0.0, 0.1])
 
 
 def _claim(world, rng):
@@ -837,6 +847,7 @@
     world.store_cut.clear()
     world.frozen.clear()
     world.reply_loss_rate = 0.0
+    world.report_delay_rate = 0.0
     for worker in world.workers:
         worker.loses_reply = lambda: False
         worker.capacity = CAPACITY
