Do not end runs because of a late report of an earlier incarnation

A new owner that got a delayed report of a worker's earlier incarnation before one of the current incarnation took all runs of the current one for lost, since their incarnation differs from that of the report, and started them again elsewhere.

Incarnations sort by their start, so a run that was assigned to a later incarnation than that of the report is left alone.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -190,6 +190,9 @@
                 # A listed run is active, even if it was assigned to an earlier incarnation: a new
                 # one executes commands for the earlier one until it has seen its fencing token.
                 continue
+            elif task.incarnation > member.incarnation:
+                # A late report of an earlier incarnation says nothing about this run.
+                continue
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
                 events.append(self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason))
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -320,6 +320,29 @@
     assert (world.history.starts, world.history.violations) == (1, [])
 
 
+@pytest.mark.parametrize("is_unreachable", [False, True])
+def test_late_report_of_an_earlier_incarnation_ends_no_runs(is_unreachable):
+    """Guards against a second run after a new owner has got such a report first."""
+    world = PoolWorld(workers=2, run_ms=lambda name: 60_000)
+    world.elect()
+    world.run(3)
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    listing = None if is_unreachable else worker.extend_lease(worker.id, worker.fence, 0, 0, 0 * MS)
+    late = agent._report_request(agent._announcement, listing, [], is_unreachable)
+    worker.restart()
+    world.run(3)
+    world.submit("a", attrs.evolve(TASK, count=2, max_per_worker=1))
+    world.run(3)
+    world.owner().resign("test")
+    world.run(1)
+    world.elect(world.workers[1])
+    world.owner().report(late)
+    world.run(10)
+    assert [len(worker.runs) for worker in world.workers] == [1, 1]
+    assert (world.history.starts, world.history.violations) == (2, [])
+
+
 def test_worker_that_refuses_connections_runs_nothing(world):
     """Guards against waiting a whole lease for a worker whose process has ended."""
     world.submit("a")
@@ -741,7 +764,7 @@
     assert [len(worker.runs) for worker in world.workers] == [0, 0, 3]
 
 
-@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("seed", [*range(12), 3001])
 def test_guarantees_hold_under_random_faults(seed):
     """Guards against duplicate runs, early steps and overcommitted workers under mixed faults."""
     world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms)
