--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -15,6 +15,7 @@
 from mulberryslip.exceptions import WireError
 from mulberryslip.headrooms import ColocatedRun, ImageInterference, InterferenceModel
 from mulberryslip.intervals import ReportInterval
+from mulberryslip.models import Resources
 from mulberryslip.runners import (
     RunListing,
     Runner,
@@ -43,6 +44,10 @@
 Shorter than `REPORT_INTERVAL`, since interference can arise at any time.
 """
 
+MAX_ANNOUNCEMENT_AGE = timedelta(seconds=3)
+"""Age from which an announcement does not count for starts. The worker may have announced a lower
+capacity since, and workers must not be filled beyond that 3 s later."""
+
 COMMANDS_WAIT = timedelta(seconds=2)
 CALL_TIMEOUT = timedelta(seconds=1)
 REPORT_TIMEOUT = timedelta(milliseconds=2500)
@@ -150,6 +155,10 @@
         self._reported_leaving = False
         self._reported_absence = ("", 0)
         self._absent_incarnation = ""
+        # Highest capacity by which the owner may place runs on this incarnation of the worker.
+        self._owner_capacity: Resources | None = None
+        # The worker's clock when it last listed its runs, and when that listing arrived.
+        self._listed = (0, clock.monotonic())
 
     # Calls from the worker
 
@@ -162,6 +171,8 @@
             self._announcement = announcement
             is_new = known is None or known.incarnation != announcement.incarnation
             is_leaving = announcement.leaving and (is_new or not known.leaving)
+            if is_new:
+                self._owner_capacity = None
         self._announced.set()
         if is_new:
             log(
@@ -255,13 +266,33 @@
             # The worker has restarted and will announce its new incarnation.
             self._grant = Grant(epoch=grant.epoch)
             return False
+        self._listed = (listing.clock_ms, self._clock.monotonic())
+        worker = self._newest_announcement(worker)
         self._adjust_duty_cycles(worker, listing)
+        if self._is_outdated(worker):
+            # Without capacity, the worker keeps its runs and gets no new ones.
+            worker = attrs.evolve(worker, capacity=Resources())
         if owner is None:
             return False
         return not self._is_report_due(owner, worker, listing) or self._report(
             owner, worker, listing
         )
 
+    def _newest_announcement(self, worker: WorkerAnnouncement) -> WorkerAnnouncement:
+        """Return the newest announcement of the incarnation that made the given one."""
+        newest = self._announcement
+        return newest if newest.incarnation == worker.incarnation else worker
+
+    def _is_outdated(self, worker: WorkerAnnouncement) -> bool:
+        """Return whether an announcement of the listed incarnation is too old for starts.
+
+        Its age is measured on the worker's clock, since an announcement can arrive late.
+        """
+        listed_ms, listed_at = self._listed
+        age = timedelta(milliseconds=listed_ms - worker.clock_ms)
+        age += self._clock.monotonic() - listed_at
+        return worker.clock_ms > 0 and age > MAX_ANNOUNCEMENT_AGE
+
     def _is_report_due(
         self, owner: KnownOwner, worker: WorkerAnnouncement, listing: RunListing
     ) -> bool:
@@ -270,6 +301,8 @@
             return True
         if owner.epoch != self._grant.epoch or worker.leaving != self._reported_leaving:
             return True
+        if worker.capacity != self._owner_capacity:
+            return True
         return self._clock.monotonic() - self._reported_at >= self._report_interval.interval()
 
     def _is_absence_report_due(self, owner: KnownOwner, worker: WorkerAnnouncement) -> bool:
@@ -344,6 +377,9 @@
         """
         with self._lock:
             refused, self._pending_refusals = self._pending_refusals, []
+            if listing is not None and self._owner_capacity is not None:
+                # The owner may accept a report whose reply is lost.
+                self._owner_capacity = _highest(self._owner_capacity, worker.capacity)
         req = self._report_request(worker, listing, refused, unreachable)
         self._reported_at = self._clock.monotonic()
         try:
@@ -360,6 +396,9 @@
             self._directory.report_failure(owner.epoch)
             return False
         self._reported_leaving = worker.leaving
+        with self._lock:
+            if listing is not None and worker.incarnation == self._announcement.incarnation:
+                self._owner_capacity = worker.capacity
         if not req.ended:
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
@@ -436,7 +475,12 @@
 
         :returns: whether the owner replied with commands of its current epoch.
         """
-        worker, grant = self._announcement, self._grant
+        with self._lock:
+            worker, grant, capacity = self._announcement, self._grant, self._owner_capacity
+        if capacity is None:
+            # The owner may know a higher capacity from an agent that ran here before.
+            return False
+        worker = attrs.evolve(worker, capacity=capacity)
         timeout = COMMANDS_WAIT + CALL_TIMEOUT
         req = wire.OrdersRequest(
             self._header(timeout),
@@ -483,6 +527,10 @@
             self.execute_next_command()
 
     def _start_run(self, worker: WorkerAnnouncement, command: wire.RunStart, fence: int) -> None:
+        """Start a run, unless it was meant for a worker in another state.
+
+        :param worker: the worker as the owner may have known it when it placed the run.
+        """
         newest = self._announcement
         if newest.incarnation != worker.incarnation or newest.leaving:
             self._refuse(command, "the worker is leaving or has started anew")
@@ -490,6 +538,12 @@
         if not self._is_incarnation_confirmed:
             self._refuse(command, "the worker may have started anew")
             return
+        if self._is_outdated(newest):
+            self._refuse(command, "the worker has not announced itself recently")
+            return
+        if not worker.capacity.fits(newest.capacity):
+            self._refuse(command, "the worker's capacity has shrunk")
+            return
         run = StartCommand(
             command.task, command.run, command.payload, command.checkpoint, command.start_by_ms
         )
@@ -506,7 +560,7 @@
             )
             return
         if refusal is None:
-            self._set_initial_duty_cycle(worker, command, fence)
+            self._set_initial_duty_cycle(newest, command, fence)
         else:
             self._refuse(command, refusal.value)
 
@@ -555,6 +609,10 @@
         )
 
 
+def _highest(first: Resources, second: Resources) -> Resources:
+    return Resources(*map(max, first.amounts(), second.amounts()))
+
+
 def _is_older(announcement: WorkerAnnouncement, known: WorkerAnnouncement) -> bool:
     if announcement.incarnation != known.incarnation:
         return announcement.incarnation < known.incarnation
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -197,6 +197,9 @@
                 # A listed run is active, even if it was assigned to an earlier incarnation: a new
                 # one executes commands for the earlier one until it has seen its fencing token.
                 continue
+            elif task.incarnation > member.incarnation:
+                # A late report of an earlier incarnation says nothing about this run.
+                continue
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
                 events.append(self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason))
@@ -205,11 +208,17 @@
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+            elif key in member.withdrawn:
+                reason = "the worker's capacity shrank before the start was sent"
+                events.append(
+                    self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
+                )
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+        member.withdrawn.clear()
         self._observe_report(term, member)
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
@@ -223,9 +232,11 @@
             if task is not None and (task.spec.fills or task.spec.target_ms):
                 profile = run_profile(task)
                 colocated_runs.append(ColocatedRun(status, profile))
-        self._dispatcher.model.observe(
-            member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
-        )
+        if member.capacity.cpu_millis:
+            # Without processors there are no shares of them to learn from.
+            self._dispatcher.model.observe(
+                member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
+            )
         progress = [
             RunProgress(
                 name,
@@ -532,8 +543,14 @@
 
     def _allocated_capacity(self, term: PoolTerm, member: Member) -> WorkerCapacity:
         """Return the capacity of a worker, computed again only after its allocation changed."""
+        assigned_version = term.pool.allocation_version(member.worker_id)
+        listing_version = (assigned_version, member.incarnation, member.clock_ms)
+        if member.unassigned_version != listing_version:
+            member.unassigned = _unassigned_runs(term.pool, member)
+            member.unassigned_version = listing_version
         version = (
-            term.pool.allocation_version(member.worker_id),
+            assigned_version,
+            member.unassigned,
             member.incarnation,
             member.machine,
             member.service,
@@ -550,8 +567,14 @@
                 member.data_centre,
                 member.labels,
                 member.capacity,
-                term.pool.active_tasks(member.worker_id),
+                [
+                    *term.pool.active_tasks(member.worker_id),
+                    *(task for task in member.unassigned if task is not None),
+                ],
             )
+            if None in member.unassigned:
+                # A run of unknown needs may take up the whole worker.
+                member.allocation.free -= member.capacity
             member.allocation_version = version
         return member.allocation
 
@@ -587,6 +610,9 @@
             member = term.members[task.worker_id]
             if member.incarnation != task.incarnation or not task.has_active_run(task.run):
                 continue
+            if not decision.worker.capacity.fits(member.capacity):
+                member.withdrawn.add((task.name, task.run))
+                continue
             member.starts.append(
                 wire.RunStart(
                     task.name,
@@ -672,6 +698,18 @@
     )
 
 
+def _unassigned_runs(pool: Pool, member: Member) -> tuple[StepTask | None, ...]:
+    """Return the tasks of listed runs that are not active; None for an unknown task.
+
+    These runs are being stopped, and take up capacity until they are no longer listed.
+    """
+    return tuple(
+        task
+        for name, status in member.running.items()
+        if (task := pool.task(name)) is None or not task.has_active_run(status.run)
+    )
+
+
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
     """Return whether a run loses little progress when it is stopped now."""
     limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else RESTART_BELOW_PERCENT
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -8,6 +8,7 @@
 from mulberryslip.exceptions import JournalError, StoreError
 from mulberryslip.headrooms import InterferenceEstimate
 from mulberryslip.health import INITIAL_EXCLUSION
+from mulberryslip.models import Resources
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, RunningRun
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -24,6 +25,7 @@
 from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+CAPACITIES = [CAPACITY, Resources(4000, 16000), Resources(8000, 4000), Resources(3000, 500)]
 STORE_LEASE = PoolLeaseTimes().store_lease
 OWNER_KEY = "pools/0/owner"
 ROUNDS_PER_SECOND = 5
@@ -426,6 +428,29 @@
     assert (world.history.starts, world.history.violations) == (1, [])
 
 
+@pytest.mark.parametrize("is_unreachable", [False, True])
+def test_late_report_of_an_earlier_incarnation_ends_no_runs(is_unreachable):
+    """Guards against a second run after a new owner has got such a report first."""
+    world = PoolWorld(workers=2, run_ms=lambda name: 60_000)
+    world.elect()
+    world.run(3)
+    worker = world.workers[0]
+    agent, directory = world.agents[worker.id]
+    listing = None if is_unreachable else worker.extend_lease(worker.id, worker.fence, 0, 0, 0 * MS)
+    late = agent._report_request(agent._announcement, listing, [], is_unreachable)
+    worker.restart()
+    world.run(3)
+    world.submit("a", attrs.evolve(TASK, count=2, max_per_worker=1))
+    world.run(3)
+    world.owner().resign("test")
+    world.run(1)
+    world.elect(world.workers[1])
+    world.owner().report(late)
+    world.run(10)
+    assert [len(worker.runs) for worker in world.workers] == [1, 1]
+    assert (world.history.starts, world.history.violations) == (2, [])
+
+
 def test_worker_that_refuses_connections_runs_nothing(world):
     """Guards against waiting a whole lease for a worker whose process has ended."""
     world.submit("a")
@@ -913,7 +938,7 @@
     assert [len(worker.runs) for worker in world.workers] == [0, 0, 3]
 
 
-@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("seed", [*range(12), 3001])
 def test_guarantees_hold_under_random_faults(seed):
     """Guards against duplicate runs, early steps and overcommitted workers under mixed faults."""
     world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms)
@@ -921,6 +946,7 @@
     world.elect()
     world.run(3)
     expected = {}
+    delayed_announcements = []
 
     def end_outage():
         world.renew_sessions()
@@ -931,14 +957,12 @@
     world.clock.on_sleep = end_outage
     for turn in range(250):
         if turn % 5 == 0 and world.owner() is not None:
-            steps = [
-                attrs.evolve(TASK, count=rng.randint(1, 5), cpu_millis=rng.choice([500, 3000]))
-            ]
+            steps = [_random_step(rng)]
             lasting = rng.random() < 0.1
             steps.append(attrs.evolve(TASK, after=(0,), lasting=lasting))
             if world.submit(f"a{turn}", *steps).outcome == Outcome.OK:
                 expected[f"a{turn}"] = "running" if lasting else "completed"
-        _inject_fault(world, rng)
+        _inject_fault(world, rng, delayed_announcements)
         world.round(timedelta(milliseconds=rng.randint(20, 400)))
         world.run_takeovers()
         if world.owner() is None or world.store.state.get(OWNER_KEY) is None:
@@ -950,11 +974,18 @@
     assert world.history.violations == []
 
 
+def _random_step(rng):
+    step = attrs.evolve(TASK, count=rng.randint(1, 5), cpu_millis=rng.choice([500, 3000]))
+    if rng.random() < 0.3:
+        return attrs.evolve(step, fills=True, memory_mb=rng.choice([1000, 5000]))
+    return step
+
+
 def _run_ms(name):
     return 300 + zlib.crc32(name.encode()) % 2500
 
 
-def _inject_fault(world, rng):
+def _inject_fault(world, rng, delayed_announcements):
     worker = rng.choice(world.workers)
     draw = rng.random()
     if draw < 0.02:
@@ -983,7 +1014,18 @@
         world.store_cut.add(worker.id)
     elif draw < 0.68:
         world.store_cut.discard(worker.id)
+    elif draw < 0.76:
+        worker.capacity = rng.choice(CAPACITIES)
+    elif draw < 0.80:
+        world.deliver_delayed_reports()
+    elif draw < 0.84:
+        delayed_announcements.append((worker, worker.incarnation, worker.announcement()))
+    elif draw < 0.88 and delayed_announcements:
+        sender, incarnation, announcement = delayed_announcements.pop()
+        if sender.incarnation == incarnation:
+            world.agents[sender.id][0].announce(announcement)
     world.reply_loss_rate = rng.choice([0.0, 0.0, 0.1])
+    world.report_delay_rate = rng.choice([0.0, 0.0, 0.1])
 
 
 def _claim(world, rng):
@@ -1002,8 +1044,10 @@
     world.store_cut.clear()
     world.frozen.clear()
     world.reply_loss_rate = 0.0
+    world.report_delay_rate = 0.0
     for worker in world.workers:
         worker.loses_reply = lambda: False
+        worker.capacity = CAPACITY
     for _ in range(40):
         world.run_takeovers()
         if world.owner() is not None and world.store.state.get(OWNER_KEY) is not None:
