A call to a host or port that the system cannot take is not sent, instead of ending the caller

What was seen: a call to a host with a label of 100 characters, with an unpaired surrogate, or to a port of 2**70 raised UnicodeError or OverflowError in place of NotSentError, and leaked one of the peer's connections. By reading, not run: a request for such a worker is answered by an internal error instead of going to another worker, the thread that reports to such an owner ends, and after 128 calls the peer counts as over its limit.

Cause: `ChannelPool._connect` translated OSError only, but `socket.create_connection` also raises ValueError and OverflowError for addresses that cannot be passed to the operating system.

Evidence: test_call_to_an_impossible_address_is_not_sent failed before with "UnicodeError: encoding with 'idna' codec failed" and "connections were leaked" (the ports up to 2**31 and the NUL passed).

Why it works: the only place that connects translates all three and gives the connection back.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -427,7 +427,8 @@
         self._add_open_connection(address)
         try:
             conn = _Connection(self._client_class, address, self._clock, remaining)
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # Not only OSError: some hosts and ports cannot be passed to the operating system.
             self._remove_open_connection(address)
             raise NotSentError(f"connecting to {address}: {exc}") from exc
         if not conn.ping(expires - self._clock.monotonic()):
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -340,6 +340,24 @@
         call_stop(pool, Address("127.0.0.1", free_port()), "x")
 
 
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [
+        ("127.0.0.1", 65536),
+        ("127.0.0.1", -1),
+        ("127.0.0.1", 2**31),
+        ("127.0.0.1", 2**70),
+        ("a" * 100, 80),
+        ("a\0b", 80),
+        ("\ud800", 80),
+    ],
+)
+def test_call_to_an_impossible_address_is_not_sent(pool, host, port):
+    """Guards against an address of another process that ends the thread that calls it."""
+    with pytest.raises(NotSentError):
+        call_stop(pool, Address(host, port), "x")
+
+
 def test_call_to_a_peer_that_never_replies_is_not_sent(pool):
     """Guards against sending a call to a suspended process, whose kernel still accepts."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
