One odd address among the named entries no longer hides the configuration from a worker

What was seen: an entry that names ":7000", "10.0.0.1" or "10.0.0.1:x" among the registered entries made a worker drop the whole reply to its announcement, at each announcement: it took no configuration and announced itself to no other entry. A port out of range was taken as an address.

Cause: `_announce` parsed all names in one expression, and a ValueError of one left the function before the configuration was applied; `Address.parse` did not check the port's range.

Evidence: test_odd_name_of_an_entry_leaves_the_reply_in_force failed before for all six names with "the condition was not met in time".

Why it works: each name is parsed on its own after the configuration is applied; the others hold. What is invalid is logged when it changes, not with each announcement.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -20,6 +20,7 @@
 from .exceptions import InvalidMessageError, NotSentError, ReplyLostError
 from .wire.ttypes import Outcome, TaskState
 
+MAX_PORT = 65535
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_CONTAINER_ITEMS = 65_536
 # Limits each read, because the receive buffer is allocated before the peer has sent the bytes
@@ -61,12 +62,15 @@
     def parse(cls, text: str) -> "Address":
         """Parse an address of the form `host:port`.
 
-        :raises ValueError: the text is not of this form, or the port is not an integer.
+        :raises ValueError: the text is not of this form, or the port is not a port number.
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host:
-            raise ValueError(f"address {text!r} is not host:port")
-        return cls(host, int(port))
+            raise ValueError(f"address {text!r:.60} is not host:port")
+        address = cls(host, int(port))
+        if not 1 <= address.port <= MAX_PORT:
+            raise ValueError(f"port {address.port} is not allowed; allowed: 1 to {MAX_PORT}")
+        return address
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -326,6 +326,7 @@
         self._lock = threading.Lock()
         self._announcers: dict[Address, threading.Thread] = {}
         self._named_entries: dict[Address, frozenset[Address]] = {}
+        self._invalid_names: dict[Address, list[str]] = {}
         self._reporters: dict[int, threading.Event] = {}
         self._wake_announcers = threading.Event()
         self._entries = ChannelPool(EntryService.Client, clock)
@@ -480,6 +481,7 @@
                 self._clock.wait(self._stopping, self._options.announce_interval / 5)
         with self._lock:
             self._announcers.pop(entry, None)
+            self._invalid_names.pop(entry, None)
 
     def _is_entry_known(self, entry: Address) -> bool:
         if entry in self._options.entries:
@@ -491,18 +493,32 @@
         req = wire.AnnounceRequest(self._header(), self._description(), self.load())
         try:
             reply = self._entries.call(entry, "announce", req, CALL_TIMEOUT)
-            named = frozenset(Address.parse(text) for text in reply.entries)
-        except (MulberryslipError, ValueError) as exc:
+        except MulberryslipError as exc:
             log(Event.CONNECTION_DROPPED, peer=str(entry), reason=str(exc))
             with self._lock:
                 self._named_entries.pop(entry, None)
             return
         self.config.apply_if_newer(reply.config)
+        named = self._parse_entries(entry, reply.entries)
         with self._lock:
             self._named_entries[entry] = named
         for other in sorted(named):
             self._add_announcer(other)
 
+    def _parse_entries(self, entry: Address, texts: list[str]) -> frozenset[Address]:
+        """Return the addresses that an entry names; invalid ones are logged and left out."""
+        named, invalid = set(), []
+        for text in texts:
+            try:
+                named.add(Address.parse(text))
+            except ValueError:
+                invalid.append(text)
+        if invalid != self._invalid_names.get(entry, []):
+            what = f"entries named by {entry}"
+            log(Event.MESSAGE_INVALID, what=what, reason=f"{invalid!r:.200}")
+        self._invalid_names[entry] = invalid
+        return frozenset(named)
+
     def _header(self) -> wire.Header:
         return wire.Header(
             request_id=uuid.uuid4().hex,
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -276,6 +276,22 @@
     other.server.stop(timedelta())
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [":7000", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:" + "9" * 5000],
+)
+def test_odd_name_of_an_entry_leaves_the_reply_in_force(site, odd):
+    """Guards against one odd address that hides the configuration and the other entries."""
+    other = Entry()
+    site.entry.names = [odd, str(other.address)]
+    worker = site.worker()
+    wait_for(lambda: other.announced)
+    site.entry.config = document(2)
+    wait_for(lambda: worker.config.view.revision == 2)
+    wait_for(lambda: set(worker._announcers) == {site.entry.address, other.address})
+    other.server.stop(timedelta())
+
+
 # Requests.
 
 
