An odd address in the store ends no reading of the list, and no worker is sent to it

What was seen: one registration under `entries/` that nests deeply or has an infinite port ended each reading of the list, so that an entry followed no later change of it; one with an empty host, an unpaired surrogate, U+FFFD or a port out of range was listed and sent to every worker. Such an owner of a shard failed the calls for the shard, and an owner of a pool that is no IP address was called.

Cause: three decoders of the same fields with different checks. `entries` and `services` caught neither RecursionError nor OverflowError and did not check the port; none checked the host.

Evidence: of the 13 values of ODD_ADDRESSES, all failed before in the tests test_odd_registration_leaves_the_other_entries_listed, test_odd_owner_of_a_shard_is_no_owner and test_odd_owner_of_a_pool_is_no_owner: with RecursionError and OverflowError, or because the odd address was used, or because it was logged twice.

Why it works: `records.parse_object` and `Address.from_record` are the only decoders of these records; they accept an IP address and an integer from 1 to 65535, which is what processes write. `InvalidValueLog` logs a value once for each version of its key.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -1,11 +1,13 @@
 """Thrift connections between mulberryslip processes: messages, sockets and the client pool."""
 
 import contextlib
+import ipaddress
 import itertools
 import random
 import socket
 import struct
 import threading
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -72,10 +74,31 @@
             raise ValueError(f"port {address.port} is not allowed; allowed: 1 to {MAX_PORT}")
         return address
 
+    @classmethod
+    def from_record(cls, record: Mapping[str, Any]) -> "Address":
+        """Decode the fields `host` and `port` of a record that another process wrote.
+
+        :raises InvalidMessageError: the host is not an IP address, or the port not a port number.
+        """
+        host, port = record.get("host"), record.get("port")
+        if not isinstance(host, str) or not _is_ip(host):
+            raise InvalidMessageError(f"host {host!r:.60} is not an IP address")
+        if type(port) is not int or not 1 <= port <= MAX_PORT:
+            raise InvalidMessageError(f"port {port!r:.60} is not an integer from 1 to {MAX_PORT}")
+        return cls(host, port)
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return text.isascii()
+
+
 def validate(value: Any, path: str = "message") -> None:
     """Check a decoded message for missing fields and unknown enum values.
 
--- a/packages/core/src/mulberryslip/records.py
+++ b/packages/core/src/mulberryslip/records.py
@@ -5,6 +5,7 @@
 applying only the known fields would lose the information in the others.
 """
 
+import json
 from collections.abc import Callable
 from functools import cache
 from typing import Any, TypeVar
@@ -123,6 +124,21 @@
     return kind(**values)
 
 
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Parse a JSON object that another process wrote.
+
+    :raises InvalidMessageError: the text is not a JSON object, nests too deeply or has a number
+        with too many digits.
+    """
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise InvalidMessageError(f"not JSON: {exc}") from exc
+    if not isinstance(raw, dict):
+        raise InvalidMessageError(f"an object is expected, not a {type(raw).__name__}")
+    return raw
+
+
 def is_unicode(value: str) -> bool:
     """Return whether a string can be encoded as UTF-8.
 
--- a/packages/daemon/src/mulberryslipd/directories.py
+++ b/packages/daemon/src/mulberryslipd/directories.py
@@ -1,23 +1,22 @@
 """Discovery of the pool's owner, from the store, from peers and from replies."""
 
-import json
 import random
 import threading
 from datetime import timedelta
 
 import attrs
+from mulberryslip import records
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
-from mulberryslip.exceptions import StoreError
+from mulberryslip.exceptions import InvalidMessageError, StoreError
 from mulberryslip.retries import backoff
 from mulberryslip.stores import Listing, Store
 
-from .sources import OutageLog
+from .sources import InvalidValueLog, OutageLog
 
 WATCH_TIMEOUT = timedelta(seconds=10)
 RETRY_BASE = timedelta(milliseconds=100)
-MAX_PORT = 65535
 MIN_READ_INTERVAL = timedelta(milliseconds=200)
 """Minimum time between reads of the owner key while the known owner does not reply."""
 
@@ -56,6 +55,7 @@
         self._absent_revision = 0
         self._read_requested = threading.Event()
         self._read_at: timedelta | None = None
+        self._invalid_values = InvalidValueLog()
 
     def owner(self) -> KnownOwner | None:
         """Return the owner, or None if none is known."""
@@ -150,12 +150,9 @@
             self._record_absence(listing.revision)
             return
         try:
-            record = json.loads(stored.value)
-            address = Address(str(record["host"]), int(record["port"]))
-            if not 0 < address.port <= MAX_PORT:
-                raise ValueError(f"port {address.port}")
-        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
-            log(Event.MESSAGE_INVALID, what=self._key, reason=repr(exc))
+            address = Address.from_record(records.parse_object(stored.value))
+        except InvalidMessageError as exc:
+            self._invalid_values.record(stored, exc)
             return
         self.update(KnownOwner(address, stored.version))
 
--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -9,17 +9,18 @@
 from typing import Protocol
 
 import attrs
+from mulberryslip import records
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
-from mulberryslip.exceptions import StoreError
+from mulberryslip.exceptions import InvalidMessageError, StoreError
 from mulberryslip.fleets import Fleet
 from mulberryslip.metrics import Metrics
 from mulberryslip.outcomes import Committed
 from mulberryslip.retries import RetryBudget
 from mulberryslip.routings import LinkDelays, Router
 from mulberryslip.servers import Server
-from mulberryslip.stores import Store
+from mulberryslip.stores import Store, StoredValue
 from mulberryslip.wire import EntryService as EntryWire
 from mulberryslip.wire import WorkerService as WorkerWire
 
@@ -30,7 +31,7 @@
 from .requests import RequestService, SenderIdentity
 from .responses import Drain
 from .services import EntryService, Owner, OwnerDirectory, ShardClient
-from .sources import ConfigSource, ConfigWriter
+from .sources import ConfigSource, ConfigWriter, InvalidValueLog
 
 ENTRIES_PREFIX = "entries/"
 REGISTRATION_INTERVAL = timedelta(seconds=1)
@@ -138,6 +139,7 @@
         self._lock = threading.Lock()
         self._registered_session_id = ""
         self._addresses: list[str] = []
+        self._invalid_values = InvalidValueLog()
 
     def addresses(self) -> list[str]:
         """Return `host:port` of every registered entry, this one included."""
@@ -177,9 +179,16 @@
         :raises StoreError: the store did not answer; the last list is kept.
         """
         listing = self._store.list(ENTRIES_PREFIX)
-        addresses_found = [_parse_address(stored.value) for stored in listing.values]
+        addresses_found = [self._parse_address(stored) for stored in listing.values]
         with self._lock:
-            self._addresses = [address for address in addresses_found if address]
+            self._addresses = [str(address) for address in addresses_found if address is not None]
+
+    def _parse_address(self, stored: StoredValue) -> Address | None:
+        try:
+            return Address.from_record(records.parse_object(stored.value))
+        except InvalidMessageError as exc:
+            self._invalid_values.record(stored, exc)
+            return None
 
     def _record(self) -> bytes:
         address = self._address()
@@ -376,12 +385,3 @@
             except Exception as exc:
                 log(Event.INTERNAL_ERROR, where=name, error=repr(exc))
                 self._clock.wait(self._stop, REGISTRATION_INTERVAL)
-
-
-def _parse_address(value: bytes) -> str:
-    try:
-        record = json.loads(value)
-        return str(Address(str(record["host"]), int(record["port"])))
-    except (ValueError, KeyError, TypeError) as exc:
-        log(Event.MESSAGE_INVALID, what="entry registration", reason=repr(exc))
-        return ""
--- a/packages/daemon/src/mulberryslipd/services.py
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -1,6 +1,5 @@
 """Thrift service of an entry, and calls to the local or remote owner of a shard."""
 
-import json
 import random
 import threading
 from collections.abc import Callable, Mapping
@@ -8,11 +7,17 @@
 from typing import Any, Protocol
 
 import attrs
-from mulberryslip.channels import Address
+from mulberryslip import records
+from mulberryslip.channels import MAX_PORT, Address
 from mulberryslip.clocks import Clock
 from mulberryslip.configs import NAME_PATTERN
 from mulberryslip.events import Event, log
-from mulberryslip.exceptions import NotSentError, StoreError, WireError
+from mulberryslip.exceptions import (
+    InvalidMessageError,
+    NotSentError,
+    StoreError,
+    WireError,
+)
 from mulberryslip.fleets import Fleet
 from mulberryslip.models import WorkerDescription
 from mulberryslip.partitions import partition_of
@@ -34,7 +39,7 @@
 from mulberryslip.wire.ttypes import WorkerDescription as WireDescription
 
 from .requests import Channels, SenderIdentity, load_from_wire, resources_from_wire
-from .sources import ConfigSource
+from .sources import ConfigSource, InvalidValueLog
 
 ENTRY_SENDER = "entry/"
 """Prefix of the sender in calls that an entry forwards. Such a call is never forwarded again, so
@@ -46,8 +51,6 @@
 OWNER_SEARCH_TIMEOUT = timedelta(seconds=3)
 """Longest search for an owner; a shard without an owner is claimed within about this time."""
 
-MAX_PORT = 65535
-
 _OWNER_METHODS = {"job_status": "status", "explain_job": "explain"}
 _NOT_OWNER = "this entry does not own the shard"
 
@@ -100,6 +103,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._cache: dict[int, tuple[timedelta, OwnerAddress | None]] = {}
+        self._invalid_values = InvalidValueLog()
 
     def find(self, shard: int, fresh: bool = False) -> OwnerAddress | None:
         """Return the owner of a shard, or None when it is not known.
@@ -123,18 +127,24 @@
 
     def _read(self, shard: int) -> OwnerAddress | None:
         stored = self._store.get(f"shards/{shard}/owner")
-        return None if stored is None else parse_owner(stored.value)
-
-
-def parse_owner(value: bytes) -> OwnerAddress | None:
-    """Return the owner from its stored record, or None when the record is invalid."""
-    try:
-        record = json.loads(value)
-        address = Address(str(record["host"]), int(record["port"]))
-        return OwnerAddress(str(record["entry_id"]), address, str(record["incarnation"]))
-    except (ValueError, KeyError, TypeError) as exc:
-        log(Event.MESSAGE_INVALID, what="shard owner", reason=repr(exc))
-        return None
+        try:
+            return None if stored is None else parse_owner(stored.value)
+        except InvalidMessageError as exc:
+            self._invalid_values.record(stored, exc)
+            return None
+
+
+def parse_owner(value: bytes) -> OwnerAddress:
+    """Return the owner from its stored record.
+
+    :raises InvalidMessageError: the record is invalid.
+    """
+    record = records.parse_object(value)
+    address = Address.from_record(record)
+    entry_id, incarnation = record.get("entry_id"), record.get("incarnation")
+    if not isinstance(entry_id, str) or not isinstance(incarnation, str):
+        raise InvalidMessageError("entry_id or incarnation is not a string")
+    return OwnerAddress(entry_id, address, incarnation)
 
 
 class ShardClient:
--- a/packages/daemon/src/mulberryslipd/sources.py
+++ b/packages/daemon/src/mulberryslipd/sources.py
@@ -28,6 +28,7 @@
 WATCH_TIMEOUT = timedelta(seconds=10)
 WRITE_TIMEOUT = timedelta(seconds=5)
 MAX_WRITE_ATTEMPTS = 20
+MAX_INVALID_KEYS = 1000
 
 
 class ConfigSource:
@@ -164,6 +165,22 @@
         self.failures = 0
 
 
+class InvalidValueLog:
+    """Logs each invalid value of the store once, however often it is read."""
+
+    def __init__(self):
+        self._versions: dict[str, int] = {}
+
+    def record(self, stored: StoredValue, exc: Exception) -> None:
+        """Log why a value is invalid, unless this version of its key was logged last."""
+        if self._versions.get(stored.key) == stored.version:
+            return
+        if len(self._versions) >= MAX_INVALID_KEYS:
+            self._versions.clear()
+        self._versions[stored.key] = stored.version
+        log(Event.MESSAGE_INVALID, what=stored.key, reason=str(exc))
+
+
 @dataclass(frozen=True)
 class ChangeAccepted:
     """A change took effect.
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -3,18 +3,21 @@
 import contextlib
 import io
 import json
+import random
 import socket
 import struct
 import tomllib
 from datetime import timedelta
 from pathlib import Path
 
+import eliot
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
 from mulberryslip import ManualClock
 from mulberryslip.channels import Address, ChannelPool
+from mulberryslip.events import Event
 from mulberryslip.exceptions import InvalidMessageError, SettingsError
 from mulberryslip.servers import Server
 from mulberryslip.settings import parse
@@ -32,8 +35,12 @@
     encode_event,
 )
 from mulberryslip_platform.callers import callers_application
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.directories import PoolOwnerDirectory
+from mulberryslipd.entries import EntryOptions, EntryRegistration
 from mulberryslipd.gateways import Accepted
 from mulberryslipd.responses import Drain
+from mulberryslipd.services import OwnerDirectory
 from pool_doubles import QUEUE
 
 ROOT = Path(__file__).parent.parent
@@ -137,6 +144,92 @@
     assert reply.shown == "a"
 
 
+# Addresses in the store
+
+OWNER = {"entry_id": "e", "host": "10.0.0.1", "port": 7000, "incarnation": "1"}
+ODD_ADDRESSES = [
+    b"\xff",
+    b"[" * 100_000,
+    b'{"host": "10.0.0.1", "port": ' + b"9" * 5000 + b"}",
+    *(
+        json.dumps({**OWNER, **change}).encode()
+        for change in (
+            {"port": float("inf")},
+            {"port": 0},
+            {"port": 65536},
+            {"port": True},
+            {"port": "7000"},
+            {"host": ""},
+            {"host": "\ud800"},
+            {"host": "\ufffd"},
+            {"host": ["10.0.0.1"]},
+            {"host": "10.0.0.1\n"},
+        )
+    ),
+]
+
+
+@contextlib.contextmanager
+def logged_events():
+    """Collect the numbers of the events that are logged."""
+    numbers = []
+
+    def collect(message):
+        numbers.append(message["event"])
+
+    eliot.add_destinations(collect)
+    try:
+        yield numbers
+    finally:
+        eliot.remove_destination(collect)
+
+
+@pytest.mark.parametrize("value", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
+def test_odd_registration_leaves_the_other_entries_listed(value):
+    """Guards against one record that ends the reading of the list or that workers cannot read."""
+    store = FakeStore(CLOCK)
+    store.put("entries/odd", value, 0)
+    store.put("entries/e", json.dumps(OWNER).encode(), 0)
+    options = EntryOptions("own", "1", "east", "10.0.0.9", "10.0.0.9", 7009, 0, 0)
+    registration = EntryRegistration(store, None, options, lambda: Address("10.0.0.9", 7009), CLOCK)
+    with logged_events() as events:
+        registration.refresh()
+        registration.refresh()
+    assert registration.addresses() == ["10.0.0.1:7000", "10.0.0.9:7009"]
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize("value", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
+def test_odd_owner_of_a_shard_is_no_owner(value):
+    """Guards against a record that fails the calls for a shard after its owner has changed."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    directory = OwnerDirectory(store, clock)
+    version = store.put("shards/0/owner", value, 0).version
+    with logged_events() as events:
+        assert directory.find(0) is None
+        assert directory.find(0, fresh=True) is None
+    assert events == [Event.MESSAGE_INVALID.value]
+    store.put("shards/0/owner", json.dumps(OWNER).encode(), version)
+    assert directory.find(0, fresh=True).address == Address("10.0.0.1", 7000)
+
+
+@pytest.mark.parametrize("value", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
+def test_odd_owner_of_a_pool_is_no_owner(value):
+    """Guards against a record that sends all calls for a pool to an address that nothing has."""
+    store = FakeStore(CLOCK)
+    directory = PoolOwnerDirectory(store, "pools/0/owner", CLOCK, random.Random(1))
+    version = store.put("pools/0/owner", value, 0).version
+    with logged_events() as events:
+        directory.refresh()
+        directory.refresh()
+    assert directory.owner() is None
+    assert events == [Event.MESSAGE_INVALID.value]
+    store.put("pools/0/owner", json.dumps(OWNER).encode(), version)
+    directory.refresh()
+    assert directory.owner().address == Address("10.0.0.1", 7000)
+
+
 # Settings
 
 EXAMPLES = sorted((ROOT / "examples").glob("*/*-1.toml")) + sorted(
