One odd report of usage no longer stops the exchange or the decisions on quotas

What was seen: a value under `usages/` that nests deeply ended each exchange before the process wrote its own usage, so that accounts could use their quota once per entry; a number of 400 digits was taken, and each decision on a quota of its account then raised an error. Another odd value was logged with each exchange.

Cause: `usages.decode` did not catch RecursionError and had no upper bound of an amount.

Evidence: test_odd_usage_of_one_shard_leaves_the_exchange_of_the_others failed before with RecursionError, with "OverflowError: integer division result too large for a float", and with four log lines in place of two.

Why it works: `records.parse_object` decodes the value, amounts have the bound of all recorded numbers (`records.is_number`), and `InvalidValueLog` logs each value once.

--- a/packages/core/src/mulberryslip/records.py
+++ b/packages/core/src/mulberryslip/records.py
@@ -34,11 +34,7 @@
 
 def number(key: str, default: Any = attrs.NOTHING) -> Any:
     """Return a field for a non-negative integer of at most `MAX_NUMBER`."""
-
-    def is_valid(value: object) -> bool:
-        return type(value) is int and 0 <= value <= MAX_NUMBER
-
-    return _field(key, is_valid, default)
+    return _field(key, is_number, default)
 
 
 def flag(key: str, default: Any = attrs.NOTHING) -> Any:
@@ -70,9 +66,7 @@
     """Return a field for a tuple of non-negative integers of at most `MAX_NUMBER`."""
 
     def is_valid(value: object) -> bool:
-        return isinstance(value, list | tuple) and all(
-            type(item) is int and 0 <= item <= MAX_NUMBER for item in value
-        )
+        return isinstance(value, list | tuple) and all(map(is_number, value))
 
     return _field(key, is_valid, default, tuple)
 
@@ -139,6 +133,11 @@
     return raw
 
 
+def is_number(value: object) -> bool:
+    """Return whether a value is a non-negative integer of at most `MAX_NUMBER`."""
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
 def is_unicode(value: str) -> bool:
     """Return whether a string can be encoded as UTF-8.
 
--- a/packages/daemon/src/mulberryslipd/usages.py
+++ b/packages/daemon/src/mulberryslipd/usages.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import attrs
+from mulberryslip import records
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import InvalidMessageError, StoreError
@@ -14,6 +15,8 @@
 from mulberryslip.quotas import REPORT_LIFETIME, AccountUsage, Quotas
 from mulberryslip.stores import Store, StoredValue
 
+from .sources import InvalidValueLog
+
 USAGES_PREFIX = "usages/"
 EXCHANGE_INTERVAL = timedelta(seconds=2)
 """Interval between exchanges. Quotas may be exceeded by the tasks that other entries start within
@@ -52,6 +55,7 @@
         self._clock = clock
         self._interval = interval
         self._seen: dict[str, _SeenVersion] = {}
+        self._invalid_values = InvalidValueLog()
 
     def run(self, stop: threading.Event) -> None:
         """Exchange usage periodically, until stopped."""
@@ -90,7 +94,7 @@
         try:
             usages = decode(value.value)
         except InvalidMessageError as exc:
-            log(Event.MESSAGE_INVALID, what=value.key, reason=str(exc))
+            self._invalid_values.record(value, exc)
             return
         self._quotas.report(f"shard-{value.key.removeprefix(USAGES_PREFIX)}", usages)
 
@@ -108,15 +112,15 @@
 
     :raises InvalidMessageError: the value is malformed.
     """
+    document = records.parse_object(body)
     try:
-        document = json.loads(body)
         return {name: AccountUsage(*map(_resources, pair)) for name, pair in document.items()}
-    except (ValueError, TypeError, AttributeError) as exc:
+    except (ValueError, TypeError) as exc:
         raise InvalidMessageError(f"malformed usage report: {exc}") from exc
 
 
 def _resources(amounts: object) -> Resources:
     valid = isinstance(amounts, list) and len(amounts) == AMOUNT_COUNT
-    if not valid or not all(type(amount) is int and amount >= 0 for amount in amounts):
-        raise ValueError(f"amounts {amounts!r} are not {AMOUNT_COUNT} non-negative integers")
+    if not valid or not all(map(records.is_number, amounts)):
+        raise ValueError(f"{amounts!r:.60} is not a list of {AMOUNT_COUNT} amounts")
     return Resources(*amounts)
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -10,11 +10,11 @@
 from datetime import timedelta
 from pathlib import Path
 
-import eliot
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
+from log_events import logged_events
 from mulberryslip import ManualClock
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.events import Event
@@ -169,21 +169,6 @@
 ]
 
 
-@contextlib.contextmanager
-def logged_events():
-    """Collect the numbers of the events that are logged."""
-    numbers = []
-
-    def collect(message):
-        numbers.append(message["event"])
-
-    eliot.add_destinations(collect)
-    try:
-        yield numbers
-    finally:
-        eliot.remove_destination(collect)
-
-
 @pytest.mark.parametrize("value", ODD_ADDRESSES, ids=range(len(ODD_ADDRESSES)))
 def test_odd_registration_leaves_the_other_entries_listed(value):
     """Guards against one record that ends the reading of the list or that workers cannot read."""
--- a/tests/test_usages.py
+++ b/tests/test_usages.py
@@ -5,7 +5,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from log_events import logged_events
 from mulberryslip import ManualClock, Resources
+from mulberryslip.events import Event
 from mulberryslip.exceptions import InvalidMessageError
 from mulberryslip.quotas import AccountQuota, AccountUsage, Quotas
 from mulberryslip_testing.fakes import FakeStore
@@ -63,3 +65,33 @@
     except InvalidMessageError:
         return
     assert decode(body) == {}
+
+
+HUGE = str(10**400).encode()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[" * 100_000,
+        b'{"oils": ' + b"[" * 100_000,
+        b'{"oils": [[' + HUGE + b", 0, 0, 0], [0, 0, 0, 0]]}",
+        b'{"oils": [[0, 0, 0, 0], [0, 0, 0, ' + b"9" * 5000 + b"]]}",
+    ],
+    ids=["nested", "nested-field", "huge", "digits"],
+)
+def test_odd_usage_of_one_shard_leaves_the_exchange_of_the_others(value):
+    """Guards against one report that stops the exchange or the decisions on quotas."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    store.put("usages/2", value, 0)
+    first, first_exchange = make_entry(store, clock, [0])
+    second, second_exchange = make_entry(store, clock, [1])
+    first.report("shard-0", USES)
+    with logged_events() as events:
+        for _ in range(2):
+            first_exchange.exchange()
+            second_exchange.exchange()
+    assert not second.decide("oils", TASK).allowed
+    assert second.used_share("oils") > 0
+    assert events == 2 * [Event.MESSAGE_INVALID.value]
