A text with U+FFFD in a submission or checkpoint no longer makes whole messages unreadable

What was seen: a submission whose text or image contains U+FFFD was accepted; each reply with the commands for its worker was then invalid for the agent, with the starts and stops of all other tasks in it. A checkpoint of a worker with that character made each report of this worker invalid, so that its lease ran out.

Cause: `channels.validate` takes U+FFFD as the sign of invalid UTF-8, because Thrift's reader substitutes it, and checked every string of a message, also texts that people and targets write.

Evidence: test_texts_of_callers_and_workers_are_passed_on failed before with "ReplyLostError: report failed there: report.running[0].checkpoint is not valid UTF-8". That the lease runs out follows from reading `Agent._report`; it was not run.

Why it works: the check guards against ids that become equal. It remains for ids and names and leaves out the fields that hold free text, which the system passes on without comparing them.

--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -36,6 +36,11 @@
 PING_TIMEOUT = timedelta(seconds=1)
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=3)
 
+# Texts of callers, targets and workers, which may contain that character and are never compared
+# with ids.
+_FREE_TEXT_FIELDS = frozenset(
+    ("payload", "input", "checkpoint", "result", "reason", "image", "filling", "serving")
+)
 _ENUM_FIELDS = {"outcome": Outcome, "state": TaskState}
 DECODE_ERRORS = (
     TProtocolException,
@@ -107,8 +112,8 @@
 
     :param value: decoded struct, container or scalar.
     :param path: path of the value in the message, for the error text.
-    :raises InvalidMessageError: a required field is missing, a string is not valid UTF-8 or an
-        enum value is unknown.
+    :raises InvalidMessageError: a required field is missing, a string other than a free text is
+        not valid UTF-8, or an enum value is unknown.
     """
     if value is None:
         raise InvalidMessageError(f"{path} is missing")
@@ -132,7 +137,7 @@
     for field in filter(None, value.thrift_spec):
         name = field[2]
         item = getattr(value, name)
-        if item is None:
+        if item is None or name in _FREE_TEXT_FIELDS:
             continue
         validate(item, f"{path}.{name}")
         values = _ENUM_FIELDS.get(name)
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -1,6 +1,7 @@
 """Tests with generated input of callers, peers, settings files and the journal."""
 
 import contextlib
+import functools
 import io
 import json
 import random
@@ -18,7 +19,7 @@
 from mulberryslip import ManualClock
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.events import Event
-from mulberryslip.exceptions import InvalidMessageError, SettingsError
+from mulberryslip.exceptions import InvalidMessageError, ReplyLostError, SettingsError
 from mulberryslip.servers import Server
 from mulberryslip.settings import parse
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -114,6 +115,18 @@
     def status(self, req):
         return wire.WorkflowReply(Outcome.OK, "", req.workflow_id, 0, 0)
 
+    text = ""
+
+    def orders(self, req):
+        text = EchoOwner.text
+        profile = wire.RunProfile("a/0/0/0", text, False, 500, 0, 0)
+        start = wire.RunStart("a/0/0/0", 1, text, text, 10**9, profile)
+        return wire.OrdersReply(Outcome.OK, 1, 1, [start], [])
+
+    def report(self, req):
+        pressure = wire.ImagePressure(req.running[0].checkpoint, req.ended[0].checkpoint, 1.0)
+        return wire.WorkerReportReply(Outcome.OK, 1, 5, 1, 0, [], [pressure])
+
 
 @pytest.fixture(scope="module")
 def server():
@@ -144,6 +157,45 @@
     assert reply.shown == "a"
 
 
+HEADER = wire.Header("r1", 1000, 1, "test", "t")
+
+
+@pytest.fixture
+def channels(server):
+    channels = ChannelPool(PoolWire.Client)
+    yield functools.partial(channels.call, Address("127.0.0.1", server.port))
+    channels.close()
+
+
+@pytest.mark.parametrize("text", ["", "text", "\ufffd", "a\U0001f600\ufffdb"])
+def test_texts_of_callers_and_workers_are_passed_on(channels, monkeypatch, text):
+    """Guards against one text with U+FFFD that makes all commands or reports unreadable."""
+    capacity = wire.Resources(1, 1, 0, 0)
+    worker = wire.PoolWorker("w0", "1@w0", "s", "east", [], capacity, False, 0, "m0")
+    report = wire.WorkerReport(
+        HEADER, "10.0.0.1:7000", 1, worker, 5,
+        [wire.RunStatus("a/0/0/0", 1, text, 5, 0)],
+        [wire.RunEnd(1, "a/0/0/1", 1, wire.EndKind.DONE, text)],
+        [wire.RunRefusal("a/0/0/2", 1, text, True)], False,
+        unprofiled=[], listed=True,
+    )  # fmt: skip
+    reply = channels("report", report, timedelta(seconds=5))
+    assert (reply.pressures[0].filling, reply.pressures[0].serving) == (text, text)
+    req = wire.OrdersRequest(HEADER, "w0", "1@w0", 1, 0)
+    monkeypatch.setattr(EchoOwner, "text", text)
+    start = channels("orders", req, timedelta(seconds=5)).starts[0]
+    assert (start.payload, start.checkpoint, start.profile.image) == (text, text, text)
+
+
+@pytest.mark.parametrize("field", ["worker_id", "incarnation"])
+def test_id_with_a_replacement_character_is_rejected(channels, field):
+    """Guards against ids that become equal because their bytes cannot be read."""
+    req = wire.OrdersRequest(HEADER, "w0", "1@w0", 1, 0)
+    setattr(req, field, "\ufffd")
+    with pytest.raises(ReplyLostError, match="not valid UTF-8"):
+        channels("orders", req, timedelta(seconds=5))
+
+
 # Addresses in the store
 
 OWNER = {"entry_id": "e", "host": "10.0.0.1", "port": 7000, "incarnation": "1"}
