--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
 from mulberryslip import ManualClock, records
+from mulberryslip.channels import validate
 from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
 from mulberryslip.outcomes import Committed, Conflict, Unknown
 from mulberryslip.queues import PoolConfig, Queue
@@ -26,8 +27,10 @@
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
 from mulberryslipd.directories import PoolOwnerDirectory
 from mulberryslipd.intents import PoolConfigSource
+from mulberryslipd.members import check_report
 from mulberryslipd.pools import MAX_ROUND_BYTES
 from pool_doubles import MS, PoolWorld
+from thrift.TSerialization import deserialize, serialize
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 
@@ -60,11 +63,12 @@
 class FixedTransport:
     """A transport whose server returns one body to every call."""
 
-    def __init__(self, body):
+    def __init__(self, body, status=200):
         self._body = body
+        self._status = status
 
     def send(self, *args, **kwargs):
-        return HTTPResponse(200, {}, self._body)
+        return HTTPResponse(self._status, {}, self._body)
 
 
 # Malformed input at the boundary to the platform
@@ -117,6 +121,71 @@
     assert statuses == ["400 Bad Request"]
 
 
+def wire_form(announcement, listing=None):
+    """Return the agent's report as its owner decodes it."""
+    agent, _ = PoolWorld(workers=1).agents["w0"]
+    req = agent._report_request(announcement, listing, [], False)
+    decoded = deserialize(wire.WorkerReport(), serialize(req))
+    validate(decoded)
+    check_report(decoded)
+    return decoded
+
+
+def announce(document, worker_id="w0"):
+    """Return the announcements that are taken from a call, and the status of its response."""
+    taken, statuses = [], []
+    body = document if isinstance(document, bytes) else json.dumps(document).encode()
+    environ = {
+        "REQUEST_METHOD": "PUT",
+        "PATH_INFO": f"/-/instances/{worker_id}",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    application = announcements_application(taken.append, None)
+    application(environ, lambda status, head: statuses.append(status))
+    return taken, statuses[0]
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    with_other_value(BEAT)
+    | with_other_value(BEAT["Capacity"]).map(lambda capacity: {**BEAT, "Capacity": capacity})
+    | st.integers().map(lambda number: {**BEAT, "RemainingMs": number, "born": number})
+)
+def test_any_announcement_that_is_taken_can_be_reported(document):
+    """Guards against an announcement with which each report to the owner fails."""
+    for announcement in announce(document)[0]:
+        assert wire_form(announcement).worker.worker_id == "w0"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Capacity": {"Cpu": 2**31, "MemMb": 1}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1e300}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 2**31}},
+        {"RemainingMs": 2**31},
+        {"Seq": 2**70},
+        {"Seq": float("nan")},
+        {"born": 2**70},
+        {"born": 10**15},
+        {"Labels": ["a"] * 70_000},
+        {"Labels": ["\ufffd"]},
+        {"Zone": "\ufffd"},
+        {"Service": "\ufffd"},
+        {"Machine": "\ufffd"},
+    ],
+)
+def test_announcement_that_cannot_be_reported_is_refused(change):
+    """Guards against one odd number or text that makes the worker's lease expire."""
+    assert announce({**BEAT, **change}) == ([], "400 Bad Request")
+
+
+def test_announcement_without_an_id_is_refused():
+    """Guards against a worker that nobody can address."""
+    assert announce(BEAT, "") == ([], "400 Bad Request")
+
+
 ROWS = st.lists(st.lists(JSON, max_size=6) | JSON, max_size=2)
 
 
@@ -138,6 +207,30 @@
     assert isinstance(listing, RunListing)
 
 
+RUNNING = ["a.0.0.0", 1, "", 41, 7]
+
+
+def list_runs(runner, **rows):
+    runner._transport = FixedTransport(json.dumps({**LISTING, **rows}).encode())
+    return runner.extend_lease("w0", 1, 0, 0, 0 * MS)
+
+
+@pytest.mark.parametrize("run", ["1", -1, 2**31, None])
+def test_listing_with_an_unreadable_run_number_is_invalid(run):
+    """Guards against a second start of a task whose active run is passed over."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with pytest.raises(RunnerError):
+        list_runs(runner, Running=[RUNNING, ["a.0.0.9", run, "", 0]])
+
+
+@pytest.mark.parametrize("number", [2**63, 1e300, 10**15, -1])
+def test_listing_with_an_unusable_clock_is_invalid(number):
+    """Guards against a clock that no message can hold, or that makes later listings look older."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with pytest.raises(RunnerError):
+        list_runs(runner, ClockMs=number)
+
+
 @settings(max_examples=150)
 @given(
     st.sampled_from(["items", "events"]),
