One odd row of a worker's listing no longer hides all its runs and ends

What was seen: one row of `Running` or `Ended` with a saved value, percentage, figure or kind of end of another type made the whole listing invalid. The worker repeats an end until it is acknowledged, so that no later listing was read either: no report, and the lease ran out. A refusal whose `Reason` is a list raised a TypeError, and the owner did not learn of the refusal.

Cause: `extend_lease` decoded all rows in one expression; `start` looked up a reason of any type.

Evidence: test_odd_row_of_a_run_leaves_the_others_listed and test_odd_row_of_an_end_leaves_the_others_listed failed before for each of their rows, most with "RunnerError: hold: invalid listing"; test_odd_reason_of_a_refusal_is_a_refusal failed with "TypeError: unhashable type". The end of the lease follows from reading; it was not run.

Why it works: values that do not identify a run are replaced by their defaults, a row that names no run is left out, and an unknown way of ending counts as a lapse. Each fault is logged when it first appears in a listing. A row of an active task without a usable run number still makes the listing invalid: without the row, the owner would start the task a second time.

--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -10,12 +10,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
+from log_events import logged_events
 from mulberryslip import ManualClock, records
 from mulberryslip.channels import validate
+from mulberryslip.events import Event
 from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
 from mulberryslip.outcomes import Committed, Conflict, Unknown
 from mulberryslip.queues import PoolConfig, Queue
-from mulberryslip.runners import RunListing, RunnerError
+from mulberryslip.runners import EndKind, RunListing, RunnerError, StartCommand, StartRefusal
 from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec
 from mulberryslip.stores import Listing, StoredValue
 from mulberryslip.transports import HTTPResponse
@@ -208,6 +210,7 @@
 
 
 RUNNING = ["a.0.0.0", 1, "", 41, 7]
+ENDED = [1, "a.0.0.1", 1, "done", "c"]
 
 
 def list_runs(runner, **rows):
@@ -215,6 +218,61 @@
     return runner.extend_lease("w0", 1, 0, 0, 0 * MS)
 
 
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        ("a.0.0.9", None),
+        ([], None),
+        ([["a.0.0.9"], 1, "", 0], None),
+        (["\ufffd", 1, "", 0], None),
+        (["a.0.0.9", 1, 5, 41], ("", 41, 0)),
+        (["a.0.0.9", 1, "\ud800", 41], ("", 41, 0)),
+        (["a.0.0.9", 1, "c"], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", -1], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", float("inf")], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", 41, 2**31], ("c", 41, 0)),
+        (["a.0.0.9", 1, "c", 41, "fast"], ("c", 41, 0)),
+    ],
+)
+def test_odd_row_of_a_run_leaves_the_others_listed(row, expected):
+    """Guards against one odd value with which no later listing of the worker is read."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with logged_events() as events:
+        listing = [list_runs(runner, Running=[RUNNING, row], Ended=[ENDED]) for _ in range(3)][-1]
+    decoded = wire_form(announce(BEAT)[0][0], listing)
+    assert decoded.running[0] == wire.RunStatus("a/0/0/0", 1, "", 41, 7)
+    assert decoded.ended == [wire.RunEnd(1, "a/0/0/1", 1, wire.EndKind.DONE, "c")]
+    odd = [(run.checkpoint, run.progress_percent, run.gauge) for run in decoded.running[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        (5, None),
+        ([2], None),
+        ([2**31, "a.0.0.9", 1, "done", "c"], None),
+        ([-1, "a.0.0.9", 1, "done", "c"], None),
+        ([2, "a.0.0.9", 2**31, "done", "c"], None),
+        ([2, "a.0.0.9", 1, "vanished", "c"], (EndKind.LAPSED, "c")),
+        ([2, "a.0.0.9", 1, ["done"], "c"], (EndKind.LAPSED, "c")),
+        ([2, "a.0.0.9", 1, "done", 7], (EndKind.DONE, "")),
+        ([2, "a.0.0.9", 1, "done"], (EndKind.DONE, "")),
+    ],
+)
+def test_odd_row_of_an_end_leaves_the_others_listed(row, expected):
+    """Guards against one odd value with which no later listing of the worker is read."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with logged_events() as events:
+        listing = [list_runs(runner, Running=[RUNNING], Ended=[ENDED, row]) for _ in range(3)][-1]
+    assert wire_form(announce(BEAT)[0][0], listing).running[0].task == "a/0/0/0"
+    assert listing.ended[0].kind is EndKind.DONE
+    odd = [(end.kind, end.checkpoint) for end in listing.ended[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
 @pytest.mark.parametrize("run", ["1", -1, 2**31, None])
 def test_listing_with_an_unreadable_run_number_is_invalid(run):
     """Guards against a second start of a task whose active run is passed over."""
@@ -231,6 +289,15 @@
         list_runs(runner, ClockMs=number)
 
 
+@pytest.mark.parametrize("reason", [["fence"], {}, 5, None])
+def test_odd_reason_of_a_refusal_is_a_refusal(reason):
+    """Guards against a start whose refusal its owner never learns."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    runner._transport = FixedTransport(json.dumps({"Reason": reason}).encode(), 409)
+    command = StartCommand("a/0/0/0", 1, "p", "", 5)
+    assert runner.start("w0", command, 1) is StartRefusal.INVALID
+
+
 @settings(max_examples=150)
 @given(
     st.sampled_from(["items", "events"]),
