Reject a report with a value out of range before it changes what is known of its worker

What was seen: a report with a clock of 2**62 was accepted, and all later reports of the worker then counted as older; a number of an end of 2**62 was acknowledged, so that the worker would forget all later ends; negative accelerators or slots, an empty id and an empty incarnation were accepted. With a clock of 2**63 - 1 the owner could not encode its reply. A call for commands could ask to wait for 24 days, which keeps one of the connections that the owner serves.

Cause: `check_report` had no upper bounds and looked at two of the four amounts of the capacity; `orders` waited as long as the caller asked.

Evidence: test_report_with_an_extreme_value_changes_nothing failed before for each of its values: with "struct.error: int too large to convert" or with outcome OK in place of INVALID; test_wait_for_commands_has_a_limit failed with the wait that was asked for.

Why it works: the report is checked before `Member.observe`, with the bounds that agents use for what they decode (MAX_AMOUNT, MAX_TIME_MS); the wait is limited to twice that of an agent.

--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -9,6 +9,10 @@
 from .exceptions import MulberryslipError
 from .models import Resources
 
+MAX_TIME_MS = 10**13
+"""Latest time on a worker's clock or since 1970, in milliseconds: the year 2286. A later one would
+make all further announcements and listings look older than it."""
+
 
 class RunnerError(MulberryslipError):
     """The worker did not reply as expected."""
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -9,8 +9,8 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import InvalidMessageError
 from mulberryslip.models import Resources
-from mulberryslip.runners import EndedRun, EndKind, RunningRun
-from mulberryslip.steps import MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS
+from mulberryslip.runners import MAX_TIME_MS, EndedRun, EndKind, RunningRun
+from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS
 from mulberryslip.wire import ttypes as wire
 
 from .workers import resources_from_wire
@@ -145,13 +145,16 @@
     for name in ("worker_id", "incarnation", "machine"):
         if len(getattr(worker, name)) > MAX_NAME_CHARS:
             raise InvalidMessageError(f"{name} of more than {MAX_NAME_CHARS} characters")
-    capacity = worker.capacity
-    numbers = [report.clock_ms, worker.remaining_ms, capacity.cpu_millis, capacity.memory_mb]
+    if not worker.worker_id or not worker.incarnation:
+        raise InvalidMessageError("the worker has no id or no incarnation")
+    if not 0 <= report.clock_ms <= MAX_TIME_MS:
+        raise InvalidMessageError(f"clock_ms {report.clock_ms} is not from 0 to {MAX_TIME_MS}")
+    numbers = [worker.remaining_ms, *resources_from_wire(worker.capacity).amounts()]
     numbers += [number for row in report.running for number in (row.run, row.progress_percent)]
     numbers += [number for row in report.ended for number in (row.number, row.run)]
     numbers += [row.gauge for row in report.running]
-    if min(numbers) < 0:
-        raise InvalidMessageError("a number is negative")
+    if min(numbers) < 0 or max(numbers) > MAX_AMOUNT:
+        raise InvalidMessageError(f"a number is not from 0 to {MAX_AMOUNT}")
     unknown = [row.kind for row in report.ended if row.kind not in _END_KINDS]
     if unknown:
         raise InvalidMessageError(f"a run ended in an unknown way: {unknown[0]}")
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -56,6 +56,7 @@
 
 CLAIM_PAUSE = timedelta(milliseconds=500)
 COMMIT_TIMEOUT = timedelta(seconds=2)
+MAX_COMMANDS_WAIT = timedelta(seconds=4)
 
 MAX_ROUND_BYTES = 256 * 1024
 """Size of the requests that one round handles. Their events fit into one journal record of 900 KB,
@@ -154,7 +155,8 @@
             member = term.members.get(req.worker_id)
         if member is None or member.incarnation != req.incarnation:
             return wire.OrdersReply(Outcome.NOT_FOUND, term.epoch, 0, [], [])
-        self._clock.wait(member.has_commands, timedelta(milliseconds=req.wait_ms))
+        requested_wait = max(0, req.wait_ms) * timedelta(milliseconds=1)
+        self._clock.wait(member.has_commands, min(requested_wait, MAX_COMMANDS_WAIT))
         with term.lock:
             member.has_commands.clear()
             starts, stops = list(member.starts), list(member.stops)
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import operator
 import random
 import threading
 
@@ -27,6 +28,7 @@
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
+from mulberryslipd.agents import COMMANDS_WAIT
 from mulberryslipd.directories import PoolOwnerDirectory
 from mulberryslipd.intents import PoolConfigSource
 from mulberryslipd.members import check_report
@@ -50,6 +52,7 @@
 }
 LISTING = {"ClockMs": 5, "born": 17, "Running": [], "Ended": []}
 ITEM = {"Key": "a", "Value": "eA==", "Rev": 3, "Created": 2, "Lease": 0}
+HEADER = wire.Header("r1", 1000, 1, "test", "t")
 ROUTE = {
     "Name": "r-1",
     "Host": "a.example",
@@ -457,6 +460,41 @@
     assert_serves(world)
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("clock_ms", 2**63 - 1),
+        ("clock_ms", 2**62),
+        ("worker.capacity.accelerators", -1),
+        ("worker.capacity.slots", -1),
+        ("ended", [wire.RunEnd(2**62, "a/0/0/0", 1, wire.EndKind.DONE, "")]),
+        ("worker.worker_id", ""),
+        ("worker.incarnation", ""),
+    ],
+)
+def test_report_with_an_extreme_value_changes_nothing(world, path, value):
+    """Guards against one value after which no later report of the worker counts."""
+    req = report_of(world)
+    target, _, name = path.rpartition(".")
+    setattr(operator.attrgetter(target)(req) if target else req, name, value)
+    reply = world.owner().report(req)
+    serialize(reply)
+    assert reply.outcome == Outcome.INVALID
+    world.step_owners()
+    assert_serves(world)
+
+
+@pytest.mark.parametrize("wait_ms", [2**31 - 1, -(2**31)])
+def test_wait_for_commands_has_a_limit(world, monkeypatch, wait_ms):
+    """Guards against calls that keep all connections of the owner for days."""
+    worker = world.agents["w0"][0]._announcement
+    req = wire.OrdersRequest(HEADER, "w0", worker.incarnation, 1, wait_ms)
+    waits = []
+    monkeypatch.setattr(world.clock, "wait", lambda event, timeout: waits.append(timeout))
+    world.owner().orders(req)
+    assert [0 * MS <= timeout <= 2 * COMMANDS_WAIT for timeout in waits] == [True]
+
+
 def test_unexpected_error_in_one_call_does_not_end_the_ownership(world, monkeypatch):
     """Guards against one call that the owner cannot decide and that ends its term."""
     scheduler = world.owner()._scheduler
