One odd task in the runtime's list no longer hides the ends of the others from a worker

What was seen: a task whose usage, throttle, checkpoint, result or reason has another type, a number over 2**31 - 1 or an unpaired surrogate made the whole list invalid, or was held so that each report and each reply to a renewal failed on encoding. An id that is no text, or whose number has thousands of digits, raised AttributeError or ValueError in each round. A response that nests deeply raised RecursionError in place of RuntimeAdapterError, which is how callers learn that a start is unclear.

Cause: `_task_from_json` passed values on unchecked and one row failed the list; `_call` caught only ValueError; `parse_runtime_id` had no bounds.

Why it works: each value is checked against what a report can hold and replaced by its default; what is wrong is logged when it first appears. An unknown state still makes the list invalid: the task may be running and must not count as ended.

--- a/packages/core/src/mulberryslip/runtimes.py
+++ b/packages/core/src/mulberryslip/runtimes.py
@@ -19,6 +19,7 @@
 
 import enum
 import json
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
 from urllib.parse import quote
@@ -26,13 +27,18 @@
 import attrs
 import urllib3
 
-from .exceptions import RuntimeAdapterError, RuntimeRefusedError
+from . import records
+from .events import Event, log
+from .exceptions import InvalidMessageError, RuntimeAdapterError, RuntimeRefusedError
 from .models import Resources
+from .steps import MAX_AMOUNT
 
 CALL_TIMEOUT = timedelta(seconds=1)
 MAX_CONNECTIONS = 4
 MILLISECOND = timedelta(milliseconds=1)
 
+_RESOURCE_NAMES = attrs.fields_dict(Resources).keys()
+
 
 class RuntimeState(enum.Enum):
     """State of a task in the runtime; `LAPSED` means stopped because its lease expired."""
@@ -165,6 +171,7 @@
             retries=False,
             timeout=urllib3.Timeout(total=timeout.total_seconds()),
         )
+        self._faults: list[str] = []
 
     def open_session(self, ttl: timedelta) -> str:
         """Open a session."""
@@ -201,12 +208,18 @@
         self._call("PUT", "/leases", body)
 
     def tasks(self) -> list[RuntimeTask]:
-        """Return all tasks of the VM."""
+        """Return all tasks of the VM.
+
+        Invalid values of a task are replaced by their defaults.
+        """
         document = self._call("GET", "/tasks")
+        faults: list[str] = []
         try:
-            return [_task_from_json(item) for item in document["tasks"]]
+            tasks = [_task_from_json(item, faults) for item in document["tasks"]]
         except (KeyError, TypeError, ValueError) as exc:
             raise RuntimeAdapterError(f"invalid task list from the runtime: {exc!r}") from exc
+        self._log_faults(faults)
+        return [task for task in tasks if task is not None]
 
     def checkpoint(self, task_id: str) -> str:
         """Save a running task's progress."""
@@ -226,16 +239,21 @@
         """Delete the record of an ended task."""
         self._call("DELETE", _task_path(task_id))
 
+    def _log_faults(self, faults: list[str]) -> None:
+        """Log the faults of a task list that the last one did not have."""
+        for fault in faults:
+            if fault not in self._faults:
+                log(Event.MESSAGE_INVALID, what="task list of the runtime", reason=fault)
+        self._faults = faults
+
     def _call(self, method: str, path: str, body: Any = None) -> dict[str, Any]:
         data = None if body is None else json.dumps(body).encode()
         headers = {"Content-Type": "application/json"}
         try:
             resp = self._http.request(method, self._base + path, body=data, headers=headers)
-            document = json.loads(resp.data)
-        except (urllib3.exceptions.HTTPError, ValueError) as exc:
+            document = records.parse_object(resp.data)
+        except (urllib3.exceptions.HTTPError, InvalidMessageError) as exc:
             raise RuntimeAdapterError(f"{method} {path}: {exc}") from exc
-        if not isinstance(document, dict):
-            raise RuntimeAdapterError(f"{method} {path}: the answer is not a JSON object")
         if resp.status < 300:
             return document
         raise _error_from_response(f"{method} {path}", resp.status, document)
@@ -260,15 +278,48 @@
     return value
 
 
-def _task_from_json(item: dict[str, Any]) -> RuntimeTask:
+def _task_from_json(item: Any, faults: list[str]) -> RuntimeTask | None:
+    """Decode a row of the task list; None if it names no task.
+
+    An unknown state of a task makes the list invalid, since the task may be running.
+
+    :param faults: receives what is wrong in the row.
+    """
+    task_id = item.get("task_id") if isinstance(item, dict) else None
+    if not _is_text(task_id):
+        faults.append(f"{item!r:.100} names no task")
+        return None
+
+    def value(name: str, is_valid: Callable[[Any], bool], default: Any) -> Any:
+        if is_valid(item.get(name)):
+            return item[name]
+        faults.append(f"{task_id}: {name} {item.get(name)!r:.60} is not allowed")
+        return default
+
     return RuntimeTask(
-        task_id=item["task_id"],
+        task_id=task_id,
         state=RuntimeState(item["state"]),
-        checkpoint=item["checkpoint"],
-        result=item["result"],
-        reason=item["reason"],
-        usage=Resources(**item["usage"]),
-        throttle_permille=item["throttle_permille"],
-        template=item["template"],
-        resources=Resources(**item["resources"]),
+        checkpoint=value("checkpoint", _is_text, ""),
+        result=value("result", _is_text, ""),
+        reason=value("reason", _is_text, ""),
+        usage=Resources(**value("usage", _is_resources, {})),
+        throttle_permille=value("throttle_permille", _is_amount, 1000),
+        template=value("template", _is_text, ""),
+        resources=Resources(**value("resources", _is_resources, {})),
+    )
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str) and records.is_unicode(value)
+
+
+def _is_amount(value: Any) -> bool:
+    return records.is_number(value) and value <= MAX_AMOUNT
+
+
+def _is_resources(value: Any) -> bool:
+    return (
+        isinstance(value, dict)
+        and value.keys() <= _RESOURCE_NAMES
+        and all(map(_is_amount, value.values()))
     )
--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -1,18 +1,20 @@
 """Attempts that run on this worker: shard leases, runtime leases, suspension and reports."""
 
 import contextlib
+import re
 import threading
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import attrs
 from mulberryslip.admissions import Admission, Reservation
-from mulberryslip.channels import Address
+from mulberryslip.channels import REPLACEMENT_CHARACTER, Address
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import AdmissionError, RuntimeAdapterError, RuntimeRefusedError
 from mulberryslip.models import Attempt, Resources, TaskClass, TaskKey
 from mulberryslip.runtimes import Runtime, RuntimeSpec, RuntimeState, RuntimeTask
+from mulberryslip.steps import MAX_AMOUNT
 from mulberryslip.wire.ttypes import Outcome, TaskState
 
 from .pressures import FULL_PERMILLE
@@ -23,6 +25,8 @@
 # An unconfirmed start that the runtime does not list is given up after this many runtime leases.
 UNCONFIRMED_START_LEASES = 2
 
+_RUNTIME_ID = re.compile(r"(.*)/([0-9]{1,10})/([0-9]{1,10})", re.DOTALL)
+
 _END_STATE_OF_RUNTIME_STATE = {
     RuntimeState.FINISHED: TaskState.FINISHED,
     RuntimeState.FAILED: TaskState.FAILED,
@@ -617,10 +621,13 @@
 
 def parse_runtime_id(text: str) -> Attempt | None:
     """Return the attempt of a runtime task id; None when the id has another format."""
-    parts = text.rsplit("/", 2)
-    if len(parts) != 3 or not (parts[1].isdecimal() and parts[2].isdecimal()):
+    match = _RUNTIME_ID.fullmatch(text)
+    if match is None or REPLACEMENT_CHARACTER in text:
+        return None
+    job_id, index, number = match[1], int(match[2]), int(match[3])
+    if max(index, number) > MAX_AMOUNT:
         return None
-    return Attempt(TaskKey(parts[0], int(parts[1])), int(parts[2]))
+    return Attempt(TaskKey(job_id, index), number)
 
 
 def _throttle_permille_of(held: HeldAttempt, batch_permille: int) -> int:
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -5,6 +5,8 @@
 import operator
 import random
 import threading
+import types
+from datetime import timedelta
 
 import attrs
 import pytest
@@ -12,13 +14,19 @@
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
 from log_events import logged_events
-from mulberryslip import ManualClock, records
+from mulberryslip import ManualClock, Resources, TaskClass, records
 from mulberryslip.channels import validate
 from mulberryslip.events import Event
-from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
+from mulberryslip.exceptions import (
+    ConfigError,
+    InvalidMessageError,
+    RuntimeAdapterError,
+    StoreError,
+)
 from mulberryslip.outcomes import Committed, Conflict, Unknown
 from mulberryslip.queues import PoolConfig, Queue
 from mulberryslip.runners import EndKind, RunListing, RunnerError, StartCommand, StartRefusal
+from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec
 from mulberryslip.stores import Listing, StoredValue
 from mulberryslip.transports import HTTPResponse
@@ -30,9 +38,11 @@
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
 from mulberryslipd.agents import COMMANDS_WAIT
 from mulberryslipd.directories import PoolOwnerDirectory
+from mulberryslipd.executions import AttemptReport, HeldAttempt, parse_runtime_id
 from mulberryslipd.intents import PoolConfigSource
 from mulberryslipd.members import check_report
 from mulberryslipd.pools import MAX_ROUND_BYTES
+from mulberryslipd.workers import report_to_wire
 from pool_doubles import MS, PoolWorld
 from thrift.TSerialization import deserialize, serialize
 
@@ -301,6 +311,103 @@
     assert runner.start("w0", command, 1) is StartRefusal.INVALID
 
 
+AMOUNTS = {"cpu_millis": 1, "memory_mb": 2, "accelerators": 0, "slots": 1}
+RUNTIME_TASK = {
+    "task_id": "job/0/1",
+    "state": "running",
+    "checkpoint": "c",
+    "result": "",
+    "reason": "",
+    "usage": AMOUNTS,
+    "throttle_permille": 1000,
+    "template": "t",
+    "resources": AMOUNTS,
+}
+
+
+def make_report(task):
+    """Return the worker's report of a task that the runtime lists."""
+    held = HeldAttempt(
+        attempt=parse_runtime_id(task.task_id),
+        shard=0,
+        template=task.template,
+        task_class=TaskClass.BATCH,
+        resources=task.resources,
+        started=timedelta(),
+        checkpoint=task.checkpoint,
+        result=task.result,
+        reason=task.reason,
+        usage=task.usage,
+        throttle_permille=task.throttle_permille,
+    )
+    return AttemptReport(held, 1)
+
+
+def runtime_with(body):
+    runtime = HTTPRuntime("http://127.0.0.1:9")
+    runtime._http = types.SimpleNamespace(
+        request=lambda *args, **kwargs: types.SimpleNamespace(status=200, data=body)
+    )
+    return runtime
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({"task_id": 5}, None),
+        ({"task_id": "\ud800/1/1"}, None),
+        ({"checkpoint": None}, {"checkpoint": ""}),
+        ({"result": "\ud800"}, {"result": ""}),
+        ({"reason": {}}, {"reason": ""}),
+        ({"template": 5}, {"template": ""}),
+        ({"throttle_permille": "all"}, {"throttle_permille": 1000}),
+        ({"throttle_permille": 2**31}, {"throttle_permille": 1000}),
+        ({"usage": None}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "cpu_millis": 2**31}}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "cpu_millis": -1}}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "watts": 1}}, {"usage": Resources()}),
+        ({"resources": {**AMOUNTS, "slots": 1.5}}, {"resources": Resources()}),
+    ],
+)
+def test_odd_task_of_the_runtime_leaves_the_others_listed(change, expected):
+    """Guards against one odd value with which the worker learns of no end of a task."""
+    rows = [RUNTIME_TASK, {**RUNTIME_TASK, "task_id": "job/1/1", **change}]
+    runtime = runtime_with(json.dumps({"tasks": rows}).encode())
+    with logged_events() as events:
+        tasks = [runtime.tasks() for _ in range(3)][-1]
+    for task in tasks:
+        report = report_to_wire(make_report(task))
+        validate(deserialize(wire.TaskReport(), serialize(report)))
+    assert tasks[0].task_id == "job/0/1"
+    odd = [{name: getattr(task, name) for name in expected} for task in tasks[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize("change", [{"state": "paused"}, {"state": ["running"]}])
+def test_list_with_an_unreadable_state_of_a_task_is_invalid(change):
+    """Guards against a second start of a task that runs although its row is passed over."""
+    body = json.dumps({"tasks": [{**RUNTIME_TASK, **change}]}).encode()
+    with pytest.raises(RuntimeAdapterError):
+        runtime_with(body).tasks()
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b"[" * 100_000, b"9" * 5000])
+def test_unreadable_response_of_the_runtime_is_an_adapter_error(body):
+    """Guards against a response that ends the thread that renews the leases."""
+    with pytest.raises(RuntimeAdapterError):
+        runtime_with(body).tasks()
+
+
+@pytest.mark.parametrize(
+    "task_id",
+    ["job", "job/x/1", "\ufffd/0/1", f"job/{2**31}/1", f"job/0/{2**31}", "job/0/" + "9" * 5000],
+)
+def test_odd_id_of_a_task_names_no_attempt(task_id):
+    """Guards against an attempt that no report can hold."""
+    assert parse_runtime_id(task_id) is None
+
+
 @settings(max_examples=150)
 @given(
     st.sampled_from(["items", "events"]),
