An announcement with an unusable address or name no longer replaces that of a serving worker

What was seen: an announcement of a known worker with a host that is no IP address, an empty or very long incarnation or an empty service name was recorded in place of the last one, and its sender got OK. A negative service time, number of requests or pressure was taken as it is.

Cause: `_validate_worker` checked three names, the port and the capacity; `load_from_wire` checked nothing.

Evidence: test_odd_announcement_of_a_worker_leaves_the_last_one_in_force failed before for 7 of its 10 changes with outcome OK in place of INVALID, and test_negative_load_is_no_load for all four fields with -. By reading `Router._estimate`, a negative service time makes a worker's expected completion the earliest of all; that was not run.

Why it works: hosts and ports have the check of `Address.from_record`, the sender gets INVALID and the last announcement stays in force. A negative load counts as none.

--- a/packages/daemon/src/mulberryslipd/requests.py
+++ b/packages/daemon/src/mulberryslipd/requests.py
@@ -430,14 +430,14 @@
 
 
 def load_from_wire(load: Load) -> WorkerLoad:
-    """Convert a load from its thrift type."""
+    """Convert a load from its thrift type; a negative number counts as 0."""
     return WorkerLoad(
-        in_flight=load.in_flight,
-        queued=load.queued,
-        service_time_us=load.service_time_us,
+        in_flight=max(0, load.in_flight),
+        queued=max(0, load.queued),
+        service_time_us=max(0, load.service_time_us),
         free=resources_from_wire(load.free),
         leaving=load.leaving,
-        pressure_permille=load.pressure_permille,
+        pressure_permille=max(0, load.pressure_permille),
     )
 
 
--- a/packages/daemon/src/mulberryslipd/services.py
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -8,7 +8,7 @@
 
 import attrs
 from mulberryslip import records
-from mulberryslip.channels import MAX_PORT, Address
+from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
 from mulberryslip.configs import NAME_PATTERN
 from mulberryslip.events import Event, log
@@ -51,6 +51,8 @@
 OWNER_SEARCH_TIMEOUT = timedelta(seconds=3)
 """Longest search for an owner; a shard without an owner is claimed within about this time."""
 
+MAX_INCARNATION_CHARS = 64
+
 _OWNER_METHODS = {"job_status": "status", "explain_job": "explain"}
 _NOT_OWNER = "this entry does not own the shard"
 
@@ -371,8 +373,14 @@
     for field in ("worker_id", "data_centre", "rack"):
         if not NAME_PATTERN.fullmatch(getattr(worker, field)):
             return f"{field}: {getattr(worker, field)[:80]!r} is not a name"
-    if not 1 <= worker.port <= MAX_PORT:
-        return f"port: {worker.port} is not allowed; allowed: 1 to {MAX_PORT}"
+    if not all(map(NAME_PATTERN.fullmatch, worker.services)):
+        return f"services: {worker.services!r:.80} are not all names"
+    if not 0 < len(worker.incarnation) <= MAX_INCARNATION_CHARS:
+        return f"incarnation: {len(worker.incarnation)} characters are not allowed"
+    try:
+        Address.from_record({"host": worker.host, "port": worker.port})
+    except InvalidMessageError as exc:
+        return str(exc)
     if min(resources_from_wire(worker.capacity).amounts()) < 0:
         return f"capacity: {worker.capacity} has a negative amount"
     return ""
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -20,6 +20,7 @@
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.events import Event
 from mulberryslip.exceptions import InvalidMessageError, ReplyLostError, SettingsError
+from mulberryslip.fleets import Fleet
 from mulberryslip.servers import Server
 from mulberryslip.settings import parse
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -41,7 +42,7 @@
 from mulberryslipd.entries import EntryOptions, EntryRegistration
 from mulberryslipd.gateways import Accepted
 from mulberryslipd.responses import Drain
-from mulberryslipd.services import OwnerDirectory
+from mulberryslipd.services import EntryService, OwnerDirectory
 from pool_doubles import QUEUE
 
 ROOT = Path(__file__).parent.parent
@@ -196,6 +197,69 @@
         channels("orders", req, timedelta(seconds=5))
 
 
+WORKER = {
+    "worker_id": "w0",
+    "incarnation": "1",
+    "data_centre": "east",
+    "rack": "r1",
+    "host": "10.0.0.1",
+    "port": 7000,
+    "capacity": wire.Resources(1000, 1000, 0, 8),
+    "services": ["check"],
+}
+IDLE = wire.Load(0, 0, 0, WORKER["capacity"], False, 0)
+
+
+class UnknownConfig:
+    """The configuration before its first reading."""
+
+    def view(self):
+        return None
+
+    def revision(self):
+        return 0
+
+
+def announce(fleet, load=IDLE, **change):
+    service = EntryService(fleet, UnknownConfig(), None, list)
+    worker = wire.WorkerDescription(**{**WORKER, **change})
+    return service.announce(wire.AnnounceRequest(HEADER, worker, load)).outcome
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"host": ""},
+        {"host": "a\0b"},
+        {"host": "a" * 100},
+        {"port": 0},
+        {"port": 65536},
+        {"incarnation": ""},
+        {"incarnation": "1" * 10_000},
+        {"services": [""]},
+        {"services": ["check", "a" * 10_000]},
+        {"capacity": wire.Resources(1, 1, -1, 1)},
+    ],
+)
+def test_odd_announcement_of_a_worker_leaves_the_last_one_in_force(change):
+    """Guards against a worker that nothing can be sent to, in place of one that serves."""
+    fleet = Fleet(CLOCK)
+    assert announce(fleet) == Outcome.OK
+    known = fleet.workers()
+    assert announce(fleet, **change) == Outcome.INVALID
+    assert fleet.workers() == known
+
+
+@pytest.mark.parametrize("field", ["in_flight", "queued", "service_time_us", "pressure_permille"])
+def test_negative_load_is_no_load(field):
+    """Guards against a worker that gets all requests because of one odd number."""
+    fleet = Fleet(CLOCK)
+    load = wire.Load(0, 0, 0, WORKER["capacity"], False, 0)
+    setattr(load, field, -(2**31))
+    assert announce(fleet, load) == Outcome.OK
+    assert getattr(fleet.workers()[0].load, field) == 0
+
+
 # Addresses in the store
 
 OWNER = {"entry_id": "e", "host": "10.0.0.1", "port": 7000, "incarnation": "1"}
