--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -36,6 +36,7 @@
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
+from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.agents import COMMANDS_WAIT
 from mulberryslipd.directories import PoolOwnerDirectory
 from mulberryslipd.executions import AttemptReport, HeldAttempt, parse_runtime_id
@@ -446,6 +447,35 @@
         assert records.decode(Queue, records.encode(queue)) == queue
 
 
+@pytest.mark.parametrize(
+    "document",
+    [
+        {"Version": 2**63, "Routes": [ROUTE]},
+        {"Version": 1e300, "Routes": [ROUTE]},
+        {"Version": -1, "Routes": [ROUTE]},
+        {"Version": True, "Routes": [ROUTE]},
+        {"Version": "7", "Routes": [ROUTE]},
+        {"Version": 2, "Routes": {}},
+        {"Version": 2, "Routes": "x"},
+    ],
+)
+def test_odd_configuration_leaves_the_last_one_in_force(document):
+    """Guards against a version after which no other counts, and against losing all routes."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    source = PoolConfigSource(store, "op/", decode_config, clock, random.Random(1))
+    written = store.put("op/config", json.dumps({"Version": 1, "Routes": [ROUTE]}).encode(), 0)
+    known = source.refresh()
+    written = store.put("op/config", json.dumps(document).encode(), written.version)
+    with logged_events() as events:
+        source.refresh()
+        source.refresh()
+    assert source.config() == known
+    assert events == [Event.CONFIG_REFUSED.value]
+    store.put("op/config", json.dumps({"Version": 3, "Routes": []}).encode(), written.version)
+    assert source.refresh().revision == 3
+
+
 @pytest.mark.parametrize("value", ['{"host": "x", "port": 1e999}', '{"host": "x", "port": -1}'])
 def test_owner_key_of_another_writer_is_ignored(value):
     """Guards against an owner key that ends the thread that watches it."""
