One odd row of a store's listing no longer ends the reading of the list

What was seen: a row that is no object made a listing or watch invalid as a whole, at each attempt; a key with an unpaired surrogate was listed, and could not be sent as the start of the next page; a malformed item was logged at each reading; a page whose last row has no readable key was continued after the key "None", up to 1000 times.

Cause: `_parse_rows` demanded objects for all rows, `_parse_item` accepted any text as a key and any integer as a revision, and `list` took the key of the last row as it was.

Evidence: test_odd_item_of_the_store_leaves_the_others_listed failed before for all 9 rows: with "StoreError: response with invalid items", with the odd item in the listing, or because it was logged four times in place of once. test_page_without_a_readable_key_is_an_error failed with "DID NOT RAISE". That a surrogate cannot be sent was read in `HTTPTransport.send`, not run.

Why it works: each row is decoded on its own; malformed ones are left out and logged once for each adapter. The next page begins after the last readable key, and a page without one is an error.

--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -409,6 +409,58 @@
     assert parse_runtime_id(task_id) is None
 
 
+class PagedTransport:
+    """A store that returns each page once, and the first one again without `After`."""
+
+    def __init__(self, *pages):
+        self._pages = pages
+        self.calls = 0
+
+    def send(self, method, path, fields, *args, **kwargs):
+        self.calls += 1
+        page = 1 if path == "/-/kv-range" and "After" in fields else 0
+        body = {**self._pages[page], "AsOf": 9, "Truncated": page + 1 < len(self._pages)}
+        return HTTPResponse(200, {}, json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        5,
+        None,
+        {},
+        {**ITEM, "Key": None},
+        {**ITEM, "Key": ["a"]},
+        {**ITEM, "Key": "\ud800"},
+        {**ITEM, "Value": "="},
+        {**ITEM, "Rev": -1},
+        {**ITEM, "Rev": 2**70},
+    ],
+)
+def test_odd_item_of_the_store_leaves_the_others_listed(row):
+    """Guards against one item that ends the reading of a list, or that hides its next page."""
+    store = PlatformStore("http://127.0.0.1:9")
+    last = {**ITEM, "Key": "b"}
+    pages = {"items": [ITEM, row], "events": [ITEM, row]}, {"items": [last]}
+    store._transport = PagedTransport(*pages)
+    with logged_events() as events:
+        for _ in range(3):
+            assert [stored.key for stored in store.list("").values] == ["a", "b"]
+        assert store._transport.calls == 6
+        store._transport = PagedTransport(pages[0])
+        assert [stored.key for stored in store.watch("", 1, 0 * MS).values] == ["a"]
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+def test_page_without_a_readable_key_is_an_error():
+    """Guards against reading the same page a thousand times."""
+    store = PlatformStore("http://127.0.0.1:9")
+    store._transport = PagedTransport({"items": [{**ITEM, "Key": None}]}, {"items": [ITEM]})
+    with pytest.raises(StoreError):
+        store.list("")
+    assert store._transport.calls == 1
+
+
 @settings(max_examples=150)
 @given(
     st.sampled_from(["items", "events"]),
