--- a/packages/core/src/mulberryslip/channels.py
+++ b/packages/core/src/mulberryslip/channels.py
@@ -1,11 +1,13 @@
 """Thrift connections between mulberryslip processes: messages, sockets and the client pool."""
 
 import contextlib
+import ipaddress
 import itertools
 import random
 import socket
 import struct
 import threading
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -20,6 +22,7 @@
 from .exceptions import InvalidMessageError, NotSentError, ReplyLostError
 from .wire.ttypes import Outcome, TaskState
 
+MAX_PORT = 65535
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_CONTAINER_ITEMS = 65_536
 # Limits each read, because the receive buffer is allocated before the peer has sent the bytes
@@ -33,6 +36,11 @@
 PING_TIMEOUT = timedelta(seconds=1)
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=3)
 
+# Texts of callers, targets and workers, which may contain that character and are never compared
+# with ids.
+_FREE_TEXT_FIELDS = frozenset(
+    ("payload", "input", "checkpoint", "result", "reason", "image", "filling", "serving")
+)
 _ENUM_FIELDS = {"outcome": Outcome, "state": TaskState}
 DECODE_ERRORS = (
     TProtocolException,
@@ -61,17 +69,41 @@
     def parse(cls, text: str) -> "Address":
         """Parse an address of the form `host:port`.
 
-        :raises ValueError: the text is not of this form, or the port is not an integer.
+        :raises ValueError: the text is not of this form, or the port is not a port number.
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host:
-            raise ValueError(f"address {text!r} is not host:port")
-        return cls(host, int(port))
+            raise ValueError(f"address {text!r:.60} is not host:port")
+        address = cls(host, int(port))
+        if not 1 <= address.port <= MAX_PORT:
+            raise ValueError(f"port {address.port} is not allowed; allowed: 1 to {MAX_PORT}")
+        return address
+
+    @classmethod
+    def from_record(cls, record: Mapping[str, Any]) -> "Address":
+        """Decode the fields `host` and `port` of a record that another process wrote.
+
+        :raises InvalidMessageError: the host is not an IP address, or the port not a port number.
+        """
+        host, port = record.get("host"), record.get("port")
+        if not isinstance(host, str) or not _is_ip(host):
+            raise InvalidMessageError(f"host {host!r:.60} is not an IP address")
+        if type(port) is not int or not 1 <= port <= MAX_PORT:
+            raise InvalidMessageError(f"port {port!r:.60} is not an integer from 1 to {MAX_PORT}")
+        return cls(host, port)
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return text.isascii()
+
+
 def validate(value: Any, path: str = "message") -> None:
     """Check a decoded message for missing fields and unknown enum values.
 
@@ -80,8 +112,8 @@
 
     :param value: decoded struct, container or scalar.
     :param path: path of the value in the message, for the error text.
-    :raises InvalidMessageError: a required field is missing, a string is not valid UTF-8 or an
-        enum value is unknown.
+    :raises InvalidMessageError: a required field is missing, a string other than a free text is
+        not valid UTF-8, or an enum value is unknown.
     """
     if value is None:
         raise InvalidMessageError(f"{path} is missing")
@@ -105,7 +137,7 @@
     for field in filter(None, value.thrift_spec):
         name = field[2]
         item = getattr(value, name)
-        if item is None:
+        if item is None or name in _FREE_TEXT_FIELDS:
             continue
         validate(item, f"{path}.{name}")
         values = _ENUM_FIELDS.get(name)
@@ -427,7 +459,8 @@
         self._add_open_connection(address)
         try:
             conn = _Connection(self._client_class, address, self._clock, remaining)
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # Not only OSError: some hosts and ports cannot be passed to the operating system.
             self._remove_open_connection(address)
             raise NotSentError(f"connecting to {address}: {exc}") from exc
         if not conn.ping(expires - self._clock.monotonic()):
--- a/packages/core/src/mulberryslip/records.py
+++ b/packages/core/src/mulberryslip/records.py
@@ -5,6 +5,7 @@
 applying only the known fields would lose the information in the others.
 """
 
+import json
 from collections.abc import Callable
 from functools import cache
 from typing import Any, TypeVar
@@ -33,11 +34,7 @@
 
 def number(key: str, default: Any = attrs.NOTHING) -> Any:
     """Return a field for a non-negative integer of at most `MAX_NUMBER`."""
-
-    def is_valid(value: object) -> bool:
-        return type(value) is int and 0 <= value <= MAX_NUMBER
-
-    return _field(key, is_valid, default)
+    return _field(key, is_number, default)
 
 
 def flag(key: str, default: Any = attrs.NOTHING) -> Any:
@@ -69,9 +66,7 @@
     """Return a field for a tuple of non-negative integers of at most `MAX_NUMBER`."""
 
     def is_valid(value: object) -> bool:
-        return isinstance(value, list | tuple) and all(
-            type(item) is int and 0 <= item <= MAX_NUMBER for item in value
-        )
+        return isinstance(value, list | tuple) and all(map(is_number, value))
 
     return _field(key, is_valid, default, tuple)
 
@@ -123,6 +118,26 @@
     return kind(**values)
 
 
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Parse a JSON object that another process wrote.
+
+    :raises InvalidMessageError: the text is not a JSON object, nests too deeply or has a number
+        with too many digits.
+    """
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise InvalidMessageError(f"not JSON: {exc}") from exc
+    if not isinstance(raw, dict):
+        raise InvalidMessageError(f"an object is expected, not a {type(raw).__name__}")
+    return raw
+
+
+def is_number(value: object) -> bool:
+    """Return whether a value is a non-negative integer of at most `MAX_NUMBER`."""
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
 def is_unicode(value: str) -> bool:
     """Return whether a string can be encoded as UTF-8.
 
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -2,19 +2,31 @@
 
 import io
 import json
+import operator
 import random
 import threading
+import types
+from datetime import timedelta
 
 import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
-from mulberryslip import ManualClock, records
-from mulberryslip.exceptions import ConfigError, InvalidMessageError, StoreError
+from log_events import logged_events
+from mulberryslip import ManualClock, Resources, TaskClass, records
+from mulberryslip.channels import validate
+from mulberryslip.events import Event
+from mulberryslip.exceptions import (
+    ConfigError,
+    InvalidMessageError,
+    RuntimeAdapterError,
+    StoreError,
+)
 from mulberryslip.outcomes import Committed, Conflict, Unknown
 from mulberryslip.queues import PoolConfig, Queue
-from mulberryslip.runners import RunListing, RunnerError
+from mulberryslip.runners import EndKind, RunListing, RunnerError, StartCommand, StartRefusal
+from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.steps import MAX_AMOUNT, MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec
 from mulberryslip.stores import Listing, StoredValue
 from mulberryslip.transports import HTTPResponse
@@ -24,10 +36,16 @@
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.agents import COMMANDS_WAIT
 from mulberryslipd.directories import PoolOwnerDirectory
+from mulberryslipd.executions import AttemptReport, HeldAttempt, parse_runtime_id
 from mulberryslipd.intents import PoolConfigSource
+from mulberryslipd.members import check_report
 from mulberryslipd.pools import MAX_ROUND_BYTES
+from mulberryslipd.workers import report_to_wire
 from pool_doubles import MS, PoolWorld
+from thrift.TSerialization import deserialize, serialize
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 
@@ -45,6 +63,7 @@
 }
 LISTING = {"ClockMs": 5, "born": 17, "Running": [], "Ended": []}
 ITEM = {"Key": "a", "Value": "eA==", "Rev": 3, "Created": 2, "Lease": 0}
+HEADER = wire.Header("r1", 1000, 1, "test", "t")
 ROUTE = {
     "Name": "r-1",
     "Host": "a.example",
@@ -60,11 +79,12 @@
 class FixedTransport:
     """A transport whose server returns one body to every call."""
 
-    def __init__(self, body):
+    def __init__(self, body, status=200):
         self._body = body
+        self._status = status
 
     def send(self, *args, **kwargs):
-        return HTTPResponse(200, {}, self._body)
+        return HTTPResponse(self._status, {}, self._body)
 
 
 # Malformed input at the boundary to the platform
@@ -117,6 +137,71 @@
     assert statuses == ["400 Bad Request"]
 
 
+def wire_form(announcement, listing=None):
+    """Return the agent's report as its owner decodes it."""
+    agent, _ = PoolWorld(workers=1).agents["w0"]
+    req = agent._report_request(announcement, listing, [], False)
+    decoded = deserialize(wire.WorkerReport(), serialize(req))
+    validate(decoded)
+    check_report(decoded)
+    return decoded
+
+
+def announce(document, worker_id="w0"):
+    """Return the announcements that are taken from a call, and the status of its response."""
+    taken, statuses = [], []
+    body = document if isinstance(document, bytes) else json.dumps(document).encode()
+    environ = {
+        "REQUEST_METHOD": "PUT",
+        "PATH_INFO": f"/-/instances/{worker_id}",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    application = announcements_application(taken.append, None)
+    application(environ, lambda status, head: statuses.append(status))
+    return taken, statuses[0]
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    with_other_value(BEAT)
+    | with_other_value(BEAT["Capacity"]).map(lambda capacity: {**BEAT, "Capacity": capacity})
+    | st.integers().map(lambda number: {**BEAT, "RemainingMs": number, "born": number})
+)
+def test_any_announcement_that_is_taken_can_be_reported(document):
+    """Guards against an announcement with which each report to the owner fails."""
+    for announcement in announce(document)[0]:
+        assert wire_form(announcement).worker.worker_id == "w0"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Capacity": {"Cpu": 2**31, "MemMb": 1}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1e300}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 2**31}},
+        {"RemainingMs": 2**31},
+        {"Seq": 2**70},
+        {"Seq": float("nan")},
+        {"born": 2**70},
+        {"born": 10**15},
+        {"Labels": ["a"] * 70_000},
+        {"Labels": ["\ufffd"]},
+        {"Zone": "\ufffd"},
+        {"Service": "\ufffd"},
+        {"Machine": "\ufffd"},
+    ],
+)
+def test_announcement_that_cannot_be_reported_is_refused(change):
+    """Guards against one odd number or text that makes the worker's lease expire."""
+    assert announce({**BEAT, **change}) == ([], "400 Bad Request")
+
+
+def test_announcement_without_an_id_is_refused():
+    """Guards against a worker that nobody can address."""
+    assert announce(BEAT, "") == ([], "400 Bad Request")
+
+
 ROWS = st.lists(st.lists(JSON, max_size=6) | JSON, max_size=2)
 
 
@@ -138,6 +223,244 @@
     assert isinstance(listing, RunListing)
 
 
+RUNNING = ["a.0.0.0", 1, "", 41, 7]
+ENDED = [1, "a.0.0.1", 1, "done", "c"]
+
+
+def list_runs(runner, **rows):
+    runner._transport = FixedTransport(json.dumps({**LISTING, **rows}).encode())
+    return runner.extend_lease("w0", 1, 0, 0, 0 * MS)
+
+
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        ("a.0.0.9", None),
+        ([], None),
+        ([["a.0.0.9"], 1, "", 0], None),
+        (["\ufffd", 1, "", 0], None),
+        (["a.0.0.9", 1, 5, 41], ("", 41, 0)),
+        (["a.0.0.9", 1, "\ud800", 41], ("", 41, 0)),
+        (["a.0.0.9", 1, "c"], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", -1], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", float("inf")], ("c", 0, 0)),
+        (["a.0.0.9", 1, "c", 41, 2**31], ("c", 41, 0)),
+        (["a.0.0.9", 1, "c", 41, "fast"], ("c", 41, 0)),
+    ],
+)
+def test_odd_row_of_a_run_leaves_the_others_listed(row, expected):
+    """Guards against one odd value with which no later listing of the worker is read."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with logged_events() as events:
+        listing = [list_runs(runner, Running=[RUNNING, row], Ended=[ENDED]) for _ in range(3)][-1]
+    decoded = wire_form(announce(BEAT)[0][0], listing)
+    assert decoded.running[0] == wire.RunStatus("a/0/0/0", 1, "", 41, 7)
+    assert decoded.ended == [wire.RunEnd(1, "a/0/0/1", 1, wire.EndKind.DONE, "c")]
+    odd = [(run.checkpoint, run.progress_percent, run.gauge) for run in decoded.running[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        (5, None),
+        ([2], None),
+        ([2**31, "a.0.0.9", 1, "done", "c"], None),
+        ([-1, "a.0.0.9", 1, "done", "c"], None),
+        ([2, "a.0.0.9", 2**31, "done", "c"], None),
+        ([2, "a.0.0.9", 1, "vanished", "c"], (EndKind.LAPSED, "c")),
+        ([2, "a.0.0.9", 1, ["done"], "c"], (EndKind.LAPSED, "c")),
+        ([2, "a.0.0.9", 1, "done", 7], (EndKind.DONE, "")),
+        ([2, "a.0.0.9", 1, "done"], (EndKind.DONE, "")),
+    ],
+)
+def test_odd_row_of_an_end_leaves_the_others_listed(row, expected):
+    """Guards against one odd value with which no later listing of the worker is read."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with logged_events() as events:
+        listing = [list_runs(runner, Running=[RUNNING], Ended=[ENDED, row]) for _ in range(3)][-1]
+    assert wire_form(announce(BEAT)[0][0], listing).running[0].task == "a/0/0/0"
+    assert listing.ended[0].kind is EndKind.DONE
+    odd = [(end.kind, end.checkpoint) for end in listing.ended[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize("run", ["1", -1, 2**31, None])
+def test_listing_with_an_unreadable_run_number_is_invalid(run):
+    """Guards against a second start of a task whose active run is passed over."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with pytest.raises(RunnerError):
+        list_runs(runner, Running=[RUNNING, ["a.0.0.9", run, "", 0]])
+
+
+@pytest.mark.parametrize("number", [2**63, 1e300, 10**15, -1])
+def test_listing_with_an_unusable_clock_is_invalid(number):
+    """Guards against a clock that no message can hold, or that makes later listings look older."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    with pytest.raises(RunnerError):
+        list_runs(runner, ClockMs=number)
+
+
+@pytest.mark.parametrize("reason", [["fence"], {}, 5, None])
+def test_odd_reason_of_a_refusal_is_a_refusal(reason):
+    """Guards against a start whose refusal its owner never learns."""
+    runner = PlatformRunner("http://127.0.0.1:9", ManualClock())
+    runner._transport = FixedTransport(json.dumps({"Reason": reason}).encode(), 409)
+    command = StartCommand("a/0/0/0", 1, "p", "", 5)
+    assert runner.start("w0", command, 1) is StartRefusal.INVALID
+
+
+AMOUNTS = {"cpu_millis": 1, "memory_mb": 2, "accelerators": 0, "slots": 1}
+RUNTIME_TASK = {
+    "task_id": "job/0/1",
+    "state": "running",
+    "checkpoint": "c",
+    "result": "",
+    "reason": "",
+    "usage": AMOUNTS,
+    "throttle_permille": 1000,
+    "template": "t",
+    "resources": AMOUNTS,
+}
+
+
+def make_report(task):
+    """Return the worker's report of a task that the runtime lists."""
+    held = HeldAttempt(
+        attempt=parse_runtime_id(task.task_id),
+        shard=0,
+        template=task.template,
+        task_class=TaskClass.BATCH,
+        resources=task.resources,
+        started=timedelta(),
+        checkpoint=task.checkpoint,
+        result=task.result,
+        reason=task.reason,
+        usage=task.usage,
+        throttle_permille=task.throttle_permille,
+    )
+    return AttemptReport(held, 1)
+
+
+def runtime_with(body):
+    runtime = HTTPRuntime("http://127.0.0.1:9")
+    runtime._http = types.SimpleNamespace(
+        request=lambda *args, **kwargs: types.SimpleNamespace(status=200, data=body)
+    )
+    return runtime
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({"task_id": 5}, None),
+        ({"task_id": "\ud800/1/1"}, None),
+        ({"checkpoint": None}, {"checkpoint": ""}),
+        ({"result": "\ud800"}, {"result": ""}),
+        ({"reason": {}}, {"reason": ""}),
+        ({"template": 5}, {"template": ""}),
+        ({"throttle_permille": "all"}, {"throttle_permille": 1000}),
+        ({"throttle_permille": 2**31}, {"throttle_permille": 1000}),
+        ({"usage": None}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "cpu_millis": 2**31}}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "cpu_millis": -1}}, {"usage": Resources()}),
+        ({"usage": {**AMOUNTS, "watts": 1}}, {"usage": Resources()}),
+        ({"resources": {**AMOUNTS, "slots": 1.5}}, {"resources": Resources()}),
+    ],
+)
+def test_odd_task_of_the_runtime_leaves_the_others_listed(change, expected):
+    """Guards against one odd value with which the worker learns of no end of a task."""
+    rows = [RUNTIME_TASK, {**RUNTIME_TASK, "task_id": "job/1/1", **change}]
+    runtime = runtime_with(json.dumps({"tasks": rows}).encode())
+    with logged_events() as events:
+        tasks = [runtime.tasks() for _ in range(3)][-1]
+    for task in tasks:
+        report = report_to_wire(make_report(task))
+        validate(deserialize(wire.TaskReport(), serialize(report)))
+    assert tasks[0].task_id == "job/0/1"
+    odd = [{name: getattr(task, name) for name in expected} for task in tasks[1:]]
+    assert odd == ([expected] if expected else [])
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+@pytest.mark.parametrize("change", [{"state": "paused"}, {"state": ["running"]}])
+def test_list_with_an_unreadable_state_of_a_task_is_invalid(change):
+    """Guards against a second start of a task that runs although its row is passed over."""
+    body = json.dumps({"tasks": [{**RUNTIME_TASK, **change}]}).encode()
+    with pytest.raises(RuntimeAdapterError):
+        runtime_with(body).tasks()
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b"[" * 100_000, b"9" * 5000])
+def test_unreadable_response_of_the_runtime_is_an_adapter_error(body):
+    """Guards against a response that ends the thread that renews the leases."""
+    with pytest.raises(RuntimeAdapterError):
+        runtime_with(body).tasks()
+
+
+@pytest.mark.parametrize(
+    "task_id",
+    ["job", "job/x/1", "\ufffd/0/1", f"job/{2**31}/1", f"job/0/{2**31}", "job/0/" + "9" * 5000],
+)
+def test_odd_id_of_a_task_names_no_attempt(task_id):
+    """Guards against an attempt that no report can hold."""
+    assert parse_runtime_id(task_id) is None
+
+
+class PagedTransport:
+    """A store that returns each page once, and the first one again without `After`."""
+
+    def __init__(self, *pages):
+        self._pages = pages
+        self.calls = 0
+
+    def send(self, method, path, fields, *args, **kwargs):
+        self.calls += 1
+        page = 1 if path == "/-/kv-range" and "After" in fields else 0
+        body = {**self._pages[page], "AsOf": 9, "Truncated": page + 1 < len(self._pages)}
+        return HTTPResponse(200, {}, json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        5,
+        None,
+        {},
+        {**ITEM, "Key": None},
+        {**ITEM, "Key": ["a"]},
+        {**ITEM, "Key": "\ud800"},
+        {**ITEM, "Value": "="},
+        {**ITEM, "Rev": -1},
+        {**ITEM, "Rev": 2**70},
+    ],
+)
+def test_odd_item_of_the_store_leaves_the_others_listed(row):
+    """Guards against one item that ends the reading of a list, or that hides its next page."""
+    store = PlatformStore("http://127.0.0.1:9")
+    last = {**ITEM, "Key": "b"}
+    pages = {"items": [ITEM, row], "events": [ITEM, row]}, {"items": [last]}
+    store._transport = PagedTransport(*pages)
+    with logged_events() as events:
+        for _ in range(3):
+            assert [stored.key for stored in store.list("").values] == ["a", "b"]
+        assert store._transport.calls == 6
+        store._transport = PagedTransport(pages[0])
+        assert [stored.key for stored in store.watch("", 1, 0 * MS).values] == ["a"]
+    assert events == [Event.MESSAGE_INVALID.value]
+
+
+def test_page_without_a_readable_key_is_an_error():
+    """Guards against reading the same page a thousand times."""
+    store = PlatformStore("http://127.0.0.1:9")
+    store._transport = PagedTransport({"items": [{**ITEM, "Key": None}]}, {"items": [ITEM]})
+    with pytest.raises(StoreError):
+        store.list("")
+    assert store._transport.calls == 1
+
+
 @settings(max_examples=150)
 @given(
     st.sampled_from(["items", "events"]),
@@ -176,6 +499,35 @@
         assert records.decode(Queue, records.encode(queue)) == queue
 
 
+@pytest.mark.parametrize(
+    "document",
+    [
+        {"Version": 2**63, "Routes": [ROUTE]},
+        {"Version": 1e300, "Routes": [ROUTE]},
+        {"Version": -1, "Routes": [ROUTE]},
+        {"Version": True, "Routes": [ROUTE]},
+        {"Version": "7", "Routes": [ROUTE]},
+        {"Version": 2, "Routes": {}},
+        {"Version": 2, "Routes": "x"},
+    ],
+)
+def test_odd_configuration_leaves_the_last_one_in_force(document):
+    """Guards against a version after which no other counts, and against losing all routes."""
+    clock = ManualClock()
+    store = FakeStore(clock)
+    source = PoolConfigSource(store, "op/", decode_config, clock, random.Random(1))
+    written = store.put("op/config", json.dumps({"Version": 1, "Routes": [ROUTE]}).encode(), 0)
+    known = source.refresh()
+    written = store.put("op/config", json.dumps(document).encode(), written.version)
+    with logged_events() as events:
+        source.refresh()
+        source.refresh()
+    assert source.config() == known
+    assert events == [Event.CONFIG_REFUSED.value]
+    store.put("op/config", json.dumps({"Version": 3, "Routes": []}).encode(), written.version)
+    assert source.refresh().revision == 3
+
+
 @pytest.mark.parametrize("value", ['{"host": "x", "port": 1e999}', '{"host": "x", "port": -1}'])
 def test_owner_key_of_another_writer_is_ignored(value):
     """Guards against an owner key that ends the thread that watches it."""
@@ -297,6 +649,41 @@
     assert_serves(world)
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("clock_ms", 2**63 - 1),
+        ("clock_ms", 2**62),
+        ("worker.capacity.accelerators", -1),
+        ("worker.capacity.slots", -1),
+        ("ended", [wire.RunEnd(2**62, "a/0/0/0", 1, wire.EndKind.DONE, "")]),
+        ("worker.worker_id", ""),
+        ("worker.incarnation", ""),
+    ],
+)
+def test_report_with_an_extreme_value_changes_nothing(world, path, value):
+    """Guards against one value after which no later report of the worker counts."""
+    req = report_of(world)
+    target, _, name = path.rpartition(".")
+    setattr(operator.attrgetter(target)(req) if target else req, name, value)
+    reply = world.owner().report(req)
+    serialize(reply)
+    assert reply.outcome == Outcome.INVALID
+    world.step_owners()
+    assert_serves(world)
+
+
+@pytest.mark.parametrize("wait_ms", [2**31 - 1, -(2**31)])
+def test_wait_for_commands_has_a_limit(world, monkeypatch, wait_ms):
+    """Guards against calls that keep all connections of the owner for days."""
+    worker = world.agents["w0"][0]._announcement
+    req = wire.OrdersRequest(HEADER, "w0", worker.incarnation, 1, wait_ms)
+    waits = []
+    monkeypatch.setattr(world.clock, "wait", lambda event, timeout: waits.append(timeout))
+    world.owner().orders(req)
+    assert [0 * MS <= timeout <= 2 * COMMANDS_WAIT for timeout in waits] == [True]
+
+
 def test_unexpected_error_in_one_call_does_not_end_the_ownership(world, monkeypatch):
     """Guards against one call that the owner cannot decide and that ends its term."""
     scheduler = world.owner()._scheduler
