Give up a task that crashes the workers that start it

Cause: `Pool._retry_or_abandon` counted only ends `failed`; a run whose worker went was repeated without limit, and on the worker that was best for the next run, beside other work.

`crashes` holds the policy: which runs of a crashed worker are suspected, when a task is cleared and when it is given up. A suspected task starts apart from others. It is given up at the third crash on a third VM, and in any case after five runs of which three crashed a worker, so it has at most two starts after the third. Evidence is told apart from other losses: silence and announced departures are `lapsed`, a start that the worker's host refused or that no agent fetched is `unstarted`.

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -44,6 +44,11 @@
     lowest_headrooms: dict[str, float] = attrs.field(factory=dict)
     penalty: float = 0.0
 
+    @property
+    def runs(self) -> int:
+        """Return the number of assigned runs."""
+        return sum(self.steps.values())
+
     @property
     def unused_millis(self) -> int:
         """Return the processors that no run is expected to use, in thousandths of a core.
--- /dev/null
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -0,0 +1,104 @@
+"""Tasks that crash the workers that start them. This module performs no I/O.
+
+It is designed for these load patterns:
+
+- One task crashes each worker that starts it, and each crash also ends the other runs there. Which
+  of them is to blame can only be seen when a suspected task starts apart from others.
+- A data centre loses power, so many workers crash at once under tasks that are harmless.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+SUSPICION_WINDOW_MS = 600
+"""Time before the last start on a crashed worker within which other starts are suspected, too. The
+owner assigns runs to a worker until its agent has reported the crash."""
+
+CRASHES_BEFORE_GUILT = 3
+"""Crashes, on as many VMs, after which a task may be given up. A power cut that recurs can hit an
+innocent task on two workers, and a defective VM can crash again and again."""
+
+MAX_UNCLEARED_RUNS = 5
+"""Runs of a task since its first crash after which it is given up, if `CRASHES_BEFORE_GUILT` of
+them have crashed a worker. The others ended with a worker that went silent, perhaps in a crash."""
+
+FIRST_PROBATION_MS = 1000
+MAX_PROBATION_MS = 8000
+"""First and longest time for which a suspected task runs apart from new starts. The time doubles
+with each crash."""
+
+CLEARED_AFTER_MS = 30_000
+"""Run time after which the earlier crashes of a task do not count any more."""
+
+MAX_CRASHED_MACHINES = 8
+
+MAX_TRIAL_SHARE = 0.25
+"""Maximum share of the workers on which suspected tasks run, so that other work continues."""
+
+MAX_TRIALS_PER_WORKFLOW = 2
+"""Maximum number of suspected tasks of one workflow that run at a time. All its tasks end once one
+of them is given up."""
+
+
+@attrs.define
+class CrashRecord:
+    """The worker crashes under one task since it last ran without one.
+
+    :param count: number of the crashes.
+    :param is_suspected: whether the task may have caused one of them, so that its next run must be
+        apart from others.
+    :param uncleared_runs: number of runs since the first crash that did not end by themselves.
+    :param machines: VMs of the last `MAX_CRASHED_MACHINES` workers that crashed.
+    """
+
+    count: int = 0
+    is_suspected: bool = False
+    uncleared_runs: int = 0
+    machines: tuple[str, ...] = ()
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether the task must not start again."""
+        return self.count >= CRASHES_BEFORE_GUILT and self.uncleared_runs >= MAX_UNCLEARED_RUNS
+
+    @property
+    def probation_ms(self) -> int:
+        """Return how long a run must last until the task is not suspected any more."""
+        return min(FIRST_PROBATION_MS * 2 ** (self.count - 1), MAX_PROBATION_MS)
+
+    def record_crash(self, machine: str, recent_runs: frozenset[str], task: str) -> bool:
+        """Record the crash of a worker under the task.
+
+        :param machine: VM of the worker.
+        :param recent_runs: tasks that the worker had started shortly before, see `recent_runs`.
+        :returns: whether the task is guilty: it was suspected, ran apart from others, and has now
+            crashed workers on enough VMs.
+        """
+        self.count += 1
+        self.machines = (*self.machines, machine)[-MAX_CRASHED_MACHINES:]
+        is_guilty = (
+            self.is_suspected
+            and recent_runs == {task}
+            and len(set(self.machines)) >= CRASHES_BEFORE_GUILT
+        )
+        self.is_suspected = (
+            self.is_suspected or task in recent_runs or self.count >= CRASHES_BEFORE_GUILT
+        )
+        return is_guilty
+
+
+def recent_runs(start_by_ms: Mapping[str, int]) -> frozenset[str]:
+    """Return the tasks whose runs started within `SUSPICION_WINDOW_MS` of the last start.
+
+    :param start_by_ms: latest start by task, for all runs of a worker and on the worker's clock.
+    """
+    last_ms = max(start_by_ms.values())
+    return frozenset(
+        task for task, at_ms in start_by_ms.items() if last_ms - at_ms <= SUSPICION_WINDOW_MS
+    )
+
+
+def max_trials(workers: int) -> int:
+    """Return how many suspected tasks may run at the same time."""
+    return max(1, int(MAX_TRIAL_SHARE * workers))
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -14,12 +14,14 @@
 
 import functools
 import heapq
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 import attrs
 
 from .capacities import WorkerCapacity
+from .crashes import MAX_TRIALS_PER_WORKFLOW, SUSPICION_WINDOW_MS
 from .duty_cycles import RESERVED_HEADROOM
 from .headrooms import (
     NEGLIGIBLE_INTERFERENCE,
@@ -88,6 +90,10 @@
 """Maximum number of pending starts per worker. An agent starts about 200 tasks per second."""
 
 
+MAX_TRIALS_PER_ROUND = 8
+"""Maximum number of suspected tasks placed in one round; each is compared against all workers."""
+
+
 @attrs.frozen
 class PlacementDecision:
     """A placement decision: a waiting task and the worker to run it on."""
@@ -173,6 +179,66 @@
             decisions.append(PlacementDecision(task, worker))
         return decisions
 
+    def schedule_trials(
+        self,
+        suspects: Iterable[StepTask],
+        workers: Iterable[WorkerCapacity],
+        last_starts: Mapping[str, int],
+        running: Iterable[StepTask],
+        limit: int,
+        now_ms: int,
+    ) -> tuple[list[PlacementDecision], set[str]]:
+        """Return the runs of suspected tasks to start now, each on a worker of its own.
+
+        Workers with few runs go first, since a crash would end these, but those on other VMs than
+        the earlier crashes before all others. Without a worker where nothing has started lately,
+        one is kept free of other starts until that is so.
+
+        :param suspects: suspected tasks that are ready to start.
+        :param workers: candidate workers, none of which runs a suspected task.
+        :param last_starts: how long ago the last of a worker's runs started, in milliseconds;
+            without an entry, it runs nothing.
+        :param running: suspected tasks that are running.
+        :param limit: maximum number of suspected tasks that may run at the same time.
+        :param now_ms: current time, in milliseconds since 1970.
+        :returns: the decisions, and the ids of the workers that must not get other runs.
+        """
+        self._clear_caches()
+        decisions: list[PlacementDecision] = []
+        kept: set[str] = set()
+        trials = Counter(task.workflow.workflow_id for task in running)
+        limit = min(limit - trials.total(), MAX_TRIALS_PER_ROUND)
+
+        def preference(worker: WorkerCapacity) -> tuple:
+            idle_ms = last_starts.get(worker.worker_id)
+            if idle_ms is None or idle_ms > SUSPICION_WINDOW_MS:
+                return (False, worker.runs, worker.worker_id)
+            return (True, -idle_ms, worker.worker_id)
+
+        ranked = sorted(workers, key=preference)
+        for task in self.order(suspects, now_ms):
+            if len(kept) >= limit:
+                break
+            workflow_id = task.workflow.workflow_id
+            if trials[workflow_id] >= MAX_TRIALS_PER_WORKFLOW:
+                continue
+            wait_ms = now_ms - task.waiting_since_ms
+            crashed = task.crashes.machines
+            suitable = sorted(ranked, key=lambda worker: worker.machine in crashed)
+            worker = next(
+                (w for w in suitable if self._score(task, w, wait_ms=wait_ms) is not None), None
+            )
+            if worker is None:
+                continue
+            ranked.remove(worker)
+            kept.add(worker.worker_id)
+            trials[workflow_id] += 1
+            must_wait, *_ = preference(worker)
+            if not must_wait:
+                self._reserve(task, worker)
+                decisions.append(PlacementDecision(task, worker))
+        return decisions, kept
+
     def select_moves(
         self, runs: Iterable[tuple[StepTask, float]], workers: Sequence[WorkerCapacity]
     ) -> list[StepTask]:
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -15,6 +15,7 @@
 import attrs
 
 from . import records
+from .crashes import CrashRecord, recent_runs
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
@@ -32,7 +33,8 @@
 class RunOutcome(enum.Enum):
     """How a run ended, as determined by the owner.
 
-    `UNSTARTED`: the worker never started the run. `LOST`: the worker is gone or its lease expired.
+    `UNSTARTED`: the worker never started the run. `LOST`: the worker's process has ended under the
+    run. `LAPSED`: the worker's lease expired, or the worker left as it had announced.
     """
 
     DONE = "done"
@@ -107,7 +109,11 @@
 
 @attrs.frozen
 class RunCheckpointed:
-    """A run in progress wrote a new checkpoint."""
+    """A run in progress wrote a new checkpoint.
+
+    A record that repeats the last checkpoint tells that the run has outlived the probation of its
+    task. If the task was no longer suspected, its crashes do not count any more.
+    """
 
     task: str = records.text("t", MAX_NAME_CHARS)
     run: int = records.number("r")
@@ -204,6 +210,7 @@
     :param failed_on: the last `MAX_FAILED_WORKERS` workers on which runs failed.
     :param waiting_since_ms: when the task last began to wait for a worker, in milliseconds since
         1970; 0 before the first time.
+    :param crashes: worker crashes under the task; None if there are none that count.
     """
 
     workflow: "Workflow"
@@ -220,6 +227,12 @@
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
     waiting_since_ms: int = 0
+    crashes: CrashRecord | None = None
+
+    @property
+    def is_suspected(self) -> bool:
+        """Return whether the task may crash workers and must start apart from others."""
+        return self.crashes is not None and self.crashes.is_suspected
 
     @property
     def spec(self) -> StepSpec:
@@ -239,6 +252,8 @@
     :param unfinished_counts: number of tasks of each step that are not done.
     :param ended_ms: when the workflow ended, in milliseconds since 1970; 0 before.
     :param shown: state that callers see; `Pool.publish` updates it after each commit.
+    :param given_up: the task that was given up because it crashed its workers, if this process has
+        applied the event.
     """
 
     workflow_id: str
@@ -252,6 +267,7 @@
     is_cancelled: bool = False
     ended_ms: int = 0
     shown: str = ""
+    given_up: StepTask | None = None
 
     @property
     def is_ended(self) -> bool:
@@ -291,6 +307,9 @@
         self._allocation_versions: dict[str, int] = {}
         self._last_allocation_version = 0
         self._workers_to_stop_runs_on: set[str] = set()
+        self._crashed: dict[str, StepTask] = {}
+        self._recent_runs: dict[tuple[str, str], frozenset[str]] = {}
+        self._newly_suspected: list[StepTask] = []
         self._ended: dict[str, None] = {}
         self._changed: dict[str, Workflow] = {}
 
@@ -321,6 +340,23 @@
         taken, self._workers_to_stop_runs_on = self._workers_to_stop_runs_on, set()
         return taken
 
+    def crashed_tasks(self) -> list[StepTask]:
+        """Return the tasks with worker crashes that count."""
+        return list(self._crashed.values())
+
+    def trials(self) -> list[StepTask]:
+        """Return the suspected tasks whose runs take up capacity."""
+        return [
+            task
+            for task in self._crashed.values()
+            if task.is_suspected and task.phase is Phase.HELD
+        ]
+
+    def take_newly_suspected(self) -> list[StepTask]:
+        """Return the tasks that have become suspected since the last call."""
+        taken, self._newly_suspected = self._newly_suspected, []
+        return taken
+
     def waiting(self, queue: str) -> int:
         """Return the number of a queue's workflows of which no run has been assigned yet."""
         return sum(
@@ -385,12 +421,15 @@
         task = self._tasks.get(event.task)
         if task is None or not task.has_active_run(event.run):
             return False
+        outcome = RunOutcome(event.outcome)
+        is_given_up = self._record_crash_evidence(task, outcome)
         self._release_capacity(task)
         if event.checkpoint:
             task.checkpoint = event.checkpoint
-        outcome = RunOutcome(event.outcome)
         if outcome is RunOutcome.DONE and not task.spec.lasting:
             self._mark_done(task, event.at_ms)
+        elif is_given_up and not task.workflow.is_ended:
+            self._give_up(task, event.at_ms)
         else:
             self._retry_or_abandon(task, outcome, event.at_ms)
         self._forget_tasks(task.workflow)
@@ -399,12 +438,10 @@
     @apply.register
     def _(self, event: RunCheckpointed) -> bool:
         task = self._tasks.get(event.task)
-        if (
-            task is None
-            or not task.has_active_run(event.run)
-            or task.checkpoint == event.checkpoint
-        ):
+        if task is None or not task.has_active_run(event.run):
             return False
+        if task.checkpoint == event.checkpoint:
+            return self._record_survival(task)
         task.checkpoint = event.checkpoint
         return True
 
@@ -485,6 +522,63 @@
             task.waiting_since_ms = at_ms
             self._ready[task.name] = task
 
+    def _give_up(self, task: StepTask, at_ms: int) -> None:
+        workflow = task.workflow
+        task.phase = Phase.ABANDONED
+        workflow.is_failed = True
+        workflow.given_up = task
+        self._end(workflow, at_ms)
+
+    def _record_crash_evidence(self, task: StepTask, outcome: RunOutcome) -> bool:
+        """Update the crashes of a task whose run has ended; return whether to give the task up."""
+        if outcome in (RunOutcome.DONE, RunOutcome.FAILED):
+            self._forget_crashes(task)
+            return False
+        is_guilty = False
+        if outcome is RunOutcome.LOST:
+            if task.crashes is None:
+                task.crashes = CrashRecord()
+                self._crashed[task.name] = task
+            was_suspected = task.is_suspected
+            recent = self._recent_runs_at_crash(task)
+            is_guilty = task.crashes.record_crash(task.machine or task.worker_id, recent, task.name)
+            if task.is_suspected and not was_suspected:
+                self._newly_suspected.append(task)
+        if task.crashes is None:
+            return False
+        if outcome is not RunOutcome.UNSTARTED:
+            task.crashes.uncleared_runs += 1
+        return is_guilty or task.crashes.is_exhausted
+
+    def _recent_runs_at_crash(self, task: StepTask) -> frozenset[str]:
+        """Return the tasks that a crashed worker had started shortly before.
+
+        The first of the crash's events determines them, since each event releases its run.
+        """
+        key = (task.worker_id, task.incarnation)
+        start_by_ms = {
+            other.name: other.start_by_ms
+            for other in self._active_by_worker[task.worker_id].values()
+            if other.incarnation == task.incarnation
+        }
+        recent = self._recent_runs.pop(key, None) or recent_runs(start_by_ms)
+        if len(start_by_ms) > 1:
+            self._recent_runs[key] = recent
+        return recent
+
+    def _record_survival(self, task: StepTask) -> bool:
+        if task.crashes is None:
+            return False
+        if task.crashes.is_suspected:
+            task.crashes.is_suspected = False
+        else:
+            self._forget_crashes(task)
+        return True
+
+    def _forget_crashes(self, task: StepTask) -> None:
+        task.crashes = None
+        self._crashed.pop(task.name, None)
+
     def _end(self, workflow: Workflow, at_ms: int) -> None:
         workflow.ended_ms = max(1, at_ms)
         self._changed[workflow.workflow_id] = workflow
@@ -507,6 +601,7 @@
         if not active_tasks:
             del self._active_by_worker[task.worker_id]
             del self._allocation_versions[task.worker_id]
+            self._recent_runs.pop((task.worker_id, task.incarnation), None)
 
     def _change_allocation(self, worker_id: str) -> None:
         self._last_allocation_version += 1
@@ -520,6 +615,7 @@
             return
         for task in workflow.tasks():
             del self._tasks[task.name]
+            self._crashed.pop(task.name, None)
         workflow.steps = []
         self._ended[workflow.workflow_id] = None
 
@@ -535,6 +631,7 @@
             ],
             "ended": [_ended_row(self.workflows[name]) for name in self._ended],
             "pressures": [records.encode(estimate) for estimate in self.interferences.values()],
+            "crashes": [_crash_row(task) for task in self._crashed.values()],
         }
 
     @classmethod
@@ -551,6 +648,9 @@
                 pool._restore_ended(*row)
             for row in raw["pressures"]:
                 pool.apply(records.decode(InterferenceEstimated, row))
+            # Earlier builds write no crashes.
+            for row in raw.get("crashes", ()):
+                pool._restore_crashes(*row)
             pool.publish()
         except (TypeError, KeyError, ValueError, IndexError) as exc:
             raise InvalidMessageError(f"invalid pool snapshot: {exc!r}") from exc
@@ -588,6 +688,14 @@
                     waiting = (task for task in tasks if task.phase is Phase.WAITING)
                     self._ready.update((task.name, task) for task in waiting)
 
+    def _restore_crashes(
+        self, name: str, count: int, suspected: bool, uncleared_runs: int, machines: list
+    ) -> None:
+        _check_types((name, count, suspected, uncleared_runs, machines), _CRASH_ROW_TYPES)
+        task = self._tasks[name]
+        task.crashes = CrashRecord(count, suspected, uncleared_runs, tuple(machines))
+        self._crashed[name] = task
+
     def _restore_ended(self, workflow_id: str, queue: str, shown: str, ended_ms: int) -> None:
         _check_types((workflow_id, queue, shown, ended_ms), (str, str, str, int))
         workflow = Workflow(workflow_id, Queue(queue), WorkflowSpec("", ()), 0)
@@ -636,6 +744,18 @@
     return [records.encode(accepted), *flags, workflow.ended_ms, tasks]
 
 
+def _crash_row(task: StepTask) -> list[object]:
+    crashes = task.crashes
+    return [
+        task.name,
+        crashes.count,
+        crashes.is_suspected,
+        crashes.uncleared_runs,
+        list(crashes.machines),
+    ]
+
+
+_CRASH_ROW_TYPES = (str, int, bool, int, list)
 _TASK_ROW_TYPES = (str, int, str, str, str, int, int, str, list, int)
 
 
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -478,6 +478,9 @@
         )
         try:
             refusal = self._runner.start(worker.worker_id, run, fence)
+        except RunnerExitedError as exc:
+            self._refuse(command, str(exc))
+            return
         except RunnerError as exc:
             # The owner learns from the next listings whether the run was started.
             log(
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -43,8 +43,11 @@
     :param reconciled_through: number of the last run end that was reconciled.
     :param ended_through: number of the last run end that is committed.
     :param incarnations: number of incarnations seen in this ownership term.
+    :param left: the last incarnation that announced that it leaves.
     :param is_absent: whether the worker's process has ended.
     :param starts: start commands that the agent has not fetched yet.
+    :param dropped_starts: task and run of start commands that no agent will fetch any more, until
+        their runs are reconciled.
     :param stops: stop commands that the agent has not fetched yet.
     :param stop_sent_at: when the last stop command was queued, by task and run.
     :param stop_reasons: why to stop runs whose tasks continue elsewhere, by task and run.
@@ -70,8 +73,10 @@
     reconciled_through: int = 0
     ended_through: int = 0
     incarnations: int = 0
+    left: str = ""
     is_absent: bool = False
     starts: deque = attrs.field(factory=deque)
+    dropped_starts: set[tuple[str, int]] = attrs.field(factory=set)
     stops: deque = attrs.field(factory=deque)
     stop_sent_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
@@ -98,6 +103,8 @@
         self.capacity = resources_from_wire(worker.capacity)
         # An incarnation that leaves does not return: a later 'ready' is a delayed announcement.
         self.leaving = self.leaving or worker.leaving
+        if self.leaving:
+            self.left = self.incarnation
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
         if not report.listed and not report.unreachable:
@@ -106,6 +113,7 @@
         self.received_at = now
         if report.unreachable:
             self.running = {}
+            self._drop_starts()
             return True
         self.clock_ms = report.clock_ms
         self.running = {row.task: running_of(row) for row in report.running}
@@ -130,11 +138,15 @@
         self.clock_ms = 0
         self.reconciled_through = self.ended_through = 0
         self.running = {}
-        self.starts.clear()
+        self._drop_starts()
         self.stops.clear()
         self.stop_sent_at.clear()
         self.stop_reasons.clear()
 
+    def _drop_starts(self) -> None:
+        self.dropped_starts.update((start.task, start.run) for start in self.starts)
+        self.starts.clear()
+
 
 def check_report(report: wire.WorkerReport) -> None:
     """Check the values of a report before anything is derived from them.
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -30,6 +30,9 @@
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import (
     Pool,
+    RunEnded,
+    RunOutcome,
+    StepTask,
     Workflow,
     WorkflowCancelled,
     accepted_event,
@@ -456,6 +459,7 @@
                 self._scheduler.lost_runs,
                 self._scheduler.expire,
                 self._scheduler.new_checkpoints,
+                self._scheduler.survived_probations,
                 self._scheduler.learned_interference,
             ):
                 events += self._apply(term, self._run_part(part, term))
@@ -475,6 +479,7 @@
             raise
         with term.lock:
             self._record_ended(term.pool.publish())
+            self._record_crashes(events, term.pool.take_newly_suspected())
             for member in term.members.values():
                 member.ended_through = member.reconciled_through
             self._scheduler.queue_start_commands(term, placed)
@@ -593,6 +598,34 @@
                 shown=workflow.shown,
                 took_ms=took_ms,
             )
+            if workflow.given_up is not None:
+                self._metrics.count("tasks_given_up")
+                log(
+                    Event.TASK_GIVEN_UP,
+                    task=workflow.given_up.name,
+                    run=workflow.given_up.run,
+                    crashes=workflow.given_up.crashes.count,
+                    machines=workflow.given_up.crashes.machines,
+                )
+
+    def _record_crashes(self, events: list[Any], suspected: list[StepTask]) -> None:
+        lost = sum(
+            isinstance(event, RunEnded) and event.outcome == RunOutcome.LOST.value
+            for event in events
+        )
+        if lost:
+            self._metrics.count("runs_lost_with_worker", lost)
+        for task in suspected:
+            # A task of an ended workflow does not start again.
+            if task.crashes is not None and not task.workflow.is_ended:
+                self._metrics.count("tasks_suspected")
+                log(
+                    Event.TASK_SUSPECTED,
+                    task=task.name,
+                    run=task.run,
+                    crashes=task.crashes.count,
+                    machines=task.crashes.machines,
+                )
 
     # Replies
 
@@ -693,6 +726,7 @@
     for raw in recovery.events:
         pool.apply(decode_event(raw))
     pool.publish()
+    pool.take_newly_suspected()
     if journal.snapshot_due:
         journal.write_snapshot(pool.to_snapshot())
     return pool
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -11,6 +11,7 @@
 import attrs
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
+from mulberryslip.crashes import CLEARED_AFTER_MS, max_trials
 from mulberryslip.dispatches import MAX_ESTIMATE_MS, Dispatcher, PlacementDecision
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
@@ -68,6 +69,9 @@
 
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
+SURVIVAL_INTERVAL = timedelta(milliseconds=100)
+"""Time between two checks for suspected tasks that have outlived their probation."""
+
 LOST_RUNS_INTERVAL = timedelta(milliseconds=100)
 """Time between two checks for lost workers, which compare all workers."""
 
@@ -146,6 +150,7 @@
         self._best_effort_timer = _Timer(BEST_EFFORT_INTERVAL, now)
         self._move_timer = _Timer(MOVE_INTERVAL, now)
         self._lost_runs_timer = _Timer(LOST_RUNS_INTERVAL, now)
+        self._survival_timer = _Timer(SURVIVAL_INTERVAL, now)
 
     def restore_interference(self, term: PoolTerm) -> None:
         """Restore the interference estimates that earlier owners recorded."""
@@ -176,6 +181,8 @@
             for refusal in report.refused
             if refusal.certain
         }
+        refused |= dict.fromkeys(member.dropped_starts, "no agent fetched the start command")
+        member.dropped_starts.clear()
         running = {(status.task, status.run) for status in report.running}
         for task in term.pool.active_tasks(member.worker_id):
             key = (task.name, task.run)
@@ -190,14 +197,16 @@
                 # A listed run is active, even if it was assigned to an earlier incarnation: a new
                 # one executes commands for the earlier one until it has seen its fencing token.
                 continue
-            elif task.incarnation != member.incarnation or report.unreachable:
-                reason = "the worker's process has ended or restarted"
-                events.append(self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason))
             elif key in refused:
                 reason = refused[key]
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+            elif task.incarnation != member.incarnation or report.unreachable:
+                reason = "the worker's process has ended or restarted"
+                events.append(
+                    self._run_ended_event(term, task, _crash_outcome(task, member), now_ms, reason)
+                )
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
@@ -255,7 +264,8 @@
                 term.previous_owner_granted_until if member is None else member.received_at
             )
             worker_tasks = term.pool.active_tasks(worker_id)
-            if now - last_report_at > self._times.max_silence:
+            is_silent = now - last_report_at > self._times.max_silence
+            if is_silent:
                 reason = f"no report from the worker for {now - last_report_at}"
             else:
                 # A later incarnation under the same id reports the runs that it has started itself.
@@ -269,10 +279,10 @@
             if not worker_tasks:
                 continue
             now_ms = self._now_ms()
-            events += [
-                self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason)
-                for task in worker_tasks
-            ]
+            for task in worker_tasks:
+                # Silence has many causes, so it tells nothing about the tasks.
+                outcome = RunOutcome.LAPSED if is_silent else _crash_outcome(task, member)
+                events.append(self._run_ended_event(term, task, outcome, now_ms, reason))
             log(Event.WORKER_LOST, worker=worker_id, reason=reason)
         return events
 
@@ -334,6 +344,24 @@
             and task.checkpoint != status.checkpoint
         ]
 
+    def survived_probations(self, term: PoolTerm) -> list[Any]:
+        """Return events for runs that lasted long enough to clear their tasks of earlier crashes.
+
+        The events repeat the last checkpoint, see `RunCheckpointed`.
+        """
+        if not self._survival_timer.is_due(self._clock.monotonic()):
+            return []
+        events = []
+        for task in term.pool.crashed_tasks():
+            member = term.members.get(task.worker_id)
+            status = member.running.get(task.name) if member is not None else None
+            if status is None or not task.has_active_run(status.run):
+                continue
+            age_ms = member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
+            if age_ms >= (task.crashes.probation_ms if task.is_suspected else CLEARED_AFTER_MS):
+                events.append(RunCheckpointed(task.name, task.run, task.checkpoint))
+        return events
+
     def learned_interference(self, term: PoolTerm) -> list[Any]:
         """Return changed interference estimates for the next owner, when the record is due."""
         if not self._interference_timer.is_due(self._clock.monotonic()):
@@ -364,20 +392,47 @@
         if not term.is_live():
             return []
         now_ms = self._now_ms()
-        urgent = [task for task in waiting if not task.spec.fills]
-        best_effort = [task for task in waiting if task.spec.fills]
+        suspects = [task for task in waiting if task.is_suspected]
+        urgent = [task for task in waiting if not task.spec.fills and not task.is_suspected]
+        best_effort = [task for task in waiting if task.spec.fills and not task.is_suspected]
         candidates: list[WorkerCapacity] | None = None
         decisions: list[PlacementDecision] = []
-        if urgent:
+        if suspects:
             candidates = self._candidates(term, config)
-            decisions = self._dispatcher.schedule(urgent, candidates, now_ms)
+            decisions, kept = self._place_trials(term, suspects, candidates)
+            candidates = [worker for worker in candidates if worker.worker_id not in kept]
+        if urgent:
+            candidates = self._candidates(term, config) if candidates is None else candidates
+            decisions += self._dispatcher.schedule(urgent, candidates, now_ms)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
-            candidates = candidates or self._candidates(term, config)
+            candidates = self._candidates(term, config) if candidates is None else candidates
             decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
         return decisions
 
+    def _place_trials(
+        self, term: PoolTerm, suspects: list[StepTask], candidates: list[WorkerCapacity]
+    ) -> tuple[list[PlacementDecision], set[str]]:
+        """Choose workers on which suspected tasks start apart from others."""
+        trials = term.pool.trials()
+        limit = max_trials(len(candidates) + len(trials))
+        if len(trials) >= limit:
+            return [], set()
+        now = self._clock.monotonic()
+        last_starts = {}
+        for candidate in candidates:
+            active = term.pool.active_tasks(candidate.worker_id)
+            if active:
+                clock_ms = term.members[candidate.worker_id].clock_at(now)
+                last_ms = max(task.start_by_ms for task in active)
+                last_starts[candidate.worker_id] = (
+                    clock_ms + START_WINDOW // timedelta(milliseconds=1) - last_ms
+                )
+        return self._dispatcher.schedule_trials(
+            suspects, candidates, last_starts, trials, limit, self._now_ms()
+        )
+
     def move_runs(self, term: PoolTerm) -> None:
         """Mark runs to stop that are expected to progress faster on another worker."""
         now = self._clock.monotonic()
@@ -400,6 +455,9 @@
             for name, run in self._health.stalled_runs(member.worker_id)
             if (task := term.pool.task(name)) is not None and task.has_active_run(run)
         ]
+        # Moves would use up the runs that are left to a task under which workers have crashed.
+        best_effort = [(task, speed) for task, speed in best_effort if task.crashes is None]
+        stalled = [task for task in stalled if task.crashes is None]
         if not best_effort and not stalled:
             return
         candidates = self._candidates(term, config)
@@ -420,12 +478,14 @@
         now = self._clock.monotonic()
         services = config.services()
         newest = _newest_incarnations(term.members.values())
+        trial_workers = {task.worker_id for task in term.pool.trials()}
         candidates = [
             self._allocated_capacity(term, member).copy()
             for member in term.members.values()
             if member.clock_ms
             and not member.leaving
             and not member.is_absent
+            and member.worker_id not in trial_workers
             and newest.get(member.machine, "") <= member.incarnation
             and member.service in services
             and member.data_centre not in config.data_centres_out
@@ -586,6 +646,12 @@
     )
 
 
+def _crash_outcome(task: StepTask, member: Member | None) -> RunOutcome:
+    """Return the outcome of a run whose worker's process has ended."""
+    has_left = member is not None and member.left == task.incarnation
+    return RunOutcome.LAPSED if has_left else RunOutcome.LOST
+
+
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
     """Return whether a run loses little progress when it is stopped now."""
     limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else RESTART_BELOW_PERCENT
