Pause between an agent's reports while its worker is down

Cause: a lease call to a worker that is up waits for the end of a run, and a failed call is followed by a pause; a refused one whose report succeeds has neither.

The agent now waits `RETRY_PAUSE` after each. Ruled out: the listing interval (0.7 s), since the owner frees the runs only after the report of a refusal, and the first one may have got lost.

The new test failed before (no pauses instead of three).

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -138,6 +138,7 @@
         self._announced = threading.Event()
         self._grant = Grant()
         self._is_incarnation_confirmed = False
+        self._is_worker_down = False
         self._pending_refusals: list[wire.RunRefusal] = []
         self._commands: queue.SimpleQueue = queue.SimpleQueue()
         self._interferences = InterferenceModel()
@@ -207,7 +208,8 @@
             if not self._clock.wait(self._announced, REPORT_INTERVAL):
                 continue
             owner = self._directory.wait_for_owner(OWNER_WAIT_TIMEOUT)
-            if not self.renew_and_report(owner):
+            # While the worker is down, nothing else delays the next call.
+            if not self.renew_and_report(owner) or self._is_worker_down:
                 self._clock.wait(stop, RETRY_PAUSE)
 
     def renew_and_report(self, owner: KnownOwner | None) -> bool:
@@ -224,6 +226,7 @@
         # After a failed call the worker may have restarted under the same id. Then the number of
         # acknowledged ends of its earlier incarnation would make it drop ends of the new one.
         is_confirmed = self._is_incarnation_confirmed
+        self._is_worker_down = False
         try:
             listing = self._runner.extend_lease(
                 worker.worker_id,
@@ -234,6 +237,7 @@
             )
         except RunnerExitedError as exc:
             self._is_incarnation_confirmed = False
+            self._is_worker_down = True
             log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc), absent=True)
             return owner is not None and self._report(owner, worker, None, unreachable=True)
         except RunnerError as exc:
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -1,5 +1,6 @@
 """Tests of the agent beside a worker: refusals, reports and leases."""
 
+import threading
 from datetime import timedelta
 
 import attrs
@@ -7,6 +8,7 @@
 from mulberryslip.runners import EndedRun, EndKind
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire import ttypes as wire
+from mulberryslipd.agents import RETRY_PAUSE
 from pool_doubles import SECOND, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -41,6 +43,30 @@
     assert world.held_tasks("a") == []
 
 
+def test_agent_pauses_between_reports_while_its_worker_is_down(world, monkeypatch):
+    """Guards against an owner that is kept busy by reports of workers that are down."""
+    (worker,) = world.workers
+    stop, calls, pauses = threading.Event(), [], []
+    wait = world.clock.wait
+
+    def refuse(*args):
+        calls.append(args)
+        if len(calls) == 3:
+            stop.set()
+        worker._require_reachable()
+
+    def record_pause(event, timeout):
+        if event is stop:
+            pauses.append(timeout)
+        return wait(event, timeout)
+
+    worker.is_down = True
+    worker.extend_lease = refuse
+    monkeypatch.setattr(world.clock, "wait", record_pause)
+    agent_of(world)._run_holder(stop)
+    assert pauses == [RETRY_PAUSE] * 3
+
+
 def test_announcement_is_answered_without_waiting_for_the_owner(world):
     """Guards against a late acknowledgement of leaving, which waits for an unreachable owner."""
     worker = world.workers[0]
