--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -47,6 +47,11 @@
     penalty: float = 0.0
     is_probed: bool = False
 
+    @property
+    def runs(self) -> int:
+        """Return the number of assigned runs."""
+        return sum(self.steps.values())
+
     @property
     def unused_millis(self) -> int:
         """Return the processors that no run is expected to use, in thousandths of a core.
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -20,6 +20,9 @@
 """Fencing tokens in one epoch. Each incarnation of a worker has its own, so that it refuses a
 delayed start command for an earlier incarnation."""
 
+CAPACITY_SHRANK = "the worker's capacity shrank before the start was sent"
+PROCESS_ENDED = "the worker's process ended before the start was sent"
+
 _END_KINDS = {
     wire.EndKind.DONE: EndKind.DONE,
     wire.EndKind.FAILED: EndKind.FAILED,
@@ -44,11 +47,12 @@
     :param reconciled_through: number of the last run end that was reconciled.
     :param ended_through: number of the last run end that is committed.
     :param incarnations: number of incarnations seen in this ownership term.
+    :param left: the last incarnation that announced that it leaves.
     :param is_absent: whether the worker's process has ended.
     :param starts: start commands that the agent has not fetched yet.
     :param stops: stop commands that the agent has not fetched yet.
-    :param withdrawn: runs whose start commands were withdrawn before the agent fetched them, by
-        task and run.
+    :param withdrawn: why start commands were withdrawn before the agent fetched them, by task and
+        run, until their runs are reconciled.
     :param stop_sent_at: when the last stop command was queued, by task and run.
     :param stop_reasons: why to stop runs whose tasks continue elsewhere, by task and run.
     :param has_commands: set while commands wait for the agent.
@@ -75,10 +79,11 @@
     reconciled_through: int = 0
     ended_through: int = 0
     incarnations: int = 0
+    left: str = ""
     is_absent: bool = False
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
-    withdrawn: set[tuple[str, int]] = attrs.field(factory=set)
+    withdrawn: dict[tuple[str, int], str] = attrs.field(factory=dict)
     stop_sent_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_commands: threading.Event = attrs.field(factory=threading.Event)
@@ -108,6 +113,8 @@
             self._set_capacity(resources_from_wire(worker.capacity))
         # An incarnation that leaves does not return: a later 'ready' is a delayed announcement.
         self.leaving = self.leaving or worker.leaving
+        if self.leaving:
+            self.left = self.incarnation
         self.remaining = timedelta(milliseconds=worker.remaining_ms)
         self.agent = report.agent
         if not report.listed and not report.unreachable:
@@ -116,6 +123,7 @@
         self.received_at = now
         if report.unreachable:
             self.running = {}
+            self._withdraw_starts(PROCESS_ENDED)
             return True
         self.clock_ms = report.clock_ms
         self.running = {row.task: running_of(row) for row in report.running}
@@ -136,8 +144,7 @@
     def _set_capacity(self, capacity: Resources) -> None:
         if not self.capacity.fits(capacity):
             # The starts were placed by the higher capacity.
-            self.withdrawn.update((start.task, start.run) for start in self.starts)
-            self.starts.clear()
+            self._withdraw_starts(CAPACITY_SHRANK)
         self.capacity = capacity
 
     def _begin_incarnation(self, incarnation: str) -> None:
@@ -147,12 +154,15 @@
         self.clock_ms = 0
         self.reconciled_through = self.ended_through = 0
         self.running = {}
-        self.starts.clear()
+        self._withdraw_starts(PROCESS_ENDED)
         self.stops.clear()
-        self.withdrawn.clear()
         self.stop_sent_at.clear()
         self.stop_reasons.clear()
 
+    def _withdraw_starts(self, reason: str) -> None:
+        self.withdrawn |= {(start.task, start.run): reason for start in self.starts}
+        self.starts.clear()
+
 
 def check_report(report: wire.WorkerReport) -> None:
     """Check the values of a report before anything is derived from them.
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -11,6 +11,7 @@
 import attrs
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
+from mulberryslip.crashes import CLEARED_AFTER_MS, max_trials
 from mulberryslip.dispatches import MAX_ESTIMATE_MS, Dispatcher, PlacementDecision
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
@@ -32,7 +33,7 @@
     run_profile,
 )
 
-from .members import Member, ended_of
+from .members import CAPACITY_SHRANK, Member, ended_of
 from .ownerships import PoolLeaseTimes, PoolTerm
 
 START_WINDOW = timedelta(milliseconds=1500)
@@ -69,6 +70,9 @@
 
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
+SURVIVAL_INTERVAL = timedelta(milliseconds=100)
+"""Time between two checks for suspected tasks that have outlived their probation."""
+
 LOST_RUNS_INTERVAL = timedelta(milliseconds=100)
 """Time between two checks for lost workers, which compare all workers."""
 
@@ -153,6 +157,7 @@
         self._move_timer = _Timer(MOVE_INTERVAL, now)
         self._lost_runs_timer = _Timer(LOST_RUNS_INTERVAL, now)
         self._wait_log_timer = _Timer(WAIT_LOG_INTERVAL, now)
+        self._survival_timer = _Timer(SURVIVAL_INTERVAL, now)
 
     def restore_interference(self, term: PoolTerm) -> None:
         """Restore the interference estimates that earlier owners recorded."""
@@ -183,6 +188,8 @@
             for refusal in report.refused
             if refusal.certain
         }
+        refused |= member.withdrawn
+        member.withdrawn.clear()
         running = {(status.task, status.run) for status in report.running}
         for task in term.pool.active_tasks(member.worker_id):
             key = (task.name, task.run)
@@ -200,25 +207,21 @@
             elif task.incarnation > member.incarnation:
                 # A late report of an earlier incarnation says nothing about this run.
                 continue
-            elif task.incarnation != member.incarnation or report.unreachable:
-                reason = "the worker's process has ended or restarted"
-                events.append(self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason))
             elif key in refused:
                 reason = refused[key]
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
-            elif key in member.withdrawn:
-                reason = "the worker's capacity shrank before the start was sent"
+            elif task.incarnation != member.incarnation or report.unreachable:
+                reason = "the worker's process has ended or restarted"
                 events.append(
-                    self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
+                    self._run_ended_event(term, task, _crash_outcome(task, member), now_ms, reason)
                 )
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
-        member.withdrawn.clear()
         self._observe_report(term, member)
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
@@ -278,7 +281,8 @@
             silence = Silence(worker_id, worker_tasks[0].machine, last_heard_at)
             if now - last_heard_at > MAX_REPORT_AGE and silence.vm:
                 silences.append(silence)
-            if now - last_report_at > self._times.max_silence:
+            is_silent = now - last_report_at > self._times.max_silence
+            if is_silent:
                 reason = f"no report from the worker for {now - last_report_at}"
             elif term.absences.has_ended(silence):
                 reason = "its VM does not run the worker any more"
@@ -294,10 +298,10 @@
             if not worker_tasks:
                 continue
             now_ms = self._now_ms()
-            events += [
-                self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason)
-                for task in worker_tasks
-            ]
+            for task in worker_tasks:
+                # Silence has many causes, so it tells nothing about the tasks.
+                outcome = RunOutcome.LAPSED if is_silent else _crash_outcome(task, member)
+                events.append(self._run_ended_event(term, task, outcome, now_ms, reason))
             log(Event.WORKER_LOST, worker=worker_id, reason=reason)
         term.absences.set_silent(silences)
         return events
@@ -373,6 +377,24 @@
             and task.checkpoint != status.checkpoint
         ]
 
+    def survived_probations(self, term: PoolTerm) -> list[Any]:
+        """Return events for runs that lasted long enough to clear their tasks of earlier crashes.
+
+        The events repeat the last checkpoint, see `RunCheckpointed`.
+        """
+        if not self._survival_timer.is_due(self._clock.monotonic()):
+            return []
+        events = []
+        for task in term.pool.crashed_tasks():
+            member = term.members.get(task.worker_id)
+            status = member.running.get(task.name) if member is not None else None
+            if status is None or not task.has_active_run(status.run):
+                continue
+            age_ms = member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
+            if age_ms >= (task.crashes.probation_ms if task.is_suspected else CLEARED_AFTER_MS):
+                events.append(RunCheckpointed(task.name, task.run, task.checkpoint))
+        return events
+
     def learned_interference(self, term: PoolTerm) -> list[Any]:
         """Return changed interference estimates for the next owner, when the record is due."""
         if not self._interference_timer.is_due(self._clock.monotonic()):
@@ -412,21 +434,48 @@
             return []
         now_ms = self._now_ms()
         term.pool.bound_waits(now_ms)
-        urgent = [task for task in waiting if not task.spec.fills]
-        best_effort = [task for task in waiting if task.spec.fills]
+        suspects = [task for task in waiting if task.is_suspected]
+        urgent = [task for task in waiting if not task.spec.fills and not task.is_suspected]
+        best_effort = [task for task in waiting if task.spec.fills and not task.is_suspected]
         candidates: list[WorkerCapacity] | None = None
         decisions: list[PlacementDecision] = []
-        if urgent:
+        if suspects:
             candidates = self._candidates(term, config)
-            decisions = self._dispatcher.schedule(urgent, candidates, now_ms)
+            decisions, kept = self._place_trials(term, suspects, candidates)
+            candidates = [worker for worker in candidates if worker.worker_id not in kept]
+        if urgent:
+            candidates = self._candidates(term, config) if candidates is None else candidates
+            decisions += self._dispatcher.schedule(urgent, candidates, now_ms)
             self._log_long_waits(term, config, urgent, decisions, candidates, now_ms)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
-            candidates = candidates or self._candidates(term, config)
+            candidates = self._candidates(term, config) if candidates is None else candidates
             decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
         return decisions
 
+    def _place_trials(
+        self, term: PoolTerm, suspects: list[StepTask], candidates: list[WorkerCapacity]
+    ) -> tuple[list[PlacementDecision], set[str]]:
+        """Choose workers on which suspected tasks start apart from others."""
+        trials = term.pool.trials()
+        limit = max_trials(len(candidates) + len(trials))
+        if len(trials) >= limit:
+            return [], set()
+        now = self._clock.monotonic()
+        last_starts = {}
+        for candidate in candidates:
+            active = term.pool.active_tasks(candidate.worker_id)
+            if active:
+                clock_ms = term.members[candidate.worker_id].clock_at(now)
+                last_ms = max(task.start_by_ms for task in active)
+                last_starts[candidate.worker_id] = (
+                    clock_ms + START_WINDOW // timedelta(milliseconds=1) - last_ms
+                )
+        return self._dispatcher.schedule_trials(
+            suspects, candidates, last_starts, trials, limit, self._now_ms()
+        )
+
     def move_runs(self, term: PoolTerm) -> None:
         """Mark runs to stop that are expected to progress faster on another worker."""
         now = self._clock.monotonic()
@@ -449,6 +498,9 @@
             for name, run in self._health.stalled_runs(member.worker_id)
             if (task := term.pool.task(name)) is not None and task.has_active_run(run)
         ]
+        # Moves would use up the runs that are left to a task under which workers have crashed.
+        best_effort = [(task, speed) for task, speed in best_effort if task.crashes is None]
+        stalled = [task for task in stalled if task.crashes is None]
         if not best_effort and not stalled:
             return
         candidates = self._candidates(term, config)
@@ -495,6 +547,7 @@
         """Yield each worker with the reason why it may not get runs; empty if it may."""
         now = self._clock.monotonic()
         newest = _newest_incarnations(term.members.values())
+        trial_workers = {task.worker_id for task in term.pool.trials()}
         for member in term.members.values():
             if not member.clock_ms:
                 reason = "no listing yet"
@@ -504,6 +557,8 @@
                 reason = "process ended"
             elif newest.get(member.machine, "") > member.incarnation:
                 reason = "replaced by a newer worker"
+            elif member.worker_id in trial_workers:
+                reason = "runs a suspected task"
             elif member.data_centre in config.data_centres_out:
                 reason = "data centre out"
             elif now - member.received_at > MAX_REPORT_AGE:
@@ -611,7 +666,7 @@
             if member.incarnation != task.incarnation or not task.has_active_run(task.run):
                 continue
             if not decision.worker.capacity.fits(member.capacity):
-                member.withdrawn.add((task.name, task.run))
+                member.withdrawn[task.name, task.run] = CAPACITY_SHRANK
                 continue
             member.starts.append(
                 wire.RunStart(
@@ -710,6 +765,12 @@
     )
 
 
+def _crash_outcome(task: StepTask, member: Member | None) -> RunOutcome:
+    """Return the outcome of a run whose worker's process has ended."""
+    has_left = member is not None and member.left == task.incarnation
+    return RunOutcome.LAPSED if has_left else RunOutcome.LOST
+
+
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
     """Return whether a run loses little progress when it is stopped now."""
     limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else RESTART_BELOW_PERCENT
