--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -206,6 +206,7 @@
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         kept: set[str] = set()
+        unplaceable: set[tuple[str, int]] = set()
         trials = Counter(task.workflow.workflow_id for task in running)
         limit = min(limit - trials.total(), MAX_TRIALS_PER_ROUND)
 
@@ -220,7 +221,8 @@
             if len(kept) >= limit:
                 break
             workflow_id = task.workflow.workflow_id
-            if trials[workflow_id] >= MAX_TRIALS_PER_WORKFLOW:
+            step = (workflow_id, task.step)
+            if trials[workflow_id] >= MAX_TRIALS_PER_WORKFLOW or step in unplaceable:
                 continue
             wait_ms = now_ms - task.waiting_since_ms
             crashed = task.crashes.machines
@@ -229,6 +231,8 @@
                 (w for w in suitable if self._score(task, w, wait_ms=wait_ms) is not None), None
             )
             if worker is None:
+                # The tasks of a step have the same requirements.
+                unplaceable.add(step)
                 continue
             ranked.remove(worker)
             kept.add(worker.worker_id)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -223,6 +223,20 @@
     assert beside == []
 
 
+def test_suspected_tasks_of_a_step_that_fits_nowhere_are_compared_once(monkeypatch):
+    """Guards against rounds that are slow while many suspected tasks wait for room."""
+    world = make_world()
+    world.submit("a", attrs.evolve(CHECK, count=50, cpu_millis=10**6))
+    term = world.owner()._term
+    for task in term.pool.ready():
+        task.crashes = CrashRecord(1, True)
+    compared = []
+    dispatcher = world.owner()._dispatcher
+    monkeypatch.setattr(dispatcher, "_score", lambda *args, **options: compared.append(args))
+    world.step_owners()
+    assert len(compared) == len(world.workers)
+
+
 def test_refused_start_on_a_crashed_worker_is_no_evidence():
     """Guards against blaming tasks whose start never reached the worker."""
     world = make_world(workers=1)
