Do not suspect a service that has run for long because it was the last one to start on its worker

A run that has lasted longer than the longest probation when its worker crashes is journalled as such before its end, with the record that says so of survived probations. The crash still counts for the task, so one that crashes its workers after 12 s is given up as before, but the task is not suspected for its place in the order of starts.

Test that failed before: test_services_that_have_run_for_long_do_not_wait_for_trials[10-0].

--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -112,7 +112,8 @@
     """A run in progress wrote a new checkpoint.
 
     A record that repeats the last checkpoint tells that the run has outlived the probation of its
-    task. If the task was no longer suspected, its crashes do not count any more.
+    task, or the longest one if no worker has crashed under the task. If the task was no longer
+    suspected, its crashes do not count any more.
     """
 
     task: str = records.text("t", MAX_NAME_CHARS)
@@ -211,6 +212,9 @@
     :param waiting_since_ms: when the task last began to wait for a worker, in milliseconds since
         1970; 0 before the first time.
     :param crashes: worker crashes under the task; None if there are none that count.
+    :param outlived_run: number of the run that has lasted longer than any probation while no
+        crashes counted; 0 for none. A crash then does not make the task suspected just because
+        nothing was started on its worker later.
     """
 
     workflow: "Workflow"
@@ -228,6 +232,7 @@
     failed_on: tuple[str, ...] = ()
     waiting_since_ms: int = 0
     crashes: CrashRecord | None = None
+    outlived_run: int = 0
 
     @property
     def is_suspected(self) -> bool:
@@ -551,6 +556,8 @@
                 self._crashed[task.name] = task
             was_suspected = task.is_suspected
             recent = self._recent_runs_at_crash(task)
+            if task.outlived_run == task.run:
+                recent -= {task.name}
             is_guilty = task.crashes.record_crash(task.machine or task.worker_id, recent, task.name)
             if task.is_suspected and not was_suspected:
                 self._newly_suspected.append(task)
@@ -578,11 +585,14 @@
 
     def _record_survival(self, task: StepTask) -> bool:
         if task.crashes is None:
-            return False
+            is_new = task.outlived_run != task.run
+            task.outlived_run = task.run
+            return is_new
         if task.crashes.is_suspected:
             task.crashes.is_suspected = False
         else:
             self._forget_crashes(task)
+            task.outlived_run = task.run
         return True
 
     def _forget_crashes(self, task: StepTask) -> None:
@@ -642,6 +652,12 @@
             "ended": [_ended_row(self.workflows[name]) for name in self._ended],
             "pressures": [records.encode(estimate) for estimate in self.interferences.values()],
             "crashes": [_crash_row(task) for task in self._crashed.values()],
+            "outlived": [
+                [task.name, task.run]
+                for tasks in self._active_by_worker.values()
+                for task in tasks.values()
+                if task.outlived_run == task.run
+            ],
         }
 
     @classmethod
@@ -661,6 +677,9 @@
             # Earlier builds write no crashes.
             for row in raw.get("crashes", ()):
                 pool._restore_crashes(*row)
+            for name, run in raw.get("outlived", ()):
+                _check_types((name, run), (str, int))
+                pool._tasks[name].outlived_run = run
             pool.publish()
         except (TypeError, KeyError, ValueError, IndexError) as exc:
             raise InvalidMessageError(f"invalid pool snapshot: {exc!r}") from exc
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -11,7 +11,7 @@
 import attrs
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
-from mulberryslip.crashes import CLEARED_AFTER_MS, max_trials
+from mulberryslip.crashes import CLEARED_AFTER_MS, MAX_PROBATION_MS, max_trials
 from mulberryslip.dispatches import MAX_ESTIMATE_MS, Dispatcher, PlacementDecision
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
@@ -214,9 +214,7 @@
                 )
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
-                events.append(
-                    self._run_ended_event(term, task, _crash_outcome(task, member), now_ms, reason)
-                )
+                events += self._run_crashed_events(term, task, now_ms, reason)
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
@@ -299,9 +297,11 @@
                 continue
             now_ms = self._now_ms()
             for task in worker_tasks:
+                if not is_silent:
+                    events += self._run_crashed_events(term, task, now_ms, reason)
+                    continue
                 # Silence has many causes, so it tells nothing about the tasks.
-                outcome = RunOutcome.LAPSED if is_silent else _crash_outcome(task, member)
-                events.append(self._run_ended_event(term, task, outcome, now_ms, reason))
+                events.append(self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason))
             log(Event.WORKER_LOST, worker=worker_id, reason=reason)
         term.absences.set_silent(silences)
         return events
@@ -346,6 +346,20 @@
             for member in term.members.values()
         )
 
+    def _run_crashed_events(
+        self, term: PoolTerm, task: StepTask, now_ms: int, reason: str
+    ) -> list[Any]:
+        """Return the events of a run whose worker's process has ended."""
+        member = term.members.get(task.worker_id)
+        if member is not None and member.left == task.incarnation:
+            return [self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason)]
+        ended = self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason)
+        is_known = member is not None and member.incarnation == task.incarnation
+        if is_known and task.crashes is None and _age_ms(task, member) >= MAX_PROBATION_MS:
+            # A service that has run for long must not wait for a trial after its worker's crash.
+            return [RunCheckpointed(task.name, task.run, task.checkpoint), ended]
+        return [ended]
+
     def expire(self, term: PoolTerm) -> list[Any]:
         """Remove workers that are gone; return the event that drops expired workflows."""
         now = self._clock.monotonic()
@@ -390,8 +404,9 @@
             status = member.running.get(task.name) if member is not None else None
             if status is None or not task.has_active_run(status.run):
                 continue
-            age_ms = member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
-            if age_ms >= (task.crashes.probation_ms if task.is_suspected else CLEARED_AFTER_MS):
+            if _age_ms(task, member) >= (
+                task.crashes.probation_ms if task.is_suspected else CLEARED_AFTER_MS
+            ):
                 events.append(RunCheckpointed(task.name, task.run, task.checkpoint))
         return events
 
@@ -765,10 +780,9 @@
     )
 
 
-def _crash_outcome(task: StepTask, member: Member | None) -> RunOutcome:
-    """Return the outcome of a run whose worker's process has ended."""
-    has_left = member is not None and member.left == task.incarnation
-    return RunOutcome.LAPSED if has_left else RunOutcome.LOST
+def _age_ms(task: StepTask, member: Member) -> int:
+    """Return how long a task's run had lasted when its worker last listed its runs, at least."""
+    return member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
 
 
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -23,6 +23,7 @@
 BEST_EFFORT = attrs.evolve(TASK, fills=True, checkpoints=True, image="batch")
 LASTING = attrs.evolve(TASK, lasting=True)
 INNOCENT = [f"a{number}" for number in range(8)]
+ROUNDS_PER_SECOND = 5
 
 
 def make_world(crash_ms=10, workers=6, run_ms=1000):
@@ -199,6 +200,25 @@
     assert {world.shown(name) for name in names} == {"completed"}
 
 
+@pytest.mark.parametrize(("run_s", "suspects"), [(2, 3), (10, 0)])
+def test_services_that_have_run_for_long_do_not_wait_for_trials(run_s, suspects):
+    """Guards against services that wait for one another after the crash of their worker.
+
+    Nothing else was started there later, but the crash came long after their start.
+    """
+    world = make_world(run_ms=600_000)
+    world.submit("service", attrs.evolve(LASTING, count=3, image="i", target_ms=100))
+    world.run(run_s * ROUNDS_PER_SECOND)
+    holder = next(worker for worker in world.workers if worker.runs)
+    assert len(holder.runs) == 3
+    holder.is_down, holder.runs = True, {}
+    world.run(1)
+    assert len(world.owner()._term.pool.crashed_tasks()) == 3
+    world.run(ROUNDS_PER_SECOND)
+    running = sum(len(worker.runs) for worker in world.workers)
+    assert running == 3 if not suspects else running < 3
+
+
 def test_nothing_starts_beside_a_task_on_probation():
     """Guards against suspects that confuse each other, and against losing healthy runs."""
     world = make_world(run_ms=2500)
