Let a service wait 3 s for a trial at most after the first crash under it

After 3 s such a task starts like any other; a task that crashes its second worker stays apart as before, so the limit of starts holds.

Test that failed before: test_many_services_do_not_wait_long_for_trials.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -42,6 +42,10 @@
 its users have no service until it starts. Its attempts are not limited, so a failure costs little.
 """
 
+MAX_TRIAL_WAIT_MS = 3000
+"""Longest time for which a long-running task waits for a trial after the first crash under it. When
+many services lose their workers at once, their trials would take long."""
+
 DEFAULT_HEADROOM = 2.0
 """Headroom assumed for a service without measurements. A latency objective is about five times the
 tail latency of an idle service, and services run at about half load."""
@@ -136,6 +140,14 @@
     )
 
 
+def awaits_trial(task: StepTask, now_ms: int) -> bool:
+    """Return whether a waiting task must start apart from others, because it may crash workers."""
+    if not task.is_suspected:
+        return False
+    is_overdue = now_ms - task.waiting_since_ms >= MAX_TRIAL_WAIT_MS
+    return not (task.spec.lasting and task.crashes.count == 1 and is_overdue)
+
+
 class Dispatcher:
     """Assigns waiting tasks to workers.
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -12,7 +12,12 @@
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
 from mulberryslip.crashes import CLEARED_AFTER_MS, MAX_PROBATION_MS, max_trials
-from mulberryslip.dispatches import MAX_ESTIMATE_MS, Dispatcher, PlacementDecision
+from mulberryslip.dispatches import (
+    MAX_ESTIMATE_MS,
+    Dispatcher,
+    PlacementDecision,
+    awaits_trial,
+)
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
 from mulberryslip.health import RunProgress, WorkerHealth
@@ -449,9 +454,13 @@
             return []
         now_ms = self._now_ms()
         term.pool.bound_waits(now_ms)
-        suspects = [task for task in waiting if task.is_suspected]
-        urgent = [task for task in waiting if not task.spec.fills and not task.is_suspected]
-        best_effort = [task for task in waiting if task.spec.fills and not task.is_suspected]
+        suspects = [task for task in waiting if awaits_trial(task, now_ms)]
+        others = waiting
+        if suspects:
+            names = {task.name for task in suspects}
+            others = [task for task in waiting if task.name not in names]
+        urgent = [task for task in others if not task.spec.fills]
+        best_effort = [task for task in others if task.spec.fills]
         candidates: list[WorkerCapacity] | None = None
         decisions: list[PlacementDecision] = []
         if suspects:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -219,6 +219,19 @@
     assert running == 3 if not suspects else running < 3
 
 
+def test_many_services_do_not_wait_long_for_trials():
+    """Guards against services that wait one after another when they lose their worker soon."""
+    world = make_world(run_ms=600_000)
+    service = attrs.evolve(LASTING, count=8, cpu_millis=500, image="i", target_ms=100)
+    world.submit("service", service)
+    world.run(2 * ROUNDS_PER_SECOND)
+    for worker in world.workers:
+        if worker.runs:
+            worker.is_down, worker.runs = True, {}
+    world.run(6 * ROUNDS_PER_SECOND)
+    assert sum(len(worker.runs) for worker in world.workers) == 8
+
+
 def test_nothing_starts_beside_a_task_on_probation():
     """Guards against suspects that confuse each other, and against losing healthy runs."""
     world = make_world(run_ms=2500)
