Let suspected tasks wait 3 s for trials at most, unless a worker has crashed again under their workflow

A task that has waited 3 s for a trial starts like any other, unless a worker has crashed twice under a task of its workflow: after a loss of power nothing crashes again, while the first trials of a deadly step do within a second.

Test that failed before: test_tasks_run_again_soon_after_all_workers_have_lost_power[1, 2].

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -43,8 +43,9 @@
 """
 
 MAX_TRIAL_WAIT_MS = 3000
-"""Longest time for which a long-running task waits for a trial after the first crash under it. When
-many services lose their workers at once, their trials would take long."""
+"""Longest time for which a task waits for a trial, unless a worker has crashed again under a task
+of its workflow. When all workers lose power at once, many tasks are suspected, and their trials
+would take long."""
 
 DEFAULT_HEADROOM = 2.0
 """Headroom assumed for a service without measurements. A latency objective is about five times the
@@ -140,12 +141,24 @@
     )
 
 
-def awaits_trial(task: StepTask, now_ms: int) -> bool:
-    """Return whether a waiting task must start apart from others, because it may crash workers."""
-    if not task.is_suspected:
-        return False
-    is_overdue = now_ms - task.waiting_since_ms >= MAX_TRIAL_WAIT_MS
-    return not (task.spec.lasting and task.crashes.count == 1 and is_overdue)
+def tasks_to_try(
+    waiting: Iterable[StepTask], crashed: Iterable[StepTask], now_ms: int
+) -> list[StepTask]:
+    """Return the waiting tasks that must start apart from others, because they may crash workers.
+
+    :param crashed: all tasks under which workers have crashed.
+    :param now_ms: current time, in milliseconds since 1970.
+    """
+    suspects = [task for task in waiting if task.is_suspected]
+    if not suspects:
+        return []
+    repeated = {task.workflow.workflow_id for task in crashed if task.crashes.count > 1}
+    return [
+        task
+        for task in suspects
+        if task.workflow.workflow_id in repeated
+        or now_ms - task.waiting_since_ms < MAX_TRIAL_WAIT_MS
+    ]
 
 
 class Dispatcher:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -16,7 +16,7 @@
     MAX_ESTIMATE_MS,
     Dispatcher,
     PlacementDecision,
-    awaits_trial,
+    tasks_to_try,
 )
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
@@ -266,7 +266,8 @@
     def lost_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for runs that have certainly ended because their worker is lost.
 
-        The lease of such a worker has expired, or a newer worker runs on its machine.
+        The lease of such a worker has expired, a newer worker runs on its machine, or the list of
+        VMs shows that it has ended.
         """
         now = self._clock.monotonic()
         if not self._lost_runs_timer.is_due(now):
@@ -454,7 +455,7 @@
             return []
         now_ms = self._now_ms()
         term.pool.bound_waits(now_ms)
-        suspects = [task for task in waiting if awaits_trial(task, now_ms)]
+        suspects = tasks_to_try(waiting, term.pool.crashed_tasks(), now_ms)
         others = waiting
         if suspects:
             names = {task.name for task in suspects}
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -232,6 +232,21 @@
     assert sum(len(worker.runs) for worker in world.workers) == 8
 
 
+@pytest.mark.parametrize("losses", [1, 2])
+def test_tasks_run_again_soon_after_all_workers_have_lost_power(losses):
+    """Guards against suspected tasks that wait one after another, and work that waits for them."""
+    world = make_world(run_ms=1500)
+    for number in range(10):
+        steps = [attrs.evolve(BEST_EFFORT, count=6), attrs.evolve(TASK, after=(0,))]
+        world.submit(f"a{number}", *steps)
+    for _ in range(losses):
+        world.run(ROUNDS_PER_SECOND)
+        for worker in world.workers:
+            worker.restart()
+    world.run(20 * ROUNDS_PER_SECOND)
+    assert {world.shown(f"a{number}") for number in range(10)} == {"completed"}
+
+
 def test_nothing_starts_beside_a_task_on_probation():
     """Guards against suspects that confuse each other, and against losing healthy runs."""
     world = make_world(run_ms=2500)
