Conclude nothing from runs that an incomplete listing leaves out

Cause: a worker lists at most 500 ends at a time and does not say that there are more. Ruled out: the acknowledgement, which names numbers that were listed, after their commit.

Change: a listing says whether it is complete (under 500 ends, each row readable), the report carries it as an optional field, and the owner concludes nothing from absence in an incomplete listing: neither that a run was never started, nor that it was lost with an earlier incarnation. Reports of agents of earlier builds count as complete if they list no end.

Conclusion: no run is judged by its absence unless the listing is complete.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -340,6 +340,7 @@
   9: required bool unreachable,    // the worker refuses connections, so it runs nothing
   11: required bool listed,        // false: the agent needs a fencing token to list the runs
   10: required list<string> unprofiled, // tasks of which the agent has no profile
+  12: optional bool complete,      // whether no run is missing from both lists; earlier builds do not tell
 }
 
 struct WorkerReportReply {
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -136,13 +136,17 @@
     :param clock_ms: the worker's monotonic clock at that time, in milliseconds.
     :param incarnation: incarnation of the worker.
     :param running: runs that have not ended.
-    :param ended: runs whose end is not acknowledged yet.
+    :param ended: runs whose end is not acknowledged yet, those that ended first if there are too
+        many for one listing.
+    :param is_complete: whether each run of the worker is in one of the two lists. Only then has a
+        run that is in neither of them not been started.
     """
 
     clock_ms: int
     incarnation: str
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    is_complete: bool = True
 
 
 @attrs.frozen
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4138,11 +4138,12 @@
      - unreachable
      - listed
      - unprofiled
+     - complete
 
     """
 
 
-    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None, listed=None, unprofiled=None,):
+    def __init__(self, header=None, agent=None, epoch=None, worker=None, clock_ms=None, running=None, ended=None, refused=None, unreachable=None, listed=None, unprofiled=None, complete=None,):
         self.header = header
         self.agent = agent
         self.epoch = epoch
@@ -4154,6 +4155,7 @@
         self.unreachable = unreachable
         self.listed = listed
         self.unprofiled = unprofiled
+        self.complete = complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4244,6 +4246,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4310,6 +4317,10 @@
             oprot.writeFieldBegin('listed', TType.BOOL, 11)
             oprot.writeBool(self.listed)
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 12)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5504,6 +5515,7 @@
     (9, TType.BOOL, 'unreachable', None, None, ),  # 9
     (10, TType.LIST, 'unprofiled', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'listed', None, None, ),  # 11
+    (12, TType.BOOL, 'complete', None, None, ),  # 12
 )
 all_structs.append(WorkerReportReply)
 WorkerReportReply.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -455,6 +455,7 @@
                 for row in (listing.running if listing else ())
                 if row.task not in self._profiles
             ],
+            complete=listing is not None and listing.is_complete,
         )
 
     # Orders
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -196,6 +196,7 @@
         refused |= member.withdrawn
         member.withdrawn.clear()
         running = {(status.task, status.run) for status in report.running}
+        lists_all_runs = _lists_all_runs(report)
         for task in term.pool.active_tasks(member.worker_id):
             key = (task.name, task.run)
             if key in ended:
@@ -217,6 +218,9 @@
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+            elif not lists_all_runs:
+                # The run may have ended, or be active, without being listed.
+                continue
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
                 events += self._run_crashed_events(term, task, now_ms, reason)
@@ -778,6 +782,17 @@
     )
 
 
+def _lists_all_runs(report: wire.WorkerReport) -> bool:
+    """Return whether a run that a report does not list has certainly not been started, or is lost.
+
+    Agents of earlier builds do not tell whether the worker's list of ends was cut off; without any
+    end it was not.
+    """
+    if report.unreachable:
+        return True
+    return not report.ended if report.complete is None else report.complete
+
+
 def _unassigned_runs(pool: Pool, member: Member) -> tuple[StepTask | None, ...]:
     """Return the tasks of listed runs that are not active; None for an unknown task.
 
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -121,6 +121,7 @@
     starts whatever it is told to start. Some tasks crash it; it is back after `CRASH_OUTAGE`.
 
     :param announcement_interval: time between two announcements.
+    :param max_listed_ends: number of ends at which a listing is cut off.
     """
 
     def __init__(
@@ -131,6 +132,7 @@
         run_ms=lambda name: 1000,
         data_centre="east",
         announcement_interval=200 * MS,
+        max_listed_ends=500,
     ):
         self.id = f"w{number}"
         self.machine = f"m{number}"
@@ -139,6 +141,7 @@
         self.run_ms = run_ms
         self.data_centre = data_centre
         self.announcement_interval = announcement_interval
+        self.max_listed_ends = max_listed_ends
         self.capacity = CAPACITY
         self.end_kind_of = lambda name: EndKind.DONE
         self.crash_ms_of = lambda name: None
@@ -300,7 +303,9 @@
             RunningRun(run.task, run.run, self._checkpoint(run), self._percent(run))
             for run in self.runs.values()
         )
-        return RunListing(self.clock_ms(), self.incarnation, running, tuple(self.ended))
+        ended = tuple(self.ended[: self.max_listed_ends])
+        is_complete = len(ended) < self.max_listed_ends
+        return RunListing(self.clock_ms(), self.incarnation, running, ended, is_complete)
 
     def _checkpoint(self, run):
         if not run.spec.checkpoints:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
 from mulberryslip.runners import (
+    EndedRun,
     EndKind,
     RunnerExitedError,
     RunnerFencedError,
@@ -161,6 +162,34 @@
         runner.extend_lease("w0", 4, 0, 0, timedelta(0))
 
 
+@pytest.mark.parametrize(
+    ("ends", "is_complete"), [(0, True), (499, True), (500, False), (1200, False)]
+)
+def test_full_listing_does_not_count_as_complete(worker_server, ends, is_complete):
+    """Guards against a list of ends that was cut off and is taken for the whole list."""
+    worker_server.worker.ended = [
+        EndedRun(number + 1, f"{'a' * 16}/0/0/{number}", 1, EndKind.DONE, "")
+        for number in range(ends)
+    ]
+    runner = PlatformRunner(worker_server.url, CLOCK)
+    listing = runner.extend_lease("w0", 5, 0, 0, timedelta(0))
+    assert (len(listing.ended), listing.is_complete) == (min(ends, 500), is_complete)
+    rest = runner.extend_lease("w0", 5, 0, max(0, ends - 1), timedelta(0))
+    assert (len(rest.ended), rest.is_complete) == (min(ends, 1), True)
+
+
+@pytest.mark.parametrize(
+    ("running", "ended"),
+    [([[5, 1, "", 0]], []), ([], [[1, 5, 1, "done", ""]]), ([], [["x", "a.0.0.0", 1, "done", ""]])],
+)
+def test_listing_with_an_unreadable_row_is_not_complete(worker_server, monkeypatch, running, ended):
+    """Guards against a second start of the run that a row could not be read of."""
+    document = {"Running": running, "Ended": ended, "born": 1}
+    monkeypatch.setattr(worker_server, "hold", lambda body: (200, document))
+    listing = PlatformRunner(worker_server.url, CLOCK).extend_lease("w0", 5, 0, 0, timedelta(0))
+    assert (listing.running, listing.ended, listing.is_complete) == ((), (), False)
+
+
 def test_refused_connection_means_that_the_worker_has_ended():
     """Guards against treating an unresponsive worker as one that runs nothing."""
     with socket.create_server(("127.0.0.1", 0)) as closed:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -22,13 +22,14 @@
     URGENT_BURST,
     is_cheap_to_stop,
 )
-from pool_doubles import CAPACITY, MS, QUEUE, SECOND, PoolWorld
+from pool_doubles import CAPACITY, MS, QUEUE, SECOND, DirectChannels, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 CAPACITIES = [CAPACITY, Resources(4000, 16000), Resources(8000, 4000), Resources(3000, 500)]
 STORE_LEASE = PoolLeaseTimes().store_lease
 OWNER_KEY = "pools/0/owner"
 ROUNDS_PER_SECOND = 5
+MAX_LISTED_ENDS = 5
 
 
 @pytest.fixture
@@ -713,6 +714,54 @@
     assert world.shown("a")
 
 
+@pytest.mark.parametrize("agents_tell", [True, False])
+@pytest.mark.parametrize("count", [MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS, 5 * MAX_LISTED_ENDS])
+@pytest.mark.parametrize(
+    ("end_kind", "shown", "runs"),
+    [(EndKind.DONE, "completed", 1), (EndKind.FAILED, "failed", QUEUE.max_attempts)],
+)
+def test_runs_that_a_cut_off_list_of_ends_leaves_out_are_not_repeated(
+    monkeypatch, end_kind, shown, runs, count, agents_tell
+):
+    """Guards against repeated runs, and uncounted attempts, of ends missing from a full listing.
+
+    :param agents_tell: whether agents tell that a listing may be cut off; earlier builds do not.
+    """
+    world = PoolWorld(workers=1, max_listed_ends=MAX_LISTED_ENDS)
+    (worker,) = world.workers
+    worker.capacity = Resources(64000, 250000)
+    worker.end_kind_of = lambda name: end_kind
+    if not agents_tell:
+        forget_completeness(world, monkeypatch)
+    world.elect()
+    world.run(3)
+    for number in range(count):
+        world.submit(f"a{number}", attrs.evolve(TASK, cpu_millis=100))
+    world.run(2)
+    assert len(worker.runs) == count
+    for _ in range(10):
+        # The runs end, but their ends cannot be committed.
+        world.clock.advance(200 * MS)
+        world.agents[worker.id][0].renew_and_report(None)
+    assert len(worker.ended) == count
+    world.run(80)
+    assert [world.shown(f"a{number}") for number in range(count)] == [shown] * count
+    assert world.history.starts == runs * count
+    assert world.history.violations == []
+
+
+def forget_completeness(world, monkeypatch):
+    """Let reports arrive as from agents of a build without the field `complete`."""
+    call = DirectChannels.call
+
+    def call_without_field(channels, address, method, req, timeout):
+        if method == "report":
+            req.complete = None
+        return call(channels, address, method, req, timeout)
+
+    monkeypatch.setattr(DirectChannels, "call", call_without_field)
+
+
 @pytest.mark.parametrize("is_frozen", [False, True])
 def test_nothing_starts_in_a_data_centre_that_was_taken_out(world, is_frozen):
     """Guards against starts in a data centre taken out, or with an outdated configuration."""
@@ -938,14 +987,15 @@
     assert [len(worker.runs) for worker in world.workers] == [0, 0, 3]
 
 
+@pytest.mark.parametrize("max_listed_ends", [500, 2])
 @pytest.mark.parametrize("deadly_share", [0.0, 0.03])
 @pytest.mark.parametrize("seed", [*range(12), 3001])
-def test_guarantees_hold_under_random_faults(seed, deadly_share):
+def test_guarantees_hold_under_random_faults(seed, deadly_share, max_listed_ends):
     """Guards against duplicate runs, early steps and overcommitted workers under mixed faults.
 
     Some tasks crash the workers that start them, and must not start too often.
     """
-    world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms)
+    world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms, max_listed_ends=max_listed_ends)
     rng = world.rng
     crash_ms = {}
     for worker in world.workers:
