--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,6 +107,14 @@
     assert [value.key for value in store.list("a/").values] == [f"a/{n}" for n in range(8)]
 
 
+def test_cut_off_listing_without_items_is_an_error(store_server, monkeypatch):
+    """Guards against a journal or an owner that seems to be absent since a page came empty."""
+    document = {"items": [], "Truncated": True, "AsOf": 5}
+    monkeypatch.setattr(store_server, "respond", lambda *_: (200, document))
+    with pytest.raises(StoreError, match="without a readable key"):
+        PlatformStore(store_server.url).list("a/")
+
+
 def test_watch_without_history_is_an_error(store_server):
     """Guards against a watch that continues although the store has dropped changes."""
     store_server.history_is_lost = True
