Count a workflow as started only when a worker has started a task

Cause: a workflow left the state `queued` with `RunAssigned`, the owner's decision, and stayed `running` when the run ended as `unstarted`. Ruled out as a fix: going back to `queued` when a run ends as `unstarted`; starts without an answer stay assigned nearly all the time.

No new event, no further store call.

Tests changed: test_workflow_runs_to_its_end asserted `running` at the moment of the assignment; it now asserts `queued` there and `running` two rounds later. Three assertions in test_crashes.py used `running` for "not given up"; they now ask for that, or for the exact state.

Conclusion: `State` and `Waiting` say what has happened.

--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -56,6 +56,9 @@
     }
 )
 
+_OUTCOMES_OF_STARTED_RUNS = frozenset({RunOutcome.DONE, RunOutcome.FAILED, RunOutcome.STOPPED})
+"""Outcomes that only a started run has. A run that lapsed or was lost may never have started."""
+
 _OUTCOME_NAMES = tuple(outcome.value for outcome in RunOutcome)
 
 
@@ -255,6 +258,8 @@
 
     :param steps: the tasks of each step; empty once the workflow has ended and holds no capacity.
     :param unfinished_counts: number of tasks of each step that are not done.
+    :param is_started: whether a worker is known to have started a task. An assignment does not
+        count, since its run may never start.
     :param ended_ms: when the workflow ended, in milliseconds since 1970; 0 before.
     :param shown: state that callers see; `Pool.publish` updates it after each commit.
     :param given_up: the task that was given up because it crashed its workers, if this process has
@@ -373,7 +378,7 @@
         return taken
 
     def waiting(self, queue: str) -> int:
-        """Return the number of a queue's workflows of which no run has been assigned yet."""
+        """Return the number of a queue's workflows of which no task is known to have started."""
         return sum(
             workflow.shown == "queued" and workflow.queue.name == queue
             for workflow in self.workflows.values()
@@ -428,7 +433,6 @@
         task.machine = event.machine
         task.start_by_ms = event.start_by_ms
         self._allocate_capacity(task)
-        self._mark_started(task.workflow)
         return True
 
     @apply.register
@@ -437,6 +441,8 @@
         if task is None or not task.has_active_run(event.run):
             return False
         outcome = RunOutcome(event.outcome)
+        if outcome in _OUTCOMES_OF_STARTED_RUNS:
+            self.record_start(task)
         is_given_up = self._record_crash_evidence(task, outcome)
         self._release_capacity(task)
         if event.checkpoint:
@@ -455,6 +461,7 @@
         task = self._tasks.get(event.task)
         if task is None or not task.has_active_run(event.run):
             return False
+        self.record_start(task)
         if task.checkpoint == event.checkpoint:
             return self._record_survival(task)
         task.checkpoint = event.checkpoint
@@ -482,6 +489,17 @@
         self.interferences[event.filling, event.serving] = event
         return True
 
+    def record_start(self, task: StepTask) -> None:
+        """Record that a worker has started a task.
+
+        This is an observation, not an event: the next owner learns it from the snapshot, from the
+        events of ended runs, or from the first reports of workers.
+        """
+        workflow = task.workflow
+        if not workflow.is_started:
+            workflow.is_started = True
+            self._changed[workflow.workflow_id] = workflow
+
     def publish(self) -> list[Workflow]:
         """Make the current states visible to callers, once all applied events are committed.
 
@@ -495,11 +513,6 @@
         self._changed = {}
         return changed
 
-    def _mark_started(self, workflow: Workflow) -> None:
-        if not workflow.is_started:
-            workflow.is_started = True
-            self._changed[workflow.workflow_id] = workflow
-
     def _queue_ready(self, workflow: Workflow, at_ms: int) -> None:
         for number, tasks in enumerate(workflow.steps):
             if not workflow.unfinished_counts[number] or not workflow.is_ready(number):
@@ -649,6 +662,11 @@
                 for name, workflow in self.workflows.items()
                 if name not in self._ended
             ],
+            "started": [
+                name
+                for name, workflow in self.workflows.items()
+                if workflow.is_started and name not in self._ended
+            ],
             "ended": [_ended_row(self.workflows[name]) for name in self._ended],
             "pressures": [records.encode(estimate) for estimate in self.interferences.values()],
             "crashes": [_crash_row(task) for task in self._crashed.values()],
@@ -670,6 +688,8 @@
         try:
             for row in raw["workflows"]:
                 pool._restore_active(*row)
+            if "started" in raw:
+                pool._restore_started(raw["started"])
             for row in raw["ended"]:
                 pool._restore_ended(*row)
             for row in raw["pressures"]:
@@ -688,17 +708,17 @@
     def _restore_active(
         self,
         accepted: dict,
-        started: bool,
+        assigned: bool,
         failed: bool,
         cancelled: bool,
         ended_ms: int,
         rows: list,
     ) -> None:
-        _check_types((started, failed, cancelled, ended_ms), (bool, bool, bool, int))
+        _check_types((assigned, failed, cancelled, ended_ms), (bool, bool, bool, int))
         self.apply(records.decode(WorkflowAccepted, accepted))
         workflow = self.workflows[accepted["j"]]
-        workflow.is_started, workflow.is_failed = started, failed
-        workflow.is_cancelled, workflow.ended_ms = cancelled, ended_ms
+        workflow.is_failed, workflow.is_cancelled = failed, cancelled
+        workflow.ended_ms = ended_ms
         for task, row in zip(workflow.tasks(), rows, strict=True):
             _check_types(row, _TASK_ROW_TYPES)
             phase, task.run, task.worker_id, task.incarnation, task.machine = row[:5]
@@ -709,6 +729,9 @@
             self._ready.pop(task.name, None)
             if task.phase is Phase.HELD:
                 self._allocate_capacity(task)
+            if task.phase is Phase.DONE or task.failures or task.checkpoint:
+                # Snapshots of earlier builds do not tell which workflows have started.
+                workflow.is_started = True
         for number, tasks in enumerate(workflow.steps):
             workflow.unfinished_counts[number] = sum(task.phase is not Phase.DONE for task in tasks)
         if not workflow.is_ended:
@@ -717,6 +740,12 @@
                     waiting = (task for task in tasks if task.phase is Phase.WAITING)
                     self._ready.update((task.name, task) for task in waiting)
 
+    def _restore_started(self, names: list[str]) -> None:
+        for workflow in self.workflows.values():
+            workflow.is_started = False
+        for name in names:
+            self.workflows[name].is_started = True
+
     def _restore_crashes(
         self, name: str, count: int, suspected: bool, uncleared_runs: int, machines: list
     ) -> None:
@@ -769,7 +798,9 @@
         ]
         for task in workflow.tasks()
     ]
-    flags = [workflow.is_started, workflow.is_failed, workflow.is_cancelled]
+    # Earlier builds count a workflow as started once a run is assigned.
+    is_assigned = any(task.run for task in workflow.tasks())
+    flags = [is_assigned, workflow.is_failed, workflow.is_cancelled]
     return [records.encode(accepted), *flags, workflow.ended_ms, tasks]
 
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -199,6 +199,8 @@
         lists_all_runs = _lists_all_runs(report)
         for task in term.pool.active_tasks(member.worker_id):
             key = (task.name, task.run)
+            if key in ended or key in running:
+                term.pool.record_start(task)
             if key in ended:
                 end = ended[key]
                 events.append(
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -149,6 +149,7 @@
         self.loses_reply = lambda: False
         self.runs, self.delayed_starts = {}, []
         self.is_unreachable = False
+        self.is_unhealthy = False
         self.is_hung = False
         self.is_down = False
         self.is_vm_off = False
@@ -223,6 +224,8 @@
     def start(self, worker_id, command, fence):
         self._require_reachable()
         self.end_due_runs()
+        if self.is_unhealthy:
+            return StartRefusal.UNHEALTHY
         if self.loses_reply():
             self.delayed_starts.append((command, fence))
             raise RunnerUnavailableError("no reply")
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -352,7 +352,7 @@
     pool.apply(workflow_accepted("b"))
     start(pool, pool.task("b/0/0/0"))
     for number in range(MAX_UNCLEARED_RUNS - CRASHES_BEFORE_GUILT):
-        assert pool.workflows["a"].state == "running", number
+        assert not pool.workflows["a"].is_ended, number
         start(pool, task)
         end(pool, task, outcome)
     assert pool.workflows["a"].state == "failed"
@@ -366,7 +366,7 @@
     pool.apply(workflow_accepted("b"))
     start(pool, pool.task("b/0/0/0"), start_by_ms=9000)
     for outcome in (RunOutcome.LAPSED, RunOutcome.LOST, RunOutcome.LAPSED, RunOutcome.LOST):
-        assert pool.workflows["a"].state == "running"
+        assert not pool.workflows["a"].is_ended
         start(pool, task)
         end(pool, task, outcome)
     assert pool.workflows["a"].state == "failed"
@@ -378,7 +378,7 @@
     for _ in range(2 * MAX_UNCLEARED_RUNS):
         start(pool, task)
         end(pool, task, RunOutcome.UNSTARTED)
-    assert pool.workflows["a"].state == "running"
+    assert pool.workflows["a"].state == "queued"
 
 
 def test_survived_probation_clears_a_task_step_by_step():
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -43,8 +43,10 @@
 def test_workflow_runs_to_its_end(world):
     """Guards against an accepted task that never runs."""
     assert world.submit("a").outcome == Outcome.OK
+    assert world.shown("a") == "queued"
+    world.run(2)
     assert world.shown("a") == "running"
-    world.run(8)
+    world.run(6)
     assert world.shown("a") == "completed"
     assert world.history.violations == []
 
@@ -108,6 +110,39 @@
     assert [world.shown(f"a{number}") for number in range(6)] == ["completed"] * 6
 
 
+@pytest.mark.parametrize("owner_changes", [False, True])
+@pytest.mark.parametrize("fault", ["refused", "without reply", "cut off"])
+def test_workflow_waits_until_a_worker_has_started_a_task(world, fault, owner_changes):
+    """Guards against workflows that count as started when their runs have only been assigned."""
+    for worker in world.workers:
+        worker.run_ms = lambda name: 30_000
+        worker.is_unhealthy = fault == "refused"
+        worker.loses_reply = lambda: fault == "without reply"
+    names = [f"a{number}" for number in range(5)]
+    for name in names:
+        world.submit(name)
+    if fault == "cut off":
+        for worker in world.workers:
+            worker.is_unreachable = True
+    for turn in range(10 * ROUNDS_PER_SECOND):
+        if owner_changes and turn % 15 == 14:
+            world.owner().resign("test")
+            world.elect(world.workers[turn // 15 % 3])
+        world.round()
+        assert [world.shown(name) for name in names] == ["queued"] * 5, turn
+        assert world.call("waiting", "").waiting == 5, turn
+    for worker in world.workers:
+        worker.is_unhealthy = worker.is_unreachable = False
+        worker.loses_reply = lambda: False
+    world.run(10 * ROUNDS_PER_SECOND)
+    assert [world.shown(name) for name in names] == ["running"] * 5
+    assert world.call("waiting", "").waiting == 0
+    world.owner().resign("test")
+    world.elect(world.workers[0])
+    world.run(2)
+    assert world.call("waiting", "").waiting == 0
+
+
 def test_long_running_task_is_restarted(world):
     """Guards against a service that is not restarted after its run has ended."""
     world.submit("a", attrs.evolve(TASK, lasting=True))
--- a/tests/test_workflows.py
+++ b/tests/test_workflows.py
@@ -43,6 +43,27 @@
     return [task.name for task in pool.ready()]
 
 
+def replayed(pool, events):
+    """Return the pool that the next owner reads from a journal of the events."""
+    read = Pool()
+    for event in events:
+        read.apply(decode_event(json.loads(json.dumps(encode_event(event)))))
+    read.publish()
+    return read
+
+
+def restored(pool, events):
+    """Return the pool that the next owner reads from a snapshot."""
+    return Pool.from_snapshot(json.loads(json.dumps(pool.to_snapshot())))
+
+
+def restored_from_earlier_build(pool, events):
+    """Return the pool that the next owner reads from a snapshot without the key `started`."""
+    snapshot = pool.to_snapshot()
+    del snapshot["started"]
+    return Pool.from_snapshot(json.loads(json.dumps(snapshot)))
+
+
 def test_steps_become_ready_in_order():
     """Guards against a task that becomes ready before all steps that it depends on are done."""
     pool = Pool()
@@ -126,6 +147,40 @@
     assert pool.publish() == []
 
 
+@pytest.mark.parametrize("restore", [replayed, restored, restored_from_earlier_build])
+@pytest.mark.parametrize(
+    ("events", "state"),
+    [
+        ([], "queued"),
+        ([run_ended("a/0/0/0", RunOutcome.UNSTARTED)], "queued"),
+        ([run_ended("a/0/0/0", RunOutcome.LOST)], "queued"),
+        ([RunCheckpointed("a/0/0/0", 1, "c")], "running"),
+        ([run_ended("a/0/0/0", RunOutcome.FAILED)], "running"),
+        ([run_ended("a/0/0/0", RunOutcome.DONE)], "running"),
+    ],
+)
+def test_only_started_runs_begin_a_workflow(events, state, restore):
+    """Guards against a workflow that shows as running after its only run has never started."""
+    events = [workflow_accepted("a", *STEPS), run_assigned("a/0/0/0"), *events]
+    pool = Pool()
+    for event in events:
+        assert pool.apply(event)
+    pool.publish()
+    for known in (pool, restore(pool, events)):
+        assert known.workflows["a"].shown == state
+        assert known.waiting("q") == (state == "queued")
+
+
+def test_observed_start_survives_in_the_snapshot():
+    """Guards against a workflow that waits again under the next owner after it has begun."""
+    pool = Pool()
+    pool.apply(workflow_accepted("a"))
+    pool.apply(run_assigned("a/0/0/0"))
+    pool.record_start(pool.task("a/0/0/0"))
+    pool.apply(run_ended("a/0/0/0", RunOutcome.LAPSED))
+    assert restored(pool, []).workflows["a"].shown == "running"
+
+
 OUTCOMES = list(RunOutcome)
 
 
