Show a job as running only when a task of it has started

Found by reading on the related paths.

Change: assigned tasks count like queued ones for the state of a job.

Before: test_job_is_queued_until_a_task_has_started fails. After: it passes, with test_jobs.py and test_owners.py.

--- a/packages/core/src/mulberryslip/jobs.py
+++ b/packages/core/src/mulberryslip/jobs.py
@@ -92,7 +92,8 @@
         """Return the state as reported to callers."""
         phases = {task.phase for task in self.tasks}
         if not self.is_terminal:
-            return "queued" if phases == {TaskPhase.QUEUED} else "running"
+            is_started = phases - {TaskPhase.QUEUED, TaskPhase.ASSIGNED}
+            return "running" if is_started else "queued"
         if self.cancelled:
             return "cancelled"
         return "failed" if TaskPhase.FAILED in phases else "finished"
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -267,6 +267,18 @@
     assert shard.task(TaskKey("j", 0)).failed_on == ("w0",)
 
 
+def test_job_is_queued_until_a_task_has_started():
+    """Guards against a job that is shown as running while its tasks are only assigned."""
+    shard = shard_with(tasks=2)
+    assert shard.jobs["j"].state == "queued"
+    attempt = assign(shard)
+    assert shard.jobs["j"].state == "queued"
+    shard.apply(AttemptStarted(*attempt, 5))
+    assert shard.jobs["j"].state == "running"
+    shard.apply(AttemptFinished(*attempt, "{}", 6))
+    assert shard.jobs["j"].state == "running"
+
+
 def test_job_ids_are_used_for_one_body():
     """Guards against running a resubmitted job twice, and against ignoring a different body."""
     shard = shard_with(tasks=2)
