Log the waits of suspected tasks

It now counts suspected tasks, and names how many there are among those that wait and on how many workers trials run.

The test fails on the code before (no run_waiting while a suspected task waits for 3 s).

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -479,7 +479,8 @@
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
             decisions += self._dispatcher.schedule(urgent, candidates, now_ms)
-            self._log_long_waits(term, config, urgent, decisions, candidates, now_ms)
+        if suspects or urgent:
+            self._log_long_waits(term, config, suspects + urgent, decisions, candidates, now_ms)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
@@ -627,6 +628,8 @@
             lasting=longest.spec.lasting,
             waited_ms=wait_ms,
             overdue=len(overdue),
+            suspected=sum(task.is_suspected for task in overdue),
+            trials=len({task.worker_id for task in term.pool.trials()}),
             reasons=dict(reasons),
         )
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+from log_events import logged_events
 from mulberryslip.crashes import (
     CRASHES_BEFORE_GUILT,
     MAX_UNCLEARED_RUNS,
@@ -12,6 +13,7 @@
     max_trials,
     recent_runs,
 )
+from mulberryslip.events import Event
 from mulberryslip.models import Resources
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
@@ -317,6 +319,17 @@
     assert len(compared) == len(world.workers)
 
 
+def test_long_wait_of_a_suspected_task_is_logged():
+    """Guards against waits for trials that the log does not show."""
+    world = make_world()
+    world.submit("a", attrs.evolve(CHECK, cpu_millis=10**6))
+    (task,) = world.owner()._term.pool.ready()
+    task.crashes = CrashRecord(2, True)
+    with logged_events() as numbers:
+        world.run(3 * ROUNDS_PER_SECOND)
+    assert Event.RUN_WAITING.value in numbers
+
+
 def test_refused_start_on_a_crashed_worker_is_no_evidence():
     """Guards against blaming tasks whose start never reached the worker."""
     world = make_world(workers=1)
