Do not suspect the runs of workers that end together in an outage

Cause: each end of a worker was taken for the work of one of its tasks. After an outage of the whole fleet hundreds of harmless tasks were suspected, had to start apart from others one by one, and after three outages were given up. A count of crashes alone says little: one deadly task takes one worker after another, a power cut takes many workers that have nothing in common.

Change: `outages` decides, when a worker's process ends, whether a quarter of the fleet (three workers at least) has ended within half a second. If so, the runs end as lapsed and their tasks are not suspected. Crashes that one workflow explains count as one, crashes under suspected tasks do not count, and suspected tasks stay accountable, so a deadly task can't hide behind an outage. The decision waits until so many other workers have reported since that there can't be an outage, 0.3 s at most. Stored data is as before: the outcome of a run is decided by the owner and recorded.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -12,6 +12,7 @@
 from mulberryslip.exceptions import InventoryError, StoreError
 from mulberryslip.handovers import HandoverPolicy
 from mulberryslip.journals import Journal
+from mulberryslip.outages import WorkerCrashes
 from mulberryslip.vms import VMInventory, WorkerAbsences
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool
@@ -107,6 +108,7 @@
         self.previous_owner_granted_until = clock.monotonic() + times.store_lease
         self.started_at = clock.monotonic()
         self.absences = WorkerAbsences()
+        self.crashes = WorkerCrashes()
         self.members: dict[str, Member] = {}
         self.unchecked_workers: set[str] = set()
         """Workers that have listed their runs since it was last checked which runs to stop."""
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -476,6 +476,7 @@
                 events += self._apply(term, self._decide(queued))
             for part in (
                 self._scheduler.lost_runs,
+                self._scheduler.crashed_runs,
                 self._scheduler.expire,
                 self._scheduler.new_checkpoints,
                 self._scheduler.survived_probations,
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -21,6 +21,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
 from mulberryslip.health import RunProgress, WorkerHealth
+from mulberryslip.outages import WorkerCrash
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import RunningRun
 from mulberryslip.vms import Silence
@@ -187,7 +188,8 @@
             return []
         now_ms = self._now_ms()
         events: list[Any] = []
-        crash_events: list[Any] = []
+        if report.unreachable:
+            self._record_crash(term, member.worker_id, member.incarnation, member.machine)
         ended = {(run_end.task, run_end.run): ended_of(run_end) for run_end in report.ended}
         refused = {
             (refusal.task, refusal.run): refusal.reason
@@ -225,8 +227,7 @@
                 # The run may have ended, or be active, without being listed.
                 continue
             elif task.incarnation != member.incarnation or report.unreachable:
-                reason = "the worker's process has ended or restarted"
-                crash_events += self._run_crashed_events(term, task, now_ms, reason)
+                events += self._end_crashed_run(term, task, now_ms)
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
@@ -236,8 +237,7 @@
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
             member.reconciled_through = max(run_end.number for run_end in report.ended)
-        # A run that has ended or was not started is not among those that may have caused a crash.
-        return events + crash_events
+        return events
 
     def _observe_report(self, term: PoolTerm, member: Member) -> None:
         colocated_runs = []
@@ -312,7 +312,7 @@
             now_ms = self._now_ms()
             for task in worker_tasks:
                 if not is_silent:
-                    events += self._run_crashed_events(term, task, now_ms, reason)
+                    events += self._end_crashed_run(term, task, now_ms, reason)
                     continue
                 # Silence has many causes, so it tells nothing about the tasks.
                 events.append(self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason))
@@ -353,26 +353,100 @@
 
     def _fleet_size(self, term: PoolTerm, now: timedelta) -> int:
         """Return the number of workers that report and do not leave."""
-        return sum(
-            not member.leaving
+        return len(self._reporting_members(term, now))
+
+    def _reporting_members(self, term: PoolTerm, now: timedelta) -> list[Member]:
+        """Return the workers that report and do not leave."""
+        return [
+            member
+            for member in term.members.values()
+            if not member.leaving
             and not member.is_absent
             and now - member.received_at <= MAX_REPORT_AGE
-            for member in term.members.values()
-        )
+        ]
 
-    def _run_crashed_events(
-        self, term: PoolTerm, task: StepTask, now_ms: int, reason: str
+    def _end_crashed_run(
+        self,
+        term: PoolTerm,
+        task: StepTask,
+        now_ms: int,
+        reason: str = "the worker's process has ended or restarted",
     ) -> list[Any]:
-        """Return the events of a run whose worker's process has ended."""
+        """Return the event of a run whose worker's process has ended as announced.
+
+        If it was not announced, the events follow once it is known how many workers have ended, see
+        `crashed_runs`.
+        """
         member = term.members.get(task.worker_id)
         if member is not None and member.left == task.incarnation:
             return [self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason)]
-        ended = self._run_ended_event(term, task, RunOutcome.LOST, now_ms, reason)
+        crash = self._record_crash(term, task.worker_id, task.incarnation, task.machine, reason)
+        crash.lost_runs[task.name, task.run] = task
+        return []
+
+    def _record_crash(
+        self,
+        term: PoolTerm,
+        worker_id: str,
+        incarnation: str,
+        machine: str,
+        reason: str = "connection refused",
+    ) -> WorkerCrash:
+        is_trial = any(
+            task.is_suspected and task.incarnation == incarnation
+            for task in term.pool.active_tasks(worker_id)
+        )
+        return term.crashes.record(
+            worker_id, incarnation, machine, is_trial, reason, self._clock.monotonic()
+        )
+
+    def crashed_runs(self, term: PoolTerm) -> list[Any]:
+        """Return events for the runs of crashed workers.
+
+        The end of many workers at once is an outage and tells nothing about their runs, unless
+        these were suspected before.
+        """
+        now = self._clock.monotonic()
+        now_ms = self._now_ms()
+        events: list[Any] = []
+        reporting = self._reporting_members(term, now)
+        listed_at = [member.received_at for member in reporting]
+
+        def running_workflows() -> set[str]:
+            names = (name for member in reporting for name in member.running)
+            tasks = (term.pool.task(name) for name in names)
+            return {task.workflow.workflow_id for task in tasks if task is not None}
+
+        for crash in term.crashes.settle(now, listed_at, running_workflows):
+            lost = [task for (_, run), task in crash.lost_runs.items() if task.has_active_run(run)]
+            crash.lost_runs = {}
+            for task in lost:
+                if crash.is_outage and not task.is_suspected:
+                    outcome = RunOutcome.LAPSED
+                else:
+                    outcome = RunOutcome.LOST
+                    events += self._survived_longest_probation(term, task)
+                events.append(self._run_ended_event(term, task, outcome, now_ms, crash.reason))
+            if lost:
+                log(
+                    Event.WORKER_CRASHED,
+                    worker=lost[0].worker_id,
+                    machine=crash.machine,
+                    runs=len(lost),
+                    outage=crash.is_outage,
+                )
+        return events
+
+    def _survived_longest_probation(self, term: PoolTerm, task: StepTask) -> list[Any]:
+        """Return the event that keeps a run that has lasted for long from being suspected.
+
+        Its task must not wait for a trial after its worker's crash.
+        """
+        member = term.members.get(task.worker_id)
         is_known = member is not None and member.incarnation == task.incarnation
         if is_known and task.crashes is None and _age_ms(task, member) >= MAX_PROBATION_MS:
-            # A service that has run for long must not wait for a trial after its worker's crash.
-            return [RunCheckpointed(task.name, task.run, task.checkpoint), ended]
-        return [ended]
+            return [RunCheckpointed(task.name, task.run, task.checkpoint)]
+        return []
 
     def expire(self, term: PoolTerm) -> list[Any]:
         """Remove workers that are gone; return the event that drops expired workflows."""
@@ -384,6 +458,8 @@
             if now - member.received_at > MEMBER_EXPIRY and worker_id not in holders:
                 del term.members[worker_id]
                 self._dispatcher.model.forget(worker_id)
+        incarnations = {name: member.incarnation for name, member in term.members.items()}
+        term.crashes.forget(incarnations, now)
         expired = term.pool.expired(self._now_ms())
         return [WorkflowsExpired(expired)] if expired else []
 
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -5,8 +5,11 @@
 import attrs
 import pytest
 from mulberryslip.models import Resources
+from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, WorkerCrashes
 from mulberryslip.steps import StepSpec
-from pool_doubles import PoolWorld
+from mulberryslip.workflows import Pool
+from pool_doubles import SECOND, PoolWorld
+from test_workflows import workflow_accepted
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 SERVICE = attrs.evolve(TASK, lasting=True, count=6)
@@ -59,3 +62,82 @@
     running = [name for worker in world.workers for name in worker.runs]
     assert len(running) == len(services) * SERVICE.count
     assert world.history.violations == []
+
+
+def crash_of(crashes, number, at, workflow="", is_trial=False):
+    """Record the crash of a worker that had just started a run of a workflow."""
+    crash = crashes.record(f"w{number}", "1", f"m{number}", is_trial, "refused", at)
+    task = pool_task(workflow or f"a{number}")
+    crash.lost_runs[task.name, 1] = task
+    return crash
+
+
+def pool_task(workflow):
+    pool = Pool()
+    pool.apply(workflow_accepted(workflow))
+    return pool.task(f"{workflow}/0/0/0")
+
+
+@pytest.mark.parametrize(
+    ("crashed", "fleet", "workflow", "running", "trials", "is_outage"),
+    [
+        (1, 11, "", (), 0, False),
+        (2, 11, "", (), 0, False),
+        (3, 11, "", (), 0, True),
+        (11, 11, "", (), 0, True),
+        (2, 2, "", (), 0, False),
+        (39, 160, "", (), 0, False),
+        (40, 160, "", (), 0, True),
+        (6, 11, "wide", (), 0, False),
+        (6, 11, "wide", ("wide",), 0, True),
+        (4, 11, "", (), 2, False),
+    ],
+)
+def test_outage_is_told_from_crashes_by_tasks(crashed, fleet, workflow, running, trials, is_outage):
+    """Guards against suspecting every run after a power cut, and none after real crashes."""
+    crashes = WorkerCrashes()
+    at = SECOND
+    made = [
+        crash_of(crashes, number, at, workflow, is_trial=number < trials)
+        for number in range(crashed)
+    ]
+    now = at + SETTLING_TIME
+    settled = crashes.settle(now, [at] * (fleet - crashed), lambda: running)
+    assert settled == made
+    assert {crash.is_outage for crash in made} == {is_outage}
+
+
+def test_crash_is_left_open_until_other_workers_have_reported():
+    """Guards against judging the first crash of an outage as if it were a single one."""
+    crashes = WorkerCrashes()
+    first = crash_of(crashes, 0, SECOND)
+    now = SECOND + SETTLING_TIME / 3
+    assert crashes.settle(now, [SECOND / 2] * 10, set) == []
+    assert crashes.settle(now, [now] * 10, set) == [first]
+    assert not first.is_outage
+
+
+def test_late_report_of_an_outage_belongs_to_it():
+    """Guards against suspecting the runs of the worker whose end is noticed last."""
+    crashes = WorkerCrashes()
+    for number in range(4):
+        crash_of(crashes, number, SECOND)
+    crashes.settle(SECOND, [SECOND] * 7, set)
+    late = crash_of(crashes, 4, SECOND + OUTAGE_TAIL)
+    crashes.settle(SECOND + OUTAGE_TAIL, [SECOND + OUTAGE_TAIL] * 6, set)
+    assert late.is_outage
+    single = crash_of(crashes, 5, 3 * SECOND)
+    crashes.settle(3 * SECOND, [3 * SECOND] * 5, set)
+    assert single.is_settled and not single.is_outage
+
+
+def test_known_crash_is_not_counted_again():
+    """Guards against an agent that reports the same end again and again, as if in an outage."""
+    crashes = WorkerCrashes()
+    first = crash_of(crashes, 0, SECOND)
+    crashes.settle(2 * SECOND, [], set)
+    crashes.forget({"w0": "1"}, 120 * SECOND)
+    assert crash_of(crashes, 0, 120 * SECOND) is first
+    first.lost_runs = {}
+    crashes.forget({"w0": "2"}, 120 * SECOND)
+    assert crash_of(crashes, 0, 120 * SECOND) is not first
