--- a/tests/trials.py
+++ b/tests/trials.py
@@ -28,6 +28,9 @@
 """Decision rounds in a cycle of all agents, besides those for commits. One for each agent that
 fetches commands would take minutes on a large fleet."""
 
+MAX_RUNS, MAX_CRASHES = 5, 3
+"""Runs, and worker crashes among them, after which a guilty task must not start again."""
+
 TABLE_GUILTY = (0, 1, 5, 50)
 TABLE_FLEETS = ((11, 120), (160, 30))
 """Numbers of workers and longest simulated times, in seconds, of the table's plays."""
@@ -115,9 +118,9 @@
         self.excluded = timedelta()
         self.tasks, self.crashes = {}, {}
         self.failed_at = {}
-        self.suspect_waits, self.background_waits = Waits(), Waits()
+        self.suspect_waits, self.guilty_waits, self.background_waits = Waits(), Waits(), Waits()
         self.background = []
-        self.starts_by_task = {}
+        self.starts_by_task, self.excess_starts = {}, []
         self._record_start = self.world.history.record_start
         self.world.history.record_start = self._observe_start
         self.world.elect()
@@ -176,6 +179,7 @@
             pool._crashed[name] = task
             if name in self.guilty:
                 world.history.crashes_by_task[name] = count
+                self.guilty_waits.begin(name, self.now())
             else:
                 self.suspect_waits.begin(name, self.now())
         # The crashes are not in the journal.
@@ -186,10 +190,19 @@
         for source in self.world.sources.values():
             source.value = PoolConfig.from_queues(revision, [QUEUE], out)
 
+    def _all_waits(self):
+        return self.suspect_waits, self.guilty_waits, self.background_waits
+
     def _observe_start(self, worker, command):
-        self.starts_by_task[command.task] = self.starts_by_task.get(command.task, 0) + 1
-        self.suspect_waits.end(command.task, self.now())
-        self.background_waits.end(command.task, self.now())
+        name = command.task
+        if name in self.guilty:
+            runs = self.crashes[name] + self.starts_by_task.get(name, 0)
+            crashes = self.world.history.crashes_by_task[name]
+            if runs >= MAX_RUNS and crashes >= MAX_CRASHES:
+                self.excess_starts.append(name)
+        self.starts_by_task[name] = self.starts_by_task.get(name, 0) + 1
+        for waits in self._all_waits():
+            waits.end(name, self.now())
         return self._record_start(worker, command)
 
     def round(self):
@@ -214,15 +227,13 @@
         for name in self.tasks:
             if name not in self.failed_at and self.world.shown(name) == "failed":
                 self.failed_at[name] = self.elapsed
-        for waits in (self.suspect_waits, self.background_waits):
+        for waits in self._all_waits():
             for name in waits.started() - running - history.done_tasks:
                 if name.split("/")[0] not in self.failed_at:
                     waits.begin(name, self.now())
-        for name in list(self.suspect_waits.waiting()):
-            # The others of a guilty task's workflow do not run any more. The wait of a task whose
-            # workflow was given up without cause does not end.
-            if name.split("/")[0] in self.failed_at.keys() & self.guilty_workflows():
-                self.suspect_waits.end(name, self.now())
+        for waits in (self.suspect_waits, self.guilty_waits):
+            for name in [name for name in waits.waiting() if name.split("/")[0] in self.failed_at]:
+                waits.end(name, self.now())
 
     def guilty_workflows(self):
         """Return the workflows with a task that crashes its workers."""
@@ -233,11 +244,8 @@
         return sorted(self.failed_at.keys() - self.guilty_workflows())
 
     def is_through(self):
-        """Return whether all guilty workflows have been given up, and all others run."""
-        waiting = {name.split("/")[0] for name in self.suspect_waits.waiting()}
-        return self.guilty_workflows() <= self.failed_at.keys() and not (
-            waiting - self.failed_at.keys()
-        )
+        """Return whether all guilty workflows have been given up, and no other task waits."""
+        return self.guilty_workflows() <= self.failed_at.keys() and not self.suspect_waits.waiting()
 
     def run(self):
         """Play until all suspected tasks are through; return the measured values."""
