Count long exclusions among the workers that may run the failed task

Cause: a worker that fails runs is excluded for longer than 4 s while at most a third of the fleet is excluded. The whole fleet counted, and not the workers that may run such tasks at all, so all of these could be excluded for up to 30 s.

Ruled out: the probes of such a worker. They go on in each exclusion of 4 s, and the check is done 7 s after the fault at the latest.

Now the share is counted among the workers that serve the task's service, have its required label, are in a data centre in use, report and do not leave; excluded workers count for it if they are among these. Workers of other services no longer count either way.

After: all pass; the cases with three and four workers that may run the tasks show that long exclusions remain there. The calls in test_health.py pass ids in place of a count.

Not covered: tasks without a label can still cause a long exclusion of the only worker with some label.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -8,7 +8,7 @@
 
 import statistics
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 
 import attrs
@@ -26,7 +26,7 @@
 FLEET_SHARE = 3
 """At most one in this many workers is excluded for longer than `INITIAL_EXCLUSION`, or for stalled
 runs. Such an exclusion moves work to other workers; if these fail or stall as well, it only keeps
-the fleet idle."""
+the fleet idle. For failed runs, only the workers count to which such work could go."""
 
 EXCLUSIONS_BEFORE_PROBES = 2
 """Consecutive exclusions after which a worker is probed with single runs until one succeeds, so
@@ -128,13 +128,17 @@
         self._workers_by_step: dict[str, set[str]] = defaultdict(set)
 
     def record_run_end(
-        self, worker_id: str, is_done: bool, now: timedelta, fleet_size: int | None = None
+        self,
+        worker_id: str,
+        is_done: bool,
+        now: timedelta,
+        suitable: Collection[str] | None = None,
     ) -> bool:
         """Record the end of a run.
 
         :param is_done: whether the run succeeded.
         :param now: monotonic time.
-        :param fleet_size: number of workers in the pool; None if unknown.
+        :param suitable: ids of the workers that may run such a task at all; None if unknown.
         :returns: whether the worker is newly excluded.
         """
         state = self._states[worker_id]
@@ -146,9 +150,8 @@
         state.failures += 1
         if state.failures < FAILURES_BEFORE_EXCLUSION or now < state.excluded_until:
             return False
-        excluded = 1 + sum(now < other.excluded_until for other in self._states.values())
         state.exclusions += 1
-        if fleet_size is not None and excluded * FLEET_SHARE > fleet_size:
+        if suitable is not None and not self._may_exclude_for_long(worker_id, suitable, now):
             state.excluded_until = now + INITIAL_EXCLUSION
         else:
             state.excluded_until = now + state.next_exclusion
@@ -245,6 +248,17 @@
         # After a failure, prefer workers whose last run succeeded.
         return 0.1 if state.failures else 0.0
 
+    def _may_exclude_for_long(
+        self, worker_id: str, suitable: Collection[str], now: timedelta
+    ) -> bool:
+        """Return whether few enough of the workers are excluded that work can go elsewhere."""
+        excluded = 1 + sum(
+            now < self._states[other].excluded_until
+            for other in suitable
+            if other != worker_id and other in self._states
+        )
+        return excluded * FLEET_SHARE <= len(suitable)
+
     def _has_stalled(self, worker_id: str, now: timedelta) -> bool:
         """Return whether a run of a worker stood still until shortly before."""
         state = self._states.get(worker_id)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -336,8 +336,8 @@
         if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
             is_done = outcome is RunOutcome.DONE
             now = self._clock.monotonic()
-            fleet_size = self._fleet_size(term, now)
-            if self._health.record_run_end(task.worker_id, is_done, now, fleet_size):
+            suitable = self._suitable_workers(term, task, now)
+            if self._health.record_run_end(task.worker_id, is_done, now, suitable):
                 log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="consecutive runs failed")
         if outcome is RunOutcome.UNSTARTED:
             self._health.record_unstarted(task.worker_id, self._clock.monotonic())
@@ -351,14 +351,21 @@
         )
         return RunEnded(task.name, task.run, outcome.value, now_ms, checkpoint)
 
-    def _fleet_size(self, term: PoolTerm, now: timedelta) -> int:
-        """Return the number of workers that report and do not leave."""
-        return sum(
-            not member.leaving
+    def _suitable_workers(self, term: PoolTerm, task: StepTask, now: timedelta) -> list[str]:
+        """Return the ids of the workers that report, do not leave and may run a task at all."""
+        config = self._source.config()
+        data_centres_out = config.data_centres_out if config is not None else ()
+        service, label = task.workflow.queue.service, task.spec.required_label
+        return [
+            member.worker_id
+            for member in term.members.values()
+            if member.service == service
+            and (not label or label in member.labels)
+            and member.data_centre not in data_centres_out
+            and not member.leaving
             and not member.is_absent
             and now - member.received_at <= MAX_REPORT_AGE
-            for member in term.members.values()
-        )
+        ]
 
     def _run_crashed_events(
         self, term: PoolTerm, task: StepTask, now_ms: int, reason: str
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -55,11 +55,12 @@
 def test_long_exclusions_are_limited_to_a_share_of_the_fleet(failing, fleet_size, longest_s):
     """Guards against a fleet that stays idle because all of its workers are excluded."""
     health = WorkerHealth()
+    fleet = [f"w{number}" for number in range(fleet_size)]
     now = SECOND
     for _ in range(3):
         for number in range(failing):
             for _ in range(FAILURES_BEFORE_EXCLUSION):
-                health.record_run_end(f"w{number}", False, now, fleet_size)
+                health.record_run_end(f"w{number}", False, now, fleet)
         lengths = [0] * failing
         while any(health.penalty(f"w{n}", now) >= EXCLUSION_PENALTY for n in range(failing)):
             for number in range(failing):
@@ -70,6 +71,49 @@
     assert lengths[-1] == longest_s
 
 
+@pytest.mark.parametrize(
+    ("suitable", "excluded_before", "is_long"),
+    [
+        (["w0"], [], False),
+        (["w0", "w1"], [], False),
+        (["w0", "w1", "w2"], [], True),
+        (["w0", "w1", "w2"], ["w1"], False),
+        (["w0", "w1", "w2"], ["w7", "w8", "w9"], True),
+        (["w1", "w2", "w3"], [], True),
+        (["w1", "w2", "w3"], ["w3"], False),
+        ([], [], False),
+        (None, ["w1", "w2"], True),
+    ],
+    ids=[
+        "the only one",
+        "one of two",
+        "one of three",
+        "one of three, another excluded",
+        "workers excluded that may not run the task",
+        "the worker itself leaves",
+        "the worker itself leaves, another excluded",
+        "none left",
+        "unknown",
+    ],
+)
+def test_share_of_long_exclusions_counts_the_workers_that_may_run_the_task(
+    suitable, excluded_before, is_long
+):
+    """Guards against the exclusion of all workers that may run some tasks, and of too few."""
+    health = WorkerHealth()
+    now = SECOND
+    for worker_id in ["w0", *excluded_before]:
+        for _ in range(FAILURES_BEFORE_EXCLUSION):
+            health.record_run_end(worker_id, False, now)
+    now += INITIAL_EXCLUSION
+    for worker_id in excluded_before:
+        health.record_run_end(worker_id, False, now)
+    health.record_run_end("w0", False, now, suitable)
+    assert health.penalty("w0", now + INITIAL_EXCLUSION - SECOND) >= EXCLUSION_PENALTY
+    penalty = health.penalty("w0", now + INITIAL_EXCLUSION)
+    assert (penalty >= EXCLUSION_PENALTY) is is_long
+
+
 def test_worker_that_fails_again_is_probed_until_a_run_succeeds():
     """Guards against many attempts wasted on a worker whose exclusion has just ended."""
     health = WorkerHealth()
--- a/tests/test_unreliable_workers.py
+++ b/tests/test_unreliable_workers.py
@@ -1,14 +1,20 @@
 """Workers that refuse, lose, delay or fail runs: their tasks start elsewhere."""
 
+import itertools
+
 import attrs
 import pytest
+from mulberryslip import Resources
+from mulberryslip.health import INITIAL_EXCLUSION
+from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, StartRefusal
 from mulberryslip.steps import StepSpec
-from pool_doubles import PoolWorld
+from pool_doubles import QUEUE, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 SERVICE = attrs.evolve(TASK, lasting=True, image="i", target_ms=100)
 ROUNDS_PER_SECOND = 5
+LONG_EXCLUSION = 1.8 * INITIAL_EXCLUSION
 
 
 def new_world(workers):
@@ -143,3 +149,58 @@
     world.submit("c")
     world.run(7 * ROUNDS_PER_SECOND)
     assert world.shown("c") == "completed"
+
+
+def serve_another_service(world, workers):
+    for worker in workers:
+        announcement = worker.announcement
+        worker.announcement = lambda of=announcement: attrs.evolve(of(), service="other")
+
+
+def take_out_data_centre(world, workers):
+    for worker in workers:
+        worker.data_centre = "west"
+    for source in world.sources.values():
+        source.value = PoolConfig.from_queues(2, [QUEUE], ["west"])
+
+
+@pytest.mark.parametrize(
+    ("may_run", "label", "restrict", "is_long"),
+    [
+        (4, "a", None, True),
+        (1, "rack-w0", None, False),
+        (1, "", serve_another_service, False),
+        (2, "", serve_another_service, False),
+        (3, "", serve_another_service, True),
+        (1, "", take_out_data_centre, False),
+        (3, "", take_out_data_centre, True),
+    ],
+)
+def test_long_exclusions_leave_workers_that_may_run_the_failing_tasks(
+    may_run, label, restrict, is_long
+):
+    """Guards against work that nobody may run, and attempts wasted where others may run it."""
+    world = new_world(4)
+    if restrict is not None:
+        restrict(world, world.workers[may_run:])
+        world.run(3)
+    for worker in world.workers[1:]:
+        worker.capacity = Resources(100, 1000, 0)
+    world.run(4 * ROUNDS_PER_SECOND)
+    failing = world.workers[0]
+    failing.end_kind_of = lambda name: EndKind.FAILED
+    start = failing.start
+    started_at = []
+
+    def recorded_start(*args):
+        started_at.append(world.clock.monotonic())
+        return start(*args)
+
+    failing.start = recorded_start
+    spec = attrs.evolve(TASK, cpu_millis=100, required_label=label)
+    for number in range(30 * ROUNDS_PER_SECOND):
+        world.submit(f"f{number}", spec)
+        world.round()
+    longest = max(after - before for before, after in itertools.pairwise(started_at))
+    assert longest > INITIAL_EXCLUSION
+    assert (longest > LONG_EXCLUSION) is is_long, longest
