Use a worker that restarts under its id after its clock was set back

Cause: a worker names its incarnations by its start time, and agents and owners order them by these names. So the agent took the announcements of the newest incarnation for old ones. If the agent restarts with the worker, the owner does the same with its reports; tasks assigned to the earlier incarnation are not given up.

What arrives last may be late, so the order of arrival proves nothing. The rule: a worker that answers its agent's call runs after the call began, and a VM runs one worker at a time. If it answers under another incarnation than the newest one that was known before the call, that one is older. The agent then gives the answering incarnation a name that sorts last, and uses it everywhere: the new name brings a new fencing token, as any restart does. An agent that starts anew learns the newest name from the replies to its reports (new optional field; earlier builds skip it, and without it an agent does as before).

Found on the way, also without this change: an owner that knows only the newest incarnation takes a late report of the earlier one for the newest, and gives up the runs that it does not list while they go on (TWICE). Now a report that knows only earlier owners ends no runs of another incarnation; the agent's next one does.

Not covered: a worker that gets a new id on its VM after the clock was set back, and ids of more than about 100 characters; both wait as before.

--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -352,6 +352,7 @@
   7: required list<RunProfile> profiles, // of the tasks named as unprofiled
   9: required list<ImagePressure> pressures, // of the images that run on the worker
   10: optional bool take_over,     // the owner has lost the store; the agent may claim the pool
+  11: optional string newest_incarnation, // of the worker, if it sorts after the one that reports
 }
 
 struct OrdersRequest {
--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -155,7 +155,7 @@
 
     :param worker_id: id of the worker; a later incarnation may use it again.
     :param incarnation: changes with each restart; on one VM, a later incarnation sorts after an
-        earlier one as text.
+        earlier one as text, unless the VM's clock was set back (`incarnations`).
     :param service: name of the worker's service.
     :param data_centre: data centre of the worker.
     :param machine: id of the VM, which stays the same over all incarnations.
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4372,11 +4372,12 @@
      - profiles
      - pressures
      - take_over
+     - newest_incarnation
 
     """
 
 
-    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None, take_over=None,):
+    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None, take_over=None, newest_incarnation=None,):
         self.outcome = outcome
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
@@ -4385,6 +4386,7 @@
         self.profiles = profiles
         self.pressures = pressures
         self.take_over = take_over
+        self.newest_incarnation = newest_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4447,6 +4449,11 @@
                     self.take_over = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.newest_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4495,6 +4502,10 @@
             oprot.writeFieldBegin('take_over', TType.BOOL, 10)
             oprot.writeBool(self.take_over)
             oprot.writeFieldEnd()
+        if self.newest_incarnation is not None:
+            oprot.writeFieldBegin('newest_incarnation', TType.STRING, 11)
+            oprot.writeString(self.newest_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.newest_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5530,6 +5541,7 @@
     None,  # 8
     (9, TType.LIST, 'pressures', (TType.STRUCT, [ImagePressure, None], False), None, ),  # 9
     (10, TType.BOOL, 'take_over', None, None, ),  # 10
+    (11, TType.STRING, 'newest_incarnation', 'UTF8', None, ),  # 11
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -14,6 +14,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import WireError
 from mulberryslip.headrooms import ColocatedRun, ImageInterference, InterferenceModel
+from mulberryslip.incarnations import IncarnationNames
 from mulberryslip.intervals import ReportInterval
 from mulberryslip.models import Resources
 from mulberryslip.runners import (
@@ -139,6 +140,8 @@
         self._clock = clock
         self._incarnation = uuid.uuid4().hex
         self._lock = threading.Lock()
+        # Incarnations in announcements, grants, reports and commands have the names of this table.
+        self._names = IncarnationNames()
         self._announcement: WorkerAnnouncement | None = None
         self._announced = threading.Event()
         self._grant = Grant()
@@ -165,6 +168,9 @@
     def announce(self, announcement: WorkerAnnouncement) -> None:
         """Store a worker's announcement, unless it is older than the known one."""
         with self._lock:
+            announcement = attrs.evolve(
+                announcement, incarnation=self._names.name_of(announcement.incarnation)
+            )
             known = self._announcement
             if known is not None and _is_older(announcement, known):
                 return
@@ -238,6 +244,8 @@
         # After a failed call the worker may have restarted under the same id. Then the number of
         # acknowledged ends of its earlier incarnation would make it drop ends of the new one.
         is_confirmed = self._is_incarnation_confirmed
+        with self._lock:
+            newest = self._names.newest(worker.worker_id, worker.incarnation)
         try:
             listing = self._runner.extend_lease(
                 worker.worker_id,
@@ -261,9 +269,12 @@
             if isinstance(exc, RunnerFencedError):
                 self._grant = Grant(epoch=grant.epoch)
             return False
-        self._is_incarnation_confirmed = listing.incarnation == worker.incarnation
+        self._is_incarnation_confirmed = (
+            self._confirmed_incarnation(listing, newest) == worker.incarnation
+        )
         if not self._is_incarnation_confirmed:
-            # The worker has restarted and will announce its new incarnation.
+            # The worker has restarted and will announce its new incarnation, or that has got
+            # another name under which the owner does not know it yet.
             self._grant = Grant(epoch=grant.epoch)
             return False
         self._listed = (listing.clock_ms, self._clock.monotonic())
@@ -278,6 +289,22 @@
             owner, worker, listing
         )
 
+    def _confirmed_incarnation(self, listing: RunListing, newest: str) -> str:
+        """Return the name of the incarnation that has listed its runs.
+
+        :param newest: newest incarnation that was known before the listing was requested.
+        """
+        with self._lock:
+            before = self._names.name_of(listing.incarnation)
+            name = self._names.confirm(listing.incarnation, newest)
+            is_renamed = name != before and self._announcement.incarnation == before
+            if is_renamed:
+                self._announcement = attrs.evolve(self._announcement, incarnation=name)
+                self._owner_capacity = None
+        if name != before:
+            log(Event.INCARNATION_RENAMED, reported=listing.incarnation, name=name, earlier=newest)
+        return name
+
     def _newest_announcement(self, worker: WorkerAnnouncement) -> WorkerAnnouncement:
         """Return the newest announcement of the incarnation that made the given one."""
         newest = self._announcement
@@ -403,6 +430,9 @@
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
         self._update_grant(worker, reply)
+        if reply.newest_incarnation:
+            with self._lock:
+                self._names.record_known(worker.worker_id, reply.newest_incarnation)
         if reply.take_over:
             self._take_over(reply.epoch)
         return True
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -38,7 +38,8 @@
 class Member:
     """A worker that has reported to the owner.
 
-    :param incarnation: current incarnation; later ones sort after earlier ones as text.
+    :param incarnation: current incarnation; later ones sort after earlier ones as text, as named by
+        the agent (`incarnations`).
     :param clock_ms: the worker's clock when it last listed its runs.
     :param received_at: when that listing arrived, on the owner's clock; before the first listing,
         until when the previous owner may have extended the worker's lease.
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -662,6 +662,7 @@
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(term.epoch)
+            newest_incarnation = _newer_incarnation(term, member, req.worker)
             take_over = req.agent != str(self._address()) and term.handover.take_request(
                 self._clock.monotonic(), term.session.failing_since
             )
@@ -680,6 +681,7 @@
             profiles,
             interference,
             take_over,
+            newest_incarnation,
         )
 
     def _is_store_lost(self, term: PoolTerm) -> bool:
@@ -729,6 +731,23 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
+def _newer_incarnation(term: PoolTerm, member: Member, worker: wire.PoolWorker) -> str | None:
+    """Return the newest known incarnation of a worker; None if it is the one that reports.
+
+    An earlier owner or agent may have known a later one; then it has assigned runs to it.
+    """
+    names = [
+        task.incarnation
+        for task in term.pool.active_tasks(worker.worker_id)
+        if task.machine == worker.machine
+    ]
+    if member.machine == worker.machine:
+        names.append(member.incarnation)
+    newest = max(names, default="")
+    # A worker under the same id on another VM tells nothing about this one.
+    return newest if worker.machine and newest > worker.incarnation else None
+
+
 def _is_storable(event: Any) -> bool:
     """Return whether the next owner could read an event from the journal."""
     try:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -224,6 +224,10 @@
             elif not lists_all_runs:
                 # The run may have ended, or be active, without being listed.
                 continue
+            elif task.incarnation != member.incarnation and report.epoch < term.epoch:
+                # It may be a late report of an earlier incarnation whose name sorts last, since the
+                # VM's clock was set back. The agent's next one knows this owner.
+                continue
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
                 crash_events += self._run_crashed_events(term, task, now_ms, reason)
