--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -227,6 +227,10 @@
             elif not lists_all_runs:
                 # The run may have ended, or be active, without being listed.
                 continue
+            elif task.incarnation != member.incarnation and report.epoch < term.epoch:
+                # It may be a late report of an earlier incarnation whose name sorts last, since the
+                # VM's clock was set back. The agent's next one knows this owner.
+                continue
             elif task.incarnation != member.incarnation or report.unreachable:
                 events += self._end_crashed_run(term, task, now_ms)
             elif report.clock_ms > task.start_by_ms:
@@ -337,8 +341,8 @@
         if outcome in (RunOutcome.DONE, RunOutcome.FAILED) and not task.spec.lasting:
             is_done = outcome is RunOutcome.DONE
             now = self._clock.monotonic()
-            fleet_size = self._fleet_size(term, now)
-            if self._health.record_run_end(task.worker_id, is_done, now, fleet_size):
+            suitable = self._suitable_workers(term, task, now)
+            if self._health.record_run_end(task.worker_id, is_done, now, suitable):
                 log(Event.WORKER_SUSPECTED, worker=task.worker_id, reason="consecutive runs failed")
         if outcome is RunOutcome.UNSTARTED:
             self._health.record_unstarted(task.worker_id, self._clock.monotonic())
@@ -352,9 +356,18 @@
         )
         return RunEnded(task.name, task.run, outcome.value, now_ms, checkpoint)
 
-    def _fleet_size(self, term: PoolTerm, now: timedelta) -> int:
-        """Return the number of workers that report and do not leave."""
-        return len(self._reporting_members(term, now))
+    def _suitable_workers(self, term: PoolTerm, task: StepTask, now: timedelta) -> list[str]:
+        """Return the ids of the workers that report, do not leave and may run a task at all."""
+        config = self._source.config()
+        data_centres_out = config.data_centres_out if config is not None else ()
+        service, label = task.workflow.queue.service, task.spec.required_label
+        return [
+            member.worker_id
+            for member in self._reporting_members(term, now)
+            if member.service == service
+            and (not label or label in member.labels)
+            and member.data_centre not in data_centres_out
+        ]
 
     def _reporting_members(self, term: PoolTerm, now: timedelta) -> list[Member]:
         """Return the workers that report and do not leave."""
