Accept only what the next owner of a pool can read

Once the ring was full, a round applied its events and then waited in the commit, so the state in memory could not be written either.

Change: submissions are accepted up to 5/6 of the limits, counted as stored and with a reserve for what is accepted; beyond, they are refused as not run with a Retry-After of 5 s.

Events 316 and 317 and two gauges tell how full a pool is.

Ruled out: counting compressed sizes of single submissions (no upper bound) and compressing the state for each submission; see docs/design.md.

Measured for the reserve: 18 to 32 stored bytes a task from waiting to held, on 400 workers, with 1,200 to 15,000 tasks.

--- a/packages/core/src/mulberryslip/exceptions.py
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -79,6 +79,14 @@
     """Another process owns the shard; this process must release it."""
 
 
+class SnapshotTooLargeError(JournalError):
+    """A snapshot exceeds what the store holds or a new owner reads; nothing was written."""
+
+
+class PoolFullError(MulberryslipError):
+    """The pool accepts no more workflows until others have ended."""
+
+
 class JobError(MulberryslipError):
     """A job submission is invalid or violates a constraint of the job."""
 
--- a/packages/core/src/mulberryslip/journals.py
+++ b/packages/core/src/mulberryslip/journals.py
@@ -21,6 +21,7 @@
     FencedError,
     InvalidMessageError,
     JournalError,
+    SnapshotTooLargeError,
     StoreError,
 )
 from .outcomes import Committed, Conflict
@@ -35,6 +36,9 @@
 # Bounds the memory that decompressing a damaged value can take.
 _MAX_JSON_BYTES = 64 * 1024 * 1024
 
+# A snapshot that decompresses to more could be written, but not read.
+MAX_SNAPSHOT_TEXT_BYTES = _MAX_JSON_BYTES
+
 # A fast writer can overwrite slots between the reads of the snapshot and of the ring.
 _READ_ATTEMPTS = 5
 
@@ -80,6 +84,24 @@
     state: dict
 
 
+@attrs.frozen
+class SnapshotSize:
+    """Size of a snapshot.
+
+    :param stored_bytes: compressed, as it is stored.
+    :param text_bytes: as JSON text.
+    """
+
+    stored_bytes: int
+    text_bytes: int
+
+    def __add__(self, other: "SnapshotSize") -> "SnapshotSize":
+        """Return the size of both together."""
+        return SnapshotSize(
+            self.stored_bytes + other.stored_bytes, self.text_bytes + other.text_bytes
+        )
+
+
 @attrs.frozen
 class Recovery:
     """Contents of a journal, as read by a new owner.
@@ -98,8 +120,15 @@
 
 def encode(message: Record | Snapshot) -> bytes:
     """Encode a record or a snapshot as a stored value."""
-    text = json.dumps(attrs.asdict(message, recurse=False), separators=(",", ":"))
-    return bytes([FORMAT]) + zlib.compress(text.encode(), _COMPRESSION_LEVEL)
+    return _compress(_to_text(message))
+
+
+def _to_text(message: Record | Snapshot) -> bytes:
+    return json.dumps(attrs.asdict(message, recurse=False), separators=(",", ":")).encode()
+
+
+def _compress(text: bytes) -> bytes:
+    return bytes([FORMAT]) + zlib.compress(text, _COMPRESSION_LEVEL)
 
 
 def decode_record(stored: StoredValue) -> Record:
@@ -197,6 +226,7 @@
         self._snapshot_version = 0
         self._snapshot_seq = 0
         self._snapshot_bytes = 0
+        self._measured = SnapshotSize(0, 0)
         self._seq = 0
         self._epoch = 0
         self._pending: _PendingWrite | None = None
@@ -219,6 +249,21 @@
         """Size of the last snapshot read or written, in stored bytes."""
         return self._snapshot_bytes
 
+    @property
+    def measured(self) -> SnapshotSize:
+        """Size of the last snapshot that was encoded, written or not."""
+        return self._measured
+
+    @property
+    def is_claimed(self) -> bool:
+        """Whether `claim` has succeeded since `open`."""
+        return self._claimed
+
+    @property
+    def free_slots(self) -> int:
+        """Number of records that fit into the ring before the next snapshot."""
+        return self._slots - (self._seq - self._snapshot_seq)
+
     @property
     def snapshot_due(self) -> bool:
         """Whether at least half of the ring was written since the last snapshot."""
@@ -302,23 +347,47 @@
         :param state: JSON-serialisable state.
         :param seq: last record that the state includes; by default the last committed one.
         :raises FencedError: another owner wrote a snapshot.
-        :raises JournalError: the store is unavailable (call it again with a current state), or the
-            snapshot exceeds `MAX_SNAPSHOT_BYTES`.
+        :raises SnapshotTooLargeError: the snapshot exceeds `MAX_SNAPSHOT_BYTES` or
+            `MAX_SNAPSHOT_TEXT_BYTES`; nothing was written.
+        :raises JournalError: the store is unavailable (call it again with a current state).
         """
         self._require_open()
         seq = self._seq if seq is None else seq
         if not self._snapshot_seq <= seq <= self._seq:
             raise JournalError(f"{self._snapshot_key}: cannot write a snapshot of record {seq}")
         snapshot = Snapshot(seq, self._epoch, self._slots, uuid.uuid4().hex, state)
-        value = encode(snapshot)
-        if len(value) > MAX_SNAPSHOT_BYTES:
-            raise JournalError(f"{self._snapshot_key}: {len(value)} bytes exceed the limit")
+        value = self._encode_snapshot(snapshot)
         try:
             self._put_snapshot(snapshot, value)
         except StoreError as exc:
             raise JournalError(f"{self._snapshot_key}: {exc}") from exc
         log(Event.SNAPSHOT_WRITTEN, shard=self._shard, seq=seq, size=len(value))
 
+    def measure(self, state: dict) -> SnapshotSize:
+        """Return the size of a snapshot of a state without writing it.
+
+        :param state: JSON-serialisable state.
+        """
+        self._encode(Snapshot(self._seq, self._epoch, self._slots, uuid.uuid4().hex, state))
+        return self._measured
+
+    def _encode_snapshot(self, snapshot: Snapshot) -> bytes:
+        value = self._encode(snapshot)
+        size = self._measured
+        if size.stored_bytes > MAX_SNAPSHOT_BYTES:
+            message = f"{self._snapshot_key}: {size.stored_bytes} bytes exceed the limit"
+            raise SnapshotTooLargeError(message)
+        if size.text_bytes > MAX_SNAPSHOT_TEXT_BYTES:
+            message = f"{self._snapshot_key}: {size.text_bytes} bytes of text exceed the limit"
+            raise SnapshotTooLargeError(message)
+        return value
+
+    def _encode(self, snapshot: Snapshot) -> bytes:
+        text = _to_text(snapshot)
+        value = _compress(text)
+        self._measured = SnapshotSize(len(value), len(text))
+        return value
+
     def _put_snapshot(self, snapshot: Snapshot, value: bytes) -> None:
         for _ in range(_WRITE_ATTEMPTS):
             outcome = self._store.put(self._snapshot_key, value, self._snapshot_version)
@@ -428,7 +497,7 @@
 
     def _prepare_write(self, events: list[dict], epoch: int) -> _PendingWrite:
         seq = self._seq + 1
-        if seq - self._slots > self._snapshot_seq:
+        if self.free_slots <= 0:
             raise JournalError(f"shard {self._shard}: a snapshot is due before record {seq}")
         record = Record(seq, epoch, self._slots, uuid.uuid4().hex, events)
         value = encode(record)
--- a/packages/core/src/mulberryslip/metrics.py
+++ b/packages/core/src/mulberryslip/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, and latency histograms by client account, class and template."""
+"""Counters, gauges, and latency histograms by client account, class and template."""
 
 import threading
 from datetime import timedelta
@@ -62,19 +62,20 @@
 
 @attrs.frozen
 class MetricsSnapshot:
-    """All histograms and counters at one point in time."""
+    """All histograms, counters and gauges at one point in time."""
 
     series: tuple[SeriesSummary, ...]
     counters: dict[str, int]
+    gauges: dict[str, int] = attrs.field(factory=dict)
 
     def to_json(self) -> dict[str, object]:
         """Return the snapshot as JSON-serialisable values."""
         histograms = [summary.to_json() for summary in self.series]
-        return {"histograms": histograms, "counters": self.counters}
+        return {"histograms": histograms, "counters": self.counters, "gauges": self.gauges}
 
 
 class Metrics:
-    """Thread-safe histograms and counters of one process.
+    """Thread-safe histograms, counters and gauges of one process.
 
     Series and counters above their limits are combined under the name `other`, which bounds the
     memory whatever names occur.
@@ -89,6 +90,7 @@
         self._lock = threading.Lock()
         self._series: dict[SeriesKey, HdrHistogram] = {}
         self._counters: dict[str, int] = {}
+        self._gauges: dict[str, int] = {}
 
     def record(self, account: str, task_class: str, template: str, latency: timedelta) -> None:
         """Record a latency in the histogram of its labels."""
@@ -103,16 +105,23 @@
                 counter = OVERFLOW_LABEL
             self._counters[counter] = self._counters.get(counter, 0) + amount
 
+    def set_gauge(self, gauge: str, value: int) -> None:
+        """Set the current value of a gauge; gauges have fixed names."""
+        with self._lock:
+            self._gauges[gauge] = value
+
     def snapshot(self) -> MetricsSnapshot:
-        """Return all series and counters, each ordered by name."""
+        """Return all series, counters and gauges, each ordered by name."""
         with self._lock:
             series = tuple(_summarize(key, self._series[key]) for key in sorted(self._series))
-            return MetricsSnapshot(series, dict(sorted(self._counters.items())))
+            counters = dict(sorted(self._counters.items()))
+            return MetricsSnapshot(series, counters, dict(sorted(self._gauges.items())))
 
     def to_text(self) -> list[str]:
-        """Return all series and counters, one per line, as `name{label="value"} number`."""
+        """Return all series, counters and gauges, one per line, as `name{label="value"} number`."""
         snapshot = self.snapshot()
         lines = [f'events{{name="{name}"}} {count}' for name, count in snapshot.counters.items()]
+        lines += [f'gauge{{name="{name}"}} {value}' for name, value in snapshot.gauges.items()]
         for series in snapshot.series:
             labels = f'class="{series.key.task_class}",template="{series.key.template}"'
             if series.key.account:
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -12,6 +12,7 @@
 from mulberryslip.exceptions import InventoryError, StoreError
 from mulberryslip.handovers import HandoverPolicy
 from mulberryslip.journals import Journal
+from mulberryslip.snapshots import RetryPauses, SnapshotBudget
 from mulberryslip.vms import VMInventory, WorkerAbsences
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool
@@ -29,6 +30,10 @@
 CONFIRMATIONS_PER_LEASE = 3
 """Confirmations of the owner key per store lease; two in a row may fail."""
 
+RETRY_AFTER = timedelta(seconds=1)
+"""Delay after which callers should retry. A new owner takes over within the store lease of 3 s,
+most of which has passed when the owner is missed; a newer configuration arrives within a second."""
+
 VM_CHECK_INTERVAL = timedelta(milliseconds=500)
 """Time between listings of VMs while workers with runs are silent."""
 
@@ -58,6 +63,7 @@
     :param size: size of the request, in bytes.
     :param done: set once the outcome is known.
     :param is_dequeued: whether a round has removed it from the inbox.
+    :param retry_after: delay after which the caller should retry a call that was not run.
     """
 
     decide: Callable[[], list[Any]]
@@ -66,6 +72,7 @@
     is_dequeued: bool = False
     outcome: int = Outcome.OUTCOME_UNKNOWN
     reason: str = ""
+    retry_after: timedelta = RETRY_AFTER
 
 
 class PoolTerm:
@@ -97,6 +104,9 @@
         self.session = session
         self.claim = claim
         self.handover = HandoverPolicy()
+        self.budget = SnapshotBudget()
+        self.snapshot_retries = RetryPauses()
+        self.is_full = False
         self.lock = threading.Lock()
         self._clock = clock
         self._times = times
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -20,10 +20,13 @@
     InvalidMessageError,
     JobError,
     JournalError,
+    PoolFullError,
+    SnapshotTooLargeError,
     StoreError,
 )
-from mulberryslip.journals import Journal
+from mulberryslip.journals import MAX_SNAPSHOT_BYTES, Journal, SnapshotSize
 from mulberryslip.metrics import Metrics
+from mulberryslip.snapshots import acceptance_cost, growth_reserve
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.stores import Store
 from mulberryslip.vms import VMInventory
@@ -44,7 +47,7 @@
 from .claims import OwnerClaim
 from .directories import KnownOwner, PoolOwnerDirectory, owner_key
 from .members import Member, check_report
-from .ownerships import PoolLeaseTimes, PoolTerm, QueuedCall
+from .ownerships import RETRY_AFTER, PoolLeaseTimes, PoolTerm, QueuedCall
 from .schedulers import ConfigSource, PoolScheduler
 from .sessions import Session
 from .terms import OwnerIdentity
@@ -69,9 +72,14 @@
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
-RETRY_AFTER = timedelta(seconds=1)
-"""Delay after which callers should retry. A new owner takes over within the store lease of 3 s,
-most of which has passed when the owner is missed; a newer configuration arrives within a second."""
+FULL_RETRY_AFTER = timedelta(seconds=5)
+"""Delay after which callers should retry when the pool holds as much as can be handed over."""
+
+FULL_UNTIL_SHARE = 0.95
+"""Share of the limit below which a full pool counts as having room again."""
+
+STORE_SILENT = "the store does not answer"
+JOURNAL_FULL = "the journal is full until a snapshot can be written"
 
 
 class PoolOwner:
@@ -209,7 +217,10 @@
         def decide() -> list[Any]:
             if req.workflow_id in term.pool.workflows:
                 return []
-            return [accepted_event(req.workflow_id, queue, spec, self._now_ms())]
+            accepted = accepted_event(req.workflow_id, queue, spec, self._now_ms())
+            if not term.budget.admit(acceptance_cost(accepted, spec)):
+                raise PoolFullError(f"pool {self._number} is full")
+            return [accepted]
 
         reply = self._decide_and_commit(
             term,
@@ -329,8 +340,9 @@
         session.start()
         journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools")
         try:
-            pool = _recover(journal)
-            journal.claim()
+            pool = _recover(journal, self._number)
+            if journal.free_slots > 0:
+                journal.claim()
             self._source.refresh()
         except Exception:
             claim.release()
@@ -348,6 +360,7 @@
             epoch=term.epoch,
             workflows=len(pool.workflows),
             record=journal.seq,
+            free_records=journal.free_slots,
         )
         return True
 
@@ -469,11 +482,16 @@
         :raises FencedError: another process owns the pool.
         """
         term = self._term
+        if not self._can_append(term):
+            self._reject_queued(term, JOURNAL_FULL)
+            return
+        if term.budget.needs_measurement(self._clock.monotonic()):
+            self._measure(term)
         with term.lock:
             queued_calls = self._take_calls(term)
             events: list[Any] = []
             for queued in queued_calls:
-                events += self._apply(term, self._decide(queued))
+                events += self._apply(term, self._decide(term, queued))
             for part in (
                 self._scheduler.lost_runs,
                 self._scheduler.expire,
@@ -521,10 +539,15 @@
             term.wake.set()
         return taken
 
-    def _decide(self, queued: QueuedCall) -> list[Any]:
+    def _decide(self, term: PoolTerm, queued: QueuedCall) -> list[Any]:
         """Return the events of a call; reject the call if it cannot be decided."""
         try:
             return queued.decide()
+        except PoolFullError as exc:
+            self._record_fullness(term, True)
+            queued.outcome, queued.reason = Outcome.NOT_RUN, str(exc)
+            queued.retry_after = FULL_RETRY_AFTER
+            return []
         except Exception as exc:
             # One call that cannot be decided must not end the ownership: its caller would repeat
             # it to each next owner.
@@ -576,30 +599,84 @@
             with term.lock:
                 term.handover.record_commit()
             log(Event.STORE_RECOVERED, call="append")
-        if term.journal.snapshot_due:
+        if term.journal.snapshot_due and term.snapshot_retries.is_due(self._clock.monotonic()):
             self._write_snapshot(term)
 
+    def _can_append(self, term: PoolTerm) -> bool:
+        """Return whether the journal takes another record; before, write a snapshot if it is full.
+
+        All applied events are committed between two rounds, so the state matches the last record.
+
+        :raises FencedError: another owner has taken over.
+        """
+        journal = term.journal
+        if journal.free_slots <= 0 and term.snapshot_retries.is_due(self._clock.monotonic()):
+            self._write_snapshot(term)
+        if journal.free_slots <= 0:
+            return False
+        if not journal.is_claimed:
+            try:
+                journal.claim()
+            except FencedError:
+                raise
+            except JournalError as exc:
+                log(Event.STORE_UNAVAILABLE, call="claim journal", reason=str(exc))
+        return journal.is_claimed
+
     def _write_snapshot(self, term: PoolTerm) -> None:
+        started_at = self._clock.monotonic()
         with term.lock:
-            state = term.pool.to_snapshot()
+            state, reserve = term.pool.to_snapshot(), growth_reserve(term.pool)
         try:
             term.journal.write_snapshot(state)
+            term.snapshot_retries.record_success()
         except FencedError:
             raise
         except JournalError as exc:
-            # Appends still work until all journal slots are used; the next commit tries again.
-            log(Event.STORE_UNAVAILABLE, call="write snapshot", reason=str(exc))
+            # Appends still work until all journal slots are used.
+            pause = term.snapshot_retries.record_failure(self._clock.monotonic())
+            _log_snapshot_failure(self._number, term.journal, exc, pause)
+        self._record_measurement(term, reserve, started_at)
 
-    def _reject_queued(self, term: PoolTerm) -> None:
+    def _measure(self, term: PoolTerm) -> None:
+        started_at = self._clock.monotonic()
+        with term.lock:
+            state, reserve = term.pool.to_snapshot(), growth_reserve(term.pool)
+        term.journal.measure(state)
+        self._record_measurement(term, reserve, started_at)
+
+    def _record_measurement(
+        self, term: PoolTerm, reserve: SnapshotSize, started_at: timedelta
+    ) -> None:
+        now = self._clock.monotonic()
+        term.budget.record_measurement(term.journal.measured, reserve, now, now - started_at)
+        self._metrics.set_gauge("pool_state_bytes", term.budget.used_bytes)
+        self._metrics.set_gauge("pool_state_limit_bytes", term.budget.limit_bytes)
+        if term.budget.used_bytes <= term.budget.limit_bytes * FULL_UNTIL_SHARE:
+            self._record_fullness(term, False)
+
+    def _record_fullness(self, term: PoolTerm, is_full: bool) -> None:
+        """Log when the pool begins to refuse workflows, and when it has room again."""
+        if term.is_full is is_full:
+            return
+        term.is_full = is_full
+        log(
+            Event.POOL_FULL if is_full else Event.POOL_HAS_ROOM,
+            pool=self._number,
+            size=term.budget.used_bytes,
+            limit=term.budget.limit_bytes,
+        )
+
+    def _reject_queued(self, term: PoolTerm, reason: str = STORE_SILENT) -> None:
         with term.lock:
             queued_calls = list(term.inbox)
             term.inbox.clear()
         for queued in queued_calls:
-            self._reject(queued)
+            self._reject(queued, reason)
 
-    def _reject(self, queued: QueuedCall) -> None:
+    def _reject(self, queued: QueuedCall, reason: str = STORE_SILENT) -> None:
         queued.outcome = Outcome.NOT_RUN
-        queued.reason = "the store does not answer"
+        queued.reason = reason
         queued.done.set()
 
     def _record_ended(self, changed: list[Workflow]) -> None:
@@ -716,7 +793,7 @@
                 return _reply(Outcome.OUTCOME_UNKNOWN, queued.reason)
         retry_after = 0
         if queued.outcome == Outcome.NOT_RUN:
-            retry_after = RETRY_AFTER // timedelta(milliseconds=1)
+            retry_after = queued.retry_after // timedelta(milliseconds=1)
         return _reply(queued.outcome, queued.reason, shown=shown, retry_after_ms=retry_after)
 
     def _not_owner(self) -> wire.WorkflowReply:
@@ -739,7 +816,15 @@
     return True
 
 
-def _recover(journal: Journal) -> Pool:
+def _recover(journal: Journal, number: int) -> Pool:
+    """Read a pool's state, and write the snapshot that is due.
+
+    The claim goes on without that snapshot while the ring has room, and if it is too large: then
+    no claimant can write it.
+
+    :raises JournalError: the journal cannot be read, or the ring is full and the store does not
+        answer.
+    """
     recovery = journal.open()
     pool = Pool() if recovery.state is None else Pool.from_snapshot(recovery.state)
     for raw in recovery.events:
@@ -747,10 +832,31 @@
     pool.publish()
     pool.take_newly_suspected()
     if journal.snapshot_due:
-        journal.write_snapshot(pool.to_snapshot())
+        try:
+            journal.write_snapshot(pool.to_snapshot())
+        except FencedError:
+            raise
+        except JournalError as exc:
+            if journal.free_slots <= 0 and not isinstance(exc, SnapshotTooLargeError):
+                raise
+            _log_snapshot_failure(number, journal, exc, timedelta())
     return pool
 
 
+def _log_snapshot_failure(
+    number: int, journal: Journal, exc: JournalError, pause: timedelta
+) -> None:
+    log(
+        Event.SNAPSHOT_FAILED,
+        pool=number,
+        reason=str(exc),
+        size=journal.measured.stored_bytes,
+        limit=MAX_SNAPSHOT_BYTES,
+        free_records=journal.free_slots,
+        retry_ms=pause // timedelta(milliseconds=1),
+    )
+
+
 def _reply(
     outcome: int,
     reason: str = "",
