--- a/packages/core/src/mulberryslip/journals.py
+++ b/packages/core/src/mulberryslip/journals.py
@@ -8,6 +8,11 @@
 
 - record `shards/<n>/log/<slot>`: `{"seq", "epoch", "slots", "batch_id", "events"}`
 - snapshot `shards/<n>/snapshot`: `{"seq", "epoch", "slots", "snapshot_id", "state"}`
+
+A snapshot that is too large for one value is cut into parts
+`shards/<n>/parts/<epoch>-<snapshot_id>/<i>`,
+which are written first. Then the value of `shards/<n>/snapshot` commits them: it has format 2 and
+`{"seq", "epoch", "slots", "snapshot_id", "parts"}`. Parts are created once and never changed.
 """
 
 import json
@@ -28,11 +33,15 @@
 from .stores import Store, StoredValue
 
 FORMAT = 1
+FORMAT_IN_PARTS = 2
 
 # Below the store's limit, so that a shard at its maximum size can still be read and written.
 MAX_SNAPSHOT_BYTES = 900_000
 MAX_RECORD_BYTES = 900_000
 
+# A reader refuses more. It is more than writers use, so that a later build may write more.
+MAX_PARTS = 64
+
 # Bounds the memory that decompressing a damaged value can take.
 _MAX_JSON_BYTES = 64 * 1024 * 1024
 
@@ -84,6 +93,29 @@
     state: dict
 
 
+@attrs.frozen
+class SnapshotHead:
+    """The value that commits a snapshot in parts.
+
+    :param seq: last record that the state includes.
+    :param epoch: epoch of the owner that wrote it.
+    :param slots: number of slots of the ring.
+    :param snapshot_id: unique per write.
+    :param parts: number of the parts; joined, they are the encoded `Snapshot`.
+    """
+
+    seq: int
+    epoch: int
+    slots: int
+    snapshot_id: str
+    parts: int
+
+    @property
+    def part_set(self) -> str:
+        """Return the part of the keys that all parts of the snapshot have in common."""
+        return _part_set(self.epoch, self.snapshot_id)
+
+
 @attrs.frozen
 class SnapshotSize:
     """Size of a snapshot.
@@ -118,17 +150,18 @@
     epoch: int
 
 
-def encode(message: Record | Snapshot) -> bytes:
-    """Encode a record or a snapshot as a stored value."""
-    return _compress(_to_text(message))
+def encode(message: Record | Snapshot | SnapshotHead) -> bytes:
+    """Encode a record, a snapshot or the head of one as a stored value."""
+    value_format = FORMAT_IN_PARTS if isinstance(message, SnapshotHead) else FORMAT
+    return _compress(_to_text(message), value_format)
 
 
-def _to_text(message: Record | Snapshot) -> bytes:
+def _to_text(message: Record | Snapshot | SnapshotHead) -> bytes:
     return json.dumps(attrs.asdict(message, recurse=False), separators=(",", ":")).encode()
 
 
-def _compress(text: bytes) -> bytes:
-    return bytes([FORMAT]) + zlib.compress(text, _COMPRESSION_LEVEL)
+def _compress(text: bytes, value_format: int = FORMAT) -> bytes:
+    return bytes([value_format]) + zlib.compress(text, _COMPRESSION_LEVEL)
 
 
 def decode_record(stored: StoredValue) -> Record:
@@ -158,11 +191,38 @@
     return Snapshot(**body)
 
 
-def _decode(stored: StoredValue, names: set[str]) -> dict:
+def decode_head(stored: StoredValue) -> Snapshot | SnapshotHead:
+    """Decode the value under a journal's snapshot key: a snapshot, or the head of its parts.
+
+    :raises InvalidMessageError: the value is damaged or from a newer version; the message names
+        the key.
+    """
+    if stored.value[:1] != bytes([FORMAT_IN_PARTS]):
+        return decode_snapshot(stored)
+    body = _decode(stored, attrs.fields_dict(SnapshotHead).keys(), FORMAT_IN_PARTS)
+    is_valid = _is_valid_header(body) and isinstance(body["snapshot_id"], str)
+    if not is_valid or type(body["parts"]) is not int or not 0 < body["parts"] <= MAX_PARTS:
+        raise InvalidMessageError(f"{stored.key}: a field of the snapshot is invalid")
+    return SnapshotHead(**body)
+
+
+def _part_set(epoch: int, snapshot_id: str) -> str:
+    return f"{epoch}-{snapshot_id}"
+
+
+def _epoch_of(part_set: str) -> int | None:
+    """Return the epoch in the name of a set of parts; None when it has none."""
+    epoch = part_set.partition("-")[0]
+    return int(epoch) if epoch.isdecimal() else None
+
+
+def _decode(stored: StoredValue, names: set[str], expected_format: int = FORMAT) -> dict:
     if not stored.value:
         raise InvalidMessageError(f"{stored.key}: the value is empty")
-    if stored.value[0] != FORMAT:
-        raise InvalidMessageError(f"{stored.key}: format {stored.value[0]} is not {FORMAT}")
+    if stored.value[0] != expected_format:
+        raise InvalidMessageError(
+            f"{stored.key}: format {stored.value[0]} is not {expected_format}"
+        )
     try:
         body = json.loads(_decompress(stored.value[1:]))
     except (ValueError, zlib.error, RecursionError) as exc:
@@ -212,9 +272,17 @@
     :param shard: number of the shard.
     :param slots: number of slots of the ring; fixed for the lifetime of the shard's data.
     :param root: first part of the keys; each kind of state has its own.
+    :param max_parts: maximum number of values that a snapshot takes up.
     """
 
-    def __init__(self, store: Store, shard: int, slots: int = 64, root: str = "shards"):
+    def __init__(
+        self,
+        store: Store,
+        shard: int,
+        slots: int = 64,
+        root: str = "shards",
+        max_parts: int = 1,
+    ):
         if slots < 2:
             raise JournalError(f"a ring of {slots} slots is too small")
         self._store = store
@@ -222,6 +290,11 @@
         self._slots = slots
         self._prefix = f"{root}/{shard}/log/"
         self._snapshot_key = f"{root}/{shard}/snapshot"
+        self._parts_prefix = f"{root}/{shard}/parts/"
+        self._max_parts = max_parts
+        # Versions by key; 0 while the version is unknown.
+        self._own_parts: dict[str, dict[str, int]] = {}
+        self._is_cleaned = False
         self._versions = [0] * slots
         self._snapshot_version = 0
         self._snapshot_seq = 0
@@ -254,6 +327,11 @@
         """Size of the last snapshot that was encoded, written or not."""
         return self._measured
 
+    @property
+    def max_snapshot_bytes(self) -> int:
+        """Largest snapshot that can be written, in stored bytes."""
+        return MAX_SNAPSHOT_BYTES * self._max_parts
+
     @property
     def is_claimed(self) -> bool:
         """Whether `claim` has succeeded since `open`."""
@@ -280,12 +358,15 @@
         self._claimed = False
         self._fenced = False
         self._pending = None
+        self._own_parts = {}
+        self._is_cleaned = False
         for _ in range(_READ_ATTEMPTS):
             recovery = self._read()
             if recovery is not None:
                 self._opened = True
                 return recovery
-        raise JournalError(f"shard {self._shard}: the ring has a gap after the snapshot")
+        message = "the ring has a gap after the snapshot, or parts of the snapshot are missing"
+        raise JournalError(f"shard {self._shard}: {message}")
 
     def claim(self) -> int:
         """Append an empty record of the next epoch, which fences off the previous owner.
@@ -347,7 +428,7 @@
         :param state: JSON-serialisable state.
         :param seq: last record that the state includes; by default the last committed one.
         :raises FencedError: another owner wrote a snapshot.
-        :raises SnapshotTooLargeError: the snapshot exceeds `MAX_SNAPSHOT_BYTES` or
+        :raises SnapshotTooLargeError: the snapshot exceeds `max_snapshot_bytes` or
             `MAX_SNAPSHOT_TEXT_BYTES`; nothing was written.
         :raises JournalError: the store is unavailable (call it again with a current state).
         """
@@ -358,9 +439,11 @@
         snapshot = Snapshot(seq, self._epoch, self._slots, uuid.uuid4().hex, state)
         value = self._encode_snapshot(snapshot)
         try:
-            self._put_snapshot(snapshot, value)
+            head = self._put_parts(snapshot, value)
+            stored_set = self._put_snapshot(snapshot, head, len(value))
         except StoreError as exc:
             raise JournalError(f"{self._snapshot_key}: {exc}") from exc
+        self._delete_parts(stored_set)
         log(Event.SNAPSHOT_WRITTEN, shard=self._shard, seq=seq, size=len(value))
 
     def measure(self, state: dict) -> SnapshotSize:
@@ -374,7 +457,7 @@
     def _encode_snapshot(self, snapshot: Snapshot) -> bytes:
         value = self._encode(snapshot)
         size = self._measured
-        if size.stored_bytes > MAX_SNAPSHOT_BYTES:
+        if size.stored_bytes > self.max_snapshot_bytes:
             message = f"{self._snapshot_key}: {size.stored_bytes} bytes exceed the limit"
             raise SnapshotTooLargeError(message)
         if size.text_bytes > MAX_SNAPSHOT_TEXT_BYTES:
@@ -388,20 +471,58 @@
         self._measured = SnapshotSize(len(value), len(text))
         return value
 
-    def _put_snapshot(self, snapshot: Snapshot, value: bytes) -> None:
+    def _put_parts(self, snapshot: Snapshot, value: bytes) -> bytes:
+        """Write the parts of a snapshot that is too large for one value.
+
+        :returns: the value that commits the snapshot.
+        """
+        if len(value) <= MAX_SNAPSHOT_BYTES:
+            return value
+        parts = [
+            value[begin : begin + MAX_SNAPSHOT_BYTES]
+            for begin in range(0, len(value), MAX_SNAPSHOT_BYTES)
+        ]
+        head = SnapshotHead(
+            snapshot.seq, snapshot.epoch, snapshot.slots, snapshot.snapshot_id, len(parts)
+        )
+        versions = self._own_parts.setdefault(head.part_set, {})
+        for number, part in enumerate(parts):
+            key = self._part_key(head, number)
+            versions[key] = 0
+            versions[key] = self._create(key, part)
+        return encode(head)
+
+    def _create(self, key: str, value: bytes) -> int:
+        """Create a key that no other process writes; return its version."""
+        for _ in range(_WRITE_ATTEMPTS):
+            outcome = self._store.put(key, value, 0)
+            if isinstance(outcome, Committed):
+                return outcome.version
+            stored = self._store.get(key)
+            if stored is not None:
+                return stored.version
+        raise JournalError(f"{key}: the write has not taken effect")
+
+    def _put_snapshot(self, snapshot: Snapshot, value: bytes, size: int) -> str:
+        """Write the value that commits a snapshot.
+
+        :param size: size of the whole snapshot, in stored bytes.
+        :returns: the set of parts of the snapshot that is stored now.
+        """
         for _ in range(_WRITE_ATTEMPTS):
             outcome = self._store.put(self._snapshot_key, value, self._snapshot_version)
             if isinstance(outcome, Committed):
-                self._on_snapshot_written(snapshot.seq, outcome.version, len(value))
-                return
+                self._on_snapshot_written(snapshot.seq, outcome.version, size)
+                return _part_set(snapshot.epoch, snapshot.snapshot_id)
             stored = self._store.get(self._snapshot_key)
-            if stored is not None and self._supersedes(decode_snapshot(stored), snapshot):
-                self._on_snapshot_written(snapshot.seq, stored.version, len(stored.value))
-                return
+            found = None if stored is None else decode_head(stored)
+            if found is not None and self._supersedes(found, snapshot):
+                self._on_snapshot_written(snapshot.seq, stored.version, size)
+                return _part_set(found.epoch, found.snapshot_id)
             self._snapshot_version = stored.version if stored else 0
         raise JournalError(f"{self._snapshot_key}: the write has not taken effect")
 
-    def _supersedes(self, stored: Snapshot, ours: Snapshot) -> bool:
+    def _supersedes(self, stored: Snapshot | SnapshotHead, ours: Snapshot) -> bool:
         """Return whether the stored snapshot makes ours unnecessary.
 
         A previous owner's late snapshot has a lower sequence number and is replaced.
@@ -413,6 +534,45 @@
             raise FencedError(f"{self._snapshot_key}: written in epoch {stored.epoch}")
         return stored.seq >= ours.seq
 
+    def _delete_parts(self, stored_set: str) -> None:
+        """Delete the parts of earlier snapshots, as far as the store answers.
+
+        Only after the claim: a head of an earlier epoch is then refused, so nothing can name the
+        parts again. Parts of a later epoch, and others' parts of this one, are left alone.
+
+        :param stored_set: the set of parts that the stored snapshot consists of.
+        """
+        if not self._claimed:
+            return
+        try:
+            for part_set in [name for name in self._own_parts if name != stored_set]:
+                self._delete_set(self._own_parts[part_set])
+                del self._own_parts[part_set]
+            if not self._is_cleaned:
+                self._delete_earlier_parts(stored_set)
+                self._is_cleaned = True
+        except StoreError as exc:
+            # They only take up room; the next snapshot tries again.
+            log(Event.STORE_UNAVAILABLE, call="delete parts of a snapshot", reason=str(exc))
+
+    def _delete_set(self, versions: dict[str, int]) -> None:
+        for key, version in versions.items():
+            if not version:
+                stored = self._store.get(key)
+                version = stored.version if stored else 0
+            if version:
+                self._store.delete(key, version)
+
+    def _delete_earlier_parts(self, stored_set: str) -> None:
+        for stored in self._store.list(self._parts_prefix).values:
+            part_set = stored.key.removeprefix(self._parts_prefix).partition("/")[0]
+            epoch = _epoch_of(part_set)
+            if part_set != stored_set and epoch is not None and epoch < self._epoch:
+                self._store.delete(stored.key, stored.version)
+
+    def _part_key(self, head: SnapshotHead, number: int) -> str:
+        return f"{self._parts_prefix}{head.part_set}/{number}"
+
     def _on_snapshot_written(self, seq: int, version: int, size: int) -> None:
         self._snapshot_seq = seq
         self._snapshot_version = version
@@ -424,10 +584,13 @@
         """Read once; return None when a writer overwrote slots during the read."""
         try:
             stored = self._store.get(self._snapshot_key)
+            value = self._read_value(stored)
+            if value is None and stored is not None:
+                return None
             listing = self._store.list(self._prefix)
         except StoreError as exc:
             raise JournalError(f"shard {self._shard}: {exc}") from exc
-        snapshot = self._decode_snapshot(stored)
+        snapshot = self._decode_snapshot(value)
         ring = self._decode_ring(listing.values)
         recent = [ring[seq] for seq in sorted(ring) if seq > snapshot.seq]
         if [record.seq for record in recent] != [
@@ -439,13 +602,28 @@
         epochs = [snapshot.epoch, *(record.epoch for record in recent)]
         if epochs != sorted(epochs):
             raise JournalError(f"shard {self._shard}: epochs decrease along the ring")
-        self._cache_versions(stored, snapshot, listing.values)
+        self._cache_versions(value, snapshot, listing.values)
         self._seq = snapshot.seq + len(recent)
         self._epoch = epochs[-1]
         events = [event for record in recent for event in record.events]
         state = snapshot.state if stored else None
         return Recovery(state, events, self._seq, self._epoch)
 
+    def _read_value(self, stored: StoredValue | None) -> StoredValue | None:
+        """Return the stored snapshot with its parts joined; None when a part is gone.
+
+        A writer deletes the parts of a snapshot that it has replaced.
+        """
+        if stored is None:
+            return None
+        head = decode_head(stored) if stored.value[:1] == bytes([FORMAT_IN_PARTS]) else None
+        if head is None:
+            return stored
+        parts = [self._store.get(self._part_key(head, number)) for number in range(head.parts)]
+        if any(part is None for part in parts):
+            return None
+        return attrs.evolve(stored, value=b"".join(part.value for part in parts))
+
     def _decode_snapshot(self, stored: StoredValue | None) -> Snapshot:
         if stored is None:
             return Snapshot(0, 0, self._slots, "", {})
--- a/packages/core/src/mulberryslip/snapshots.py
+++ b/packages/core/src/mulberryslip/snapshots.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 
 from . import records
-from .journals import MAX_SNAPSHOT_BYTES, MAX_SNAPSHOT_TEXT_BYTES, SnapshotSize
+from .journals import SnapshotSize
 from .steps import WorkflowSpec
 from .workflows import Phase, Pool, Workflow, WorkflowAccepted
 
@@ -29,6 +29,10 @@
 TASK_TEXT_BYTES = 200
 """Length of a task's row with short names, in bytes of JSON text."""
 
+MAX_STATE_TEXT_BYTES = 7_200_000
+"""Limit of the JSON text of a pool's state. A new owner restores 6 MB of text, which are 18,000
+workflows of one task, in 1.6 s at most; workers' leases go on for 6 s."""
+
 MEASUREMENT_SHARE = 0.5
 """Share of the limit above which the state is measured before a snapshot is due."""
 
@@ -46,25 +50,33 @@
 class SnapshotBudget:
     """Estimates the size of the next snapshot, never below the true one. Not thread-safe.
 
-    :param limit: largest snapshot that can be written and read.
+    :param limit: largest snapshot that can be written, and read in time.
     """
 
-    def __init__(self, limit: SnapshotSize | None = None):
-        self._limit = limit or SnapshotSize(MAX_SNAPSHOT_BYTES, MAX_SNAPSHOT_TEXT_BYTES)
+    def __init__(self, limit: SnapshotSize):
+        self._limit = limit
         self._used = SnapshotSize(0, 0)
-        self._added_bytes = 0
+        self._added = SnapshotSize(0, 0)
         self._next_measurement_at: timedelta | None = None
         self._was_refused = False
 
     @property
-    def used_bytes(self) -> int:
-        """Return the estimated size with the reserve for growth, in stored bytes."""
-        return self._used.stored_bytes
+    def used(self) -> SnapshotSize:
+        """Return the estimated size with the reserve for growth."""
+        return self._used
+
+    @property
+    def limit(self) -> SnapshotSize:
+        """Return the size up to which workflows are accepted."""
+        return SnapshotSize(
+            int(self._limit.stored_bytes * ADMISSION_SHARE),
+            int(self._limit.text_bytes * ADMISSION_SHARE),
+        )
 
     @property
-    def limit_bytes(self) -> int:
-        """Return the size up to which workflows are accepted, in stored bytes."""
-        return int(self._limit.stored_bytes * ADMISSION_SHARE)
+    def used_share(self) -> float:
+        """Return the share of the limit that is used, of stored bytes or of text."""
+        return _share(self._used, self.limit)
 
     def needs_measurement(self, now: timedelta) -> bool:
         """Return whether the estimate should be replaced by a measurement.
@@ -75,10 +87,8 @@
             return True
         if now < self._next_measurement_at:
             return False
-        has_grown = self._added_bytes > self.limit_bytes * MIN_GROWTH_SHARE
-        return self._was_refused or (
-            has_grown and self.used_bytes > self.limit_bytes * MEASUREMENT_SHARE
-        )
+        has_grown = _share(self._added, self.limit) > MIN_GROWTH_SHARE
+        return self._was_refused or (has_grown and self.used_share > MEASUREMENT_SHARE)
 
     def record_measurement(
         self, size: SnapshotSize, reserve: SnapshotSize, now: timedelta, took: timedelta
@@ -91,7 +101,7 @@
         :param took: how long the measurement took.
         """
         self._used = size + reserve
-        self._added_bytes = 0
+        self._added = SnapshotSize(0, 0)
         self._was_refused = False
         pause = max(MIN_MEASUREMENT_PAUSE, took * MEASUREMENT_PAUSE_FACTOR)
         self._next_measurement_at = now + pause
@@ -102,12 +112,11 @@
         :param cost: see `acceptance_cost`.
         """
         used = self._used + cost
-        max_text = self._limit.text_bytes * ADMISSION_SHARE
-        if used.stored_bytes > self.limit_bytes or used.text_bytes > max_text:
+        if _share(used, self.limit) > 1:
             self._was_refused = True
             return False
         self._used = used
-        self._added_bytes += cost.stored_bytes
+        self._added += cost
         return True
 
 
@@ -133,6 +142,10 @@
         return pause
 
 
+def _share(size: SnapshotSize, limit: SnapshotSize) -> float:
+    return max(size.stored_bytes / limit.stored_bytes, size.text_bytes / limit.text_bytes)
+
+
 def acceptance_cost(event: WorkflowAccepted, spec: WorkflowSpec) -> SnapshotSize:
     """Return an upper bound of what a workflow adds to a snapshot, with its reserve.
 
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -11,8 +11,8 @@
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import InventoryError, StoreError
 from mulberryslip.handovers import HandoverPolicy
-from mulberryslip.journals import Journal
-from mulberryslip.snapshots import RetryPauses, SnapshotBudget
+from mulberryslip.journals import Journal, SnapshotSize
+from mulberryslip.snapshots import MAX_STATE_TEXT_BYTES, RetryPauses, SnapshotBudget
 from mulberryslip.vms import VMInventory, WorkerAbsences
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool
@@ -104,7 +104,7 @@
         self.session = session
         self.claim = claim
         self.handover = HandoverPolicy()
-        self.budget = SnapshotBudget()
+        self.budget = SnapshotBudget(SnapshotSize(journal.max_snapshot_bytes, MAX_STATE_TEXT_BYTES))
         self.snapshot_retries = RetryPauses()
         self.is_full = False
         self.lock = threading.Lock()
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -24,7 +24,7 @@
     SnapshotTooLargeError,
     StoreError,
 )
-from mulberryslip.journals import MAX_SNAPSHOT_BYTES, Journal, SnapshotSize
+from mulberryslip.journals import Journal, SnapshotSize
 from mulberryslip.metrics import Metrics
 from mulberryslip.snapshots import acceptance_cost, growth_reserve
 from mulberryslip.steps import WorkflowSpec
@@ -72,6 +72,9 @@
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
+SNAPSHOT_PARTS = 4
+"""Maximum number of values of a snapshot. Four take four calls more to write and to read."""
+
 FULL_RETRY_AFTER = timedelta(seconds=5)
 """Delay after which callers should retry when the pool holds as much as can be handed over."""
 
@@ -338,7 +341,7 @@
             session.stop()
             return False
         session.start()
-        journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools")
+        journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools", SNAPSHOT_PARTS)
         try:
             pool = _recover(journal, self._number)
             if journal.free_slots > 0:
@@ -650,9 +653,12 @@
     ) -> None:
         now = self._clock.monotonic()
         term.budget.record_measurement(term.journal.measured, reserve, now, now - started_at)
-        self._metrics.set_gauge("pool_state_bytes", term.budget.used_bytes)
-        self._metrics.set_gauge("pool_state_limit_bytes", term.budget.limit_bytes)
-        if term.budget.used_bytes <= term.budget.limit_bytes * FULL_UNTIL_SHARE:
+        used, limit = term.budget.used, term.budget.limit
+        self._metrics.set_gauge("pool_state_bytes", used.stored_bytes)
+        self._metrics.set_gauge("pool_state_limit_bytes", limit.stored_bytes)
+        self._metrics.set_gauge("pool_state_text_bytes", used.text_bytes)
+        self._metrics.set_gauge("pool_state_text_limit_bytes", limit.text_bytes)
+        if term.budget.used_share <= FULL_UNTIL_SHARE:
             self._record_fullness(term, False)
 
     def _record_fullness(self, term: PoolTerm, is_full: bool) -> None:
@@ -663,8 +669,10 @@
         log(
             Event.POOL_FULL if is_full else Event.POOL_HAS_ROOM,
             pool=self._number,
-            size=term.budget.used_bytes,
-            limit=term.budget.limit_bytes,
+            size=term.budget.used.stored_bytes,
+            limit=term.budget.limit.stored_bytes,
+            text=term.budget.used.text_bytes,
+            text_limit=term.budget.limit.text_bytes,
         )
 
     def _reject_queued(self, term: PoolTerm, reason: str = STORE_SILENT) -> None:
@@ -851,7 +859,7 @@
         pool=number,
         reason=str(exc),
         size=journal.measured.stored_bytes,
-        limit=MAX_SNAPSHOT_BYTES,
+        limit=journal.max_snapshot_bytes,
         free_records=journal.free_slots,
         retry_ms=pause // timedelta(milliseconds=1),
     )
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -9,10 +9,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mulberryslip import ManualClock
+from mulberryslip import ManualClock, journals
 from mulberryslip.exceptions import FencedError, InvalidMessageError, JournalError
 from mulberryslip.journals import (
     FORMAT,
+    FORMAT_IN_PARTS,
     Journal,
     Record,
     Snapshot,
@@ -245,8 +246,9 @@
     STEPS = 60
     MAX_NESTED_STEPS = 2
 
-    def __init__(self, seed, journal_class=Journal, compare_and_swap=True):
+    def __init__(self, seed, journal_class=Journal, compare_and_swap=True, max_parts=1):
         self.rng = random.Random(seed)
+        self.max_parts = max_parts
         self.store = RacingStore(ManualClock(), self.rng, compare_and_swap)
         self.store.run_concurrent_writers = self.step
         self.owners = [Owner(self, journal_class) for _ in range(3)]
@@ -284,7 +286,7 @@
 
     def __init__(self, race, journal_class):
         self.race = race
-        self.journal = journal_class(race.store, 0, SLOTS)
+        self.journal = journal_class(race.store, 0, SLOTS, max_parts=race.max_parts)
         self.restart()
 
     def restart(self):
@@ -341,6 +343,125 @@
     assert len(race.committed) > 3
 
 
+@pytest.mark.parametrize("seed", range(150))
+def test_racing_owners_agree_about_snapshots_in_parts(seed, monkeypatch):
+    """Guards against a snapshot whose parts another owner has deleted or replaced."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 120)
+    race = Race(seed, max_parts=50).run()
+    race.check()
+    assert len(race.committed) > 3
+
+
+def test_races_write_snapshots_in_parts(monkeypatch):
+    """Guards against a race that has no snapshot in parts to disturb."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 120)
+    heads = set()
+    for seed in range(20):
+        stored = Race(seed, max_parts=50).run().store.state.get("shards/0/snapshot")
+        heads.add(stored.value[0] if stored else None)
+    assert FORMAT_IN_PARTS in heads
+
+
+class EagerJournal(Journal):
+    """Journal that deletes all parts but its own, also those of later owners."""
+
+    def _delete_earlier_parts(self, stored_set):
+        for stored in self._store.list(self._parts_prefix).values:
+            if not stored.key.startswith(f"{self._parts_prefix}{stored_set}/"):
+                self._store.delete(stored.key, stored.version)
+
+    def _delete_parts(self, stored_set):
+        self._is_cleaned = False
+        super()._delete_parts(stored_set)
+
+
+def test_races_find_a_journal_that_deletes_parts_of_others(monkeypatch):
+    """Guards against a race that does not notice when parts are deleted too early."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 120)
+    faults = 0
+    for seed in range(150):
+        try:
+            Race(seed, EagerJournal, max_parts=50).run().check()
+        except (AssertionError, JournalError):
+            faults += 1
+    assert faults > 0
+
+
+def part_keys(store):
+    return [stored.key for stored in store.list("shards/0/parts/").values]
+
+
+@pytest.mark.parametrize("faults", [{}, {"lose_responses": 3}, {"lose_writes": 1}])
+def test_snapshot_in_parts_is_read_and_replaced(store, monkeypatch, faults):
+    """Guards against state that outgrows one value, and against parts that are never deleted."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 100)
+    journal = Journal(store, 0, SLOTS, max_parts=50)
+    journal.open()
+    journal.claim()
+    numbers = list(range(1000))
+    sets = []
+    for turn in range(3):
+        journal.append([event(turn)])
+        for fault, count in faults.items():
+            getattr(store, fault)(count)
+        journal.write_snapshot({"n": numbers})
+        sets.append(part_keys(store))
+        reader = Journal(store, 0, SLOTS, max_parts=50)
+        assert reader.open().state == {"n": numbers}
+        assert reader.snapshot_bytes == journal.snapshot_bytes > 1000
+    assert len(sets[0]) == len(sets[2]) > 10
+    assert not set(sets[0]) & set(sets[2])
+    journal.write_snapshot({"n": []})
+    assert part_keys(store) == []
+    assert store.get("shards/0/snapshot").value[0] == FORMAT
+
+
+def test_parts_without_a_head_are_deleted_by_the_next_owner(store, monkeypatch):
+    """Guards against parts that fill the store when owners are killed between the writes."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 100)
+    journal = Journal(store, 0, SLOTS, max_parts=50)
+    journal.open()
+    journal.claim()
+    monkeypatch.setattr(Journal, "_put_snapshot", lambda *args: 1 / 0)
+    with pytest.raises(ZeroDivisionError):
+        journal.write_snapshot({"n": list(range(1000))})
+    monkeypatch.undo()
+    assert part_keys(store)
+    following = claimed_journal(store)
+    following.write_snapshot({"n": [1]})
+    assert part_keys(store) == []
+    assert Journal(store, 0, SLOTS).open().state == {"n": [1]}
+
+
+def test_snapshot_that_fits_into_one_value_is_written_as_before(store):
+    """Guards against a build before that cannot take over from this one."""
+    journal = Journal(store, 0, SLOTS, max_parts=50)
+    journal.open()
+    journal.claim()
+    journal.write_snapshot({"n": list(range(1000))})
+    stored = store.get("shards/0/snapshot")
+    assert decode_snapshot(stored).state == {"n": list(range(1000))}
+    assert part_keys(store) == []
+
+
+@pytest.mark.parametrize("damage", ["missing", "cut", "head"])
+def test_damaged_parts_are_refused(store, monkeypatch, damage):
+    """Guards against a state that is read in part."""
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", 100)
+    journal = Journal(store, 0, SLOTS, max_parts=50)
+    journal.open()
+    journal.claim()
+    journal.write_snapshot({"n": list(range(1000))})
+    key = "shards/0/snapshot" if damage == "head" else part_keys(store)[3]
+    stored = store.get(key)
+    if damage == "missing":
+        store.delete(key, stored.version)
+    else:
+        store.put(key, stored.value[:-1], stored.version)
+    with pytest.raises((JournalError, InvalidMessageError)):
+        Journal(store, 0, SLOTS).open()
+
+
 @pytest.mark.parametrize(
     ("journal_class", "compare_and_swap"),
     [(OptimisticJournal, True), (BlindRetryJournal, True), (Journal, False)],
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -7,12 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from log_events import logged_events
-from mulberryslip import ManualClock, journals, snapshots
+from mulberryslip import ManualClock, journals
 from mulberryslip.exceptions import SnapshotTooLargeError
 from mulberryslip.journals import Journal, SnapshotSize
 from mulberryslip.queues import Queue
 from mulberryslip.snapshots import (
     MAX_RETRY_PAUSE,
+    MAX_STATE_TEXT_BYTES,
     RetryPauses,
     SnapshotBudget,
     acceptance_cost,
@@ -44,8 +45,8 @@
     return "".join(rng.choices(string.ascii_letters + string.digits + "+/", k=length))
 
 
-def claimed_journal():
-    journal = Journal(FakeStore(ManualClock()), 0, 64, "pools")
+def claimed_journal(max_parts=1):
+    journal = Journal(FakeStore(ManualClock()), 0, 64, "pools", max_parts)
     journal.open()
     journal.claim()
     return journal
@@ -57,11 +58,12 @@
 class GrowingPool:
     """A pool whose snapshot is estimated as its owner does."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, max_parts=1):
         self.rng = random.Random(seed)
         self.pool = Pool()
-        self.budget = SnapshotBudget()
-        self.journal = claimed_journal()
+        self.journal = claimed_journal(max_parts)
+        limit = SnapshotSize(self.journal.max_snapshot_bytes, MAX_STATE_TEXT_BYTES)
+        self.budget = SnapshotBudget(limit)
         self.now = 0 * SECOND
         self.accepted = 0
 
@@ -129,14 +131,17 @@
     for name, *args in operations:
         for _ in range(10 if name == "accept" else 1):
             getattr(growing, name)(*args)
-        assert growing.true_size().stored_bytes <= growing.budget.used_bytes
+        assert growing.true_size().stored_bytes <= growing.budget.used.stored_bytes
 
 
 @pytest.mark.parametrize(("chars", "tasks"), [(4000, 6), (60_000, 1), (0, 1), (20, 30), (0, 4000)])
 @pytest.mark.parametrize("compressible", [False, True])
-def test_full_pool_fits_into_its_snapshot_in_every_later_state(chars, tasks, compressible):
+@pytest.mark.parametrize("max_parts", [1, 4])
+def test_full_pool_fits_into_its_snapshot_in_every_later_state(
+    chars, tasks, compressible, max_parts
+):
     """Guards against a pool that outgrows its snapshot after the last workflow was accepted."""
-    growing = GrowingPool(1)
+    growing = GrowingPool(1, max_parts)
     growing.measure()
     refused = 0
     while refused < 5 and growing.accepted < 4000:
@@ -146,7 +151,7 @@
             growing.measure()
             refused += 1
     assert growing.accepted >= 1
-    limit = SnapshotSize(journals.MAX_SNAPSHOT_BYTES, journals.MAX_SNAPSHOT_TEXT_BYTES)
+    limit = SnapshotSize(growing.journal.max_snapshot_bytes, MAX_STATE_TEXT_BYTES)
     for _ in range(3):
         growing.start_all(1.0)
         growing.save_and_end(0.3)
@@ -155,11 +160,22 @@
         assert size.text_bytes <= limit.text_bytes
 
 
+def test_long_text_is_refused_and_measured_too():
+    """Guards against a state that a new owner does not restore before leases end."""
+    budget = SnapshotBudget(SnapshotSize(900_000, 7_200_000))
+    nothing = SnapshotSize(0, 0)
+    budget.record_measurement(nothing, nothing, 0 * SECOND, 0 * SECOND)
+    assert budget.admit(SnapshotSize(1000, 5_900_000))
+    assert budget.used_share > 0.9
+    assert budget.needs_measurement(SECOND)
+    assert not budget.admit(SnapshotSize(1000, 200_000))
+
+
 def test_state_is_measured_at_bounded_cost():
     """Guards against rounds that compress the whole state for each submission of a full pool."""
-    budget = SnapshotBudget()
+    budget = SnapshotBudget(SnapshotSize(900_000, 7_200_000))
     assert budget.needs_measurement(0 * SECOND)
-    full = SnapshotSize(budget.limit_bytes, 1000)
+    full = SnapshotSize(budget.limit.stored_bytes, 1000)
     nothing = SnapshotSize(0, 0)
     budget.record_measurement(full, nothing, 10 * SECOND, SECOND / 2)
     assert not budget.admit(SnapshotSize(1, 1))
@@ -209,17 +225,21 @@
 # Owners
 
 
-@pytest.fixture
-def small(monkeypatch):
+@pytest.fixture(params=[1, 4])
+def small(monkeypatch, request):
     """Lower the limits, so that a pool outgrows its snapshot after a few workflows."""
-    set_limit(monkeypatch, LIMIT)
-    monkeypatch.setattr(pools, "JOURNAL_SLOTS", SLOTS)
+    lower_limits(monkeypatch, request.param)
     return monkeypatch
 
 
+def lower_limits(monkeypatch, max_parts):
+    monkeypatch.setattr(pools, "SNAPSHOT_PARTS", max_parts)
+    monkeypatch.setattr(pools, "JOURNAL_SLOTS", SLOTS)
+    set_limit(monkeypatch, LIMIT)
+
+
 def set_limit(monkeypatch, limit):
-    for module in (journals, snapshots, pools):
-        monkeypatch.setattr(module, "MAX_SNAPSHOT_BYTES", limit)
+    monkeypatch.setattr(journals, "MAX_SNAPSHOT_BYTES", limit // pools.SNAPSHOT_PARTS)
 
 
 def make_world(seed=0):
@@ -265,6 +285,8 @@
     assert refusal.retry_after_ms > 0
     assert len(accepted) > 10
     world.run(3 * SLOTS)
+    stored = world.store.state.get("pools/0/snapshot")
+    assert (stored.value[0] == journals.FORMAT_IN_PARTS) is (pools.SNAPSHOT_PARTS > 1)
     hand_over(world)
     assert {world.shown(name) for name in accepted} == {"running"}
     assert world.call("status", f"a{len(accepted)}").outcome == Outcome.NOT_FOUND
@@ -359,6 +381,14 @@
                 raise Killed
         return super().put(key, value, expected_version, lease_id)
 
+    def delete(self, key, expected_version):
+        if self.writes_left is not None:
+            self.writes_left -= 1
+            if self.writes_left < 0:
+                self.writes_left = None
+                raise Killed
+        return super().delete(key, expected_version)
+
 
 STEPS = st.one_of(
     st.tuples(st.just("submit"), st.integers(0, 3000)),
@@ -447,13 +477,13 @@
             assert self.world.call("status", name).outcome == Outcome.NOT_FOUND, name
 
 
+@pytest.mark.parametrize("max_parts", [1, 4])
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(seed=st.integers(0, 2**32), steps=st.lists(STEPS, min_size=10, max_size=60))
-def test_growth_with_kills_at_writes(seed, steps):
+def test_growth_with_kills_at_writes(max_parts, seed, steps):
     """Guards against lost or half accepted workflows, and against claims that never succeed."""
     with pytest.MonkeyPatch.context() as monkeypatch:
-        set_limit(monkeypatch, LIMIT)
-        monkeypatch.setattr(pools, "JOURNAL_SLOTS", SLOTS)
+        lower_limits(monkeypatch, max_parts)
         growth = Growth(seed)
         for name, *args in steps:
             getattr(growth, name)(*args)
