Count no announced end of a worker towards an outage

Found by reading before the landing: three workers that leave as announced and whose processes then end made a crash beside them part of an outage, so its task was not suspected. The end of an incarnation that has announced that it leaves is not recorded as a crash.

Before: test_workers_that_end_as_announced_are_no_outage[True] fails; after: both cases pass.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -188,7 +188,7 @@
             return []
         now_ms = self._now_ms()
         events: list[Any] = []
-        if report.unreachable:
+        if report.unreachable and member.left != member.incarnation:
             self._record_crash(term, member.worker_id, member.incarnation, member.machine)
         ended = {(run_end.task, run_end.run): ended_of(run_end) for run_end in report.ended}
         refused = {
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -131,6 +131,24 @@
     assert single.is_settled and not single.is_outage
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_workers_that_end_as_announced_are_no_outage(leaves):
+    """Guards against a crash that is not counted since other workers leave at the same time."""
+    world = make_world(run_ms=600_000)
+    world.submit("a", TASK)
+    world.run(2)
+    holder = next(worker for worker in world.workers if worker.runs)
+    others = [worker for worker in world.workers if worker is not holder][:3]
+    for worker in others:
+        worker.leaving = leaves
+    world.run(1)
+    for worker in (holder, *others):
+        worker.crash()
+    world.run(2)
+    (task,) = world.owner()._term.pool.workflows["a"].tasks()
+    assert task.is_suspected is leaves
+
+
 def test_known_crash_is_not_counted_again():
     """Guards against an agent that reports the same end again and again, as if in an outage."""
     crashes = WorkerCrashes()
