Excuse a task for an outage soon after its start once only

Nothing bounded how often a task was excused.

Change: an outage takes a third of the workers in place of a quarter; a task is excused once only for an outage within a second of its start, and is suspected then. A suspected task is excused only by an outage of workers without suspected tasks, since it is tried apart from others.

Also from the review, each shown there or by reading: a crash counts from the receipt of its report and not from the round that handles it, so a slow round neither joins single crashes nor divides an outage; a run that its worker lists again is not ended; a start counts as delivered only if it is sent; the lost runs of a crash are recorded before the lapsed ones, so that these do not hide what ran beside them.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -23,6 +23,10 @@
 """Runs of a task since its first crash after which it is given up, if `CRASHES_BEFORE_GUILT` of
 them have crashed a worker. The others ended with a worker that went silent, perhaps in a crash."""
 
+MAX_EXCUSED_STARTS = 1
+"""Crashes soon after a start of the task that are taken for outages. With many of them, a task that
+crashes its workers could start too often."""
+
 FIRST_PROBATION_MS = 1000
 MAX_PROBATION_MS = 8000
 """First and longest time for which a suspected task runs apart from new starts. The time doubles
--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -24,13 +24,15 @@
 """Time within which the workers of an outage are reported to have ended."""
 
 OUTAGE_TAIL = timedelta(milliseconds=700)
-"""Time after an outage was noticed in which further ends of workers belong to it. Agents report at
-least this often."""
+"""Time after an outage in which further ends of workers belong to it. Agents report at least this
+often."""
+
+OUTAGE_SHARE = 1 / 3
+"""Share of the workers that must have ended together in an outage. Deadly tasks that start at the
+same time usually crash fewer."""
 
-OUTAGE_SHARE = 0.25
 MIN_OUTAGE_WORKERS = 3
-"""Share of the workers, and number of them, that must have ended together in an outage. Tasks that
-crash their workers independently of each other rarely do so within `OUTAGE_WINDOW`."""
+"""Number of workers that must have ended together in an outage, besides their share."""
 
 
 @attrs.define(eq=False)
@@ -38,7 +40,7 @@
     """The end of a worker's process that its agent had not announced.
 
     :param machine: VM of the worker.
-    :param at: when the owner learned of it, on the owner's clock.
+    :param at: when the owner received the report of it, on the owner's clock.
     :param is_trial: whether suspected tasks ran there, so that one of them may be the cause.
     :param reason: how the owner learned of it.
     :param lost_runs: runs of the worker that the owner has not ended yet.
@@ -68,7 +70,7 @@
 
     def __init__(self) -> None:
         self._crashes: dict[tuple[str, str], WorkerCrash] = {}
-        self._outage_until: timedelta | None = None
+        self._outage: tuple[timedelta, timedelta] | None = None
 
     def record(
         self,
@@ -77,7 +79,7 @@
         machine: str,
         is_trial: bool,
         reason: str,
-        now: timedelta,
+        at: timedelta,
     ) -> WorkerCrash:
         """Record that a worker has ended; return its crash, the first one if it is known.
 
@@ -85,7 +87,7 @@
         """
         key = (worker_id, incarnation)
         if key not in self._crashes:
-            self._crashes[key] = WorkerCrash(machine, now, is_trial, reason)
+            self._crashes[key] = WorkerCrash(machine, at, is_trial, reason)
         return self._crashes[key]
 
     def settle(
@@ -105,22 +107,23 @@
         """
         if all(crash.is_settled and not crash.lost_runs for crash in self._crashes.values()):
             return []
-        together = [
-            crash
-            for crash in self._crashes.values()
-            if not crash.is_trial and now - crash.at <= OUTAGE_WINDOW
-        ]
-        fleet = len(listed_at) + len(together)
-        min_workers = max(MIN_OUTAGE_WORKERS, OUTAGE_SHARE * fleet)
-        if (
-            len(together) >= min_workers
-            and _independent_crashes(together, running_workflows()) >= min_workers
-        ):
-            self._outage_until = now + OUTAGE_TAIL
-        is_outage = self._outage_until is not None and now <= self._outage_until
         for crash in self._crashes.values():
             if crash.is_settled:
                 continue
+            together = [
+                other
+                for other in self._crashes.values()
+                if not other.is_trial and abs(other.at - crash.at) <= OUTAGE_WINDOW
+            ]
+            fleet = len(listed_at) + len(together)
+            min_workers = max(MIN_OUTAGE_WORKERS, OUTAGE_SHARE * fleet)
+            if (
+                len(together) >= min_workers
+                and _independent_crashes(together, running_workflows()) >= min_workers
+            ):
+                times = [other.at for other in together]
+                self._outage = (min(times), max(times) + OUTAGE_TAIL)
+            is_outage = self._outage is not None and self._outage[0] <= crash.at <= self._outage[1]
             sound = sum(at >= crash.at for at in listed_at)
             if is_outage or now - crash.at >= SETTLING_TIME or fleet - sound < min_workers:
                 crash.is_settled, crash.is_outage = True, is_outage
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -220,6 +220,8 @@
         nothing was started on its worker later.
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
+    :param excused_starts: number of crashes soon after a start of the task that this process took
+        for an outage.
     """
 
     workflow: "Workflow"
@@ -239,6 +241,7 @@
     crashes: CrashRecord | None = None
     outlived_run: int = 0
     delivered_run: int = 0
+    excused_starts: int = 0
 
     @property
     def is_suspected(self) -> bool:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -180,12 +180,13 @@
             starts, stops = list(member.starts), list(member.stops)
             member.starts.clear()
             member.stops.clear()
-            for start in starts:
-                term.pool.record_delivery(start.task, start.run)
             fence = member.fence(term.epoch)
             is_same = member.incarnation == req.incarnation
         if not is_same or not term.is_live():
             return wire.OrdersReply(Outcome.NOT_OWNER, term.epoch, fence, [], [])
+        with term.lock:
+            for start in starts:
+                term.pool.record_delivery(start.task, start.run)
         return wire.OrdersReply(Outcome.OK, term.epoch, fence, starts, stops)
 
     # Calls from gateways
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -11,7 +11,13 @@
 import attrs
 from mulberryslip.capacities import WorkerCapacity, step_key, worker_capacity_of
 from mulberryslip.clocks import Clock
-from mulberryslip.crashes import CLEARED_AFTER_MS, MAX_PROBATION_MS, max_trials
+from mulberryslip.crashes import (
+    CLEARED_AFTER_MS,
+    FIRST_PROBATION_MS,
+    MAX_EXCUSED_STARTS,
+    MAX_PROBATION_MS,
+    max_trials,
+)
 from mulberryslip.dispatches import (
     MAX_ESTIMATE_MS,
     Dispatcher,
@@ -189,7 +195,9 @@
         now_ms = self._now_ms()
         events: list[Any] = []
         if report.unreachable and member.left != member.incarnation:
-            self._record_crash(term, member.worker_id, member.incarnation, member.machine)
+            self._record_crash(
+                term, member.worker_id, member.incarnation, member.machine, member.received_at
+            )
         ended = {(run_end.task, run_end.run): ended_of(run_end) for run_end in report.ended}
         refused = {
             (refusal.task, refusal.run): refusal.reason
@@ -232,7 +240,8 @@
                 # VM's clock was set back. The agent's next one knows this owner.
                 continue
             elif task.incarnation != member.incarnation or report.unreachable:
-                events += self._end_crashed_run(term, task, now_ms)
+                reason = "the worker's process has ended or restarted"
+                events += self._end_crashed_run(term, task, now_ms, reason, member.received_at)
             elif report.clock_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 events.append(
@@ -317,7 +326,7 @@
             now_ms = self._now_ms()
             for task in worker_tasks:
                 if not is_silent:
-                    events += self._end_crashed_run(term, task, now_ms, reason)
+                    events += self._end_crashed_run(term, task, now_ms, reason, now)
                     continue
                 # Silence has many causes, so it tells nothing about the tasks.
                 events.append(self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason))
@@ -384,17 +393,20 @@
         term: PoolTerm,
         task: StepTask,
         now_ms: int,
-        reason: str = "the worker's process has ended or restarted",
+        reason: str,
+        at: timedelta,
     ) -> list[Any]:
         """Return the event of a run whose worker's process has ended as announced.
 
         If it was not announced, the events follow once it is known how many workers have ended, see
         `crashed_runs`.
+
+        :param at: when this process learned of the end.
         """
         member = term.members.get(task.worker_id)
         if member is not None and member.left == task.incarnation:
             return [self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason)]
-        crash = self._record_crash(term, task.worker_id, task.incarnation, task.machine, reason)
+        crash = self._record_crash(term, task.worker_id, task.incarnation, task.machine, at, reason)
         crash.lost_runs[task.name, task.run] = task
         return []
 
@@ -404,22 +416,21 @@
         worker_id: str,
         incarnation: str,
         machine: str,
+        at: timedelta,
         reason: str = "connection refused",
     ) -> WorkerCrash:
         is_trial = any(
             task.is_suspected and task.incarnation == incarnation
             for task in term.pool.active_tasks(worker_id)
         )
-        return term.crashes.record(
-            worker_id, incarnation, machine, is_trial, reason, self._clock.monotonic()
-        )
+        return term.crashes.record(worker_id, incarnation, machine, is_trial, reason, at)
 
     def crashed_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for the runs of crashed workers.
 
         The end of many workers at once is an outage and tells nothing about their runs. Neither
         does the end of a worker that a run may never have reached, because an earlier owner
-        assigned it. Suspected tasks stay accountable, or the limit of their runs could be passed.
+        assigned it.
         """
         now = self._clock.monotonic()
         now_ms = self._now_ms()
@@ -433,16 +444,24 @@
             return {task.workflow.workflow_id for task in tasks if task is not None}
 
         for crash in term.crashes.settle(now, listed_at, running_workflows):
-            lost = [task for (_, run), task in crash.lost_runs.items() if task.has_active_run(run)]
+            lost = [
+                task
+                for (_, run), task in crash.lost_runs.items()
+                if task.has_active_run(run) and not self._is_listed_since(term, task, crash.at)
+            ]
             crash.lost_runs = {}
+            excused = [task for task in lost if self._is_excused(term, task, crash)]
             for task in lost:
-                is_evidence = not crash.is_outage and task.delivered_run == task.run
-                if not is_evidence and not task.is_suspected:
-                    outcome = RunOutcome.LAPSED
-                else:
-                    outcome = RunOutcome.LOST
+                # The first of these events determines which runs were recent.
+                if task not in excused:
                     events += self._survived_longest_probation(term, task)
-                events.append(self._run_ended_event(term, task, outcome, now_ms, crash.reason))
+                    events.append(
+                        self._run_ended_event(term, task, RunOutcome.LOST, now_ms, crash.reason)
+                    )
+            for task in excused:
+                events.append(
+                    self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, crash.reason)
+                )
             if lost:
                 log(
                     Event.WORKER_CRASHED,
@@ -453,6 +472,31 @@
                 )
         return events
 
+    def _is_listed_since(self, term: PoolTerm, task: StepTask, at: timedelta) -> bool:
+        """Return whether the worker of a task has listed its run since a time."""
+        member = term.members.get(task.worker_id)
+        if member is None or member.received_at <= at:
+            return False
+        status = member.running.get(task.name)
+        return status is not None and status.run == task.run
+
+    def _is_excused(self, term: PoolTerm, task: StepTask, crash: WorkerCrash) -> bool:
+        """Return whether the crash of its worker is no evidence against a task.
+
+        A task that starts at the same time as others, and crashes its worker like these, is excused
+        `MAX_EXCUSED_STARTS` times only. Once it is suspected, it is tried apart from them.
+        """
+        if task.delivered_run != task.run and not task.is_suspected:
+            return True
+        if not crash.is_outage or task.is_suspected:
+            return crash.is_outage
+        member = term.members.get(task.worker_id)
+        is_known = member is not None and member.incarnation == task.incarnation
+        if is_known and _age_ms(task, member) >= FIRST_PROBATION_MS:
+            return True
+        task.excused_starts += 1
+        return task.excused_starts <= MAX_EXCUSED_STARTS
+
     def _survived_longest_probation(self, term: PoolTerm, task: StepTask) -> list[Any]:
         """Return the event that keeps a run that has lasted for long from being suspected.
 
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -83,14 +83,15 @@
     [
         (1, 11, "", (), 0, False),
         (2, 11, "", (), 0, False),
-        (3, 11, "", (), 0, True),
+        (3, 11, "", (), 0, False),
+        (4, 11, "", (), 0, True),
         (11, 11, "", (), 0, True),
         (2, 2, "", (), 0, False),
-        (39, 160, "", (), 0, False),
-        (40, 160, "", (), 0, True),
-        (6, 11, "wide", (), 0, False),
-        (6, 11, "wide", ("wide",), 0, True),
-        (4, 11, "", (), 2, False),
+        (53, 160, "", (), 0, False),
+        (54, 160, "", (), 0, True),
+        (8, 11, "wide", (), 0, False),
+        (8, 11, "wide", ("wide",), 0, True),
+        (6, 11, "", (), 4, False),
     ],
 )
 def test_outage_is_told_from_crashes_by_tasks(crashed, fleet, workflow, running, trials, is_outage):
@@ -120,14 +121,14 @@
 def test_late_report_of_an_outage_belongs_to_it():
     """Guards against suspecting the runs of the worker whose end is noticed last."""
     crashes = WorkerCrashes()
-    for number in range(4):
+    for number in range(8):
         crash_of(crashes, number, SECOND)
-    crashes.settle(SECOND, [SECOND] * 7, set)
-    late = crash_of(crashes, 4, SECOND + OUTAGE_TAIL)
-    crashes.settle(SECOND + OUTAGE_TAIL, [SECOND + OUTAGE_TAIL] * 6, set)
+    crashes.settle(SECOND, [SECOND] * 3, set)
+    late = crash_of(crashes, 8, SECOND + OUTAGE_TAIL)
+    crashes.settle(SECOND + OUTAGE_TAIL, [SECOND + OUTAGE_TAIL] * 2, set)
     assert late.is_outage
-    single = crash_of(crashes, 5, 3 * SECOND)
-    crashes.settle(3 * SECOND, [3 * SECOND] * 5, set)
+    single = crash_of(crashes, 9, 3 * SECOND)
+    crashes.settle(3 * SECOND, [3 * SECOND] * 10, set)
     assert single.is_settled and not single.is_outage
 
 
@@ -138,7 +139,7 @@
     world.submit("a", TASK)
     world.run(2)
     holder = next(worker for worker in world.workers if worker.runs)
-    others = [worker for worker in world.workers if worker is not holder][:3]
+    others = [worker for worker in world.workers if worker is not holder][:6]
     for worker in others:
         worker.leaving = leaves
     world.run(1)
@@ -149,6 +150,31 @@
     assert task.is_suspected is leaves
 
 
+@pytest.mark.parametrize(
+    ("workers", "deadly", "crash_ms"),
+    [
+        (11, 3, 10),
+        (11, 3, 400),
+        (11, 3, 800),
+        (11, 4, 400),
+        (11, 5, 400),
+        (11, 8, 400),
+        (40, 12, 400),
+    ],
+)
+def test_unrelated_deadly_tasks_do_not_pass_for_an_outage(workers, deadly, crash_ms):
+    """Guards against tasks that crash their workers at the same time and are excused each time."""
+    world = make_world(workers)
+    for worker in world.workers:
+        worker.crash_ms_of = lambda name: crash_ms if name.startswith("deadly") else None
+    names = [f"deadly{number}" for number in range(deadly)]
+    for name in names:
+        world.submit(name, TASK)
+    world.run(40 * ROUNDS_PER_SECOND)
+    assert shown_counts(world, names) == {"failed": deadly}
+    assert world.history.violations == []
+
+
 def test_known_crash_is_not_counted_again():
     """Guards against an agent that reports the same end again and again, as if in an outage."""
     crashes = WorkerCrashes()
