--- a/packages/core/src/mulberryslip/snapshots.py
+++ b/packages/core/src/mulberryslip/snapshots.py
@@ -17,7 +17,7 @@
 that cannot be refused: longer checkpoints, crash counts, interference and ended workflows."""
 
 TASK_RESERVE_BYTES = 40
-"""Stored bytes that a task without a run takes up in the end, measured on 400 workers: 18 to 32."""
+"""Stored bytes kept for the growth of a task without a run."""
 
 CHECKPOINT_RESERVE_BYTES = 64
 """Stored bytes kept for the checkpoint of a task that writes checkpoints."""
@@ -30,8 +30,8 @@
 """Length of a task's row with short names, in bytes of JSON text."""
 
 MAX_STATE_TEXT_BYTES = 7_200_000
-"""Limit of the JSON text of a pool's state. A new owner restores 6 MB of text, which are 18,000
-workflows of one task, in 1.6 s at most; workers' leases go on for 6 s."""
+"""Limit of the JSON text of a pool's state. A new owner must restore it well before the workers'
+leases end."""
 
 MEASUREMENT_SHARE = 0.5
 """Share of the limit above which the state is measured before a snapshot is due."""
