Let the rate of trials follow the work that waits for them

Cause: three limits without relation to the number of suspected tasks. A quarter of the workers runs trials, a trial closes its worker for up to 8 s, and two tasks of a workflow are tried at a time, so a service of 24 tasks with a spread limit of one a worker had 10 tasks running after 9 s.

Change: - tasks of a step are tried together while more than three trials for each worker wait; services always were - trials run on as many workers as needed for three in series, up to three quarters of them - a trial lasts 1 s while other suspected tasks wait, up to 8 s otherwise - the workers on trial for one workflow grow with its cleared tasks - a run that has outlived its trial is not blamed for the crash of a later one beside it: its survival is recorded before its end - a task with two crashes waits up to 3 s for a VM without one of them, as a third crash on the same VM settles nothing

Tried and dropped: a verdict on a whole workflow that ran apart from others.

The worst wait is stated as a formula in test_wait_for_trials_follows_the_number_of_suspected_steps.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -7,6 +7,7 @@
 - A data centre loses power, so many workers crash at once under tasks that are harmless.
 """
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -38,12 +39,20 @@
 MAX_CRASHED_MACHINES = 8
 
 MAX_TRIAL_SHARE = 0.25
-"""Maximum share of the workers on which suspected tasks run, so that other work continues.
-Long-running tasks may use twice as many, and all that are left once they have waited long."""
+"""Maximum share of the workers on which suspected tasks run while few wait, so that other work
+continues. Long-running tasks may use twice as many, and all that are left once they have waited
+long."""
+
+MAX_BACKLOG_TRIAL_SHARE = 0.75
+"""Maximum share of the workers on which suspected tasks run while many wait."""
+
+MAX_TRIALS_IN_SERIES = 3
+"""Number of trials that a worker may have before it, above which more workers run trials. Each
+takes `FIRST_PROBATION_MS` and the time until its survival is committed."""
 
 MAX_TRIALS_PER_WORKFLOW = 2
-"""Maximum number of suspected tasks of one workflow that run at a time. All its tasks end once one
-of them is given up."""
+"""Maximum number of workers on which suspected tasks of one workflow run while no other task of
+their step runs without suspicion or is done. All its tasks end once one of them is given up."""
 
 
 @attrs.define
@@ -104,6 +113,12 @@
     )
 
 
-def max_trials(workers: int) -> int:
-    """Return on how many workers suspected tasks may run at the same time."""
-    return max(1, int(MAX_TRIAL_SHARE * workers))
+def max_trials(workers: int, trials: int = 0) -> int:
+    """Return on how many workers suspected tasks may run at the same time.
+
+    :param workers: number of workers that can run tasks.
+    :param trials: number of trials that have not ended, with those that have not begun.
+    """
+    wanted = math.ceil(trials / MAX_TRIALS_IN_SERIES)
+    allowed = int(MAX_BACKLOG_TRIAL_SHARE * workers)
+    return max(1, int(MAX_TRIAL_SHARE * workers), min(wanted, allowed))
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -21,7 +21,12 @@
 import attrs
 
 from .capacities import WorkerCapacity
-from .crashes import MAX_TRIALS_PER_WORKFLOW, SUSPICION_WINDOW_MS
+from .crashes import (
+    CRASHES_BEFORE_GUILT,
+    MAX_TRIALS_IN_SERIES,
+    MAX_TRIALS_PER_WORKFLOW,
+    SUSPICION_WINDOW_MS,
+)
 from .duty_cycles import RESERVED_HEADROOM
 from .headrooms import (
     NEGLIGIBLE_INTERFERENCE,
@@ -31,7 +36,7 @@
     max_budget_fraction,
 )
 from .health import EXCLUSION_PENALTY
-from .workflows import StepTask, Workflow
+from .workflows import Phase, StepTask, Workflow
 
 SHORT_TASK_RESERVE = 0.1
 """Share of the processors that long-running tasks leave to short tasks. The short checks of both
@@ -165,6 +170,19 @@
     ]
 
 
+def max_trials_of(workflow: Workflow, step: int) -> int:
+    """Return on how many workers suspected tasks of a workflow may run to start those of a step.
+
+    The number follows that of the step's tasks that are cleared, so that a workflow whose tasks all
+    crash their workers ends few of these, and a harmless one is soon tried on many.
+    """
+    cleared = sum(
+        task.phase is Phase.DONE or (task.phase is Phase.HELD and not task.is_suspected)
+        for task in workflow.steps[step]
+    )
+    return MAX_TRIALS_PER_WORKFLOW + cleared
+
+
 class Dispatcher:
     """Assigns waiting tasks to workers.
 
@@ -220,20 +238,22 @@
 
     def schedule_trials(
         self,
-        suspects: Iterable[StepTask],
+        suspects: Collection[StepTask],
         workers: Iterable[WorkerCapacity],
         last_starts: Mapping[str, int],
         running: Collection[StepTask],
         limit: int,
         now_ms: int,
     ) -> tuple[list[PlacementDecision], set[str]]:
-        """Return the runs of suspected tasks to start now, each on a worker of its own.
+        """Return the runs of suspected tasks to start now, apart from other tasks.
 
-        Long-running tasks of one step start together on one worker: they do similar work, and end
-        together once one of them is given up.
+        Long-running tasks of one step start together on as few workers as have room for them: they
+        do similar work, and end together once one of them is given up. Others do so while too many
+        wait to be tried one by one.
 
         Workers with few runs go first, since a crash would end these, but those on other VMs than
-        the earlier crashes before all others. Without a worker where nothing has started lately,
+        the earlier crashes before all others; a task whose next crash can be the last waits for
+        such a VM. Without a worker where nothing has started lately,
         one is kept free of other starts until that is so.
 
         :param suspects: suspected tasks that are ready to start.
@@ -250,9 +270,14 @@
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         kept: set[str] = set()
-        unplaceable: set[tuple[str, int]] = set()
-        trials = Counter(task.workflow.workflow_id for task in running)
-        taken = len({task.worker_id for task in running})
+        pending: set[tuple[str, int]] = set()
+        unplaceable: set[tuple[str, int, tuple[str, ...]]] = set()
+        running_on = {(task.workflow.workflow_id, task.worker_id) for task in running}
+        trials = Counter(workflow_id for workflow_id, _ in running_on)
+        taken = len({worker_id for _, worker_id in running_on})
+        max_by_step: dict[tuple[str, int], int] = {}
+        short = [task for task in suspects if not task.spec.lasting]
+        tries_steps = len(short) > MAX_TRIALS_IN_SERIES * limit
         hosts: dict[tuple[str, int], WorkerCapacity] = {}
 
         def preference(worker: WorkerCapacity) -> tuple:
@@ -273,37 +298,56 @@
             step = (workflow_id, task.step)
             wait_ms = now_ms - task.waiting_since_ms
             host = hosts.get(step)
-            if host is not None:
-                if self._score(task, host, wait_ms=wait_ms) is not None:
-                    self._reserve(task, host)
-                    decisions.append(PlacementDecision(task, host))
+            if host is not None and self._score(task, host, wait_ms=wait_ms) is not None:
+                self._reserve(task, host)
+                decisions.append(PlacementDecision(task, host))
                 continue
             is_overdue_service = task.spec.lasting and wait_ms >= MAX_TRIAL_WAIT_MS
             max_workers = limit * (SERVICE_TRIALS_FACTOR if task.spec.lasting else 1)
-            if len(kept) >= MAX_TRIALS_PER_ROUND:
-                break
+            if len(kept) >= MAX_TRIALS_PER_ROUND or step in pending:
+                continue
             if taken + len(kept) >= max_workers and not is_overdue_service:
                 continue
-            if trials[workflow_id] >= MAX_TRIALS_PER_WORKFLOW or step in unplaceable:
+            if step not in max_by_step:
+                max_by_step[step] = max_trials_of(task.workflow, task.step)
+            if trials[workflow_id] >= max_by_step[step]:
                 continue
             crashed = task.crashes.machines
+            # A further crash on one of these VMs could not settle the matter.
+            needs_other_vm = (
+                task.crashes.count >= CRASHES_BEFORE_GUILT - 1 and wait_ms < MAX_TRIAL_WAIT_MS
+            )
+            unsuitable = (*step, crashed if needs_other_vm else ())
+            if unsuitable in unplaceable:
+                continue
             suitable = sorted(ranked, key=lambda worker: worker.machine in crashed)
             worker = next(
-                (w for w in suitable if self._score(task, w, wait_ms=wait_ms) is not None), None
+                (
+                    worker
+                    for worker in suitable
+                    if not (needs_other_vm and worker.machine in crashed)
+                    and self._score(task, worker, wait_ms=wait_ms) is not None
+                ),
+                None,
             )
             if worker is None:
                 # The tasks of a step have the same requirements.
-                unplaceable.add(step)
+                unplaceable.add(unsuitable)
                 continue
             ranked.remove(worker)
             kept.add(worker.worker_id)
             trials[workflow_id] += 1
+            starts_together = task.spec.lasting or tries_steps
             must_wait, *_ = preference(worker)
-            if not must_wait:
-                self._reserve(task, worker)
-                decisions.append(PlacementDecision(task, worker))
-                if task.spec.lasting:
-                    hosts[step] = worker
+            if must_wait:
+                if starts_together:
+                    # The others need no worker of their own.
+                    pending.add(step)
+                continue
+            self._reserve(task, worker)
+            decisions.append(PlacementDecision(task, worker))
+            if starts_together:
+                hosts[step] = worker
         return decisions, kept
 
     def select_moves(
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -4,7 +4,7 @@
 """
 
 import threading
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -17,6 +17,7 @@
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
     max_trials,
+    recent_runs,
 )
 from mulberryslip.dispatches import (
     MAX_ESTIMATE_MS,
@@ -451,10 +452,11 @@
             ]
             crash.lost_runs = {}
             excused = [task for task in lost if self._is_excused(term, task, crash)]
+            on_trial = _recent_trials([task for task in lost if task not in excused])
             for task in lost:
                 # The first of these events determines which runs were recent.
                 if task not in excused:
-                    events += self._survived_longest_probation(term, task)
+                    events += self._survived_probation(term, task, on_trial)
                     events.append(
                         self._run_ended_event(term, task, RunOutcome.LOST, now_ms, crash.reason)
                     )
@@ -497,14 +499,22 @@
         task.excused_starts += 1
         return task.excused_starts <= MAX_EXCUSED_STARTS
 
-    def _survived_longest_probation(self, term: PoolTerm, task: StepTask) -> list[Any]:
+    def _survived_probation(
+        self, term: PoolTerm, task: StepTask, on_trial: Collection[str]
+    ) -> list[Any]:
         """Return the event that keeps a run that has lasted for long from being suspected.
 
-        Its task must not wait for a trial after its worker's crash.
+        Its task must not wait for a trial after its worker's crash. One that has been suspected and
+        has outlived its trial is not blamed for the crash of a later trial beside it.
+
+        :param on_trial: suspected tasks that the worker had started shortly before.
         """
         member = term.members.get(task.worker_id)
-        is_known = member is not None and member.incarnation == task.incarnation
-        if is_known and task.crashes is None and _age_ms(task, member) >= MAX_PROBATION_MS:
+        if member is None or member.incarnation != task.incarnation or task.is_suspected:
+            return []
+        is_cleared = task.crashes is not None and on_trial and task.name not in on_trial
+        required_ms = FIRST_PROBATION_MS if is_cleared else MAX_PROBATION_MS
+        if (task.crashes is None or is_cleared) and _age_ms(task, member) >= required_ms:
             return [RunCheckpointed(task.name, task.run, task.checkpoint)]
         return []
 
@@ -549,14 +559,18 @@
         if not self._survival_timer.is_due(self._clock.monotonic()):
             return []
         events = []
+        has_backlog = any(task.is_suspected for task in term.pool.ready())
         for task in term.pool.crashed_tasks():
             member = term.members.get(task.worker_id)
             status = member.running.get(task.name) if member is not None else None
             if status is None or not task.has_active_run(status.run):
                 continue
-            if _age_ms(task, member) >= (
-                task.crashes.probation_ms if task.is_suspected else CLEARED_AFTER_MS
-            ):
+            if not task.is_suspected:
+                required_ms = CLEARED_AFTER_MS
+            else:
+                # Others wait for the worker.
+                required_ms = FIRST_PROBATION_MS if has_backlog else task.crashes.probation_ms
+            if _age_ms(task, member) >= required_ms:
                 events.append(RunCheckpointed(task.name, task.run, task.checkpoint))
         return events
 
@@ -630,7 +644,8 @@
         """Choose workers on which suspected tasks start apart from others."""
         trials = term.pool.trials()
         taken = len({task.worker_id for task in trials})
-        limit = max_trials(len(candidates) + taken)
+        waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
+        limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
         if taken >= limit and not any(task.spec.lasting for task in suspects):
             return [], set()
         now = self._clock.monotonic()
@@ -954,6 +969,17 @@
     return member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
 
 
+def _recent_trials(lost: Collection[StepTask]) -> set[str]:
+    """Return the suspected tasks that a crashed worker had started shortly before.
+
+    :param lost: tasks whose runs it lost.
+    """
+    if not lost:
+        return set()
+    recent = recent_runs({task.name: task.start_by_ms for task in lost})
+    return {task.name for task in lost if task.is_suspected and task.name in recent}
+
+
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
     """Return whether a run loses little progress when it is stopped now."""
     limit = MOVE_BELOW_PERCENT if task.spec.checkpoints else RESTART_BELOW_PERCENT
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -15,10 +15,11 @@
 )
 from mulberryslip.events import Event
 from mulberryslip.models import Resources
+from mulberryslip.queues import PoolConfig
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool, RunAssigned, RunCheckpointed, RunEnded, RunOutcome
-from pool_doubles import CRASH_OUTAGE, SECOND, PoolWorld
+from pool_doubles import CRASH_OUTAGE, QUEUE, SECOND, PoolWorld
 from test_workflows import workflow_accepted
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -390,6 +391,26 @@
     assert (pool.crashed_tasks() == []) is is_forgotten
 
 
+def test_run_that_outlived_its_trial_is_not_blamed_for_the_next_one():
+    """Guards against giving up harmless tasks for the crash of a trial that began beside them."""
+    world = make_world(crash_ms=10, workers=1, run_ms=60_000)
+    source = next(iter(world.sources.values()))
+    # Nothing may start before the crashes are recorded.
+    source.value = PoolConfig.from_queues(2, [QUEUE], ["east"])
+    pool = world.owner()._term.pool
+    for name, count in (("a", 4), ("b", 1)):
+        world.submit(name, LASTING)
+        task = pool.task(f"{name}/0/0/0")
+        task.crashes = CrashRecord(count, True, count, ("m1", "m2")[:count])
+        pool._crashed[task.name] = task
+    source.value = PoolConfig.from_queues(3, [QUEUE])
+    world.workers[0].crash_ms_of = lambda name: 10 if name.startswith("b") else None
+    while not world.history.crashes:
+        world.round()
+    world.run(5 * ROUNDS_PER_SECOND)
+    assert world.shown("a") == "running"
+
+
 @pytest.mark.parametrize("outcome", [RunOutcome.LAPSED, RunOutcome.STOPPED, RunOutcome.LOST])
 def test_starts_after_three_crashes_are_limited(outcome):
     """Guards against further starts of a task that does not run apart from others."""
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,11 +1,21 @@
 """Bounds on the trials of suspected tasks, whatever is suspected and guilty."""
 
 import functools
+import math
 import random
 
 import attrs
 import pytest
-from pool_doubles import SECOND
+from mulberryslip.crashes import (
+    FIRST_PROBATION_MS,
+    MAX_UNCLEARED_RUNS,
+    SUSPICION_WINDOW_MS,
+    CrashRecord,
+    max_trials,
+)
+from mulberryslip.queues import PoolConfig
+from mulberryslip.steps import StepSpec
+from pool_doubles import MS, QUEUE, SECOND, PoolWorld
 from test_crashes import MAX_SERVICE_OUTAGE
 from test_outages import FINISH_S
 from trials import Parameters, Play
@@ -18,6 +28,14 @@
 
 SEEDS = range(1, 6)
 
+ROUND = 200 * MS
+"""Time between two rounds of the agents and the owner."""
+
+
+TRIAL = (FIRST_PROBATION_MS + SUSPICION_WINDOW_MS) * MS + 2 * ROUND
+"""Time that one trial takes: the time in which nothing else starts on the worker before it, the
+probation, and a round each until its start and until its end is noted."""
+
 
 @attrs.frozen
 class Outcome:
@@ -87,6 +105,57 @@
     assert outcome.violations == []
 
 
+def worst_wait(steps, workers, guilty):
+    """Return the longest wait of a suspected task.
+
+    The steps are tried one after another on each of the workers that run trials; a guilty task adds
+    a trial for each of its runs and takes a worker away.
+
+    :param steps: number of steps with suspected tasks, each of which has room on one worker.
+    """
+    trials = steps + MAX_UNCLEARED_RUNS * guilty
+    parallel = max(1, max_trials(workers, steps) - guilty)
+    return TRIAL * (math.ceil(trials / parallel) + 1)
+
+
+@pytest.mark.parametrize("guilty", [0, 2])
+@pytest.mark.parametrize(
+    ("workers", "suspects"), [(4, 60), (11, 100), (11, 500), (40, 400), (160, 600)]
+)
+def test_wait_for_trials_follows_the_number_of_suspected_steps(workers, suspects, guilty):
+    """Guards against a rate of trials that has no relation to the work behind them."""
+    parameters = Parameters(suspects, guilty, workers, crashes=(2,), services=0.0)
+    played = Play(parameters, excludes_outages=True)
+    bound = worst_wait(len(played.tasks), workers, guilty)
+    while played.elapsed < bound and played.suspect_waits.waiting():
+        played.round()
+    assert played.suspect_waits.waiting() == set()
+    assert played.innocent_given_up() == []
+    assert played.world.history.violations == []
+
+
+def test_suspected_service_with_a_spread_limit_runs_again_soon():
+    """Guards against a service whose tasks are tried one by one on workers of their own."""
+    world = PoolWorld(30, run_ms=lambda name: 600_000)
+    world.elect()
+    world.run(3)
+    step = StepSpec(count=24, cpu_millis=1000, memory_mb=100, lasting=True, max_per_worker=1)
+    source = next(iter(world.sources.values()))
+    # Nothing may start before the crashes are recorded.
+    source.value = PoolConfig.from_queues(2, [QUEUE], ["east"])
+    world.submit("service", step)
+    pool = world.owner()._term.pool
+    for task in pool.workflows["service"].tasks():
+        task.crashes = CrashRecord(2, True, 2, ("m28", "m29"))
+        pool._crashed[task.name] = task
+    source.value = PoolConfig.from_queues(3, [QUEUE])
+    began_at = world.clock.monotonic()
+    while world.clock.monotonic() - began_at < MAX_SERVICE_OUTAGE:
+        world.round()
+    assert sum(len(worker.runs) for worker in world.workers) == step.count
+    assert world.history.violations == []
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("guilty", [1, 2, 3])
 def test_guilty_tasks_do_not_start_after_five_runs_with_three_crashes(guilty, seed):
