Count a run before the first known crash as one that may have crashed

Its first crash took the owner along, so no owner knew of it and the run ended as lapsed; the limit of five runs then began a run too late, three starts after the third crash.

Cause: runs that end without a known cause count towards the limit only after the first known crash. Now one such run before it counts, too; more do not, since a harmless task may lose many runs to silent workers.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -62,7 +62,8 @@
     :param count: number of the crashes.
     :param is_suspected: whether the task may have caused one of them, so that its next run must be
         apart from others.
-    :param uncleared_runs: number of runs since the first crash that did not end by themselves.
+    :param uncleared_runs: number of runs since the first crash that did not end by themselves, and
+        one for any before it.
     :param machines: VMs of the last `MAX_CRASHED_MACHINES` workers that crashed.
     """
 
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -581,7 +581,9 @@
         is_guilty = False
         if outcome is RunOutcome.LOST:
             if task.crashes is None:
-                task.crashes = CrashRecord()
+                # One of the earlier runs may have ended in a crash that no owner learned of.
+                may_have_crashed = task.run - 1 > task.failures
+                task.crashes = CrashRecord(uncleared_runs=int(may_have_crashed))
                 self._crashed[task.name] = task
             was_suspected = task.is_suspected
             recent = self._recent_runs_at_crash(task)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -438,6 +438,20 @@
     assert pool.workflows["a"].state == "failed"
 
 
+def test_run_before_the_first_known_crash_counts_as_a_possible_crash():
+    """Guards against one start too many after a crash that took the owner along."""
+    pool = Pool()
+    pool.apply(workflow_accepted("a"))
+    task = pool.task("a/0/0/0")
+    pool.apply(workflow_accepted("b"))
+    start(pool, pool.task("b/0/0/0"))
+    for outcome in (RunOutcome.LAPSED, *[RunOutcome.LOST] * (MAX_UNCLEARED_RUNS - 1)):
+        assert not pool.workflows["a"].is_ended
+        start(pool, task)
+        end(pool, task, outcome)
+    assert pool.workflows["a"].state == "failed"
+
+
 def test_start_that_never_took_place_is_not_counted():
     """Guards against giving up a task whose workers refuse its last starts."""
     pool, task = crashed_pool(CRASHES_BEFORE_GUILT)
