Release the pool when no other agent reaches its owner

Callers saw tasks that last stop for good: an owner that reaches the store but that no other agent reaches kept the pool, and after 6 s all leases of the other workers had lapsed.

Cause: an owner gives the pool up only when it loses the store (`HandoverPolicy`), and it asks for that in replies to reports; without reports it can ask nobody.

Now the owner counts the time without a call (`report` or `orders`) from another agent. After 4 s it stops acting, deletes its key and claims nothing for 2 s. Leases of workers (6 s) last that long. - Not for a process that has never known another one, not while the store fails (the key could not be deleted), and a round that took over 0.5 s (paused process, commit in an outage) counts 0.5 s. - The allowed silence doubles with each release until another agent calls. The last process of a pool releases it at most 4 times in 60 s (bound of the test) and keeps its run. - Two owners: the release is the ordinary `resign`; the term ends before the key is deleted, and the next owner waits for leases as after any owner.

New: the last agent of a pool (with and without the list of VMs), 20 seeds in which the owner is isolated again and again (no violation, never two owners), and the policy alone.

Open: an owner that some agents reach and others do not.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -24,6 +24,7 @@
     SnapshotTooLargeError,
     StoreError,
 )
+from mulberryslip.handovers import IsolationPolicy
 from mulberryslip.journals import Journal, SnapshotSize
 from mulberryslip.metrics import Metrics
 from mulberryslip.snapshots import acceptance_cost, growth_reserve
@@ -129,6 +130,7 @@
         self._scheduler = PoolScheduler(source, dispatcher, self._times, clock)
         self._term: PoolTerm | None = None
         self._takeover_epoch = 0
+        self._isolation = IsolationPolicy()
 
     def is_owner(self) -> bool:
         """Return whether this process owns the pool now."""
@@ -149,6 +151,7 @@
             log(Event.MESSAGE_INVALID, what=f"report of {req.agent}", reason=str(exc))
             return wire.WorkerReportReply(Outcome.INVALID, 0, 0, 0, 0, [], [])
         with term.lock:
+            self._record_contact(req.agent)
             member = term.members.get(req.worker.worker_id)
             if member is None:
                 member = Member(req.worker.worker_id, received_at=term.previous_owner_granted_until)
@@ -171,6 +174,9 @@
             return wire.OrdersReply(Outcome.NOT_OWNER, 0, 0, [], [])
         with term.lock:
             member = term.members.get(req.worker_id)
+            if member is not None:
+                # Agents whose worker does not answer send no reports.
+                self._record_contact(member.agent)
         if member is None or member.incarnation != req.incarnation:
             return wire.OrdersReply(Outcome.NOT_FOUND, term.epoch, 0, [], [])
         requested_wait = max(0, req.wait_ms) * timedelta(milliseconds=1)
@@ -305,6 +311,7 @@
             self.release_for_takeover()
             known = self._directory.owner()
             if known is not None and known.address != self._address():
+                self._isolation.record_owner()
                 self._clock.wait(stop, RETRY_PAUSE)
                 continue
             if known is None:
@@ -333,6 +340,8 @@
         :raises JournalError: the journal cannot be read or was claimed by another process.
         :raises InvalidMessageError: the journal is damaged or of a newer version.
         """
+        if not self._isolation.may_claim(self._clock.monotonic()):
+            return False
         self._directory.refresh()
         if self._directory.owner() is not None and not self._delete_stale_key():
             return False
@@ -358,6 +367,7 @@
             claim.version, pool, journal, session, claim, claimed_at, self._clock, self._times
         )
         self._scheduler.restore_interference(term)
+        self._isolation.record_claim(self._clock.monotonic())
         self._term = term
         self._directory.update(KnownOwner(self._address(), claim.version))
         log(
@@ -488,6 +498,9 @@
         :raises FencedError: another process owns the pool.
         """
         term = self._term
+        if self._is_isolated(term):
+            self.resign("no other agent calls")
+            return
         if not self._can_append(term):
             self._reject_queued(term, JOURNAL_FULL)
             return
@@ -533,6 +546,19 @@
                 queued.outcome = Outcome.OK
             queued.done.set()
 
+    def _record_contact(self, agent: str) -> None:
+        if agent != str(self._address()):
+            self._isolation.record_contact()
+
+    def _is_isolated(self, term: PoolTerm) -> bool:
+        """Return whether no other agent reaches this owner, so that another process should own."""
+        now = self._clock.monotonic()
+        with term.lock:
+            is_isolated = self._isolation.is_isolated(now, term.session.failing_since is None)
+            if is_isolated:
+                self._isolation.record_release(now)
+        return is_isolated
+
     def _take_calls(self, term: PoolTerm) -> list[QueuedCall]:
         """Remove the calls from the inbox that this round handles."""
         taken: list[QueuedCall] = []
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -1,9 +1,16 @@
-"""When an owner asks a peer to take its pool over."""
+"""When an owner asks a peer to take its pool over, and when it releases the pool itself."""
 
+import itertools
 from datetime import timedelta
 
 import pytest
-from mulberryslip.handovers import REQUEST_INTERVAL, HandoverPolicy
+from mulberryslip.handovers import (
+    MAX_AGENT_SILENCE,
+    RELEASE_PAUSE,
+    REQUEST_INTERVAL,
+    HandoverPolicy,
+    IsolationPolicy,
+)
 
 MS = timedelta(milliseconds=1)
 START = timedelta(seconds=5)
@@ -52,3 +59,57 @@
     assert sum(policy.take_request(at, START) for at in times) == 2
     policy.record_commit()
     assert not policy.take_request(START + 4000 * MS, None)
+
+
+@pytest.mark.parametrize(
+    ("knows_others", "is_store_reached", "interval_ms", "expected"),
+    [
+        (True, True, 200, True),
+        (False, True, 200, False),
+        (True, False, 200, False),
+        (True, True, 5000, False),
+    ],
+    ids=["isolated", "only process", "store outage", "paused process"],
+)
+def test_pool_is_released_only_when_other_agents_are_silent(
+    knows_others, is_store_reached, interval_ms, expected
+):
+    """Guards against an isolated owner that keeps the pool, or a sound one that releases it."""
+    policy = IsolationPolicy()
+    if knows_others:
+        policy.record_owner()
+    policy.record_claim(START)
+    now = START
+    isolated = []
+    while now < START + MAX_AGENT_SILENCE + 1000 * MS:
+        now += interval_ms * MS
+        isolated.append(policy.is_isolated(now, is_store_reached))
+    assert isolated[-1] is expected
+    assert not any(isolated[: MAX_AGENT_SILENCE // (interval_ms * MS)])
+
+
+def test_call_of_another_agent_ends_the_isolation():
+    """Guards against an owner that releases its pool although an agent calls."""
+    policy = IsolationPolicy()
+    policy.record_claim(START)
+    for number in range(100):
+        if number % 15 == 0:
+            policy.record_contact()
+        assert not policy.is_isolated(START + number * 200 * MS, True)
+
+
+def test_releases_become_rare_when_nobody_else_claims():
+    """Guards against a pool without an owner again and again after all other VMs are lost."""
+    policy = IsolationPolicy()
+    policy.record_owner()
+    policy.record_claim(START)
+    releases = []
+    for number in range(5 * 600):
+        now = START + number * 200 * MS
+        if policy.may_claim(now) and policy.is_isolated(now, True):
+            policy.record_release(now)
+            policy.record_claim(now + RELEASE_PAUSE)
+            releases.append(now)
+    pauses = [later - earlier for earlier, later in itertools.pairwise(releases)]
+    assert len(releases) <= 8
+    assert all(later >= 1.5 * earlier for earlier, later in itertools.pairwise(pauses))
--- a/tests/test_long_waits.py
+++ b/tests/test_long_waits.py
@@ -117,6 +117,69 @@
     assert sum(len(w.runs) for w in others) >= 3, [len(w.runs) for w in world.workers]
 
 
+@pytest.mark.parametrize("has_list", [True, False])
+def test_last_agent_of_a_pool_keeps_its_runs_and_its_ownership(has_list):
+    """Guards against an owner that releases the pool over and over after all others are lost."""
+    world = new_world(3)
+    world.inventory.is_down = not has_list
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    world.submit("a", attrs.evolve(TASK, lasting=True, count=3, max_per_worker=1))
+    world.run(2 * ROUNDS_PER_SECOND)
+    owner = next(w for w in world.workers if world.owners[w.id].is_owner())
+    for worker in world.workers:
+        if worker is not owner:
+            world.switch_off(worker)
+    epochs, without_owner = set(), 0
+    for _turn in range(60 * ROUNDS_PER_SECOND):
+        world.round()
+        if world.owner() is None:
+            without_owner += 1
+            world.claim_if_free()
+        else:
+            epochs.add(world.owner()._term.epoch)
+    owner.end_due_runs()
+    assert world.history.violations == []
+    assert len(owner.runs) == 1
+    assert len(epochs) <= 5, epochs
+    assert without_owner <= 10 * ROUNDS_PER_SECOND, without_owner / ROUNDS_PER_SECOND
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_owners_that_agents_reach_at_times_keep_the_guarantees(seed):
+    """Guards against two owners that act at once when the pool is released for isolation."""
+    world = PoolWorld(4, seed)
+    world.elect()
+    world.run(3)
+    for worker in world.workers:
+        worker.run_ms = lambda name: 1000 + 4000 * (len(name) % 3)
+    releases = 0
+    for number in range(60 * ROUNDS_PER_SECOND):
+        if number % (7 * ROUNDS_PER_SECOND) == 0:
+            owner = next((w for w in world.workers if world.owners[w.id].is_owner()), None)
+            isolated = world.rng.choice([*world.workers, *[owner or world.workers[0]] * 4])
+            world.cut = {
+                pair
+                for other in world.workers
+                if other is not isolated
+                for pair in (
+                    (other.id, world.address(isolated)),
+                    (isolated.id, world.address(other)),
+                )
+            }
+        owner = world.owner()
+        if owner is not None and number % 3 == 0:
+            world.submit(f"s{number}", TASK)
+        world.round()
+        world.run_takeovers()
+        assert sum(owner.is_owner() for owner in world.owners.values()) <= 1
+        if world.owner() is None:
+            releases += 1
+            world.claim_if_free()
+    assert world.history.violations == []
+    assert releases > 0
+
+
 def test_checks_run_soon_after_all_workers_of_their_label_have_failed():
     """Guards against the exclusion of the only worker that may run some tasks."""
     world = new_world(4)
