Log where the time of a workflow went

Callers of nightly-recon see most results late, and neither logs nor metrics told whether a late workflow had waited, had run slowed, or had repeated runs.

Event 425 (WORKFLOW_TIMED) divides the time from acceptance to the end along the chain of tasks that determined the end; the parts add up to took_ms. Counters workflow_<part>_ms sum them. A sum over all tasks was ruled out, since tasks of a step run at the same time. Nothing is stored: the time of runs that an earlier owner assigned is `unknown`, and time without an owner is part of it or of `waiting`. The duty cycle isn't reported to owners, so `slowed` is the time beyond the caller's estimate, whatever the cause.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import attrs
+from mulberryslip.breakdowns import TimeBreakdowns
 from mulberryslip.clocks import Clock
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import InventoryError, StoreError
@@ -119,6 +120,7 @@
         self.started_at = clock.monotonic()
         self.absences = WorkerAbsences()
         self.crashes = WorkerCrashes()
+        self.breakdowns = TimeBreakdowns()
         self.members: dict[str, Member] = {}
         self.unchecked_workers: set[str] = set()
         """Workers that have listed their runs since it was last checked which runs to stop."""
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -10,7 +10,9 @@
 from datetime import timedelta
 from typing import Any
 
+import attrs
 from mulberryslip import records
+from mulberryslip.breakdowns import TimeShares
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
 from mulberryslip.dispatches import Dispatcher
@@ -522,7 +524,10 @@
                 queued.done.set()
             raise
         with term.lock:
-            self._record_ended(term.pool.publish())
+            now_ms = self._now_ms()
+            for event in events:
+                term.breakdowns.record(event, term.pool, now_ms)
+            self._record_ended(term, term.pool.publish())
             self._record_crashes(events, term.pool.take_newly_suspected())
             for member in term.members.values():
                 member.ended_through = member.reconciled_through
@@ -691,7 +696,7 @@
         queued.reason = reason
         queued.done.set()
 
-    def _record_ended(self, changed: list[Workflow]) -> None:
+    def _record_ended(self, term: PoolTerm, changed: list[Workflow]) -> None:
         for workflow in changed:
             if not workflow.is_ended:
                 continue
@@ -706,6 +711,7 @@
                 shown=workflow.shown,
                 took_ms=took_ms,
             )
+            self._record_time_shares(workflow, term.breakdowns.take(workflow), took_ms)
             if workflow.given_up is not None:
                 self._metrics.count("tasks_given_up")
                 log(
@@ -716,6 +722,19 @@
                     machines=workflow.given_up.crashes.machines,
                 )
 
+    def _record_time_shares(self, workflow: Workflow, shares: TimeShares, took_ms: int) -> None:
+        parts = attrs.asdict(shares)
+        parts["unknown"] = max(0, took_ms - shares.total)
+        for part, part_ms in parts.items():
+            self._metrics.count(f"workflow_{part}_ms", part_ms)
+        log(
+            Event.WORKFLOW_TIMED,
+            workflow=workflow.workflow_id,
+            queue=workflow.queue.name,
+            took_ms=took_ms,
+            **{f"{part}_ms": part_ms for part, part_ms in parts.items()},
+        )
+
     def _record_crashes(self, events: list[Any], suspected: list[StepTask]) -> None:
         lost = sum(
             isinstance(event, RunEnded) and event.outcome == RunOutcome.LOST.value
