--- a/tests/test_headrooms.py
+++ b/tests/test_headrooms.py
@@ -229,6 +229,27 @@
     assert percent == FULL_PERCENT
 
 
+def increases(controller, tails):
+    """Return the increases of the duty cycle of one run while the tails of a service change."""
+    percent, steps = 0, []
+    for turn, tail in enumerate(tails):
+        colocated_runs = [service("p", tail), best_effort("x", 60 * percent)]
+        for change in controller.update(colocated_runs, CPU_MILLIS, 3000 + turn * 500):
+            steps.append(change.percent - percent)
+            percent = change.percent
+    return steps
+
+
+def test_unknown_interference_is_tried_in_small_steps():
+    """Guards against a run at full speed before a wrong estimate shows in the tail latency."""
+    controller = controller_of(InterferenceModel(), best_effort("x"))
+    controller.update([service("p", 130), best_effort("x")], CPU_MILLIS, 1000)
+    controller.update([service("p", 130), best_effort("x")], CPU_MILLIS, 2500)
+    steps = increases(controller, [25] * 6)
+    assert sum(steps) == FULL_PERCENT
+    assert max(steps) <= FULL_PERCENT / 5
+
+
 @pytest.mark.parametrize("tail", [130, 25])
 def test_duty_cycle_that_was_not_applied_is_sent_again(tail):
     """Guards against a run that keeps a wrong duty cycle because one call was lost."""
@@ -275,17 +296,18 @@
     )
 
 
-def simulate(is_controlled, seconds=60, step_ms=400):
+def simulate(is_controlled, seconds=60, step_ms=400, model=None):
     """Simulate a worker with two services under a varying load and four best-effort runs.
 
     One of the best-effort images has an interference of 6 with one of the services, which varies
     between half and twice that within seconds. Tail latencies follow within half a second.
 
+    :param model: estimates to use instead of those that the observations give.
     :returns: longest violation of an objective, and the work of the best-effort runs in core
         seconds.
     """
     rng = random.Random(5)
-    model = InterferenceModel()
+    model = model or InterferenceModel()
     controller = DutyCycleController(model)
     duty_cycles = {}
     tails = {"p": 40.0, "q": 40.0}
@@ -325,3 +347,11 @@
     assert harmed > HARM
     assert longest < HARM / 2
     assert work > all_work / 2
+
+
+@pytest.mark.parametrize("estimate", [1.5, 3.0, 6.0])
+def test_services_are_not_harmed_when_an_estimate_is_too_low(estimate):
+    """Guards against steps so large that a wrong estimate harms a service before it shows."""
+    others = [("x", "q", 0.1), ("y", "p", 0.1), ("y", "q", 0.1)]
+    longest, _ = simulate(is_controlled=True, model=model_of(("x", "p", estimate), *others))
+    assert longest < HARM / 2
