Tell how much of a workflow's time passed before its owner

`earlier_ms` tells how much of the time had passed before this owner claimed the pool, so that inherited runs can be told from the time before.

The test of an earlier owner let owners claim again in each round; it now claims only a free pool, and lasts longer, so that the run ends well after the takeover.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -118,6 +118,7 @@
         # last confirmed its key.
         self.previous_owner_granted_until = clock.monotonic() + times.store_lease
         self.started_at = clock.monotonic()
+        self.claimed_ms = int(clock.now().timestamp() * 1000)
         self.absences = WorkerAbsences()
         self.crashes = WorkerCrashes()
         self.breakdowns = TimeBreakdowns()
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -12,7 +12,6 @@
 
 import attrs
 from mulberryslip import records
-from mulberryslip.breakdowns import TimeShares
 from mulberryslip.channels import Address
 from mulberryslip.clocks import Clock
 from mulberryslip.dispatches import Dispatcher
@@ -711,7 +710,7 @@
                 shown=workflow.shown,
                 took_ms=took_ms,
             )
-            self._record_time_shares(workflow, term.breakdowns.take(workflow), took_ms)
+            self._record_time_shares(term, workflow, took_ms)
             if workflow.given_up is not None:
                 self._metrics.count("tasks_given_up")
                 log(
@@ -722,7 +721,8 @@
                     machines=workflow.given_up.crashes.machines,
                 )
 
-    def _record_time_shares(self, workflow: Workflow, shares: TimeShares, took_ms: int) -> None:
+    def _record_time_shares(self, term: PoolTerm, workflow: Workflow, took_ms: int) -> None:
+        shares = term.breakdowns.take(workflow)
         parts = attrs.asdict(shares)
         parts["unknown"] = max(0, took_ms - shares.total)
         for part, part_ms in parts.items():
@@ -732,6 +732,7 @@
             workflow=workflow.workflow_id,
             queue=workflow.queue.name,
             took_ms=took_ms,
+            earlier_ms=min(took_ms, max(0, term.claimed_ms - workflow.accepted_ms)),
             **{f"{part}_ms": part_ms for part, part_ms in parts.items()},
         )
 
--- a/tests/test_breakdowns.py
+++ b/tests/test_breakdowns.py
@@ -43,7 +43,7 @@
     message = timed["a"]
     assert message["queue"] == "checks"
     assert sum(message[part] for part in PARTS) == message["took_ms"]
-    assert message["unknown_ms"] == message["repeated_ms"] == 0
+    assert message["unknown_ms"] == message["repeated_ms"] == message["earlier_ms"] == 0
     assert message["working_ms"] == 2 * TASK.estimate_ms
     assert message["slowed_ms"] > 0
 
@@ -69,18 +69,20 @@
 def test_run_that_an_earlier_owner_assigned_is_unknown(world, timed):
     """Guards against a guess at the time of a run whose start this owner has not seen."""
     for worker in world.workers:
-        worker.run_ms = lambda name: 10_000
+        worker.run_ms = lambda name: 20_000
     world.submit("a", attrs.evolve(TASK, checkpoints=True))
     world.run(8)
     assert world.held_tasks("a")
     world.owner().resign("test")
-    for _ in range(100):
-        world.claim_if_free()
+    for _ in range(200):
+        if world.owner() is None:
+            world.claim_if_free()
         world.round()
     assert world.shown("a") == "completed"
     message = timed["a"]
     assert sum(message[part] for part in PARTS) == message["took_ms"]
-    assert message["unknown_ms"] >= 8000
+    assert message["unknown_ms"] >= 18_000
+    assert 1000 <= message["earlier_ms"] < message["unknown_ms"]
 
 
 def test_no_state_is_kept_of_ended_workflows(world, timed):
