--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -146,11 +146,24 @@
         """
         sent_at = self._clock.monotonic()
         if self.claim.is_current():
-            self._confirmed_until = sent_at + self._times.store_lease
+            # A call that was sent later may have been answered first.
+            self._confirmed_until = max(self._confirmed_until, sent_at + self._times.store_lease)
             return
         self.ended.set()
         self.wake.set()
 
+    def resume(self) -> None:
+        """Renew the store lease and confirm the key, now that the store answers again.
+
+        Otherwise this process would refuse calls until the next renewal and the next confirmation,
+        which may still wait for replies to calls that were sent during the outage.
+        """
+        try:
+            self.session.extend()
+            self.confirm_key()
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="resume ownership", reason=str(exc))
+
     def run_confirmations(self) -> None:
         """Confirm the owner key several times in each store lease, until the term ends."""
         outage = OutageLog("confirm owner key")
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -606,6 +606,7 @@
             with term.lock:
                 term.handover.record_commit()
             log(Event.STORE_RECOVERED, call="append")
+            term.resume()
         if term.journal.snapshot_due and term.snapshot_retries.is_due(self._clock.monotonic()):
             self._write_snapshot(term)
 
--- a/packages/daemon/src/mulberryslipd/sessions.py
+++ b/packages/daemon/src/mulberryslipd/sessions.py
@@ -57,6 +57,7 @@
         self._lock = threading.Lock()
         self._session_id = ""
         self._valid_until = clock.monotonic()
+        self._answered_at = clock.monotonic()
         self._failures = 0
         self._failing_since: timedelta | None = None
         self._stopping = threading.Event()
@@ -113,7 +114,9 @@
             self._renew_or_grant()
         except StoreError as exc:
             with self._lock:
-                self._failing_since = self._failing_since or sent
+                # An extension that was sent later may have succeeded meanwhile.
+                if sent >= self._answered_at:
+                    self._failing_since = self._failing_since or sent
             return self._handle_failure(exc)
         with self._lock:
             self._failing_since = None
@@ -122,6 +125,22 @@
         self._failures = 0
         return self._ttl / _RENEWALS_PER_TTL * (1 - _RENEWAL_JITTER * self._rng.random())
 
+    def extend(self) -> None:
+        """Renew the lease now, beside the scheduled renewals; never request a new one.
+
+        :raises StoreError: the store did not answer.
+        """
+        lease_id = self.session_id
+        sent = self._clock.monotonic()
+        if not lease_id or not self._store.renew_lease(lease_id):
+            return
+        with self._lock:
+            if self._session_id != lease_id:
+                return
+            self._valid_until = max(self._valid_until, sent + self._ttl)
+            self._answered_at = max(self._answered_at, sent)
+            self._failing_since = None
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -733,6 +733,28 @@
     assert world.history.violations == []
 
 
+def test_owner_accepts_work_as_soon_as_its_journal_is_written_after_an_outage(world):
+    """Guards against refusals by the owner until its next renewal, although the store is back."""
+    session, owner = world.sessions["w0"][-1], world.owners["w0"]
+    world.store.set_faults(delay_ms=1000)
+    session.renew()
+    lease_id, outage_at = session.session_id, world.clock.monotonic()
+    world.store.set_faults(delay_ms=0, outage="refuse")
+
+    def end_the_outage():
+        session.renew()
+        if not owner.is_owner():
+            world.store.set_faults(outage="")
+
+    world.clock.on_sleep = end_the_outage
+    world.submit("a")
+    assert world.clock.monotonic() - outage_at < STORE_LEASE
+    assert session.session_id == lease_id
+    assert owner.is_owner()
+    assert session.failing_since is None
+    assert world.submit("b").outcome == Outcome.OK
+
+
 def test_outage_of_the_store_for_all_does_not_change_the_owner(world):
     """Guards against a hand-over that no process can complete, and that takes effect later."""
     epoch = world.owner()._term.epoch
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 
 import pytest
 from mulberryslip import ManualClock, SystemClock
+from mulberryslip.exceptions import StoreUnavailableError
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslip_testing.waits import wait_until
 from mulberryslipd.sessions import Session
@@ -126,6 +127,63 @@
     assert session.remaining() == TTL / 2
 
 
+def test_extension_neither_requests_nor_revives_a_lease(store, clock):
+    """Guards against an owner that acts on a lease which has ended."""
+    session = Session(store, TTL, clock)
+    session.extend()
+    assert not session.session_id
+    session.renew()
+    clock.advance(2 * TTL)
+    session.extend()
+    assert not session.valid()
+    assert store.state.lease_ids() == set()
+
+
+class OverlappedStore(FakeStore):
+    """A store that runs another call while a renewal waits; the renewal then fails."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.clock = clock
+        self.meanwhile = None
+
+    def renew_lease(self, lease_id):
+        meanwhile, self.meanwhile = self.meanwhile, None
+        if meanwhile is None:
+            return super().renew_lease(lease_id)
+        self.clock.advance(TTL / 4)
+        meanwhile()
+        raise StoreUnavailableError("no reply")
+
+
+def test_renewal_that_fails_after_an_extension_is_no_sign_of_an_outage(clock):
+    """Guards against handing a pool over because a call timed out that was sent in an outage."""
+    store = OverlappedStore(clock)
+    session = Session(store, TTL, clock)
+    session.renew()
+    store.meanwhile = session.extend
+    session.renew()
+    assert session.remaining() == TTL
+    assert session.failing_since is None
+
+
+def test_extension_does_not_replace_a_newer_lease(clock):
+    """Guards against a session that returns to a lease which the process has given up."""
+    store = SlowStore(clock, timedelta())
+    session = Session(store, TTL, clock)
+    session.renew()
+    renew = store.renew_lease
+
+    def stop_meanwhile(lease_id):
+        known = renew(lease_id)
+        session.stop()
+        return known
+
+    store.renew_lease = stop_meanwhile
+    session.extend()
+    assert (session.session_id, session.valid()) == ("", False)
+
+
 def test_backoff_is_bounded_and_jittered(store, clock):
     """Guards against all processes calling a recovering store at the same moment."""
     store.set_faults(outage="refuse")
