Serve no request with a newer configuration than a later one had

A request without a queue waits until the configuration has been read again; others that arrive meanwhile are matched with the one before. By reading, a request that waits for a thread can be overtaken likewise.

The gateway now remembers for 3 s how requests were matched. A request that was delayed over a change, and would get a result that the configuration before does not give, is answered "not run" with a retry time if a later request had a result that the new one does not give. Making the others wait was ruled out: each unknown path would then delay all callers while the store does not respond. The configuration is also read after its age now, not before: a change between the two could give 404 by the older one.

Time in which a request's body arrives is not counted yet.

--- a/packages/daemon/src/mulberryslipd/gateways.py
+++ b/packages/daemon/src/mulberryslipd/gateways.py
@@ -1,7 +1,9 @@
 """The gateway: forwards calls about workflows from callers to the owner of their pool."""
 
 import random
+import threading
 import uuid
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -12,7 +14,7 @@
 from mulberryslip.exceptions import NotSentError, StoreError, WireError
 from mulberryslip.metrics import Metrics
 from mulberryslip.partitions import partition_of
-from mulberryslip.queues import Queue
+from mulberryslip.queues import PoolConfig, Queue
 from mulberryslip.retries import Deadline
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.wire import ttypes as wire
@@ -49,6 +51,13 @@
 UNKNOWN_QUEUE_MAX_CONFIG_AGE = timedelta(milliseconds=300)
 """Age above which the configuration is read again before a queue is reported as missing."""
 
+MATCH_HISTORY = timedelta(seconds=3)
+"""Time for which matches are remembered. Few callers wait longer, and a request that was delayed
+for longer counts as overtaken."""
+
+MAX_REMEMBERED_MATCHES = 4096
+"""Maximum number of remembered matches; it bounds the time of a comparison with all of them."""
+
 _MS = timedelta(milliseconds=1)
 
 
@@ -99,6 +108,106 @@
 GatewayOutcome = Accepted | Shown | Rejected | Unknown | Missing
 
 
+@dataclass(frozen=True)
+class _Match:
+    """How a request was matched.
+
+    :param arrived_at: when the request arrived.
+    :param queue: the result; None if the request was told that there is no queue.
+    """
+
+    arrived_at: timedelta
+    config: PoolConfig
+    host: str
+    path: str
+    queue: Queue | None
+
+    def is_result_of(self, config: PoolConfig) -> bool:
+        """Return whether another configuration gives the same result."""
+        return config.match(self.host, self.path) == self.queue
+
+
+class QueueMatcher:
+    """Matches requests with queues; no result is older than that of a request that arrived before.
+
+    A request can be matched late because it waited for a thread or for the newest configuration.
+    Later requests do not wait for it: while the store does not respond, they are still served. If
+    one of them had a result that the newest configuration does not give any more, a request that
+    arrived before gets none that the configuration then in force did not give.
+
+    :param source: the operators' configuration.
+    """
+
+    def __init__(self, source: PoolConfigSource, clock: Clock):
+        self._source = source
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._matches: deque[_Match] = deque()
+        self._forgotten_until = timedelta.min
+        self._newest: PoolConfig | None = None
+        self._changed_at = timedelta.min
+
+    def find(self, host: str, path: str, queue_time: timedelta) -> Queue | Rejected | Missing:
+        """Return the queue that matches a host and a path.
+
+        :param queue_time: time since the request has arrived.
+        """
+        arrived_at = self._clock.monotonic() - queue_time
+        with self._lock:
+            # The age first: a configuration that is read after it is at least as recent.
+            is_recent = self._source.age() <= UNKNOWN_QUEUE_MAX_CONFIG_AGE
+            config = self._source.config()
+            if config and (is_recent or config.match(host, path)):
+                return self._result(config, host, path, arrived_at)
+        try:
+            self._source.refresh()
+        except StoreError as exc:
+            # A newer configuration may contain the queue: do not report it as missing.
+            log(Event.STORE_UNAVAILABLE, call="refresh pool config", reason=str(exc))
+            return Rejected("the newest configuration is not known")
+        with self._lock:
+            config = self._source.config()
+            if config is None:
+                return Rejected("the configuration is not known yet")
+            return self._result(config, host, path, arrived_at)
+
+    def _result(
+        self, config: PoolConfig, host: str, path: str, arrived_at: timedelta
+    ) -> Queue | Rejected | Missing:
+        """Return the result of a match and remember it.
+
+        The caller must hold the lock from before it reads the configuration.
+        """
+        now = self._clock.monotonic()
+        if config is not self._newest:
+            self._newest, self._changed_at = config, now
+        match = _Match(arrived_at, config, host, path, config.match(host, path))
+        if arrived_at < self._changed_at and self._is_overtaken(match):
+            return Rejected("the configuration has changed while the request waited")
+        self._matches.append(match)
+        self._forget_old_matches(now)
+        return match.queue or Missing(f"no queue for this path in revision {config.revision}")
+
+    def _forget_old_matches(self, now: timedelta) -> None:
+        matches = self._matches
+        while len(matches) > MAX_REMEMBERED_MATCHES or (
+            matches and now - matches[0].arrived_at > MATCH_HISTORY
+        ):
+            self._forgotten_until = max(self._forgotten_until, matches.popleft().arrived_at)
+
+    def _is_overtaken(self, match: _Match) -> bool:
+        """Return whether a later request had an older result than this match."""
+        if match.arrived_at < self._forgotten_until:
+            return True
+        return any(
+            later.arrived_at > match.arrived_at
+            and later.config is not match.config
+            and not later.is_result_of(match.config)
+            and not match.is_result_of(later.config)
+            for later in self._matches
+        )
+
+
 class Gateway:
     """Serves callers' requests about workflows by calling the owner of their pool.
 
@@ -124,6 +233,7 @@
         self._directories = directories
         self._channels = channels
         self._source = source
+        self._matcher = QueueMatcher(source, clock)
         self._metrics = metrics
         self._clock = clock
 
@@ -131,21 +241,14 @@
         """Return whether calls can be served."""
         return self._source.config() is not None
 
-    def find_queue(self, host: str, path: str) -> Queue | Rejected | Missing:
-        """Return the queue that matches a host and a path."""
-        config = self._source.config()
-        queue = config.match(host, path) if config else None
-        if queue is None and self._source.age() > UNKNOWN_QUEUE_MAX_CONFIG_AGE:
-            try:
-                config = self._source.refresh()
-            except StoreError as exc:
-                # A newer configuration may contain the queue: do not report it as missing.
-                log(Event.STORE_UNAVAILABLE, call="refresh pool config", reason=str(exc))
-                return Rejected("the newest configuration is not known")
-            queue = config.match(host, path) if config else None
-        if config is None:
-            return Rejected("the configuration is not known yet")
-        return queue or Missing(f"no queue for this path in revision {config.revision}")
+    def find_queue(
+        self, host: str, path: str, queue_time: timedelta = timedelta()
+    ) -> Queue | Rejected | Missing:
+        """Return the queue that matches a host and a path.
+
+        :param queue_time: time since the request has arrived.
+        """
+        return self._matcher.find(host, path, queue_time)
 
     def submit(
         self, queue: Queue, workflow_id: str, spec: WorkflowSpec, deadline: Deadline
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -1,6 +1,7 @@
 """Tests of the gateway: the owner that it calls, its retries and its responses to callers."""
 
 import random
+import threading
 from datetime import timedelta
 
 import pytest
@@ -286,3 +287,153 @@
     assert isinstance(found, Rejected)
     assert found.retry_after is not None
     assert gateway.find_queue("h", "/q/1") == QUEUE
+
+
+MOVED = Queue("moved", prefix="/q/", service="other")
+ADDED = Queue("added", prefix="/added/", service="s")
+
+
+class ChangingSource:
+    """A source whose read returns a new configuration after other requests have arrived.
+
+    :param old: queues in force at first.
+    :param new: queues in force when the read returns.
+    """
+
+    def __init__(self, old, new):
+        self.current = PoolConfig.from_queues(3, old)
+        self.is_stale = True
+        self.during_read = []
+        self._new = PoolConfig.from_queues(7, new)
+
+    def config(self):
+        return self.current
+
+    def age(self):
+        return timedelta(seconds=1) if self.is_stale else timedelta()
+
+    def refresh(self):
+        arrivals, self.during_read = self.during_read, []
+        for arrive in arrivals:
+            arrive()
+        self.current = self._new
+        return self.current
+
+
+def find_overtaken(old, new, *paths):
+    """Return what is found for `/added/1`, and for paths that arrive while it waits."""
+    source = ChangingSource(old, new)
+    clock = WaitingClock()
+    gateway = Gateway("g", [], None, source, Metrics(), clock, random.Random(1))
+    found = []
+
+    def arrive(path):
+        # A watch has confirmed the old configuration meanwhile.
+        source.is_stale = False
+        clock.advance(timedelta(milliseconds=300))
+        found.append(gateway.find_queue("h", path))
+
+    source.during_read = [lambda path=path: arrive(path) for path in paths]
+    waited = gateway.find_queue("h", "/added/1")
+    return waited, found
+
+
+@pytest.mark.parametrize(
+    ("new", "path", "match"),
+    [
+        ([ADDED], "/q/1", QUEUE),
+        ([ADDED, MOVED], "/q/1", QUEUE),
+        ([ADDED, QUEUE, Queue("r", prefix="/q/r/", service="s")], "/q/r/1", QUEUE),
+        ([ADDED, QUEUE], "/added/2", Missing),
+    ],
+)
+def test_request_is_not_served_by_a_configuration_newer_than_a_later_request(new, path, match):
+    """Guards against a machine that shows a new configuration, and then an older one.
+
+    A request that found no queue waited for the newest configuration and was served by it; one
+    that arrived meanwhile was matched with the configuration before.
+    """
+    waited, found = find_overtaken([QUEUE], new, path)
+    assert found[0] == match if isinstance(match, Queue) else isinstance(found[0], match)
+    assert isinstance(waited, Rejected)
+    assert waited.retry_after is not None
+
+
+def test_request_that_waited_is_served_if_no_other_used_what_has_changed():
+    """Guards against rejections for requests that no change concerns."""
+    assert find_overtaken([QUEUE], [QUEUE, ADDED]) == (ADDED, [])
+    assert find_overtaken([QUEUE], [QUEUE, ADDED], "/q/1") == (ADDED, [QUEUE])
+    waited, found = find_overtaken([QUEUE], [QUEUE, ADDED], "/x/1")
+    assert waited == ADDED
+    assert isinstance(found[0], Missing)
+
+
+def test_request_that_waited_for_a_thread_is_not_served_by_a_newer_configuration():
+    """Guards against a new configuration shown to a request that arrived before another.
+
+    The other request was matched with the configuration before, since it got a thread earlier.
+    """
+    source = ChangingSource([QUEUE], [ADDED])
+    source.is_stale = False
+    clock = WaitingClock()
+    gateway = Gateway("g", [], None, source, Metrics(), clock, random.Random(1))
+    assert gateway.find_queue("h", "/q/1") == QUEUE
+    clock.advance(timedelta(milliseconds=100))
+    source.refresh()
+    assert isinstance(gateway.find_queue("h", "/added/1", timedelta(milliseconds=200)), Rejected)
+    # The route was removed, which the configuration before does not allow either.
+    assert isinstance(gateway.find_queue("h", "/q/1", timedelta(milliseconds=200)), Rejected)
+    assert gateway.find_queue("h", "/added/1", timedelta(milliseconds=50)) == ADDED
+    assert isinstance(gateway.find_queue("h", "/q/1"), Missing)
+    # Earlier matches are forgotten after a while.
+    clock.advance(timedelta(seconds=4))
+    assert gateway.find_queue("h", "/added/1") == ADDED
+    assert isinstance(gateway.find_queue("h", "/added/1", timedelta(seconds=5)), Rejected)
+
+
+class WaitingStore(FakeStore):
+    """A store whose reads of changes wait until they are released."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.is_waiting = threading.Event()
+        self.released = threading.Event()
+
+    def watch(self, prefix, after, wait):
+        self.is_waiting.set()
+        assert self.released.wait(10)
+        return super().watch(prefix, after, wait)
+
+
+def test_threads_see_configurations_in_the_order_of_their_requests():
+    """Guards against a request that is served with an older configuration than one before it.
+
+    The first waits for the store, and the configuration is changed before the store responds.
+    """
+    clock = WaitingClock()
+    store = WaitingStore(clock)
+    configs = {1: PoolConfig.from_queues(1, [QUEUE]), 2: PoolConfig.from_queues(2, [ADDED])}
+    version = store.put("op/config", b"1", 0).version
+    source = PoolConfigSource(
+        store,
+        "op/",
+        lambda documents: configs[int(documents["op/config"].value)],
+        clock,
+        random.Random(1),
+    )
+    source.refresh()
+    clock.advance(timedelta(milliseconds=400))
+    gateway = Gateway("g", [], None, source, Metrics(), clock, random.Random(1))
+    first = []
+    thread = threading.Thread(target=lambda: first.append(gateway.find_queue("h", "/added/1")))
+    thread.start()
+    assert store.is_waiting.wait(10)
+    clock.advance(timedelta(milliseconds=300))
+    store.put("op/config", b"2", version)
+    second = gateway.find_queue("h", "/q/1")
+    store.released.set()
+    thread.join(10)
+    assert second == QUEUE
+    assert isinstance(first[0], Rejected)
+    assert gateway.find_queue("h", "/added/1") == ADDED
+    assert isinstance(gateway.find_queue("h", "/q/1"), Missing)
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -70,7 +70,7 @@
 class AcceptingGateway:
     """A gateway that accepts all workflows, which must survive their encoding for the owner."""
 
-    def find_queue(self, host, path):
+    def find_queue(self, host, path, queue_time):
         return QUEUE
 
     def submit(self, queue, workflow_id, spec, deadline):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -302,7 +302,7 @@
         self.queue = queue or Queue("r-1", "nony24.example", "/lohu930/", "ledger")
         self.calls = []
 
-    def find_queue(self, host, path):
+    def find_queue(self, host, path, queue_time):
         return self.queue
 
     def __getattr__(self, method):
