Call a workflow unknown only while no successor can have accepted it

An owner that the store turns away asks another process to take the pool over, which deletes its key; until it notices, up to a second later, it went on to answer status and cancel with NOT_FOUND, which gateways pass on as 410.

An owner now gives this answer only after it has read its own key later than the call arrived, once for all calls that wait. Otherwise, and at once while its lease renewals fail, it answers NOT_OWNER: the gateway asks again, and rejects the call with a retry time if no owner answers. The number of waiting workflows rests on absence too; after an owner has asked for a hand-over, it is checked in the same way. A submission with a known id is answered from what is stored, and others need a commit, which is refused after a hand-over, so these are unchanged. Ruled out: no such answer from the request for a hand-over on, since a key can be gone for another reason.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -35,6 +35,9 @@
 """Delay after which callers should retry. A new owner takes over within the store lease of 3 s,
 most of which has passed when the owner is missed; a newer configuration arrives within a second."""
 
+MAX_CONFIRMATION_WAIT = timedelta(milliseconds=500)
+"""Maximum wait for a read of the owner key by another call; gateways wait up to 1 s for a reply."""
+
 VM_CHECK_INTERVAL = timedelta(milliseconds=500)
 """Time between listings of VMs while workers with runs are silent."""
 
@@ -105,6 +108,7 @@
         self.session = session
         self.claim = claim
         self.handover = HandoverPolicy()
+        self.has_asked_for_takeover = False
         self.budget = SnapshotBudget(SnapshotSize(journal.max_snapshot_bytes, MAX_STATE_TEXT_BYTES))
         self.snapshot_retries = RetryPauses()
         self.is_full = False
@@ -126,6 +130,7 @@
         self.wake = threading.Event()
         self.ended = threading.Event()
         self._session_id = session.session_id
+        self._confirm_lock = threading.Lock()
 
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
@@ -146,11 +151,32 @@
         """
         sent_at = self._clock.monotonic()
         if self.claim.is_current():
-            self._confirmed_until = sent_at + self._times.store_lease
+            self._confirmed_until = max(self._confirmed_until, sent_at + self._times.store_lease)
             return
         self.ended.set()
         self.wake.set()
 
+    def confirm_since(self, at: timedelta) -> bool:
+        """Return whether no other process can have owned the pool up to a time.
+
+        The owner key is read again unless it was confirmed after that time.
+
+        :param at: a time in the past.
+        """
+        if not self._confirm_lock.acquire(timeout=MAX_CONFIRMATION_WAIT.total_seconds()):
+            return False
+        try:
+            if self._confirmed_until - self._times.store_lease < at:
+                if self.session.failing_since is not None:
+                    # The store is unlikely to respond in time.
+                    return False
+                self.confirm_key()
+        except StoreError:
+            return False
+        finally:
+            self._confirm_lock.release()
+        return self.is_live()
+
     def run_confirmations(self) -> None:
         """Confirm the owner key several times in each store lease, until the term ends."""
         outage = OutageLog("confirm owner key")
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -250,6 +250,7 @@
 
     def status(self, req: wire.WorkflowRequest) -> wire.WorkflowReply:
         """Return the committed state of a workflow."""
+        asked_at = self._clock.monotonic()
         term = self._live_term()
         if term is None:
             return self._not_owner()
@@ -257,20 +258,21 @@
             workflow = term.pool.workflows.get(req.workflow_id)
             shown = workflow.shown if workflow is not None else ""
         if not shown:
-            return _reply(Outcome.NOT_FOUND, "no such workflow")
+            return self._absent(term, asked_at)
         return _reply(Outcome.OK, shown=shown)
 
     def cancel(self, req: wire.WorkflowRequest) -> wire.WorkflowReply:
         """Cancel a workflow; tasks that have ended keep their state."""
+        asked_at = self._clock.monotonic()
         term = self._live_term()
         if term is None:
             return self._not_owner()
         with term.lock:
             workflow = term.pool.workflows.get(req.workflow_id)
-            if workflow is None:
-                return _reply(Outcome.NOT_FOUND, "no such workflow")
-            if workflow.is_ended and workflow.shown == workflow.state:
+            if workflow is not None and workflow.is_ended and workflow.shown == workflow.state:
                 return _reply(Outcome.OK, shown=workflow.shown)
+        if workflow is None:
+            return self._absent(term, asked_at)
 
         def decide() -> list[Any]:
             if workflow.is_ended:
@@ -290,9 +292,13 @@
 
     def waiting(self, req: wire.WorkflowRequest) -> wire.WorkflowReply:
         """Return how many workflows of a queue have not started yet."""
+        asked_at = self._clock.monotonic()
         term = self._live_term()
         if term is None:
             return self._not_owner()
+        if term.has_asked_for_takeover and not term.confirm_since(asked_at):
+            # A successor may have accepted workflows already.
+            return self._not_owner()
         with term.lock:
             count = term.pool.waiting(req.queue)
         return _reply(Outcome.OK, waiting=count)
@@ -755,6 +761,7 @@
             take_over = req.agent != str(self._address()) and term.handover.take_request(
                 self._clock.monotonic(), term.session.failing_since
             )
+            term.has_asked_for_takeover |= take_over
         if not term.is_live():
             return wire.WorkerReportReply(Outcome.NOT_OWNER, 0, 0, 0, 0, [], [])
         if take_over:
@@ -810,6 +817,16 @@
             retry_after = queued.retry_after // timedelta(milliseconds=1)
         return _reply(queued.outcome, queued.reason, shown=shown, retry_after_ms=retry_after)
 
+    def _absent(self, term: PoolTerm, asked_at: timedelta) -> wire.WorkflowReply:
+        """Return the reply about a workflow that this owner does not know.
+
+        A successor may have accepted it: the owner key can be gone long before this process
+        notices. So the key must have named this process after the call has arrived.
+        """
+        if not term.confirm_since(asked_at):
+            return self._not_owner()
+        return _reply(Outcome.NOT_FOUND, "no such workflow")
+
     def _not_owner(self) -> wire.WorkflowReply:
         return _reply(Outcome.NOT_OWNER, "this process does not own the pool")
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -13,6 +13,7 @@
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import EndKind, RunningRun
 from mulberryslip.steps import StepSpec, WorkflowSpec
+from mulberryslip.wire import ttypes as wire
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import accepted_event
 from mulberryslipd.members import FENCES_PER_EPOCH
@@ -733,6 +734,67 @@
     assert world.history.violations == []
 
 
+def ask(owner, method, workflow_id="b"):
+    """Return the reply of an owner to a gateway's call."""
+    header = wire.Header("r1", 1000, 1, "gateway", "g")
+    return getattr(owner, method)(wire.WorkflowRequest(header, workflow_id, "checks", b""))
+
+
+@pytest.mark.parametrize("is_cut", [True, False], ids=["during the cut", "after the cut"])
+@pytest.mark.parametrize("method", ["status", "cancel"])
+def test_replaced_owner_denies_no_workflow_that_its_successor_has_accepted(world, method, is_cut):
+    """Guards against 410, after which the workflow that was to be cancelled runs."""
+    first = world.owner()
+    world.store_cut.add("w0")
+    world.clock.advance(200 * MS)
+    world.store.delete(OWNER_KEY, first._term.epoch)
+    world.elect(world.workers[1])
+    accepted = world.owners["w1"].submit(
+        wire.WorkflowRequest(
+            wire.Header("r1", 1000, 1, "gateway", "g"),
+            "b",
+            "checks",
+            WorkflowSpec("payload", (TASK,)).to_json().encode(),
+        )
+    )
+    assert accepted.outcome == Outcome.OK
+    if not is_cut:
+        world.store_cut.clear()
+    assert first.is_owner()
+    assert ask(first, method).outcome == Outcome.NOT_OWNER
+    assert ask(world.owners["w1"], method).outcome == Outcome.OK
+
+
+@pytest.mark.parametrize("method", ["status", "cancel"])
+def test_owner_with_a_confirmed_key_says_that_a_workflow_is_unknown(world, method):
+    """Guards against callers that never learn that a workflow does not exist."""
+    world.clock.advance(200 * MS)
+    assert ask(world.owner(), method).outcome == Outcome.NOT_FOUND
+    world.store_cut.add("w0")
+    world.clock.advance(200 * MS)
+    assert ask(world.owner(), method).outcome == Outcome.NOT_OWNER
+    world.store_cut.clear()
+    world.renew_sessions()
+    assert ask(world.owner(), method).outcome == Outcome.NOT_FOUND
+
+
+def test_owner_that_has_asked_for_a_hand_over_does_not_count_waiting_workflows(world):
+    """Guards against a number without the workflows that its successor has accepted."""
+    first = world.owner()
+    world.store_cut.add("w0")
+    while not first._term.handover.is_store_lost(
+        world.clock.monotonic(), first._term.session.failing_since
+    ):
+        world.renew_sessions()
+        world.clock.advance(200 * MS)
+    world.run_agent(world.workers[1])
+    assert ask(first, "waiting").outcome == Outcome.NOT_OWNER
+    assert first.is_owner()
+    world.store_cut.clear()
+    world.renew_sessions()
+    assert ask(first, "waiting").outcome == Outcome.OK
+
+
 def test_outage_of_the_store_for_all_does_not_change_the_owner(world):
     """Guards against a hand-over that no process can complete, and that takes effect later."""
     epoch = world.owner()._term.epoch
