Excuse a task for the crash of a later trial once only, and keep its count

The number of runs before the first known crash also counted runs that were never started or stopped.

Cause: "not blamed for this crash" was told by forgetting all earlier ones.

Now the earlier crashes go on counting, the excused one is counted with the next, none is excused after a crash that followed a survived trial, and only a run that lapsed counts before the first known crash.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -7,6 +7,7 @@
 - A data centre loses power, so many workers crash at once under tasks that are harmless.
 """
 
+import enum
 import math
 from collections.abc import Mapping
 
@@ -55,6 +56,14 @@
 their step runs without suspicion or is done. All its tasks end once one of them is given up."""
 
 
+class Excuse(enum.Enum):
+    """Whether a crash under a task has been excused; `COUNTED` if none may be any more."""
+
+    NONE = "none"
+    PENDING = "pending"
+    COUNTED = "counted"
+
+
 @attrs.define
 class CrashRecord:
     """The worker crashes under one task since it last ran without one.
@@ -63,14 +72,18 @@
     :param is_suspected: whether the task may have caused one of them, so that its next run must be
         apart from others.
     :param uncleared_runs: number of runs since the first crash that did not end by themselves, and
-        one for any before it.
+        one if any before it lapsed.
     :param machines: VMs of the last `MAX_CRASHED_MACHINES` workers that crashed.
+    :param excuse: whether one more crash is excused, because the trial of another task is the
+        likelier cause. The next crash counts it, too, and no other one is excused. After a crash
+        that followed a survived trial, none is.
     """
 
     count: int = 0
     is_suspected: bool = False
     uncleared_runs: int = 0
     machines: tuple[str, ...] = ()
+    excuse: Excuse = Excuse.NONE
 
     @property
     def is_exhausted(self) -> bool:
@@ -90,6 +103,12 @@
         :returns: whether the task is guilty: it was suspected, ran apart from others, and has now
             crashed workers on enough VMs.
         """
+        if self.excuse is Excuse.PENDING:
+            self.count += 1
+            self.uncleared_runs += 1
+        if self.excuse is Excuse.PENDING or (self.count and not self.is_suspected):
+            # The task may crash its workers later than its trials last.
+            self.excuse = Excuse.COUNTED
         self.count += 1
         self.machines = (*self.machines, machine)[-MAX_CRASHED_MACHINES:]
         is_guilty = (
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -15,7 +15,7 @@
 import attrs
 
 from . import records
-from .crashes import CrashRecord, recent_runs
+from .crashes import CrashRecord, Excuse, recent_runs
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
@@ -116,7 +116,8 @@
 
     A record that repeats the last checkpoint tells that the run has outlived the probation of its
     task, or the longest one if no worker has crashed under the task. If the task was no longer
-    suspected, its crashes do not count any more.
+    suspected, its crashes do not count any more; but if the next event is that the run was lost,
+    that crash is excused, and the earlier ones go on counting.
     """
 
     task: str = records.text("t", MAX_NAME_CHARS)
@@ -324,6 +325,8 @@
         self._last_allocation_version = 0
         self._workers_to_stop_runs_on: set[str] = set()
         self._crashed: dict[str, StepTask] = {}
+        self._lapsed: dict[str, StepTask] = {}
+        self._last_forgotten: tuple[str, CrashRecord] | None = None
         self._recent_runs: dict[tuple[str, str], frozenset[str]] = {}
         self._newly_suspected: list[StepTask] = []
         self._ended: dict[str, None] = {}
@@ -431,6 +434,7 @@
         task = self._ready.get(event.task)
         if task is None or event.run != task.run + 1:
             return False
+        self._last_forgotten = None
         del self._ready[task.name]
         task.phase = Phase.HELD
         task.run = event.run
@@ -450,6 +454,7 @@
         if outcome in _OUTCOMES_OF_STARTED_RUNS:
             self.record_start(task)
         is_given_up = self._record_crash_evidence(task, outcome)
+        self._last_forgotten = None
         self._release_capacity(task)
         if event.checkpoint:
             task.checkpoint = event.checkpoint
@@ -579,11 +584,18 @@
             self._forget_crashes(task)
             return False
         is_guilty = False
+        if outcome is RunOutcome.LOST and self._last_forgotten is not None:
+            name, record = self._last_forgotten
+            if name == task.name:
+                record.excuse, record.is_suspected = Excuse.PENDING, True
+                task.crashes, self._crashed[task.name] = record, task
+                return False
+        if outcome is RunOutcome.LAPSED and task.crashes is None:
+            self._lapsed[task.name] = task
         if outcome is RunOutcome.LOST:
             if task.crashes is None:
-                # One of the earlier runs may have ended in a crash that no owner learned of.
-                may_have_crashed = task.run - 1 > task.failures
-                task.crashes = CrashRecord(uncleared_runs=int(may_have_crashed))
+                # A run that lapsed may have ended in a crash that no owner learned of.
+                task.crashes = CrashRecord(uncleared_runs=int(task.name in self._lapsed))
                 self._crashed[task.name] = task
             was_suspected = task.is_suspected
             recent = self._recent_runs_at_crash(task)
@@ -622,6 +634,7 @@
         if task.crashes.is_suspected:
             task.crashes.is_suspected = False
         else:
+            self._last_forgotten = task.name, task.crashes
             self._forget_crashes(task)
             task.outlived_run = task.run
         return True
@@ -629,6 +642,7 @@
     def _forget_crashes(self, task: StepTask) -> None:
         task.crashes = None
         self._crashed.pop(task.name, None)
+        self._lapsed.pop(task.name, None)
 
     def _end(self, workflow: Workflow, at_ms: int) -> None:
         workflow.ended_ms = max(1, at_ms)
@@ -667,6 +681,7 @@
         for task in workflow.tasks():
             del self._tasks[task.name]
             self._crashed.pop(task.name, None)
+            self._lapsed.pop(task.name, None)
         workflow.steps = []
         self._ended[workflow.workflow_id] = None
 
@@ -688,6 +703,12 @@
             "ended": [_ended_row(self.workflows[name]) for name in self._ended],
             "pressures": [records.encode(estimate) for estimate in self.interferences.values()],
             "crashes": [_crash_row(task) for task in self._crashed.values()],
+            "excuses": [
+                [task.name, task.crashes.excuse.value]
+                for task in self._crashed.values()
+                if task.crashes.excuse is not Excuse.NONE
+            ],
+            "lapsed": list(self._lapsed),
             "outlived": [
                 [task.name, task.run]
                 for tasks in self._active_by_worker.values()
@@ -715,6 +736,10 @@
             # Earlier builds write no crashes.
             for row in raw.get("crashes", ()):
                 pool._restore_crashes(*row)
+            for name, excuse in raw.get("excuses", ()):
+                if name in pool._crashed:
+                    pool._crashed[name].crashes.excuse = Excuse(excuse)
+            pool._lapsed = {name: pool._tasks[name] for name in raw.get("lapsed", ())}
             for name, run in raw.get("outlived", ()):
                 _check_types((name, run), (str, int))
                 pool._tasks[name].outlived_run = run
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -16,6 +16,7 @@
     FIRST_PROBATION_MS,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
+    Excuse,
     max_trials,
     recent_runs,
 )
@@ -512,7 +513,12 @@
         member = term.members.get(task.worker_id)
         if member is None or member.incarnation != task.incarnation or task.is_suspected:
             return []
-        is_cleared = task.crashes is not None and on_trial and task.name not in on_trial
+        is_cleared = (
+            task.crashes is not None
+            and task.crashes.excuse is Excuse.NONE
+            and on_trial
+            and task.name not in on_trial
+        )
         required_ms = FIRST_PROBATION_MS if is_cleared else MAX_PROBATION_MS
         if (task.crashes is None or is_cleared) and _age_ms(task, member) >= required_ms:
             return [RunCheckpointed(task.name, task.run, task.checkpoint)]
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -21,6 +21,7 @@
 from mulberryslip.workflows import Pool, RunAssigned, RunCheckpointed, RunEnded, RunOutcome
 from pool_doubles import CRASH_OUTAGE, QUEUE, SECOND, PoolWorld
 from test_workflows import workflow_accepted
+from trials import Parameters, Play
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 CHECK = attrs.evolve(TASK, cpu_millis=500)
@@ -407,10 +408,22 @@
     world.workers[0].crash_ms_of = lambda name: 10 if name.startswith("b") else None
     while not world.history.crashes:
         world.round()
+    world.workers[0].crash_ms_of = lambda name: None
     world.run(5 * ROUNDS_PER_SECOND)
     assert world.shown("a") == "running"
 
 
+def test_task_that_outlives_its_trials_is_found_beside_other_trials():
+    """Guards against a task that is absolved again and again by the trials beside it."""
+    parameters = Parameters(150, 2, 11, (1, 2), 1, services=1.0, crash_ms=1800, seconds=40)
+    played = Play(parameters)
+    while played.elapsed < parameters.seconds * SECOND and not played.is_through():
+        played.round()
+    assert played.guilty_workflows() <= played.failed_at.keys()
+    assert played.excess_starts == []
+    assert played.world.history.violations == []
+
+
 @pytest.mark.parametrize("outcome", [RunOutcome.LAPSED, RunOutcome.STOPPED, RunOutcome.LOST])
 def test_starts_after_three_crashes_are_limited(outcome):
     """Guards against further starts of a task that does not run apart from others."""
