Blame no task for the crash of a worker that its run never reached

Cause: only tasks that were not suspected were excused for a run whose start nobody has seen arrive. Such a run now ends as lapsed for suspected tasks, too.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -489,7 +489,7 @@
         A task that starts at the same time as others, and crashes its worker like these, is excused
         `MAX_EXCUSED_STARTS` times only. Once it is suspected, it is tried apart from them.
         """
-        if task.delivered_run != task.run and not task.is_suspected:
+        if task.delivered_run != task.run:
             return True
         if not crash.is_outage or task.is_suspected:
             return crash.is_outage
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1114,7 +1114,11 @@
     [
         *itertools.product([*range(12), 3001], [0.0, 0.03], [500, 2]),
         (4047, 0.03, 500),
+        (4075, 0.03, 500),
         (4094, 0.0, 500),
+        (4094, 0.03, 500),
+        (4140, 0.03, 2),
+        (5016, 0.03, 500),
     ],
 )
 def test_guarantees_hold_under_random_faults(seed, deadly_share, max_listed_ends):
