--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -57,7 +57,10 @@
 
 
 class Excuse(enum.Enum):
-    """Whether a crash under a task has been excused; `COUNTED` if none may be any more."""
+    """Whether a crash under a task is excused.
+
+    `PENDING`: one is, and is not counted yet. `COUNTED`: no further one may be.
+    """
 
     NONE = "none"
     PENDING = "pending"
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -252,9 +252,9 @@
         wait to be tried one by one.
 
         Workers with few runs go first, since a crash would end these, but those on other VMs than
-        the earlier crashes before all others; a task whose next crash can be the last waits for
-        such a VM. Without a worker where nothing has started lately,
-        one is kept free of other starts until that is so.
+        the earlier crashes before all others. A task with one crash less than a verdict needs waits
+        for such a VM, for `MAX_TRIAL_WAIT_MS` at most. Without a worker where nothing has started
+        lately, one is kept free of other starts until that is so.
 
         :param suspects: suspected tasks that are ready to start.
         :param workers: candidate workers, none of which runs a suspected task.
@@ -313,7 +313,7 @@
             if trials[workflow_id] >= max_by_step[step]:
                 continue
             crashed = task.crashes.machines
-            # A further crash on one of these VMs could not settle the matter.
+            # A verdict needs crashes on different VMs.
             needs_other_vm = (
                 task.crashes.count >= CRASHES_BEFORE_GUILT - 1 and wait_ms < MAX_TRIAL_WAIT_MS
             )
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -506,7 +506,8 @@
         """Return the event that keeps a run that has lasted for long from being suspected.
 
         Its task must not wait for a trial after its worker's crash. One that has been suspected and
-        has outlived its trial is not blamed for the crash of a later trial beside it.
+        has outlived its trial is excused once for the crash of a later trial beside it; the event
+        must directly precede the one that the run was lost, see `RunCheckpointed`.
 
         :param on_trial: suspected tasks that the worker had started shortly before.
         """
