Tell which limit keeps a task waiting, for each kind of task, and measure the waits of services

Now there is one line for each kind (long-running or not, suspected or not). For workers with room it names the limit that passed the task over: the reserve for short tasks, the workers on trial, the trials of the workflow or of a round, an idle worker or another VM that the trial waits for. Workers that are kept for a trial are counted; before, they were in no line.

No decision changes. test_crashes.py and test_dispatches.py: the new cases fail without the change, since the fields do not exist.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -15,7 +15,14 @@
 import functools
 import heapq
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    MutableMapping,
+    Sequence,
+)
 from datetime import timedelta
 
 import attrs
@@ -111,6 +118,13 @@
 MAX_TRIALS_PER_ROUND = 8
 """Maximum number of suspected tasks placed in one round; each is compared against all workers."""
 
+TOO_MANY_TRIALS = "workers on trial"
+KEEPS_WORKER = "waits for an idle worker"
+OTHER_VM = "waits for another VM"
+"""Reasons why a suspected task gets none of the workers with room: the limit on workers that run
+suspected tasks, a worker that is kept free until nothing has started there lately, and VMs on which
+a further crash would prove nothing."""
+
 
 @attrs.frozen
 class PlacementDecision:
@@ -197,14 +211,21 @@
         self._marginal_throughputs: dict[str, dict[tuple[str, int], float]] = {}
 
     def schedule(
-        self, waiting: Iterable[StepTask], workers: Sequence[WorkerCapacity], now_ms: int
+        self,
+        waiting: Iterable[StepTask],
+        workers: Sequence[WorkerCapacity],
+        now_ms: int,
+        passed_over: MutableMapping[str, str] | None = None,
     ) -> list[PlacementDecision]:
         """Return the runs to start now.
 
         :param waiting: tasks that are ready to start.
         :param workers: candidate workers; updated with the chosen runs.
         :param now_ms: current time, in milliseconds since 1970.
+        :param passed_over: updated with the tasks that a limit keeps from workers with room, with
+            the limit.
         """
+        passed_over = {} if passed_over is None else passed_over
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         reserve = SHORT_TASK_RESERVE * sum(worker.capacity.cpu_millis for worker in workers)
@@ -226,6 +247,7 @@
                 ranking = _Ranking(key, score, workers)
             may_use_reserve = not spec.lasting or _needs_last_resort(task, wait_ms)
             if not may_use_reserve and free_millis - spec.cpu_millis < reserve:
+                passed_over[task.name] = "reserved for short tasks"
                 continue
             worker = ranking.best()
             if worker is None:
@@ -244,6 +266,7 @@
         running: Collection[StepTask],
         limit: int,
         now_ms: int,
+        passed_over: MutableMapping[str, str] | None = None,
     ) -> tuple[list[PlacementDecision], set[str]]:
         """Return the runs of suspected tasks to start now, apart from other tasks.
 
@@ -265,8 +288,11 @@
             Long-running tasks may use `SERVICE_TRIALS_FACTOR` times as many, and any number once
             they have waited for `MAX_TRIAL_WAIT_MS`.
         :param now_ms: current time, in milliseconds since 1970.
+        :param passed_over: updated with the tasks that a limit keeps from workers with room, with
+            the limit.
         :returns: the decisions, and the ids of the workers that must not get other runs.
         """
+        passed_over = {} if passed_over is None else passed_over
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         kept: set[str] = set()
@@ -304,13 +330,19 @@
                 continue
             is_overdue_service = task.spec.lasting and wait_ms >= MAX_TRIAL_WAIT_MS
             max_workers = limit * (SERVICE_TRIALS_FACTOR if task.spec.lasting else 1)
-            if len(kept) >= MAX_TRIALS_PER_ROUND or step in pending:
+            if step not in max_by_step:
+                max_by_step[step] = max_trials_of(task.workflow, task.step)
+            if step in pending:
+                passed_over[task.name] = KEEPS_WORKER
+                continue
+            if len(kept) >= MAX_TRIALS_PER_ROUND:
+                passed_over[task.name] = "trials of a round"
                 continue
             if taken + len(kept) >= max_workers and not is_overdue_service:
+                passed_over[task.name] = TOO_MANY_TRIALS
                 continue
-            if step not in max_by_step:
-                max_by_step[step] = max_trials_of(task.workflow, task.step)
             if trials[workflow_id] >= max_by_step[step]:
+                passed_over[task.name] = "trials of the workflow"
                 continue
             crashed = task.crashes.machines
             # A verdict needs crashes on different VMs.
@@ -319,6 +351,8 @@
             )
             unsuitable = (*step, crashed if needs_other_vm else ())
             if unsuitable in unplaceable:
+                if needs_other_vm:
+                    passed_over[task.name] = OTHER_VM
                 continue
             suitable = sorted(ranked, key=lambda worker: worker.machine in crashed)
             worker = next(
@@ -333,6 +367,8 @@
             if worker is None:
                 # The tasks of a step have the same requirements.
                 unplaceable.add(unsuitable)
+                if needs_other_vm:
+                    passed_over[task.name] = OTHER_VM
                 continue
             ranked.remove(worker)
             kept.add(worker.worker_id)
@@ -340,6 +376,7 @@
             starts_together = task.spec.lasting or tries_steps
             must_wait, *_ = preference(worker)
             if must_wait:
+                passed_over[task.name] = KEEPS_WORKER
                 if starts_together:
                     # The others need no worker of their own.
                     pending.add(step)
@@ -395,13 +432,18 @@
         return moved
 
     def wait_reasons(
-        self, task: StepTask, workers: Iterable[WorkerCapacity], wait_ms: int
+        self,
+        task: StepTask,
+        workers: Iterable[WorkerCapacity],
+        wait_ms: int,
+        limit: str = "not chosen",
     ) -> Counter[str]:
         """Return why workers do not get a waiting task, with the number of workers.
 
         :param wait_ms: how long the task has been waiting, in milliseconds.
+        :param limit: why the task was passed over for workers with room.
         """
-        return Counter(_refusal(task, worker, wait_ms) or "not chosen" for worker in workers)
+        return Counter(_refusal(task, worker, wait_ms) or limit for worker in workers)
 
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
         """Return waiting tasks in scheduling order."""
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -128,7 +128,7 @@
         self._rng = rng
         self._times = times or PoolLeaseTimes()
         self._inventory = inventory
-        self._scheduler = PoolScheduler(source, dispatcher, self._times, clock)
+        self._scheduler = PoolScheduler(source, dispatcher, self._times, metrics, clock)
         self._term: PoolTerm | None = None
         self._takeover_epoch = 0
         self._isolation = IsolationPolicy()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -4,6 +4,7 @@
 """
 
 import threading
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from typing import Any, Protocol
@@ -22,6 +23,7 @@
 )
 from mulberryslip.dispatches import (
     MAX_ESTIMATE_MS,
+    TOO_MANY_TRIALS,
     Dispatcher,
     PlacementDecision,
     tasks_to_try,
@@ -29,6 +31,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
 from mulberryslip.health import RunProgress, WorkerHealth
+from mulberryslip.metrics import Metrics
 from mulberryslip.outages import WorkerCrash
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import RunningRun
@@ -104,6 +107,8 @@
 
 WAIT_LOG_INTERVAL = timedelta(seconds=1)
 
+ON_TRIAL = "runs a suspected task"
+
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
 """Shortest time that a run must have spent on a worker before it may be moved; before that, its
 measured speed is not meaningful."""
@@ -147,6 +152,24 @@
         return True
 
 
+@attrs.frozen
+class _Waits:
+    """The tasks that wait for long after a round.
+
+    :param overdue: services, checks and suspected tasks that have waited for `LONG_WAIT_MS`.
+    :param candidates: workers that could get runs.
+    :param kept: number of workers that were kept for suspected tasks.
+    :param passed_over: tasks that a limit kept from workers with room, with the limit.
+    :param now_ms: current time, in milliseconds since 1970.
+    """
+
+    overdue: list[StepTask]
+    candidates: list[WorkerCapacity]
+    kept: int
+    passed_over: dict[str, str]
+    now_ms: int
+
+
 class PoolScheduler:
     """Makes the scheduling decisions of a pool's owner.
 
@@ -156,11 +179,17 @@
     """
 
     def __init__(
-        self, source: ConfigSource, dispatcher: Dispatcher, times: PoolLeaseTimes, clock: Clock
+        self,
+        source: ConfigSource,
+        dispatcher: Dispatcher,
+        times: PoolLeaseTimes,
+        metrics: Metrics,
+        clock: Clock,
     ):
         self._source = source
         self._dispatcher = dispatcher
         self._times = times
+        self._metrics = metrics
         self._clock = clock
         self._health = WorkerHealth()
         now = clock.monotonic()
@@ -629,15 +658,25 @@
         best_effort = [task for task in others if task.spec.fills]
         candidates: list[WorkerCapacity] | None = None
         decisions: list[PlacementDecision] = []
+        passed_over: dict[str, str] = {}
+        kept: set[str] = set()
         if suspects:
             candidates = self._candidates(term, config)
-            decisions, kept = self._place_trials(term, suspects, candidates)
+            decisions, kept = self._place_trials(term, suspects, candidates, passed_over)
             candidates = [worker for worker in candidates if worker.worker_id not in kept]
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
-            decisions += self._dispatcher.schedule(urgent, candidates, now_ms)
-        if suspects or urgent:
-            self._log_long_waits(term, config, suspects + urgent, decisions, candidates, now_ms)
+            decisions += self._dispatcher.schedule(urgent, candidates, now_ms, passed_over)
+        if self._wait_log_timer.is_due(self._clock.monotonic()):
+            placed = {decision.task.name for decision in decisions}
+            overdue = [
+                task
+                for task in suspects + urgent
+                if now_ms - task.waiting_since_ms >= LONG_WAIT_MS and task.name not in placed
+            ]
+            waits = _Waits(overdue, candidates or [], len(kept), passed_over, now_ms)
+            self._log_long_waits(term, config, waits)
+            self._record_service_wait(term, config, waits)
         if len(decisions) >= URGENT_BURST or not best_effort:
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
@@ -646,14 +685,22 @@
         return decisions
 
     def _place_trials(
-        self, term: PoolTerm, suspects: list[StepTask], candidates: list[WorkerCapacity]
+        self,
+        term: PoolTerm,
+        suspects: list[StepTask],
+        candidates: list[WorkerCapacity],
+        passed_over: dict[str, str],
     ) -> tuple[list[PlacementDecision], set[str]]:
-        """Choose workers on which suspected tasks start apart from others."""
+        """Choose workers on which suspected tasks start apart from others.
+
+        :param passed_over: updated with the tasks that a limit keeps from workers with room.
+        """
         trials = term.pool.trials()
         taken = len({task.worker_id for task in trials})
         waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
         limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
         if taken >= limit and not any(task.spec.lasting for task in suspects):
+            passed_over.update((task.name, TOO_MANY_TRIALS) for task in suspects)
             return [], set()
         now = self._clock.monotonic()
         last_starts = {}
@@ -666,7 +713,7 @@
                     clock_ms + START_WINDOW // timedelta(milliseconds=1) - last_ms
                 )
         return self._dispatcher.schedule_trials(
-            suspects, candidates, last_starts, trials, limit, self._now_ms()
+            suspects, candidates, last_starts, trials, limit, self._now_ms(), passed_over
         )
 
     def move_runs(self, term: PoolTerm) -> None:
@@ -751,7 +798,7 @@
             elif newest.get(member.machine, "") > member.incarnation:
                 reason = "replaced by a newer worker"
             elif member.worker_id in trial_workers:
-                reason = "runs a suspected task"
+                reason = ON_TRIAL
             elif member.data_centre in config.data_centres_out:
                 reason = "data centre out"
             elif now - member.received_at > MAX_REPORT_AGE:
@@ -760,36 +807,52 @@
                 reason = ""
             yield member, reason
 
-    def _log_long_waits(
-        self,
-        term: PoolTerm,
-        config: PoolConfig,
-        waiting: Iterable[StepTask],
-        decisions: Iterable[PlacementDecision],
-        candidates: list[WorkerCapacity],
-        now_ms: int,
-    ) -> None:
-        """Log why the task that has waited longest is not started, if it has waited too long."""
-        overdue = [task for task in waiting if now_ms - task.waiting_since_ms >= LONG_WAIT_MS]
-        if overdue:
-            placed = {decision.task.name for decision in decisions}
-            overdue = [task for task in overdue if task.name not in placed]
-        if not overdue or not self._wait_log_timer.is_due(self._clock.monotonic()):
+    def _log_long_waits(self, term: PoolTerm, config: PoolConfig, waits: "_Waits") -> None:
+        """Log why overdue tasks are not started: of each kind, the one that waits longest."""
+        if not waits.overdue:
             return
-        longest = min(overdue, key=lambda task: task.waiting_since_ms)
-        wait_ms = now_ms - longest.waiting_since_ms
-        reasons = self._dispatcher.wait_reasons(longest, candidates, wait_ms)
-        reasons.update(reason for _, reason in self._availability(term, config) if reason)
-        log(
-            Event.RUN_WAITING,
-            task=longest.name,
-            lasting=longest.spec.lasting,
-            waited_ms=wait_ms,
-            overdue=len(overdue),
-            suspected=sum(task.is_suspected for task in overdue),
-            trials=len({task.worker_id for task in term.pool.trials()}),
-            reasons=dict(reasons),
-        )
+        unavailable = Counter(reason for _, reason in self._availability(term, config) if reason)
+        trials = len({task.worker_id for task in term.pool.trials()})
+        by_wait = sorted(waits.overdue, key=lambda task: task.waiting_since_ms, reverse=True)
+        longest_by_kind = {(task.spec.lasting, task.is_suspected): task for task in by_wait}
+        for longest in longest_by_kind.values():
+            wait_ms = waits.now_ms - longest.waiting_since_ms
+            reasons = self._dispatcher.wait_reasons(
+                longest,
+                waits.candidates,
+                wait_ms,
+                waits.passed_over.get(longest.name, "not chosen"),
+            )
+            if waits.kept:
+                reasons["kept for a trial"] = waits.kept
+            log(
+                Event.RUN_WAITING,
+                task=longest.name,
+                lasting=longest.spec.lasting,
+                is_suspected=longest.is_suspected,
+                waited_ms=wait_ms,
+                overdue=len(waits.overdue),
+                suspected=sum(task.is_suspected for task in waits.overdue),
+                trials=trials,
+                reasons=dict(reasons + unavailable),
+            )
+
+    def _record_service_wait(self, term: PoolTerm, config: PoolConfig, waits: "_Waits") -> None:
+        """Record the longest wait of a service that a worker has room for.
+
+        Workers that run a suspected task count, too: it is the owner that lets nothing start there.
+        """
+        longest_ms = 0
+        services = [task for task in waits.overdue if task.spec.lasting]
+        if services:
+            workers = [
+                self._allocated_capacity(term, member)
+                for member, reason in self._availability(term, config)
+                if reason in ("", ON_TRIAL)
+            ]
+            admitted = (task for task in services if any(worker.admits(task) for worker in workers))
+            longest_ms = max((waits.now_ms - task.waiting_since_ms for task in admitted), default=0)
+        self._metrics.set_gauge("service_wait_with_room_ms", longest_ms)
 
     def _allocated_capacity(self, term: PoolTerm, member: Member) -> WorkerCapacity:
         """Return the capacity of a worker, computed again only after its allocation changed."""
--- a/tests/log_events.py
+++ b/tests/log_events.py
@@ -5,6 +5,17 @@
 import eliot
 
 
+@contextlib.contextmanager
+def logged_messages():
+    """Collect the events that are logged, with their fields."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    try:
+        yield messages
+    finally:
+        eliot.remove_destination(messages.append)
+
+
 @contextlib.contextmanager
 def logged_events():
     """Collect the numbers of the events that are logged."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from log_events import logged_events
+from log_events import logged_events, logged_messages
 from mulberryslip.crashes import (
     CRASHES_BEFORE_GUILT,
     MAX_UNCLEARED_RUNS,
@@ -332,6 +332,50 @@
     assert Event.RUN_WAITING.value in numbers
 
 
+def wait_events(world, seconds):
+    with logged_messages() as messages:
+        world.run(seconds * ROUNDS_PER_SECOND)
+    return [message for message in messages if message["event"] == Event.RUN_WAITING.value]
+
+
+def test_long_wait_of_each_kind_is_logged():
+    """Guards against a service whose wait is hidden by a check that waits longer."""
+    world = make_world()
+    kinds = {(lasting, suspected) for lasting in (False, True) for suspected in (False, True)}
+    for lasting, suspected in sorted(kinds):
+        name = f"{lasting}{suspected}"
+        world.submit(name, attrs.evolve(CHECK, cpu_millis=10**6, lasting=lasting))
+        world.run(1)
+        if suspected:
+            world.owner()._term.pool.task(f"{name}/0/0/0").crashes = CrashRecord(2, True)
+    events = wait_events(world, 4)
+    assert {(event["lasting"], event["is_suspected"]) for event in events} == kinds
+
+
+def test_service_that_waits_beside_room_is_a_metric():
+    """Guards against services that wait beside room while no figure shows it."""
+    world = make_world(workers=1, run_ms=60_000)
+    source = next(iter(world.sources.values()))
+    # Nothing may start before the crashes are recorded.
+    source.value = PoolConfig.from_queues(2, [QUEUE], ["east"])
+    world.submit("trial", LASTING)
+    pool = world.owner()._term.pool
+    task = pool.task("trial/0/0/0")
+    task.crashes = CrashRecord(4, True, 4, ("m1", "m2"))
+    pool._crashed[task.name] = task
+    source.value = PoolConfig.from_queues(3, [QUEUE])
+    world.run(2)
+    world.submit("waiting", LASTING)
+    world.run(4 * ROUNDS_PER_SECOND)
+    gauges = world.owner()._metrics.snapshot().gauges
+    assert gauges["service_wait_with_room_ms"] >= 2000
+    world.run(8 * ROUNDS_PER_SECOND)
+    world.submit("large", attrs.evolve(LASTING, cpu_millis=10**6))
+    world.run(4 * ROUNDS_PER_SECOND)
+    gauges = world.owner()._metrics.snapshot().gauges
+    assert gauges["service_wait_with_room_ms"] == 0
+
+
 def test_refused_start_on_a_crashed_worker_is_no_evidence():
     """Guards against blaming tasks whose start never reached the worker."""
     world = make_world(workers=1)
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -1,11 +1,13 @@
 """Scheduling policy: placement decisions, and simulated load compared with a naive policy."""
 
 import random
+from collections import Counter
 from datetime import timedelta
 
 import attrs
 import pytest
 from mulberryslip.capacities import worker_capacity_of
+from mulberryslip.crashes import CrashRecord
 from mulberryslip.dispatches import (
     ANY_WORKER_WAIT_MS,
     LAST_RESORT_WAIT_MS,
@@ -152,6 +154,38 @@
     assert dispatcher().wait_reasons(pool.ready()[0], workers, 0) == {reason: 2}
 
 
+@pytest.mark.parametrize(
+    ("names", "idle_ms", "limit", "reasons"),
+    [
+        ("abc", {}, 2, {"workers on trial": 1}),
+        ("abc", dict.fromkeys(("w0", "w1", "w2"), 0), 3, {"waits for an idle worker": 3}),
+        ("aaa", {}, 3, {"trials of the workflow": 1}),
+        ("abcdefghi", {}, 9, {"trials of a round": 1}),
+    ],
+)
+def test_limit_that_keeps_a_suspected_task_waiting_is_known(names, idle_ms, limit, reasons):
+    """Guards against waits for trials that do not tell which limit binds."""
+    pool = Pool()
+    for name in sorted(set(names)):
+        add(pool, name, CHECKS, StepSpec(names.count(name), 1000))
+    suspects = pool.ready()
+    for task in suspects:
+        task.crashes = CrashRecord(1, True)
+    passed_over = {}
+    workers = make_workers(pool, len(names))
+    dispatcher().schedule_trials(suspects, workers, idle_ms, [], limit, 0, passed_over)
+    assert Counter(passed_over.values()) == reasons
+
+
+def test_reserve_that_keeps_a_service_waiting_is_known():
+    """Guards against a service that waits beside room while no log tells why."""
+    pool = Pool()
+    add(pool, "a", WATCH, StepSpec(10, 32_000, lasting=True))
+    passed_over = {}
+    dispatcher().schedule(pool.ready(), make_workers(pool, 3), 0, passed_over)
+    assert "reserved for short tasks" in passed_over.values()
+
+
 def test_excluded_worker_gets_no_runs():
     """Guards against runs assigned to a worker that fails all of them."""
     pool = Pool()
