Answer a report before the owner's permission ends, so that it extends the lease

Cause: a report with ended runs waits up to 2 s for the commit of these ends. The owner looked once, before that wait, whether the store is lost. When the store got lost during the wait, the report was answered after the owner's permission (3 s after its last renewal or confirmation) had ended, as NOT_OWNER, and extended no lease; from then on the owner may extend none.

The wait is now divided: each 100 ms the owner checks whether the store is lost or less than 0.5 s of its permission remain, and then answers without acknowledging the ends. A report in an outage waits 100 ms in any case, as its agent reports again at once while its ends are not committed.

Test: test_report_whose_commit_gets_no_answer_extends_the_lease (renewals fail; renewals succeed and the key is not confirmed). Both cases failed before: the agent got no grant.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -137,12 +137,14 @@
 
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
-        return (
-            not self.ended.is_set()
-            and self.is_claimed()
-            and self.session.valid()
-            and self._clock.monotonic() < self._confirmed_until
-        )
+        return self.remaining() > timedelta()
+
+    def remaining(self) -> timedelta:
+        """Return how long this process may act as the owner if the store does not answer."""
+        if self.ended.is_set() or not self.is_claimed():
+            return timedelta()
+        until_unconfirmed = self._confirmed_until - self._clock.monotonic()
+        return max(timedelta(), min(self.session.remaining(), until_unconfirmed))
 
     def confirm_key(self) -> None:
         """Confirm that the owner key still names this process; end the term if it does not.
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -65,6 +65,14 @@
 
 CLAIM_PAUSE = timedelta(milliseconds=500)
 COMMIT_TIMEOUT = timedelta(seconds=2)
+
+REPORT_CHECK_INTERVAL = timedelta(milliseconds=100)
+"""While a report waits for its commit, time between two checks whether the owner can still reply
+later. A reply after its permission has ended extends no lease."""
+
+MIN_REPLY_TIME = timedelta(milliseconds=500)
+"""Remaining time of the owner's permission in which a report is answered without its commit."""
+
 MAX_COMMANDS_WAIT = timedelta(seconds=4)
 
 MAX_ROUND_BYTES = 256 * 1024
@@ -164,8 +172,8 @@
             )
             term.inbox.append(queued)
         term.wake.set()
-        if req.ended and not self._is_store_lost(term):
-            self._clock.wait(queued.done, COMMIT_TIMEOUT)
+        if req.ended:
+            self._wait_for_commit(term, queued)
         return self._report_reply(term, member, req)
 
     def orders(self, req: wire.OrdersRequest) -> wire.OrdersReply:
@@ -827,6 +835,15 @@
             newest_incarnation,
         )
 
+    def _wait_for_commit(self, term: PoolTerm, queued: QueuedCall) -> None:
+        """Wait for the commit of a report while the owner can still extend the lease afterwards."""
+        for _ in range(COMMIT_TIMEOUT // REPORT_CHECK_INTERVAL):
+            # The wait comes first: the agent reports again at once while ends are uncommitted.
+            if self._clock.wait(queued.done, REPORT_CHECK_INTERVAL):
+                return
+            if self._is_store_lost(term) or term.remaining() < MIN_REPLY_TIME:
+                return
+
     def _is_store_lost(self, term: PoolTerm) -> bool:
         with term.lock:
             return term.handover.is_store_lost(self._clock.monotonic(), term.session.failing_since)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -980,6 +980,49 @@
     assert outcomes == [Outcome.OUTCOME_UNKNOWN]
 
 
+@pytest.mark.parametrize("silent", ["renewals", "confirmations"])
+def test_report_whose_commit_gets_no_answer_extends_the_lease(world, monkeypatch, silent):
+    """Guards against running work that is lost in an outage of the store shorter than its lease.
+
+    The store gets lost while the report waits for the commit of an ended run. A reply that comes
+    after the owner's permission has ended extends no lease.
+    """
+    for worker in world.workers:
+        worker.run_ms = lambda name: 1000 if name.startswith("short") else 100_000
+    task = attrs.evolve(TASK, cpu_millis=CAPACITY.cpu_millis // 2)
+    world.submit("long", attrs.evolve(task, count=3))
+    world.submit("short", attrs.evolve(task, count=3))
+    world.run(3)
+    holder = next(
+        worker
+        for worker in world.workers
+        if {name.split("/")[0] for name in worker.runs} == {"long", "short"}
+    )
+    world.clock.advance(STORE_LEASE / 3)
+    holder.end_due_runs()
+    assert [end.task.split("/")[0] for end in holder.ended] == ["short"]
+    listed_ms = holder.clock_ms()
+    outage_at = world.clock.monotonic()
+    owner, term = world.owner(), world.owner()._term
+    session = world.sessions["w0"][-1]
+
+    def wait_without_commits(event, timeout):
+        world.clock.advance(timeout)
+        if silent == "renewals":
+            world.store.set_faults(outage="refuse")
+        session.renew()
+        return event.is_set()
+
+    monkeypatch.setattr(world.clock, "wait", wait_without_commits)
+    agent, directory = world.agents[holder.id]
+    assert agent.renew_and_report(directory.owner())
+    assert owner.is_owner()
+    assert agent._grant.lease_until_ms == listed_ms + PoolLeaseTimes().lease // MS
+    assert agent._grant.ended_through == 0
+    assert world.clock.monotonic() - outage_at > SECOND
+    assert not term.pool.task(holder.ended[0].task).workflow.is_ended
+
+
 def test_runs_of_a_worker_that_is_slow_to_report_continue(world, monkeypatch):
     """Guards against running work that is stopped because its worker's reports are delayed."""
     for worker in world.workers:
