Start no tasks on a worker that has just left a reservation unanswered

What callers saw: an urgent task of the `entry` role started late beside an unresponsive worker; the target is 1 s (KNOWN-RED, test_urgent_task_starts_within_a_second_next_to_an_unresponsive_worker).

Cause: a round waits up to 0.4 s for reservations. A worker whose call is in progress is left out of later rounds, but a call that waits behind another one to the same worker (a renewal takes 1 s) is cancelled, which counts as done. So the next round could reserve on the same worker, and wait 0.4 s again; since it looks the least loaded, the urgent task itself was placed there. A worker that did not answer in time now gets no tasks for 2 s, unless no other one is available.

Test: test_urgent_task_waits_once_for_an_unresponsive_worker, 20, 40 and 60 tasks; before, the urgent task started after 4.8 s on the manual clock (it waited in each of 12 rounds), now within the target.

--- a/packages/daemon/src/mulberryslipd/starters.py
+++ b/packages/daemon/src/mulberryslipd/starters.py
@@ -60,6 +60,10 @@
 """Longest wait for reservations in one round. An unresponsive worker must not delay an urgent start
 beyond 1 s."""
 
+UNANSWERED_AVOIDANCE = timedelta(seconds=2)
+"""How long a worker that did not answer a reservation in time gets no tasks, unless no other worker
+is available. Each round with a reservation on it would again wait until the timeout."""
+
 FLEET_DISCOVERY_TIME = timedelta(seconds=30)
 """Time after which every live worker is assumed to have announced itself to this process."""
 
@@ -146,6 +150,8 @@
         self._explanations = explanations
         self._clock = clock
         self._reservation_calls: dict[str, Future] = {}
+        # End of the avoidance of each worker that did not answer a reservation in time.
+        self._unresponsive: dict[str, timedelta] = {}
         # Expiry time of each (task, worker) pair that placement should avoid.
         self._avoided: dict[tuple[TaskKey, str], timedelta] = {}
 
@@ -204,7 +210,11 @@
     def _candidate_views(self) -> list[WorkerView]:
         # When no worker accepts tasks, rank all of them so that the reasons are recorded.
         views = self._fleet.placement_views() or self._fleet.workers()
-        return [view for view in views if not self._is_busy(view.description.worker_id)]
+        views = [view for view in views if not self._is_busy(view.description.worker_id)]
+        now = self._clock.monotonic()
+        self._unresponsive = {name: end for name, end in self._unresponsive.items() if end > now}
+        responsive = [v for v in views if v.description.worker_id not in self._unresponsive]
+        return responsive or views
 
     def _is_busy(self, worker_id: str) -> bool:
         """Return whether an earlier reservation call to a worker is still in progress."""
@@ -278,6 +288,7 @@
         for worker_id, fut in futures.items():
             if fut.cancel() or not fut.done():
                 self._record_refusals(groups[worker_id], f"{worker_id} did not answer in time")
+                self._unresponsive[worker_id] = self._clock.monotonic() + UNANSWERED_AVOIDANCE
                 continue
             granted += [c for c in groups[worker_id] if c.reservation_id]
             for candidate in groups[worker_id]:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from concurrent.futures import Future
 
 import attrs
 import pytest
@@ -15,6 +16,7 @@
 from mulberryslip.jobs import Shard
 from mulberryslip.quotas import Quotas
 from mulberryslip.wire import ttypes as wire
+from mulberryslipd.peers import InlineExecutor
 from mulberryslipd.sources import ConfigSource
 from mulberryslipd.terms import LeaseTimes
 from shard_doubles import (
@@ -569,6 +571,52 @@
         return super().call(address, method, request, deadline)
 
 
+class UnresponsiveWorkerExecutor(InlineExecutor):
+    """Executor whose calls to one worker wait behind an earlier call to it.
+
+    :param on_wait: called in the first wait.
+    """
+
+    def __init__(self, clock, on_wait):
+        super().__init__(clock)
+        self._clock = clock
+        self._on_wait = on_wait
+
+    def submit(self, worker_id, call):
+        return Future() if worker_id == "w0" else super().submit(worker_id, call)
+
+    def wait_all(self, futures, timeout):
+        on_wait, self._on_wait = self._on_wait, lambda: None
+        on_wait()
+        if not all(fut.done() for fut in futures):
+            self._clock.advance(timeout)
+
+
+@pytest.mark.parametrize("tasks", [20, 40, 60])
+def test_urgent_task_waits_once_for_an_unresponsive_worker(tasks):
+    """Guards against rounds that wait for the same worker until an urgent start is late.
+
+    Its reservations are cancelled before they are sent, since its thread is in another call.
+    """
+    cluster = Cluster(workers=11, templates={"recon": {}, "now": {"priority": "urgent"}})
+    clock = cluster.clock
+    sent = []
+
+    def submit_urgent():
+        sent.append(clock.monotonic())
+        submit(owner, "urgent", template="now")
+
+    executor = UnresponsiveWorkerExecutor(clock, submit_urgent)
+    owner = cluster.owner(make_executor=lambda: executor)
+    submit(owner, "load", tasks=tasks)
+    for _ in range(20):
+        owner.step()
+    started_at = {attempt.key: at for _, attempt, _, at, _ in cluster.history}
+    assert len(started_at) == tasks + 1
+    assert started_at[TaskKey("urgent", 0)] - sent[0] < SECOND
+    cluster.check_history()
+
+
 def test_urgent_task_starts_within_a_second_next_to_an_unresponsive_worker():
     """Guards against an unresponsive worker that delays the starts on all others."""
     cluster = Cluster(
