Receive signals in a queue that is safe to use in a handler

Cause: the handlers set a `threading.Event` on which the main thread waits, or which it clears. Python runs handlers in the main thread between any two of its instructions. When the signal arrived while that thread held the event's lock, the handler waited for this lock for ever. The daemon (all roles: entry, worker, gateway, agent) and the store of the test tools did so; both now use `SignalQueue`, a `queue.SimpleQueue`, whose `put` is safe there.

--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import sys
-import threading
 import uuid
 from collections.abc import Sequence
 from datetime import timedelta
@@ -32,6 +31,7 @@
 from mulberryslip.runtimes import HTTPRuntime
 from mulberryslip.servers import Server
 from mulberryslip.settings import Settings
+from mulberryslip.signals import SignalQueue
 from mulberryslip.stores import HTTPStore
 from mulberryslip.vms import VMInventory
 from mulberryslip.wire import PoolService as PoolWire
@@ -57,9 +57,6 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-SIGNAL_CHECK_INTERVAL_S = 0.2
-"""The main thread wakes up at this interval, since Python runs signal handlers only in it."""
-
 AUXILIARY_THREADS = 2
 """Threads of each listener that serves about one short request per second."""
 
@@ -138,18 +135,12 @@
     clock = SystemClock()
     writer = LogWriter(sys.stdout, clock)
     writer.start()
-    stop_event = threading.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: stop_event.set())
-    reload_event = threading.Event()
-    signal.signal(signal.SIGHUP, lambda *_: reload_event.set())
+    signals = SignalQueue(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     try:
         daemon = build(cfg, clock)
         daemon.start()
-        while not stop_event.wait(SIGNAL_CHECK_INTERVAL_S):
-            if reload_event.is_set():
-                reload_event.clear()
-                check_reloaded_settings(cfg, path)
+        while signals.get() == signal.SIGHUP:
+            check_reloaded_settings(cfg, path)
         daemon.stop()
     except (MulberryslipError, OSError) as exc:
         log(Event.INTERNAL_ERROR, what="the process cannot serve", reason=str(exc))
--- a/packages/testing/src/mulberryslip_testing/stores.py
+++ b/packages/testing/src/mulberryslip_testing/stores.py
@@ -25,6 +25,7 @@
 from mulberryslip.clocks import Clock, SystemClock
 from mulberryslip.exceptions import LeaseExpiredError, ValueTooLargeError
 from mulberryslip.outcomes import Committed, Conflict, WriteOutcome
+from mulberryslip.signals import SignalQueue
 from mulberryslip.stores import (
     MAX_VALUE_BYTES,
     CallCounter,
@@ -574,12 +575,10 @@
         seed=flags.FLAGS.seed,
     )
     server = StoreServer(flags.FLAGS.port, faults, threads=flags.FLAGS.threads)
-    stopping = threading.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signum, lambda *_: stopping.set())
+    signals = SignalQueue(signal.SIGTERM, signal.SIGINT)
     server.start()
     print(f"store listening on {server.base_url}", flush=True)
-    stopping.wait()
+    signals.get()
     server.stop()
 
 
