--- a/packages/core/src/mulberryslip/breakdowns.py
+++ b/packages/core/src/mulberryslip/breakdowns.py
@@ -47,6 +47,7 @@
     task: StepTask
     assigned_ms: int
     shares: TimeShares
+    ended_ms: int = 0
 
 
 @attrs.frozen
@@ -97,7 +98,9 @@
         times = self._tasks.setdefault(task.workflow.workflow_id, {})
         known = times.setdefault(task.name, _TaskTimes(task, now_ms, TimeShares()))
         known.assigned_ms = now_ms
-        known.shares += TimeShares(waiting=max(0, now_ms - task.waiting_since_ms))
+        # A run that was not started does not end the wait, and counts as repeated.
+        since_ms = max(task.waiting_since_ms, known.ended_ms)
+        known.shares += TimeShares(waiting=max(0, now_ms - since_ms))
 
     def _record_run_ended(self, event: RunEnded, pool: Pool) -> None:
         workflow_id, _, step, _ = event.task.rsplit("/", 3)
@@ -119,6 +122,7 @@
                 else TimeShares(repeated=took)
             )
             shares = known.shares
+            known.ended_ms = event.at_ms
         if is_done or workflow.is_ended:
             self._step_ends.setdefault(workflow_id, {})[int(step)] = _StepEnd(event.at_ms, shares)
             self._tasks.get(workflow_id, {}).pop(event.task, None)
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -214,7 +214,7 @@
     :param checkpoint: checkpoint from which the next run resumes; empty when there is none.
     :param failed_on: the last `MAX_FAILED_WORKERS` workers on which runs failed.
     :param waiting_since_ms: when the task last began to wait for a worker, in milliseconds since
-        1970; 0 before the first time.
+        1970; 0 before the first time. A run that was not started does not end the wait.
     :param crashes: worker crashes under the task; None if there are none that count.
     :param outlived_run: number of the run that has lasted longer than any probation while no
         crashes counted; 0 for none. A crash then does not make the task suspected just because
@@ -568,7 +568,8 @@
             self._end(workflow, at_ms)
         else:
             task.phase = Phase.WAITING
-            task.waiting_since_ms = at_ms
+            if outcome is not RunOutcome.UNSTARTED:
+                task.waiting_since_ms = at_ms
             self._ready[task.name] = task
 
     def _give_up(self, task: StepTask, at_ms: int) -> None:
--- a/tests/test_breakdowns.py
+++ b/tests/test_breakdowns.py
@@ -66,6 +66,20 @@
     assert message["slowed_ms"] >= 3000
 
 
+def test_refused_starts_count_once(world, timed):
+    """Guards against a wait that counts again after each start that was refused."""
+    for worker in world.workers:
+        worker.is_unhealthy = True
+    world.submit("a")
+    world.run(10)
+    for worker in world.workers:
+        worker.is_unhealthy = False
+    world.run(30)
+    assert world.shown("a") == "completed"
+    message = timed["a"]
+    assert sum(message[part] for part in PARTS) == message["took_ms"]
+
+
 def test_run_that_an_earlier_owner_assigned_is_unknown(world, timed):
     """Guards against a guess at the time of a run whose start this owner has not seen."""
     for worker in world.workers:
--- a/tests/test_workflows.py
+++ b/tests/test_workflows.py
@@ -101,6 +101,29 @@
         assert task.checkpoint == "c1"
 
 
+@pytest.mark.parametrize(
+    ("outcome", "waiting_since_ms"),
+    [
+        (RunOutcome.FAILED, 2000),
+        (RunOutcome.STOPPED, 2000),
+        (RunOutcome.LAPSED, 2000),
+        (RunOutcome.UNSTARTED, 1000),
+        (RunOutcome.LOST, 2000),
+    ],
+)
+def test_run_that_was_not_started_does_not_end_the_wait(outcome, waiting_since_ms):
+    """Guards against limits by waiting time that begin anew with each refused start."""
+    pool = Pool()
+    pool.apply(workflow_accepted("a"))
+    task = pool.task("a/0/0/0")
+    pool.apply(run_assigned(task.name))
+    pool.apply(run_ended(task.name, outcome))
+    assert task.waiting_since_ms == waiting_since_ms
+    assert Pool.from_snapshot(pool.to_snapshot()).task(task.name).waiting_since_ms == (
+        waiting_since_ms
+    )
+
+
 @pytest.mark.parametrize(
     "event",
     [
