--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -581,7 +581,7 @@
             return None
         spec = task.spec
         score = -10.0 * worker.penalty
-        if worker.worker_id in task.failed_on:
+        if worker.worker_id in task.failed_on and not _needs_last_resort(task, wait_ms):
             score -= FAILED_HERE_PENALTY
         if spec.rack and spec.rack not in worker.labels:
             score -= 2.0
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -16,7 +16,7 @@
     estimated_run_time,
 )
 from mulberryslip.headrooms import ImageInterference, InterferenceModel
-from mulberryslip.health import EXCLUSION_PENALTY
+from mulberryslip.health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -68,6 +68,27 @@
     return placed
 
 
+@pytest.mark.parametrize(
+    ("lasting", "wait_ms", "worker_id"),
+    [
+        (True, LAST_RESORT_WAIT_MS - 1, "w1"),
+        (True, LAST_RESORT_WAIT_MS, "w0"),
+        (False, LAST_RESORT_WAIT_MS, "w1"),
+    ],
+)
+def test_service_that_waits_returns_to_the_worker_where_it_failed(lasting, wait_ms, worker_id):
+    """Guards against a service that is sent to a worker without end that refuses its starts."""
+    pool = Pool()
+    queue = attrs.evolve(WATCH, max_attempts=2)
+    add(pool, "a", queue, StepSpec(1, 1000, 1000, lasting=lasting))
+    pool.apply(RunAssigned("a/0/0/0", 1, "w0", "1", "m", 0))
+    pool.apply(RunEnded("a/0/0/0", 1, RunOutcome.FAILED.value, 0))
+    failed_here, refuses = make_workers(pool, 2)
+    refuses.penalty = UNSTARTED_PENALTY
+    (decision,) = dispatcher().schedule(pool.ready(), [failed_here, refuses], wait_ms)
+    assert decision.worker.worker_id == worker_id
+
+
 def test_checks_come_before_batch_work():
     """Guards against short checks that wait behind batch work."""
     pool = Pool()
