Keep a worker's announcements and reports going after an unexpected error

What callers could see: a worker (role `worker`) that an entry no longer knows, or whose ended tasks are never reported, although its process serves.

Cause: the threads that announce to an entry and that report a shard's tasks caught only the errors of the wire. Any other exception ended the thread, and it stayed listed as running, so it was not started again. The loops that renew leases had such a guard; these two now use the same one, which logs the error and goes on with the next step.

Test: test_unexpected_error_ends_no_loop_of_the_worker, both cases failed before (no announcement and no report within the wait).

--- a/packages/daemon/src/mulberryslipd/workers.py
+++ b/packages/daemon/src/mulberryslipd/workers.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
 
 import attrs
 from mulberryslip.admissions import RESERVATION_TTL, Admission
@@ -447,14 +448,18 @@
         while not self._clock.wait(self._stopping, interval):
             self._run_step(step)
 
-    def _run_step(self, step: Callable[[], None]) -> None:
+    def _run_step(self, step: Callable[[], Any], name: str = "") -> Any:
+        """Return the result of one step of a loop; None if it fails."""
+        name = name or step.__name__
         try:
-            step()
+            return step()
         except RuntimeAdapterError as exc:
-            log(Event.RUNTIME_UNAVAILABLE, call=step.__name__, reason=str(exc))
+            log(Event.RUNTIME_UNAVAILABLE, call=name, reason=str(exc))
         except Exception as exc:
-            # The thread must survive an error in one step; without it every lease would expire.
-            log(Event.INTERNAL_ERROR, what=step.__name__, reason=repr(exc))
+            # The thread must survive an error in one step. Without it every lease would expire,
+            # or the worker would no longer be known to an entry or report its tasks.
+            log(Event.INTERNAL_ERROR, what=name, reason=repr(exc))
+        return None
 
     def _tick(self) -> None:
         permille = self._throttle.update(self._gauge.permille())
@@ -475,7 +480,7 @@
 
     def _run_announcer(self, entry: Address) -> None:
         while not self._stopping.is_set() and self._is_entry_known(entry):
-            self._announce(entry)
+            self._run_step(lambda: self._announce(entry), f"announce to {entry}")
             self._clock.wait(self._wake_announcers, self._options.announce_interval)
             if self._is_leaving and not self._stopping.is_set():
                 self._clock.wait(self._stopping, self._options.announce_interval / 5)
@@ -566,7 +571,7 @@
         while not self._stopping.is_set():
             self._clock.wait(event, REPORT_INTERVAL)
             event.clear()
-            if not self._report(shard):
+            if not self._run_step(lambda: self._report(shard), f"report of shard {shard}"):
                 self._clock.wait(self._stopping, REPORT_INTERVAL / 4)
 
     def _report(self, shard: int) -> bool:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -292,6 +292,27 @@
     other.server.stop(timedelta())
 
 
+@pytest.mark.parametrize("method", ["announce", "report"])
+def test_unexpected_error_ends_no_loop_of_the_worker(site, monkeypatch, method):
+    """Guards against a worker that entries forget, or whose tasks have ended without a report."""
+    worker = site.worker()
+    site.entry.renew(worker.port)
+    call, failures = worker._entries.call, []
+
+    def fail_at_first(address, called, *args):
+        if called == method and len(failures) < 2:
+            failures.append(called)
+            raise LookupError("unexpected")
+        return call(address, called, *args)
+
+    monkeypatch.setattr(worker._entries, "call", fail_at_first)
+    site.entry.run(worker.port, TASK_REF, task_input(10))
+    wait_for(lambda: len(failures) == 2)
+    announced = len(site.entry.announced)
+    wait_for(lambda: len(site.entry.announced) > announced + 1)
+    wait_for(lambda: site.entry.reported(wire.TaskState.FINISHED))
+
+
 # Requests.
 
 
