Keep writing the log after a failed write or a message that cannot be encoded

What operators could see: a process of any role that serves but logs nothing more. One write that failed, for example on a full file system, or one field that JSON cannot encode (a number of more than 4300 digits, deep nesting) ended the only thread that writes the log. Lines that could not be written now count as dropped and are reported with the next lines.

--- a/packages/core/src/mulberryslip/logs.py
+++ b/packages/core/src/mulberryslip/logs.py
@@ -67,13 +67,25 @@
             self._messages.clear()
             dropped, self._dropped = self._dropped, 0
         dropped += max(0, len(messages) - max_lines)
+        lines = []
         # The oldest lines of a burst are kept, because they show what caused it.
-        lines = [_format_message(message) for message in messages[:max_lines]]
+        for message in messages[:max_lines]:
+            try:
+                lines.append(_format_message(message))
+            except (ValueError, TypeError, RecursionError):
+                dropped += 1
+        written = len(lines)
         if dropped:
             lines.append(json.dumps({"message_type": _DROPPED_MESSAGE_TYPE, "count": dropped}))
-        if lines:
+        if not lines:
+            return
+        try:
             self._stream.write("\n".join(lines) + "\n")
             self._stream.flush()
+        except (OSError, ValueError):
+            # A full file system, for example, may take lines again later.
+            with self._lock:
+                self._dropped += written + dropped
 
     def _run(self) -> None:
         while not self._clock.wait(self._stopping, FLUSH_INTERVAL):
