Keep accepting connections after an error with one of them

What callers could see: a process (role `entry`, `worker` or `agent`) that serves no new connections of its peers. The thread that accepts them guarded only the accept itself: an exception while the socket of one connection is set up ended it.

Test: test_error_with_one_connection_leaves_the_server_accepting; before, nothing answered the next connection. Whether the system can return such an error was not tried; the test raises it.

--- a/packages/core/src/mulberryslip/servers.py
+++ b/packages/core/src/mulberryslip/servers.py
@@ -245,7 +245,13 @@
                     log(Event.CONNECTION_DROPPED, peer="", reason=f"accept: {exc}")
                     self.clock.sleep(STOP_POLL_INTERVAL)
                 continue
-            self._serve(handle, f"{peer[0]}:{peer[1]}")
+            name = f"{peer[0]}:{peer[1]}"
+            try:
+                self._serve(handle, name)
+            except Exception as exc:
+                # Without this thread the process would serve no new connections.
+                handle.close()
+                log(Event.CONNECTION_DROPPED, peer=name, reason=f"accept: {exc!r}")
 
     def _serve(self, handle: socket.socket, peer: str) -> None:
         conn = _ServerConnection(self, handle, peer)
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -11,7 +11,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mulberryslip import channels
+from mulberryslip import channels, servers
 from mulberryslip.channels import Address, ChannelPool
 from mulberryslip.exceptions import NotSentError, ReplyLostError
 from mulberryslip.servers import Server
@@ -207,6 +207,28 @@
     return server
 
 
+def test_error_with_one_connection_leaves_the_server_accepting(monkeypatch):
+    """Guards against a process that serves no new connections after one odd connection."""
+    make, failures = servers._ServerConnection, []
+
+    def fail_at_first(*args):
+        if not failures:
+            failures.append(args)
+            raise OSError("the socket cannot be set up")
+        return make(*args)
+
+    monkeypatch.setattr(servers, "_ServerConnection", fail_at_first)
+    server = Server(WorkerService.Processor(Handler()), "127.0.0.1", 0)
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.port), 5) as conn:
+        assert conn.recv(1) == b""
+    pool = ChannelPool(WorkerService.Client)
+    address = Address("127.0.0.1", server.port)
+    assert pool.call(address, "ping", 7, timedelta(seconds=5)) == 7
+    pool.close()
+    server.stop(timedelta())
+
+
 def test_oversized_frame_is_refused_before_it_is_received(server, pool):
     """Guards against allocating memory for the size in a frame header before the data arrives."""
     with socket.create_connection(("127.0.0.1", server.port), 2) as conn:
