Let the writer without a revision check take changes made between two calls

Cause: the test's double read the revision, then the writer read the document again; a change by the other thread between these two reads was refused as stale. The double now repeats a stale change on the revision that it was refused for, so that it refuses none at any time; the test itself is unchanged.

Test: test_writer_without_the_revision_check_refuses_no_change_made_meanwhile makes a change before each of the double's calls of the store; the case of the second call failed with the old double (409).

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mulberryslip import SystemClock
+from mulberryslip.changes import Stale
 from mulberryslip.configs import CONFIG_KEY, ConfigView
 from mulberryslip_testing.applications import call_application
 from mulberryslip_testing.fakes import FakeStore
@@ -49,7 +50,11 @@
     """Test double that treats every change as based on the current revision."""
 
     def _try_write(self, change, based_on, change_id, operator):
-        return super()._try_write(change, self._source.refresh().revision, change_id, operator)
+        outcome = super()._try_write(change, based_on, change_id, operator)
+        # Another writer may change the document between any two reads.
+        while isinstance(outcome, Stale):
+            outcome = super()._try_write(change, outcome.revision, change_id, operator)
+        return outcome
 
 
 class NoChangeIdWriter(ConfigWriter):
@@ -168,6 +173,39 @@
     assert refused == []
 
 
+class HookStore(FakeStore):
+    """Store that calls a function before one of its calls."""
+
+    def __init__(self):
+        super().__init__()
+        self.hook_by_call = {}
+        self.calls = 0
+
+    def get(self, key):
+        self._run_hook()
+        return super().get(key)
+
+    def put(self, key, *args):
+        self._run_hook()
+        return super().put(key, *args)
+
+    def _run_hook(self):
+        self.calls += 1
+        self.hook_by_call.pop(self.calls, lambda: None)()
+
+
+@pytest.mark.parametrize("call", [1, 2])
+def test_writer_without_the_revision_check_refuses_no_change_made_meanwhile(call):
+    """Guards against the test above failing because of a change between two calls of the store."""
+    store = HookStore()
+    entry, other = Entry(store, UncheckedRevisionWriter), Entry(store)
+    other.set_data_centre("concord", "in", 0)
+    store.calls = 0
+    store.hook_by_call[call] = lambda: other.set_data_centre("salem", "in", 1)
+    assert entry.set_data_centre("ipswich", "in", 1).status == 200
+    assert set(entry.config()["data_centres"]) == {"concord", "salem", "ipswich"}
+
+
 @pytest.mark.parametrize("lose", ["lose_responses", "lose_writes"])
 def test_write_with_a_lost_store_response_is_read_back(store, entry, lose):
     """Guards against a change that is made twice, or made but reported as failed."""
