Hold the target until all refusals are there in the test of refusals

Cause: the test sends 12 requests from threads and expects all of them within the 150 ms that the target takes. One that arrives later finds room in the queue, rightly. The target now hangs until six requests have been refused; the checks are unchanged.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -345,11 +345,21 @@
     The template allows 4 requests in flight; the queue holds 2.
     """
     worker = site.worker(queue=2)
-    site.target.set_faults(Faults(delay_ms=150))
+    site.target.set_faults(Faults(hang=True))
     replies = {}
-    run_in_threads(
-        lambda n: replies.update({n: site.entry.forward(worker.port, f"q-{n}", 2000)}), 12
-    )
+
+    def release_target():
+        # Only refusals are answered while the target hangs, whenever the requests arrive.
+        wait_for(lambda: len(replies) >= 6)
+        site.target.set_faults(Faults())
+
+    def run(number):
+        if number == 12:
+            release_target()
+        else:
+            replies[number] = site.entry.forward(worker.port, f"q-{number}", 10_000)
+
+    run_in_threads(run, 13)
     refused = {f"q-{n}" for n, r in replies.items() if r.outcome == wire.Outcome.NOT_RUN}
     ran = {record["request_id"] for record in site.target.requests()}
     assert len(refused) == 6
