--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -272,8 +272,11 @@
 def test_malformed_or_missing_reply_is_lost(pool, script):
     """Guards against returning a partial reply to the caller."""
     peer = Peer(script)
+    # A slow ping of the new connection would show that the call was not sent.
+    assert pool.call(peer.address, "ping", 7, 5000 * MS) == 7
     with pytest.raises(ReplyLostError):
         call_stop(pool, peer.address, "one", 200 * MS)
+    assert peer.connections == 1
 
 
 @pytest.mark.parametrize("is_checked", [True, False])
