--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -7,6 +7,7 @@
 import threading
 import types
 from datetime import timedelta
+from urllib.parse import urlencode
 
 import attrs
 import pytest
@@ -20,6 +21,7 @@
 from mulberryslip.exceptions import (
     ConfigError,
     InvalidMessageError,
+    InventoryError,
     RuntimeAdapterError,
     StoreError,
 )
@@ -35,6 +37,7 @@
 from mulberryslip.workflows import MAX_SPEC_CHARS, RunAssigned
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
+from mulberryslip_platform.vms import PlatformInventory
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.agents import COMMANDS_WAIT
@@ -801,3 +804,36 @@
     """Guards against a journal that no later owner can read."""
     with pytest.raises(InvalidMessageError):
         records.check(RunAssigned("a/0/0/0", 1, "w" * 300, "1@w0", "m0", 5))
+
+
+# The platform's list of VMs
+
+
+class ListingTransport:
+    """Transport that returns the pages of a list."""
+
+    def __init__(self, *bodies):
+        self._bodies = list(bodies)
+
+    def send(self, method, path, query, body):
+        urlencode(query)
+        return HTTPResponse(200, {}, self._bodies.pop(0))
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"",
+        b"[" * 100_000,
+        b'{"Machines": [{"Machine": ' + b"9" * 5000 + b"}]}",
+        b"[]",
+        b'{"Machines": [], "NextToken": "\\ud800"}',
+    ],
+    ids=["empty", "nested", "digits", "list", "surrogate"],
+)
+def test_unreadable_list_of_vms_is_an_inventory_error(page):
+    """Guards against a damaged list that is reported as an internal error of the owner."""
+    inventory = PlatformInventory("http://127.0.0.1:1", 1000 * MS, ManualClock())
+    inventory._transport = ListingTransport(page, b'{"Machines": []}')
+    with pytest.raises(InventoryError):
+        inventory.workers_by_vm()
