Let a process own a pool or shard again after an error in releasing it

What callers could see: an agent whose process serves but never claims the pool again. The owner thread releases its claim and its store lease outside of its own guard; any error but those of the store ended this thread. Both calls now log an unexpected error and go on, as the store deletes the key with the lease.

Test: test_unexpected_error_at_the_end_of_an_ownership_does_not_end_the_owner_thread (both calls); both cases failed before.

--- a/packages/daemon/src/mulberryslipd/claims.py
+++ b/packages/daemon/src/mulberryslipd/claims.py
@@ -74,6 +74,9 @@
         except StoreError as exc:
             # The store deletes the key when the lease ends.
             log(Event.STORE_UNAVAILABLE, call="release ownership", reason=str(exc))
+        except Exception as exc:
+            # The thread that claims the ownership must survive, or this process never owns again.
+            log(Event.INTERNAL_ERROR, what="release ownership", reason=repr(exc))
         self.version = 0
 
     def _value(self, session_id: str) -> bytes:
--- a/packages/daemon/src/mulberryslipd/sessions.py
+++ b/packages/daemon/src/mulberryslipd/sessions.py
@@ -103,6 +103,9 @@
             self._store.revoke_lease(lease_id)
         except StoreError as exc:
             log(Event.STORE_UNAVAILABLE, call="revoke_lease", reason=str(exc))
+        except Exception as exc:
+            # The calling thread claims the ownership again; the lease expires on its own.
+            log(Event.INTERNAL_ERROR, what="revoke_lease", reason=repr(exc))
 
     def renew(self) -> timedelta:
         """Renew the lease once, or request a new one.
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -594,6 +594,20 @@
     assert world.store.state.get("pools/0/owner") is None
 
 
+@pytest.mark.parametrize("method", ["delete", "revoke_lease"])
+def test_unexpected_error_at_the_end_of_an_ownership_does_not_end_the_owner_thread(
+    monkeypatch, method
+):
+    """Guards against a process that can never own the pool again."""
+    world = PoolWorld(workers=2)
+    owner = world.elect()
+    monkeypatch.setattr(world.store, method, lambda *_: 1 / 0)
+    owner.resign("no longer owner")
+    monkeypatch.undo()
+    world.clock.advance(timedelta(seconds=10))
+    assert world.elect() is owner
+
+
 # Malformed messages to the owner of the pool
 
 
