--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -7,6 +7,7 @@
 import threading
 import types
 from datetime import timedelta
+from urllib.parse import urlencode
 
 import attrs
 import pytest
@@ -20,6 +21,7 @@
 from mulberryslip.exceptions import (
     ConfigError,
     InvalidMessageError,
+    InventoryError,
     RuntimeAdapterError,
     StoreError,
 )
@@ -35,6 +37,7 @@
 from mulberryslip.workflows import MAX_SPEC_CHARS, RunAssigned
 from mulberryslip_platform.documents import decode_config
 from mulberryslip_platform.stores import PlatformStore
+from mulberryslip_platform.vms import PlatformInventory
 from mulberryslip_platform.workers import PlatformRunner, announcements_application
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.agents import COMMANDS_WAIT
@@ -591,6 +594,20 @@
     assert world.store.state.get("pools/0/owner") is None
 
 
+@pytest.mark.parametrize("method", ["delete", "revoke_lease"])
+def test_unexpected_error_at_the_end_of_an_ownership_does_not_end_the_owner_thread(
+    monkeypatch, method
+):
+    """Guards against a process that can never own the pool again."""
+    world = PoolWorld(workers=2)
+    owner = world.elect()
+    monkeypatch.setattr(world.store, method, lambda *_: 1 / 0)
+    owner.resign("no longer owner")
+    monkeypatch.undo()
+    world.clock.advance(timedelta(seconds=10))
+    assert world.elect() is owner
+
+
 # Malformed messages to the owner of the pool
 
 
@@ -801,3 +818,36 @@
     """Guards against a journal that no later owner can read."""
     with pytest.raises(InvalidMessageError):
         records.check(RunAssigned("a/0/0/0", 1, "w" * 300, "1@w0", "m0", 5))
+
+
+# The platform's list of VMs
+
+
+class ListingTransport:
+    """Transport that returns the pages of a list."""
+
+    def __init__(self, *bodies):
+        self._bodies = list(bodies)
+
+    def send(self, method, path, query, body):
+        urlencode(query)
+        return HTTPResponse(200, {}, self._bodies.pop(0))
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"",
+        b"[" * 100_000,
+        b'{"Machines": [{"Machine": ' + b"9" * 5000 + b"}]}",
+        b"[]",
+        b'{"Machines": [], "NextToken": "\\ud800"}',
+    ],
+    ids=["empty", "nested", "digits", "list", "surrogate"],
+)
+def test_unreadable_list_of_vms_is_an_inventory_error(page):
+    """Guards against a damaged list that is reported as an internal error of the owner."""
+    inventory = PlatformInventory("http://127.0.0.1:1", 1000 * MS, ManualClock())
+    inventory._transport = ListingTransport(page, b'{"Machines": []}')
+    with pytest.raises(InventoryError):
+        inventory.workers_by_vm()
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -292,6 +292,27 @@
     other.server.stop(timedelta())
 
 
+@pytest.mark.parametrize("method", ["announce", "report"])
+def test_unexpected_error_ends_no_loop_of_the_worker(site, monkeypatch, method):
+    """Guards against a worker that entries forget, or whose tasks have ended without a report."""
+    worker = site.worker()
+    site.entry.renew(worker.port)
+    call, failures = worker._entries.call, []
+
+    def fail_at_first(address, called, *args):
+        if called == method and len(failures) < 2:
+            failures.append(called)
+            raise LookupError("unexpected")
+        return call(address, called, *args)
+
+    monkeypatch.setattr(worker._entries, "call", fail_at_first)
+    site.entry.run(worker.port, TASK_REF, task_input(10))
+    wait_for(lambda: len(failures) == 2)
+    announced = len(site.entry.announced)
+    wait_for(lambda: len(site.entry.announced) > announced + 1)
+    wait_for(lambda: site.entry.reported(wire.TaskState.FINISHED))
+
+
 # Requests.
 
 
@@ -324,11 +345,21 @@
     The template allows 4 requests in flight; the queue holds 2.
     """
     worker = site.worker(queue=2)
-    site.target.set_faults(Faults(delay_ms=150))
+    site.target.set_faults(Faults(hang=True))
     replies = {}
-    run_in_threads(
-        lambda n: replies.update({n: site.entry.forward(worker.port, f"q-{n}", 2000)}), 12
-    )
+
+    def release_target():
+        # Only refusals are answered while the target hangs, whenever the requests arrive.
+        wait_for(lambda: len(replies) >= 6)
+        site.target.set_faults(Faults())
+
+    def run(number):
+        if number == 12:
+            release_target()
+        else:
+            replies[number] = site.entry.forward(worker.port, f"q-{number}", 10_000)
+
+    run_in_threads(run, 13)
     refused = {f"q-{n}" for n, r in replies.items() if r.outcome == wire.Outcome.NOT_RUN}
     ran = {record["request_id"] for record in site.target.requests()}
     assert len(refused) == 6
