--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -586,7 +586,7 @@
         if spec.rack and spec.rack not in worker.labels:
             score -= 2.0
         if spec.fills:
-            needs_good_worker = not _is_long_wait(wait_ms)
+            needs_good_worker = not (_is_long_wait(wait_ms) or _needs_last_resort(task, wait_ms))
             violates_objective = self._would_violate_objective(task, worker)
             if violates_objective and needs_good_worker:
                 return None
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -275,15 +275,21 @@
     assert len(calls) <= 2 * 10 * 55 + 300 * (10 + 1)
 
 
-def test_best_effort_task_eventually_starts_on_any_worker():
-    """Guards against starvation of batch work when all services are busy all day."""
+@pytest.mark.parametrize(
+    ("lasting", "longest_ms"), [(False, ANY_WORKER_WAIT_MS), (True, LAST_RESORT_WAIT_MS)]
+)
+def test_best_effort_task_eventually_starts_on_any_worker(lasting, longest_ms):
+    """Guards against starvation of batch work when all services are busy all day.
+
+    A long-running task has to run again within 9 s.
+    """
     pool = Pool()
-    add(pool, "b", BATCH, StepSpec(1, 7000, 1000, fills=True, image="x"))
+    add(pool, "b", BATCH, StepSpec(1, 7000, 1000, fills=True, image="x", lasting=lasting))
     (worker,) = make_workers(pool, 1)
     worker.lowest_headrooms["p"] = 1.1
     scheduler = dispatcher([("x", "p")])
-    assert scheduler.schedule(pool.ready(), [worker], ANY_WORKER_WAIT_MS - 1) == []
-    assert len(scheduler.schedule(pool.ready(), [worker], ANY_WORKER_WAIT_MS)) == 1
+    assert scheduler.schedule(pool.ready(), [worker], longest_ms - 1) == []
+    assert len(scheduler.schedule(pool.ready(), [worker], longest_ms)) == 1
 
 
 def test_best_effort_task_goes_to_the_fastest_worker():
