--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -56,10 +56,14 @@
 """Penalty at or above which a worker gets no runs."""
 
 UNSTARTED_PENALTY = 0.6
-"""Penalty of a worker that has not carried out a start, and time for which it lasts. The worker is
-not excluded: a slow store or a burst can delay the starts of all workers."""
+"""Penalty of a worker that has not carried out a start. The worker is not excluded: a slow store or
+a burst can delay the starts of all workers."""
 
 UNSTARTED_PENALTY_TIME = timedelta(seconds=4)
+MAX_UNSTARTED_PENALTY_TIME = timedelta(seconds=32)
+"""First and longest time for which such a worker is avoided. The time doubles until the worker
+starts a run: a lost start takes up to 2 s to show, so several such workers would otherwise get the
+same task in turn, beside others that are well."""
 
 
 @attrs.define
@@ -74,6 +78,8 @@
     compared_at: timedelta = timedelta()
     stalled_at: timedelta | None = None
     unstarted_until: timedelta = timedelta()
+    unstarted_at: timedelta = timedelta()
+    unstarted_time: timedelta = timedelta()
 
     @property
     def unavailable_until(self) -> timedelta:
@@ -146,6 +152,7 @@
             state.failures = state.exclusions = 0
             state.next_exclusion = INITIAL_EXCLUSION
             state.next_probe_at = now
+            state.unstarted_time = timedelta()
             return False
         state.failures += 1
         if state.failures < FAILURES_BEFORE_EXCLUSION or now < state.excluded_until:
@@ -160,7 +167,22 @@
 
     def record_unstarted(self, worker_id: str, now: timedelta) -> None:
         """Record that a worker refused a start, or did not carry it out in time."""
-        self._states[worker_id].unstarted_until = now + UNSTARTED_PENALTY_TIME
+        state = self._states[worker_id]
+        if now >= state.unstarted_until:
+            state.unstarted_time = min(
+                MAX_UNSTARTED_PENALTY_TIME, max(UNSTARTED_PENALTY_TIME, 2 * state.unstarted_time)
+            )
+        state.unstarted_at = now
+        state.unstarted_until = now + state.unstarted_time
+
+    def record_start(self, worker_id: str, listed_at: timedelta) -> None:
+        """Record that a worker has carried out a start.
+
+        :param listed_at: when the run was listed first, as monotonic time.
+        """
+        state = self._states.get(worker_id)
+        if state is not None and listed_at > state.unstarted_at:
+            state.unstarted_time = timedelta()
 
     def is_probed(self, worker_id: str) -> bool:
         """Return whether a worker may get single runs only, until one of them succeeds."""
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -244,6 +244,8 @@
             if key in ended or key in running:
                 term.pool.record_start(task)
                 term.pool.record_delivery(*key)
+            if key in member.first_listed_at:
+                self._health.record_start(member.worker_id, member.first_listed_at[key])
             if key in ended:
                 end = ended[key]
                 events.append(
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,6 +8,9 @@
     FAILURES_BEFORE_EXCLUSION,
     FLEET_SHARE,
     INITIAL_EXCLUSION,
+    MAX_UNSTARTED_PENALTY_TIME,
+    UNSTARTED_PENALTY,
+    UNSTARTED_PENALTY_TIME,
     RunProgress,
     WorkerHealth,
 )
@@ -211,3 +214,32 @@
     health.record_progress("a", progress("a", 5), SECOND, SECOND)
     health.record_progress("a", [], 10 * SECOND, 10 * SECOND)
     assert health.stalled_runs("a") == []
+
+
+@pytest.mark.parametrize("starts", [False, True])
+def test_worker_that_loses_starts_is_avoided_longer_until_it_starts_a_run(starts):
+    """Guards against a task that goes round workers that lose starts, beside a sound one."""
+    health = WorkerHealth()
+    now = SECOND
+    lengths = []
+    for _ in range(5):
+        health.record_unstarted("w", now)
+        began_at = now
+        while health.penalty("w", now) >= UNSTARTED_PENALTY:
+            now += SECOND / 2
+        lengths.append(now - began_at)
+        if starts:
+            health.record_start("w", now)
+        else:
+            health.record_start("w", began_at)
+    first, longest = UNSTARTED_PENALTY_TIME, MAX_UNSTARTED_PENALTY_TIME
+    doubled = [min(longest, first * 2**number) for number in range(5)]
+    assert lengths == ([first] * 5 if starts else doubled)
+
+
+def test_starts_lost_together_count_once():
+    """Guards against a worker that is avoided for long after one burst."""
+    health = WorkerHealth()
+    for _ in range(10):
+        health.record_unstarted("w", SECOND)
+    assert health.penalty("w", SECOND + UNSTARTED_PENALTY_TIME) == 0
