Record silent workers for the next owner, so that waits for their leases do not begin anew

What callers saw: a task on a worker that is cut off waits for a whole lease from the claim of each new owner.

Cause: only the owner that heard a worker last knew since when it was silent; its successor counted from its own claim plus 3 s.

Change: an owner writes which workers with runs have been silent for 3 s, and for how long, into pools/N/silences (at most one write a second, only while there are any). It grants a listed worker no lease and no start until it has written the record without it. The next owner rewrites the record, which shuts out the previous one, and counts on from there.

The price: a worker that is back after 3 to 6 s of silence gets its lease with the next write to the store.

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -22,6 +22,7 @@
 from .claims import OwnerClaim
 from .members import Member
 from .sessions import Session
+from .silences import SilenceRecord
 from .sources import OutageLog
 
 CLOCK_RATE_FACTOR = 1.03
@@ -90,6 +91,9 @@
     :param claim: the owner key.
     :param claimed_at: time before the owner key was written, on the process's clock.
     :param times: lease times of workers and of the owner.
+    :param silences: tells the next owner which workers are silent.
+    :param granted_until: by worker, when any earlier owner can have granted a lease last, as far as
+        that is known to be earlier than `previous_owner_granted_until`.
     """
 
     def __init__(
@@ -102,7 +106,11 @@
         claimed_at: timedelta,
         clock: Clock,
         times: PoolLeaseTimes,
+        silences: SilenceRecord,
+        granted_until: dict[str, timedelta],
     ):
+        self.silences = silences
+        self._granted_until = granted_until
         self.epoch = epoch
         self.pool = pool
         self.journal = journal
@@ -135,6 +143,10 @@
         self._session_id = session.session_id
         self._confirm_lock = threading.Lock()
 
+    def earlier_grants_until(self, worker_id: str) -> timedelta:
+        """Return when any earlier owner can have granted a worker a lease last."""
+        return self._granted_until.get(worker_id, self.previous_owner_granted_until)
+
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
         return (
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -52,6 +52,7 @@
 from .ownerships import RETRY_AFTER, PoolLeaseTimes, PoolTerm, QueuedCall
 from .schedulers import ConfigSource, PoolScheduler
 from .sessions import Session
+from .silences import SilenceRecord
 from .terms import OwnerIdentity
 
 ROUND_INTERVAL = timedelta(milliseconds=25)
@@ -74,6 +75,9 @@
 RETRY_PAUSE = timedelta(milliseconds=50)
 MAX_RETRY_PAUSE = timedelta(milliseconds=400)
 JOURNAL_SLOTS = 256
+MIN_FREE_SLOTS = JOURNAL_SLOTS // 4
+"""Free records below which the owner records no silent workers, see `SilenceRecord`."""
+
 SNAPSHOT_PARTS = 4
 """Maximum number of values of a snapshot. Four take four calls more to write and to read."""
 
@@ -155,7 +159,8 @@
             self._record_contact(req.agent)
             member = term.members.get(req.worker.worker_id)
             if member is None:
-                member = Member(req.worker.worker_id, received_at=term.previous_owner_granted_until)
+                granted_until = term.earlier_grants_until(req.worker.worker_id)
+                member = Member(req.worker.worker_id, received_at=granted_until)
                 term.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, received_at)
@@ -163,8 +168,11 @@
                 lambda: self._scheduler.reconcile(term, member, req) if is_new else []
             )
             term.inbox.append(queued)
+            gets_no_lease = term.silences.lists(member.worker_id)
+            if gets_no_lease:
+                term.silences.request_check()
         term.wake.set()
-        if req.ended and not self._is_store_lost(term):
+        if (req.ended or gets_no_lease) and not self._is_store_lost(term):
             self._clock.wait(queued.done, COMMIT_TIMEOUT)
         return self._report_reply(term, member, req)
 
@@ -363,15 +371,28 @@
         journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools", SNAPSHOT_PARTS)
         try:
             pool = _recover(journal, self._number)
+            silences, ages = SilenceRecord(self._number, self._store), {}
+            if journal.free_slots < MIN_FREE_SLOTS:
+                silences.close()
             if journal.free_slots > 0:
-                journal.claim()
+                ages = silences.take_over(journal.epoch, journal.claim())
+            read_at = self._clock.monotonic()
             self._source.refresh()
         except Exception:
             claim.release()
             session.stop()
             raise
         term = PoolTerm(
-            claim.version, pool, journal, session, claim, claimed_at, self._clock, self._times
+            claim.version,
+            pool,
+            journal,
+            session,
+            claim,
+            claimed_at,
+            self._clock,
+            self._times,
+            silences,
+            {worker_id: read_at - age for worker_id, age in ages.items()},
         )
         self._scheduler.restore_interference(term)
         self._isolation.record_claim(self._clock.monotonic())
@@ -508,6 +529,7 @@
         if self._is_isolated(term):
             self.resign("no other agent calls")
             return
+        self._record_silences(term)
         if not self._can_append(term):
             self._reject_queued(term, JOURNAL_FULL)
             return
@@ -654,6 +676,9 @@
         :raises FencedError: another owner has taken over.
         """
         journal = term.journal
+        if journal.free_slots <= 1 and not term.silences.is_empty:
+            # The record must be empty before the ring is full, see `SilenceRecord`.
+            return False
         if journal.free_slots <= 0 and term.snapshot_retries.is_due(self._clock.monotonic()):
             self._write_snapshot(term)
         if journal.free_slots <= 0:
@@ -667,6 +692,18 @@
                 log(Event.STORE_UNAVAILABLE, call="claim journal", reason=str(exc))
         return journal.is_claimed
 
+    def _record_silences(self, term: PoolTerm) -> None:
+        """Write which workers are silent, so that the next owner counts on from there."""
+        if term.journal.free_slots < MIN_FREE_SLOTS or not term.journal.is_claimed:
+            term.silences.close()
+        now = self._clock.monotonic()
+        if term.session.failing_since is not None or not term.silences.is_check_due(now):
+            return
+        with term.lock:
+            planned = term.silences.plan(self._scheduler.silent_workers(term), now)
+        if planned is not None:
+            term.silences.write(planned, now)
+
     def _write_snapshot(self, term: PoolTerm) -> None:
         started_at = self._clock.monotonic()
         with term.lock:
@@ -805,6 +842,7 @@
             ended_through = member.ended_through if is_current else 0
             fence = member.fence(term.epoch)
             newest_incarnation = _newer_incarnation(term, member, req.worker)
+            gets_no_lease = term.silences.lists(member.worker_id)
             take_over = req.agent != str(self._address()) and term.handover.take_request(
                 self._clock.monotonic(), term.session.failing_since
             )
@@ -818,7 +856,7 @@
         return wire.WorkerReportReply(
             Outcome.OK,
             term.epoch,
-            lease_until if is_current else 0,
+            lease_until if is_current and not gets_no_lease else 0,
             fence,
             ended_through,
             profiles,
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -331,7 +331,7 @@
         for worker_id in term.pool.workers_with_runs():
             member = term.members.get(worker_id)
             last_report_at = (
-                term.previous_owner_granted_until if member is None else member.received_at
+                term.earlier_grants_until(worker_id) if member is None else member.received_at
             )
             worker_tasks = term.pool.active_tasks(worker_id)
             last_heard_at = term.started_at if member is None else member.received_at
@@ -365,6 +365,25 @@
         term.absences.set_silent(silences)
         return events
 
+    def silent_workers(self, term: PoolTerm) -> dict[str, timedelta]:
+        """Return the workers with runs that have been silent for long in this term.
+
+        :returns: by worker, the time since any owner can have granted it a lease last.
+        """
+        now = self._clock.monotonic()
+        ages: dict[str, timedelta] = {}
+        for worker_id in term.pool.workers_with_runs():
+            member = term.members.get(worker_id)
+            heard_at = term.started_at if member is None else member.received_at
+            granted_until = (
+                term.earlier_grants_until(worker_id) if member is None else member.received_at
+            )
+            is_listed = term.silences.lists(worker_id) and member is None
+            is_silent = is_listed or now - heard_at > self._times.lease / 2
+            if is_silent and granted_until < now:
+                ages[worker_id] = now - granted_until
+        return ages
+
     def _run_ended_event(
         self,
         term: PoolTerm,
@@ -803,6 +822,9 @@
                 reason = "data centre out"
             elif now - member.received_at > MAX_REPORT_AGE:
                 reason = "no recent report"
+            elif term.silences.lists(member.worker_id):
+                # A start renews the worker's lease.
+                reason = "recorded as silent"
             else:
                 reason = ""
             yield member, reason
--- /dev/null
+++ b/packages/daemon/src/mulberryslipd/silences.py
@@ -0,0 +1,166 @@
+"""The record of silent workers, which tells the next owner that their leases are ending.
+
+It is designed for this load pattern: a worker is cut off, and the pool changes its owner before the
+worker's lease has certainly ended. The next owner has not heard the worker, and would wait for the
+longest lease that the previous one can have granted until the end of its permission.
+
+An owner that lists a worker grants it no lease until it has written the record without it. So the
+time since the last grant that the record states is a lower bound for the next owner, too.
+"""
+
+import json
+from collections.abc import Mapping
+from datetime import timedelta
+
+from mulberryslip import records
+from mulberryslip.events import Event, log
+from mulberryslip.exceptions import InvalidMessageError, StoreError
+from mulberryslip.outcomes import Committed
+from mulberryslip.stores import Store, StoredValue
+
+RECORD_INTERVAL = timedelta(seconds=1)
+"""Time between two records while workers are silent; the next owner counts from the last one."""
+
+CHECK_INTERVAL = timedelta(milliseconds=100)
+RETRY_PAUSE = timedelta(milliseconds=200)
+
+MS = timedelta(milliseconds=1)
+
+
+def silences_key(pool: int) -> str:
+    """Return the store key of a pool's record of silent workers."""
+    return f"pools/{pool}/silences"
+
+
+class SilenceRecord:
+    """The record as one owner reads and writes it. The decision thread makes all changes.
+
+    Owners are told apart by the epoch of the journal, which each owner claims. But an owner that
+    finds the ring of the journal full grants leases without a claim, and a build without this
+    record does not rewrite it. So an owner lists nobody from the time when its ring has little room
+    left, and does not fill the ring before the record is empty. Whoever finds the ring full then
+    finds a record of that epoch that stays empty.
+
+    :param pool: number of the pool.
+    """
+
+    def __init__(self, pool: int, store: Store):
+        self._key = silences_key(pool)
+        self._store = store
+        self._epoch = 0
+        self._version = 0
+        self._listed: frozenset[str] = frozenset()
+        self._is_closed = False
+        self._is_check_requested = False
+        self._check_at = timedelta()
+        self._retry_at = timedelta()
+        self._write_at = timedelta()
+
+    def lists(self, worker_id: str) -> bool:
+        """Return whether the stored record may list a worker; then it must not get a lease."""
+        return worker_id in self._listed
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the stored record certainly lists no worker."""
+        return not self._listed
+
+    def close(self) -> None:
+        """List no worker from now on."""
+        self._is_closed = True
+
+    def take_over(self, previous_epoch: int, epoch: int) -> dict[str, timedelta]:
+        """Take the record over from the previous owner, which cannot change it any more.
+
+        :param previous_epoch: epoch of the journal before this owner claimed it.
+        :param epoch: epoch of the journal now.
+        :returns: by worker, the time since the last lease that any owner can have granted; empty if
+            that is not certain.
+        """
+        self._epoch = epoch
+        try:
+            stored = self._store.get(self._key)
+            self._version = 0 if stored is None else stored.version
+            found_epoch, ages = self._decode(stored)
+            if self._is_closed or found_epoch != previous_epoch or not ages:
+                return {}
+            return ages if self._write(ages) else {}
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="take over silent workers", reason=str(exc))
+            return {}
+
+    def request_check(self) -> None:
+        """Check at once, since a listed worker has reported."""
+        self._is_check_requested = True
+
+    def is_check_due(self, now: timedelta) -> bool:
+        """Return whether to call `plan`, which compares all workers."""
+        return now >= self._retry_at and (self._is_check_requested or now >= self._check_at)
+
+    def plan(self, ages: Mapping[str, timedelta], now: timedelta) -> dict[str, timedelta] | None:
+        """Return what to write now, or None if nothing is due.
+
+        The caller holds the lock of the term, so that no planned worker gets a lease any more.
+
+        :param ages: by silent worker, the time since the last lease that any owner can have
+            granted.
+        """
+        self._check_at = now + CHECK_INTERVAL
+        self._is_check_requested = False
+        planned = {} if self._is_closed else dict(ages)
+        # Workers that have reported wait for their leases.
+        is_urgent = not self._listed <= planned.keys()
+        if not is_urgent and (not planned or now < self._write_at):
+            return None
+        self._listed |= planned.keys()
+        return planned
+
+    def write(self, planned: Mapping[str, timedelta], now: timedelta) -> None:
+        """Write a planned record; if that fails, the next plan contains it again."""
+        self._write_at, self._retry_at = now + RECORD_INTERVAL, now
+        try:
+            is_written = self._write(planned)
+        except StoreError as exc:
+            log(Event.STORE_UNAVAILABLE, call="record silent workers", reason=str(exc))
+            is_written = False
+        if not is_written:
+            self._write_at = self._retry_at = now + RETRY_PAUSE
+
+    def _write(self, ages: Mapping[str, timedelta]) -> bool:
+        """Write the record; return whether it is certainly stored.
+
+        An earlier write whose outcome is unknown cannot take effect any more once this one has.
+        """
+        value = json.dumps(
+            {"epoch": self._epoch, "silent_ms": {name: age // MS for name, age in ages.items()}},
+            separators=(",", ":"),
+        ).encode()
+        self._listed |= ages.keys()
+        outcome = self._store.put(self._key, value, self._version)
+        if isinstance(outcome, Committed):
+            self._version, is_written = outcome.version, True
+        else:
+            stored = self._store.get(self._key)
+            is_written = stored is not None and stored.value == value
+            if self._decode(stored)[0] <= self._epoch:
+                # The record of a later owner must not be replaced.
+                self._version = 0 if stored is None else stored.version
+        if is_written:
+            self._listed = frozenset(ages)
+        return is_written
+
+    def _decode(self, stored: StoredValue | None) -> tuple[int, dict[str, timedelta]]:
+        """Return the epoch and the content of a record; a later build may add fields."""
+        if stored is None:
+            return 0, {}
+        try:
+            raw = records.parse_object(stored.value)
+            epoch, ages = raw.get("epoch"), raw.get("silent_ms")
+            if not records.is_number(epoch) or not isinstance(ages, dict):
+                raise InvalidMessageError("a field is missing or invalid")
+            if not all(map(records.is_number, ages.values())):
+                raise InvalidMessageError("a time is invalid")
+        except InvalidMessageError as exc:
+            log(Event.MESSAGE_INVALID, what=self._key, reason=str(exc))
+            return 0, {}
+        return epoch, {name: MS * age for name, age in ages.items()}
--- /dev/null
+++ b/tests/test_silences.py
@@ -0,0 +1,390 @@
+"""The record of silent workers, by which the next owner counts on."""
+
+from datetime import timedelta
+
+import attrs
+import pytest
+from mulberryslip.exceptions import StoreError
+from mulberryslip.steps import StepSpec
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd import pools
+from mulberryslipd.silences import SilenceRecord, silences_key
+from pool_doubles import MS, SECOND, PoolWorld
+
+LASTING = StepSpec(cpu_millis=1000, memory_mb=100, lasting=True)
+ROUNDS_PER_SECOND = 5
+OWNER_KEY = "pools/0/owner"
+
+
+class NoRecord:
+    """Stands in for a build without the record."""
+
+    is_empty = True
+
+    def lists(self, worker_id):
+        return False
+
+    def close(self):
+        pass
+
+    def take_over(self, previous_epoch, epoch):
+        return {}
+
+    def is_check_due(self, now):
+        return False
+
+
+class DroppedPromise(SilenceRecord):
+    """A record whose owner grants leases to listed workers, to show that the plays notice."""
+
+    def lists(self, worker_id):
+        return False
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+def record_of(store, epoch, ages=None):
+    """Return the record of an owner with a journal epoch, which lists workers."""
+    record = SilenceRecord(0, store)
+    record.take_over(epoch - 1, epoch)
+    if ages is not None:
+        write(record, ages)
+    return record
+
+
+def write(record, ages, now=10 * SECOND):
+    record.write(record.plan(ages, now), now)
+
+
+def new_world(workers=4, seed=0, tasks=None):
+    """Return a world in which the first workers have a run of a service each."""
+    world = PoolWorld(workers, seed)
+    world.elect()
+    world.run(3)
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    world.submit("a", attrs.evolve(LASTING, count=tasks or workers, max_per_worker=1))
+    world.run(2 * ROUNDS_PER_SECOND)
+    return world
+
+
+def cut(world, worker):
+    """Cut a worker and its agent off from the owner; the VM and the store path stay."""
+    world.cut |= {worker.id, world.address(worker)}
+
+
+def test_next_owner_reads_how_long_workers_were_silent(store):
+    """Guards against waits that begin anew with each owner."""
+    record_of(store, 5, {"w1": 4200 * MS, "w2": 10 * MS})
+    third = SilenceRecord(0, store)
+    assert third.take_over(5, 6) == {"w1": 4200 * MS, "w2": 10 * MS}
+    assert third.lists("w1")
+
+
+@pytest.mark.parametrize("previous_epoch", [4, 6])
+def test_record_of_another_owner_than_the_previous_one_is_not_used(store, previous_epoch):
+    """Guards against leases of an owner that did not know the record."""
+    record_of(store, 5, {"w1": 4200 * MS})
+    record = SilenceRecord(0, store)
+    assert record.take_over(previous_epoch, 7) == {}
+    assert record.is_empty
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"[]", b"{}", b'{"epoch":5,"silent_ms":{"w1":-1}}', b'{"epoch":5,"silent_ms":["w1"]}'],
+)
+def test_invalid_record_is_not_used(store, value):
+    """Guards against a pool without an owner because of a damaged record."""
+    store.put(silences_key(0), value, 0)
+    assert SilenceRecord(0, store).take_over(5, 6) == {}
+
+
+def test_fields_of_a_later_build_are_ignored(store):
+    """Guards against a record that an earlier build cannot read."""
+    store.put(silences_key(0), b'{"epoch":5,"silent_ms":{"w1":9},"more":1}', 0)
+    assert SilenceRecord(0, store).take_over(5, 6) == {"w1": 9 * MS}
+
+
+def test_replaced_owner_cannot_rewrite_the_record(store):
+    """Guards against leases of an owner whose successor has counted them out."""
+    first = record_of(store, 5, {"w1": 4 * SECOND})
+    second = record_of(store, 6)
+    write(first, {})
+    assert first.lists("w1")
+    write(first, {}, 20 * SECOND)
+    assert first.lists("w1")
+    assert second.lists("w1")
+
+
+@pytest.mark.parametrize("fault", ["lose_writes", "lose_responses"])
+def test_worker_counts_as_listed_until_a_record_without_it_is_stored(store, fault):
+    """Guards against a lease granted on a write whose outcome is unknown."""
+    record = record_of(store, 5)
+    getattr(store, fault)()
+    write(record, {"w1": 4 * SECOND})
+    assert record.lists("w1")
+    store.lose_writes()
+    write(record, {}, 11 * SECOND)
+    assert record.lists("w1")
+    write(record, {}, 12 * SECOND)
+    assert record.is_empty
+    assert SilenceRecord(0, store).take_over(5, 6) == {}
+
+
+@pytest.mark.parametrize("fault", ["lose_writes", "lose_responses"])
+def test_take_over_with_an_unknown_outcome_grants_no_lease(store, fault):
+    """Guards against leases that the successor of this owner has counted out."""
+    record_of(store, 5, {"w1": 4 * SECOND})
+    getattr(store, fault)()
+    second = SilenceRecord(0, store)
+    second.take_over(5, 6)
+    assert second.lists("w1")
+
+
+def test_closed_record_lists_nobody_any_more(store):
+    """Guards against a record that outlives an owner without a claim of the full journal."""
+    record = record_of(store, 5, {"w1": 4 * SECOND})
+    record.close()
+    write(record, {"w1": 5 * SECOND}, 11 * SECOND)
+    assert record.is_empty
+    assert record.plan({"w1": 9 * SECOND}, 20 * SECOND) is None
+    assert SilenceRecord(0, store).take_over(5, 6) == {}
+
+
+def test_record_is_emptied_before_the_ring_is_full(monkeypatch):
+    """Guards against a full ring, which the next owner does not claim, beside a record in use."""
+    monkeypatch.setattr(pools, "JOURNAL_SLOTS", 16)
+    monkeypatch.setattr(pools, "MIN_FREE_SLOTS", 4)
+    world = new_world()
+    term = world.owner()._term
+    cut(world, world.workers[1])
+    world.run(5 * ROUNDS_PER_SECOND)
+    assert term.silences.lists("w1")
+    monkeypatch.setattr(world.owner(), "_write_snapshot", lambda term: None)
+    put = term.silences._store.put
+    is_refused = True
+
+    def refuse(key, *args):
+        if is_refused and key == silences_key(0):
+            raise StoreError("refused by the test")
+        return put(key, *args)
+
+    monkeypatch.setattr(world.store, "put", refuse)
+    for number in range(40):
+        world.submit(f"s{number}", LASTING)
+        world.step_owners()
+        world.clock.advance(20 * MS)
+    assert term.journal.free_slots == 1
+    is_refused = False
+    world.clock.advance(SECOND)
+    world.submit("t", LASTING)
+    world.step_owners()
+    assert term.silences.is_empty
+    assert term.journal.free_slots == 0
+
+
+@pytest.mark.parametrize("changes_owner", [False, True])
+@pytest.mark.parametrize("silence_ms", [2000, 3400, 4400, 5400])
+def test_worker_that_is_back_within_its_lease_keeps_its_runs(silence_ms, changes_owner):
+    """Guards against a worker that was only silent for a while and loses its runs."""
+    world = new_world()
+    worker = world.workers[1]
+    cut(world, worker)
+    world.run(silence_ms // 200 - 1)
+    if changes_owner:
+        world.owner().resign("planned stop")
+        world.elect(world.workers[2])
+    world.run(1)
+    world.cut.clear()
+    world.run(12 * ROUNDS_PER_SECOND)
+    worker.end_due_runs()
+    assert len(worker.runs) == 1
+    assert world.history.starts == 4
+    assert world.history.violations == []
+
+
+def test_listed_worker_gets_no_lease_and_no_start_while_the_record_cannot_be_rewritten(
+    monkeypatch,
+):
+    """Guards against a lease that the next owner does not know of."""
+    world = new_world()
+    worker = world.workers[1]
+    cut(world, worker)
+    world.run(5 * ROUNDS_PER_SECOND)
+    lease_until = worker.lease_until
+    put = world.store.put
+
+    def refuse(key, *args):
+        if key == silences_key(0):
+            raise StoreError("refused by the test")
+        return put(key, *args)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(world.store, "put", refuse)
+        world.cut.clear()
+        world.submit("b", attrs.evolve(LASTING, required_label="rack-w1"))
+        world.run(3)
+        assert worker.lease_until == lease_until
+    world.run(4)
+    assert worker.lease_until > lease_until
+    world.run(5)
+    assert world.shown("b") == "running"
+    assert world.history.violations == []
+
+
+def test_owner_that_resumes_after_a_pause_gives_no_lease_and_no_commands():
+    """Guards against a process that acts on a permission that ran out while it was paused."""
+    world = new_world(tasks=3)
+    paused = world.owner()
+    agent, directory = world.agents["w1"]
+    known = directory.owner()
+    world.submit("b", attrs.evolve(LASTING, required_label="rack-w1"))
+    # A start command is queued when the process is paused.
+    paused.step()
+    assert any(member.starts for member in paused._term.members.values())
+    world.frozen.add("w0")
+    while world.store.state.get(OWNER_KEY) is not None:
+        world.clock.advance(200 * MS)
+    world.elect(world.workers[2])
+    granted_until_ms = agent._grant.lease_until_ms
+    assert not agent.renew_and_report(known)
+    assert not agent.fetch_commands(known)
+    assert not agent.has_pending_commands()
+    assert agent._grant.lease_until_ms == granted_until_ms
+
+
+def play(seed, record_of_build, monkeypatch, ring=256):
+    """Change the owner often while workers are cut off; return the number of takeovers of records.
+
+    :param record_of_build: returns the class of the record that the next owner has.
+    """
+    taken_over = []
+
+    def new_record(pool, store):
+        kind = record_of_build()
+        record = kind(pool, store) if issubclass(kind, SilenceRecord) else kind()
+        take_over = record.take_over
+
+        def count(*epochs):
+            ages = take_over(*epochs)
+            taken_over.extend([1] if ages else [])
+            return ages
+
+        monkeypatch.setattr(record, "take_over", count, raising=False)
+        return record
+
+    monkeypatch.setattr(pools, "JOURNAL_SLOTS", ring)
+    monkeypatch.setattr(pools, "MIN_FREE_SLOTS", ring // 4)
+    world = new_world(5, seed)
+    monkeypatch.setattr(pools, "SilenceRecord", new_record)
+    rng = world.rng
+    cut_until = {}
+    store_cut_until = timedelta()
+
+    def go_on():
+        if world.clock.monotonic() > store_cut_until:
+            world.store_cut = set()
+        world.renew_sessions()
+
+    # The owner's records wait for the store.
+    world.clock.on_sleep = go_on
+    refused_until = timedelta()
+    put = world.store.put
+
+    def refuse(key, *args):
+        if key == silences_key(0) and world.clock.monotonic() < refused_until:
+            raise StoreError("refused by the test")
+        return put(key, *args)
+
+    monkeypatch.setattr(world.store, "put", refuse)
+    for number in range(60 * ROUNDS_PER_SECOND):
+        now = world.clock.monotonic()
+        if rng.random() < 0.06:
+            worker = rng.choice(world.workers)
+            cut_until[worker.id] = now + rng.randint(1000, 9000) * MS
+        cut_until = {name: until for name, until in cut_until.items() if until > now}
+        world.cut = set()
+        for worker in world.workers:
+            if worker.id in cut_until:
+                cut(world, worker)
+        owner = next((w for w in world.workers if world.owners[w.id].is_owner()), None)
+        if owner is not None and rng.random() < 0.05:
+            fault = rng.choice(["planned", "key", "store"])
+            if fault == "planned":
+                world.owners[owner.id].resign("planned stop")
+            elif fault == "key":
+                # The owner goes on until it reads its key.
+                world.store.delete(OWNER_KEY, world.owners[owner.id]._term.epoch)
+            else:
+                world.store_cut = {owner.id}
+                store_cut_until = now + rng.randint(500, 5000) * MS
+        go_on()
+        if rng.random() < 0.04:
+            refused_until = now + rng.randint(500, 4000) * MS
+        if rng.random() < 0.03:
+            rng.choice([world.store.lose_writes, world.store.lose_responses])()
+        if world.owner() is not None and number % 7 == 0:
+            world.submit(f"s{number}", attrs.evolve(LASTING, lasting=False))
+        world.round()
+        world.run_takeovers()
+        if world.store.state.get(OWNER_KEY) is None:
+            names = [w.id for w in world.workers if not world.owners[w.id].is_owner()]
+            rng.shuffle(names)
+            for name in names:
+                try:
+                    if world.owners[name].acquire():
+                        break
+                except (StoreError, pools.JournalError):
+                    continue
+    return world.history.violations, len(taken_over)
+
+
+@pytest.mark.parametrize("ring", [256, 12])
+@pytest.mark.parametrize("is_mixed", [False, True])
+@pytest.mark.parametrize("seed", range(8))
+def test_no_run_is_started_twice_while_owners_change(seed, is_mixed, ring, monkeypatch):
+    """Guards against runs that are given up before their worker's lease has ended."""
+    builds = [SilenceRecord, NoRecord] if is_mixed else [SilenceRecord]
+    number = iter(range(10_000))
+    violations, _ = play(seed, lambda: builds[next(number) % len(builds)], monkeypatch, ring)
+    assert violations == []
+
+
+@pytest.mark.parametrize("is_promise_kept", [True, False])
+def test_lease_of_a_listed_worker_would_end_in_a_second_run(is_promise_kept, monkeypatch):
+    """Guards against tests that would not notice a lease against the record."""
+    if not is_promise_kept:
+        monkeypatch.setattr(pools, "SilenceRecord", DroppedPromise)
+    world = new_world(tasks=3)
+    worker = next(worker for worker in world.workers[1:] if worker.runs)
+    cut(world, worker)
+    world.run(5 * ROUNDS_PER_SECOND)
+    put = world.store.put
+
+    def refuse(key, *args):
+        if key == silences_key(0):
+            raise StoreError("refused by the test")
+        return put(key, *args)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(world.store, "put", refuse)
+        world.cut.clear()
+        world.run(3)
+    cut(world, worker)
+    world.owner().resign("planned stop")
+    world.elect(world.workers[0])
+    world.run(8 * ROUNDS_PER_SECOND)
+    assert bool(world.history.violations) is not is_promise_kept
+
+
+def test_plays_take_records_over(monkeypatch):
+    """Guards against plays in which the record is of no effect."""
+    taken_over = 0
+    for seed in range(3):
+        with monkeypatch.context() as patch:
+            taken_over += play(seed, lambda: SilenceRecord, patch)[1]
+    assert taken_over > 0
