Keep the ownership if listing silent workers fails, and test returns just before the end of a lease

The list of silent workers is made like the other parts of a round, whose errors do not end the ownership.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -620,7 +620,7 @@
             queued.outcome, queued.reason = Outcome.NOT_RUN, "internal error"
             return []
 
-    def _run_part(self, part: Callable[[PoolTerm], list[Any] | None], term: PoolTerm) -> list[Any]:
+    def _run_part(self, part: Callable[[PoolTerm], Any], term: PoolTerm) -> Any:
         """Return the result of a part of a round; if it fails, the round continues without it."""
         try:
             return part(term) or []
@@ -700,7 +700,8 @@
         if term.session.failing_since is not None or not term.silences.is_check_due(now):
             return
         with term.lock:
-            planned = term.silences.plan(self._scheduler.silent_workers(term), now)
+            ages = dict(self._run_part(self._scheduler.silent_workers, term))
+            planned = term.silences.plan(ages, now)
         if planned is not None:
             term.silences.write(planned, now)
 
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -188,7 +188,7 @@
 
 
 @pytest.mark.parametrize("changes_owner", [False, True])
-@pytest.mark.parametrize("silence_ms", [2000, 3400, 4400, 5400])
+@pytest.mark.parametrize("silence_ms", [2000, 3400, 4400, 5400, 5600])
 def test_worker_that_is_back_within_its_lease_keeps_its_runs(silence_ms, changes_owner):
     """Guards against a worker that was only silent for a while and loses its runs."""
     world = new_world()
