Start the service that has waited longest first

Cause: waiting tasks go by due time, step and index, so after each outage the same ones come last. Waiting services now go by the longest wait of a task of their workflow, tasks of a step by their wait, then by fewest runs. A task that never ran keeps its wait over outages; a run that ended, also UNSTARTED, begins it anew.

Before the change test_no_service_is_the_last_after_each_outage failed in all six cases.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -446,15 +446,38 @@
         return Counter(_refusal(task, worker, wait_ms) or limit for worker in workers)
 
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
-        """Return waiting tasks in scheduling order."""
-        urgencies: dict[str, tuple] = {}
+        """Return waiting tasks in scheduling order.
+
+        Workflows go by `urgency`, but long-running ones of equal priority by the longest wait of
+        their tasks. The steps of a workflow go by their number, and the tasks of a step by their
+        wait; of those that began to wait together the one with fewest runs goes first. A wait
+        begins when the step is ready or the last run of the task has ended, so a service that got
+        no worker before an outage precedes those that lost theirs.
+
+        Suspected short tasks of a step go last and by their index: trials in turn would crash more
+        workers before one of the tasks is found guilty. Suspected services start together.
+        """
+        first_waits: dict[str, int] = {}
         for task in (waiting := list(waiting)):
-            workflow = task.workflow
-            if workflow.workflow_id not in urgencies:
-                urgencies[workflow.workflow_id] = self.urgency(workflow, now_ms).key()
-        return sorted(
-            waiting, key=lambda task: (urgencies[task.workflow.workflow_id], task.step, task.index)
-        )
+            workflow_id = task.workflow.workflow_id
+            first_ms = first_waits.get(workflow_id, task.waiting_since_ms)
+            first_waits[workflow_id] = min(first_ms, task.waiting_since_ms)
+        urgencies: dict[str, tuple] = {}
+        for task in waiting:
+            workflow_id = task.workflow.workflow_id
+            if workflow_id not in urgencies:
+                *key, due_ms = self.urgency(task.workflow, now_ms).key()
+                is_long_running = any(step.lasting for step in task.workflow.spec.steps)
+                first_ms = first_waits[workflow_id] if is_long_running else 0
+                urgencies[workflow_id] = (*key, first_ms, due_ms)
+
+        def rank(task: StepTask) -> tuple:
+            is_short_suspect = task.is_suspected and not task.spec.lasting
+            wait = (0, 0) if is_short_suspect else (task.waiting_since_ms, task.run)
+            urgency = urgencies[task.workflow.workflow_id]
+            return (urgency, task.step, is_short_suspect, wait, task.index)
+
+        return sorted(waiting, key=rank)
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the scheduling priority of a workflow."""
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -1,5 +1,6 @@
 """Scheduling policy: placement decisions, and simulated load compared with a naive policy."""
 
+import itertools
 import random
 from collections import Counter
 from datetime import timedelta
@@ -96,6 +97,30 @@
     assert order[0].workflow.workflow_id == "b1"
 
 
+@pytest.mark.parametrize("is_owner_new", [False, True])
+@pytest.mark.parametrize("counts", [(4,), (1, 1, 1, 1), (2, 2)])
+def test_no_service_is_the_last_after_each_outage(counts, is_owner_new):
+    """Guards against a service that never runs while others restart after each outage."""
+    pool = Pool()
+    for number, count in enumerate(counts):
+        step = StepSpec(count, 40_000, lasting=True)
+        add(pool, f"a{number}", WATCH, step, at_ms=number)
+    now_ms = 0
+    left_out = []
+    for _ in range(6):
+        now_ms += LAST_RESORT_WAIT_MS
+        place(pool, dispatcher(), now_ms, count=3)
+        left_out += [task.name for task in pool.ready()]
+        now_ms += 3000
+        if is_owner_new:
+            pool = Pool.from_snapshot(pool.to_snapshot())
+        for worker_id in pool.workers_with_runs():
+            for task in pool.active_tasks(worker_id):
+                pool.apply(RunEnded(task.name, task.run, RunOutcome.LAPSED.value, now_ms))
+    assert len(left_out) == 6
+    assert all(earlier != later for earlier, later in itertools.pairwise(left_out))
+
+
 @pytest.mark.parametrize(
     ("step", "allowed"),
     [
