Let long-running tasks start beside a flood of short ones

Callers of a service beyond the share of long-running tasks could wait beside free capacity: since these start after the short tasks of a round, and a worker gets 24 pending starts, a flood of checks used up the starts of each round. Long-running tasks now have 8 starts of their own on a worker.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -115,6 +115,9 @@
 MAX_PENDING_STARTS = 24
 """Maximum number of pending starts per worker. An agent starts about 200 tasks per second."""
 
+MAX_PENDING_STARTS_WITH_SERVICES = 32
+"""The same for long-running tasks: a flood of short tasks must not keep them from free capacity."""
+
 
 MAX_TRIALS_PER_ROUND = 8
 """Maximum number of suspected tasks placed in one round; each is compared against all workers."""
@@ -704,7 +707,8 @@
 def _refusal(task: StepTask, worker: WorkerCapacity, wait_ms: int) -> str:
     """Return why a task may not start on a worker; empty if it may."""
     is_probe = worker.is_probed and not task.spec.lasting
-    if worker.pending_starts >= (1 if is_probe else MAX_PENDING_STARTS):
+    max_pending = MAX_PENDING_STARTS_WITH_SERVICES if task.spec.lasting else MAX_PENDING_STARTS
+    if worker.pending_starts >= (1 if is_probe else max_pending):
         return "too many starts at once"
     if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
         return "excluded"
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -124,6 +124,17 @@
     assert [decision.task.spec.lasting for decision in started] == [True] * 4
 
 
+def test_flood_of_short_tasks_does_not_keep_services_from_free_capacity():
+    """Guards against a service beyond its share that waits while checks use up all starts."""
+    pool = Pool()
+    add(pool, "v", WATCH, StepSpec(3, 58_000, 1000, lasting=True))
+    place(pool, dispatcher(), LAST_RESORT_WAIT_MS)
+    add(pool, "w", WATCH, StepSpec(1, 4000, 1000, lasting=True))
+    add(pool, "c", CHECKS, StepSpec(100, 10, 10))
+    started = place(pool, dispatcher(), 2 * LAST_RESORT_WAIT_MS)
+    assert "w" in {decision.task.workflow.workflow_id for decision in started}
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_reserve_keeps_no_service_waiting_beside_room(seed):
     """Guards against a reserve that is idle while a service waits, and against a busy one.
