--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -3,8 +3,8 @@
 It is designed for these load patterns:
 
 - Short checks arrive all day while long-running services hold most processors and best-effort
-  tasks use the rest. Checks are scheduled first, and long-running services leave
-  `SHORT_TASK_RESERVE` of the fleet to them.
+  tasks use the rest. Long-running services leave `SHORT_TASK_RESERVE` of the fleet to checks as
+  long as any wait; the checks precede best-effort tasks.
 - Services reserve most of the processors, and best-effort tasks interfere with half of them.
   Services with the same image are packed together, and best-effort tasks go to the workers where
   they achieve the highest throughput.
@@ -14,6 +14,7 @@
 
 import functools
 import heapq
+import itertools
 from collections import Counter
 from collections.abc import (
     Callable,
@@ -50,9 +51,9 @@
 users need 5 to 6 % of the fleet on average and arrive in bursts."""
 
 LAST_RESORT_WAIT_MS = 1000
-"""Waiting time after which a long-running task may use the reserve and excluded workers, because
-its users have no service until it starts. Its attempts are not limited, so a failure costs little.
-"""
+"""Waiting time after which a long-running task may use excluded workers and what no waiting short
+task needs of the reserve, because its users have no service until it starts. Its attempts are not
+limited, so a failure costs little."""
 
 MAX_TRIAL_WAIT_MS = 3000
 """Longest time for which a task waits for a trial, unless a worker has crashed again under a task
@@ -114,10 +115,16 @@
 MAX_PENDING_STARTS = 24
 """Maximum number of pending starts per worker. An agent starts about 200 tasks per second."""
 
+MAX_PENDING_STARTS_WITH_SERVICES = 32
+"""The same for long-running tasks: a flood of short tasks must not keep them from free capacity."""
+
 
 MAX_TRIALS_PER_ROUND = 8
 """Maximum number of suspected tasks placed in one round; each is compared against all workers."""
 
+RESERVED = "reserved for short tasks"
+"""Reason why a long-running task gets none of the workers with room."""
+
 TOO_MANY_TRIALS = "workers on trial"
 KEEPS_WORKER = "waits for an idle worker"
 OTHER_VM = "waits for another VM"
@@ -219,6 +226,17 @@
     ) -> list[PlacementDecision]:
         """Return the runs to start now.
 
+        With C processors in all, of which U are reserved and L by long-running tasks, and
+        S = `SHORT_TASK_RESERVE`, a long-running task of d processors that has waited for t starts
+
+        - at its turn if `U + d <= (1 - S) * C`;
+        - at its turn if `t >= LAST_RESORT_WAIT_MS` and `L + d <= (1 - S) * C`;
+        - after all other tasks of the round if only `t >= LAST_RESORT_WAIT_MS` holds.
+
+        So services do not take the reserve while short tasks wait for it, short tasks do not take
+        more than the reserve from services that have waited, and after `LAST_RESORT_WAIT_MS` no
+        service waits beside room for it.
+
         :param waiting: tasks that are ready to start.
         :param workers: candidate workers; updated with the chosen runs.
         :param now_ms: current time, in milliseconds since 1970.
@@ -228,10 +246,14 @@
         passed_over = {} if passed_over is None else passed_over
         self._clear_caches()
         decisions: list[PlacementDecision] = []
-        reserve = SHORT_TASK_RESERVE * sum(worker.capacity.cpu_millis for worker in workers)
-        free_millis = sum(max(0, worker.free.cpu_millis) for worker in workers)
+        capacity_millis = sum(worker.capacity.cpu_millis for worker in workers)
+        max_long_running_millis = (1 - SHORT_TASK_RESERVE) * capacity_millis
+        used_millis = capacity_millis - sum(max(0, worker.free.cpu_millis) for worker in workers)
+        long_running_millis = sum(worker.long_running_millis for worker in workers)
         ranking: _Ranking | None = None
-        for task in self.order(waiting, now_ms):
+        ordered = self.order(waiting, now_ms)
+        deferred: list[StepTask] = []
+        for position, task in enumerate(itertools.chain(ordered, deferred)):
             spec = task.spec
             wait_ms = now_ms - task.waiting_since_ms
             # The tasks of a step have the same requirements, so they share one ranking.
@@ -242,18 +264,26 @@
                 _is_long_wait(wait_ms),
                 _needs_last_resort(task, wait_ms),
             )
+            if spec.lasting:
+                is_last_resort = _needs_last_resort(task, wait_ms)
+                taken_millis = long_running_millis if is_last_resort else used_millis
+                if taken_millis + spec.cpu_millis > max_long_running_millis:
+                    if not is_last_resort:
+                        passed_over[task.name] = RESERVED
+                        continue
+                    if position < len(ordered):
+                        deferred.append(task)  # Waiting short tasks use the reserve first.
+                        continue
             if ranking is None or ranking.key != key:
                 score = functools.partial(self._score, task, wait_ms=wait_ms)
                 ranking = _Ranking(key, score, workers)
-            may_use_reserve = not spec.lasting or _needs_last_resort(task, wait_ms)
-            if not may_use_reserve and free_millis - spec.cpu_millis < reserve:
-                passed_over[task.name] = "reserved for short tasks"
-                continue
             worker = ranking.best()
             if worker is None:
                 continue
             self._reserve(task, worker)
-            free_millis -= spec.demand.cpu_millis
+            used_millis += spec.demand.cpu_millis
+            if spec.lasting:
+                long_running_millis += spec.demand.cpu_millis
             ranking.update_best()
             decisions.append(PlacementDecision(task, worker))
         return decisions
@@ -446,15 +476,38 @@
         return Counter(_refusal(task, worker, wait_ms) or limit for worker in workers)
 
     def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
-        """Return waiting tasks in scheduling order."""
-        urgencies: dict[str, tuple] = {}
+        """Return waiting tasks in scheduling order.
+
+        Workflows go by `urgency`, but long-running ones of equal priority by the longest wait of
+        their tasks. The steps of a workflow go by their number, and the tasks of a step by their
+        wait; of those that began to wait together the one with fewest runs goes first. A wait
+        begins when the step is ready or the last run of the task has ended, so a service that got
+        no worker before an outage precedes those that lost theirs.
+
+        Suspected short tasks of a step go last and by their index: trials in turn would crash more
+        workers before one of the tasks is found guilty. Suspected services start together.
+        """
+        first_waits: dict[str, int] = {}
         for task in (waiting := list(waiting)):
-            workflow = task.workflow
-            if workflow.workflow_id not in urgencies:
-                urgencies[workflow.workflow_id] = self.urgency(workflow, now_ms).key()
-        return sorted(
-            waiting, key=lambda task: (urgencies[task.workflow.workflow_id], task.step, task.index)
-        )
+            workflow_id = task.workflow.workflow_id
+            first_ms = first_waits.get(workflow_id, task.waiting_since_ms)
+            first_waits[workflow_id] = min(first_ms, task.waiting_since_ms)
+        urgencies: dict[str, tuple] = {}
+        for task in waiting:
+            workflow_id = task.workflow.workflow_id
+            if workflow_id not in urgencies:
+                *key, due_ms = self.urgency(task.workflow, now_ms).key()
+                is_long_running = any(step.lasting for step in task.workflow.spec.steps)
+                first_ms = first_waits[workflow_id] if is_long_running else 0
+                urgencies[workflow_id] = (*key, first_ms, due_ms)
+
+        def rank(task: StepTask) -> tuple:
+            is_short_suspect = task.is_suspected and not task.spec.lasting
+            wait = (0, 0) if is_short_suspect else (task.waiting_since_ms, task.run)
+            urgency = urgencies[task.workflow.workflow_id]
+            return (urgency, task.step, is_short_suspect, wait, task.index)
+
+        return sorted(waiting, key=rank)
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the scheduling priority of a workflow."""
@@ -654,7 +707,8 @@
 def _refusal(task: StepTask, worker: WorkerCapacity, wait_ms: int) -> str:
     """Return why a task may not start on a worker; empty if it may."""
     is_probe = worker.is_probed and not task.spec.lasting
-    if worker.pending_starts >= (1 if is_probe else MAX_PENDING_STARTS):
+    max_pending = MAX_PENDING_STARTS_WITH_SERVICES if task.spec.lasting else MAX_PENDING_STARTS
+    if worker.pending_starts >= (1 if is_probe else max_pending):
         return "too many starts at once"
     if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
         return "excluded"
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -1,5 +1,6 @@
 """Scheduling policy: placement decisions, and simulated load compared with a naive policy."""
 
+import itertools
 import random
 from collections import Counter
 from datetime import timedelta
@@ -12,6 +13,7 @@
     ANY_WORKER_WAIT_MS,
     LAST_RESORT_WAIT_MS,
     MAX_PENDING_STARTS,
+    SHORT_TASK_RESERVE,
     Dispatcher,
     estimated_run_time,
 )
@@ -117,6 +119,103 @@
     assert order[0].workflow.workflow_id == "b1"
 
 
+def test_checks_start_before_services_take_the_reserve():
+    """Guards against checks that wait for minutes after an outage of all workers.
+
+    The services have waited for longer than `LAST_RESORT_WAIT_MS` and fill the fleet.
+    """
+    pool = Pool()
+    for number in range(4):
+        add(pool, f"w{number}", WATCH, StepSpec(8, 8000, 1000, lasting=True))
+    add(pool, "c", CHECKS, StepSpec(12, 1000, 1000))
+    started = place(pool, dispatcher(), 2 * LAST_RESORT_WAIT_MS)
+    assert sum(not decision.task.spec.lasting for decision in started) == 12
+
+
+def test_short_tasks_beyond_the_reserve_do_not_hold_up_services():
+    """Guards against a service that waits while short tasks take all room that becomes free."""
+    pool = Pool()
+    add(pool, "b", BATCH, StepSpec(40, 8000, 1000))
+    assert len(place(pool, dispatcher())) == 24
+    add(pool, "w", WATCH, StepSpec(4, 8000, 1000, lasting=True))
+    now_ms = 2 * LAST_RESORT_WAIT_MS
+    for task in pool.active_tasks("w0")[:4]:
+        pool.apply(RunEnded(task.name, task.run, RunOutcome.DONE.value, now_ms))
+    started = place(pool, dispatcher(), now_ms)
+    assert [decision.task.spec.lasting for decision in started] == [True] * 4
+
+
+def test_flood_of_short_tasks_does_not_keep_services_from_free_capacity():
+    """Guards against a service beyond its share that waits while checks use up all starts."""
+    pool = Pool()
+    add(pool, "v", WATCH, StepSpec(3, 58_000, 1000, lasting=True))
+    place(pool, dispatcher(), LAST_RESORT_WAIT_MS)
+    add(pool, "w", WATCH, StepSpec(1, 4000, 1000, lasting=True))
+    add(pool, "c", CHECKS, StepSpec(100, 10, 10))
+    started = place(pool, dispatcher(), 2 * LAST_RESORT_WAIT_MS)
+    assert "w" in {decision.task.workflow.workflow_id for decision in started}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_reserve_keeps_no_service_waiting_beside_room(seed):
+    """Guards against a reserve that is idle while a service waits, and against a busy one.
+
+    Fleets, services and checks are drawn; labels and spread limits are among the requirements.
+    """
+    rng = random.Random(seed)
+    pool = Pool()
+    for number in range(rng.randrange(4, 16)):
+        step = StepSpec(
+            rng.randrange(1, 8),
+            rng.randrange(4000, 20_000),
+            rng.randrange(1000, 50_000),
+            lasting=True,
+            max_per_worker=rng.choice((0, 1)),
+            required_label=rng.choice(("", "", "r1")),
+        )
+        add(pool, f"w{number}", WATCH, step)
+    for number in range(rng.randrange(12)):
+        add(pool, f"c{number}", CHECKS, StepSpec(rng.randrange(1, 12), 1000, 1900))
+    now_ms = rng.choice((0, LAST_RESORT_WAIT_MS))
+    count = rng.randrange(3, 8)
+    service_millis = 0
+    # A round leaves tasks waiting that would exceed `MAX_PENDING_STARTS`.
+    while started := place(pool, dispatcher(), now_ms, count):
+        tasks = [decision.task for decision in started]
+        service_millis += sum(task.spec.cpu_millis for task in tasks if task.spec.lasting)
+    waiting = pool.ready()
+    workers = make_workers(pool, count)
+    if service_millis > (1 - SHORT_TASK_RESERVE) * count * CAPACITY.cpu_millis:
+        assert now_ms >= LAST_RESORT_WAIT_MS
+        assert all(task.spec.lasting for task in waiting)
+    if now_ms >= LAST_RESORT_WAIT_MS:
+        assert not [task for task in waiting if any(worker.admits(task) for worker in workers)]
+
+
+@pytest.mark.parametrize("is_owner_new", [False, True])
+@pytest.mark.parametrize("counts", [(4,), (1, 1, 1, 1), (2, 2)])
+def test_no_service_is_the_last_after_each_outage(counts, is_owner_new):
+    """Guards against a service that never runs while others restart after each outage."""
+    pool = Pool()
+    for number, count in enumerate(counts):
+        step = StepSpec(count, 40_000, lasting=True)
+        add(pool, f"a{number}", WATCH, step, at_ms=number)
+    now_ms = 0
+    left_out = []
+    for _ in range(6):
+        now_ms += LAST_RESORT_WAIT_MS
+        place(pool, dispatcher(), now_ms, count=3)
+        left_out += [task.name for task in pool.ready()]
+        now_ms += 3000
+        if is_owner_new:
+            pool = Pool.from_snapshot(pool.to_snapshot())
+        for worker_id in pool.workers_with_runs():
+            for task in pool.active_tasks(worker_id):
+                pool.apply(RunEnded(task.name, task.run, RunOutcome.LAPSED.value, now_ms))
+    assert len(left_out) == 6
+    assert all(earlier != later for earlier, later in itertools.pairwise(left_out))
+
+
 @pytest.mark.parametrize(
     ("step", "allowed"),
     [
