Let suspected checks that have waited for 3 s use three quarters of the workers

Cause: the limit on workers on trial follows the number of steps that wait, so it shrinks with the backlog, whatever the wait of those that are left. Tasks that aren't long-running may now use MAX_BACKLOG_TRIAL_SHARE of the workers once they have waited for MAX_TRIAL_WAIT_MS; services keep their rule.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -41,11 +41,12 @@
 
 MAX_TRIAL_SHARE = 0.25
 """Maximum share of the workers on which suspected tasks run while few wait, so that other work
-continues. Long-running tasks may use twice as many, and all that are left once they have waited
-long."""
+continues. Long-running tasks may use twice as many. Once they have waited long, they may use all
+that are left, and other tasks up to `MAX_BACKLOG_TRIAL_SHARE`."""
 
 MAX_BACKLOG_TRIAL_SHARE = 0.75
-"""Maximum share of the workers on which suspected tasks run while many wait."""
+"""Maximum share of the workers on which suspected tasks run while many wait or some have waited
+long."""
 
 MAX_TRIALS_IN_SERIES = 3
 """Number of trials that a worker may have before it, above which more workers run trials. Each
@@ -143,5 +144,12 @@
     :param trials: number of trials that have not ended, with those that have not begun.
     """
     wanted = math.ceil(trials / MAX_TRIALS_IN_SERIES)
-    allowed = int(MAX_BACKLOG_TRIAL_SHARE * workers)
-    return max(1, int(MAX_TRIAL_SHARE * workers), min(wanted, allowed))
+    return max(1, int(MAX_TRIAL_SHARE * workers), min(wanted, max_backlog_trials(workers)))
+
+
+def max_backlog_trials(workers: int) -> int:
+    """Return on how many workers suspected tasks may run, however many wait.
+
+    :param workers: number of workers that can run tasks.
+    """
+    return max(1, int(MAX_BACKLOG_TRIAL_SHARE * workers))
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -267,6 +267,7 @@
         limit: int,
         now_ms: int,
         passed_over: MutableMapping[str, str] | None = None,
+        overdue_limit: int | None = None,
     ) -> tuple[list[PlacementDecision], set[str]]:
         """Return the runs of suspected tasks to start now, apart from other tasks.
 
@@ -290,9 +291,12 @@
         :param now_ms: current time, in milliseconds since 1970.
         :param passed_over: updated with the tasks that a limit keeps from workers with room, with
             the limit.
+        :param overdue_limit: the limit for other tasks that have waited for `MAX_TRIAL_WAIT_MS`;
+            `limit` if None.
         :returns: the decisions, and the ids of the workers that must not get other runs.
         """
         passed_over = {} if passed_over is None else passed_over
+        overdue_limit = limit if overdue_limit is None else overdue_limit
         self._clear_caches()
         decisions: list[PlacementDecision] = []
         kept: set[str] = set()
@@ -328,8 +332,12 @@
                 self._reserve(task, host)
                 decisions.append(PlacementDecision(task, host))
                 continue
-            is_overdue_service = task.spec.lasting and wait_ms >= MAX_TRIAL_WAIT_MS
-            max_workers = limit * (SERVICE_TRIALS_FACTOR if task.spec.lasting else 1)
+            is_overdue = wait_ms >= MAX_TRIAL_WAIT_MS
+            is_overdue_service = task.spec.lasting and is_overdue
+            if task.spec.lasting:
+                max_workers = limit * SERVICE_TRIALS_FACTOR
+            else:
+                max_workers = overdue_limit if is_overdue else limit
             if step not in max_by_step:
                 max_by_step[step] = max_trials_of(task.workflow, task.step)
             if step in pending:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -18,6 +18,7 @@
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
     Excuse,
+    max_backlog_trials,
     max_trials,
     recent_runs,
 )
@@ -699,7 +700,8 @@
         taken = len({task.worker_id for task in trials})
         waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
         limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
-        if taken >= limit and not any(task.spec.lasting for task in suspects):
+        overdue_limit = max_backlog_trials(len(candidates) + taken)
+        if taken >= overdue_limit and not any(task.spec.lasting for task in suspects):
             passed_over.update((task.name, TOO_MANY_TRIALS) for task in suspects)
             return [], set()
         now = self._clock.monotonic()
@@ -713,7 +715,14 @@
                     clock_ms + START_WINDOW // timedelta(milliseconds=1) - last_ms
                 )
         return self._dispatcher.schedule_trials(
-            suspects, candidates, last_starts, trials, limit, self._now_ms(), passed_over
+            suspects,
+            candidates,
+            last_starts,
+            trials,
+            limit,
+            self._now_ms(),
+            passed_over,
+            overdue_limit,
         )
 
     def move_runs(self, term: PoolTerm) -> None:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -6,13 +6,16 @@
 
 import attrs
 import pytest
+import trials
 from mulberryslip.crashes import (
     FIRST_PROBATION_MS,
     MAX_UNCLEARED_RUNS,
     SUSPICION_WINDOW_MS,
     CrashRecord,
+    max_backlog_trials,
     max_trials,
 )
+from mulberryslip.dispatches import MAX_TRIAL_WAIT_MS
 from mulberryslip.queues import PoolConfig
 from mulberryslip.steps import StepSpec
 from pool_doubles import MS, QUEUE, SECOND, PoolWorld
@@ -134,6 +137,49 @@
     assert played.world.history.violations == []
 
 
+@pytest.mark.parametrize("checks", [3, 6, 8, 12])
+def test_suspected_checks_that_have_waited_long_use_most_workers(checks):
+    """Guards against the last suspects of a backlog that go by twos while other workers idle."""
+    world = PoolWorld(11, run_ms=lambda name: 5000)
+    world.elect()
+    world.run(3)
+    source = next(iter(world.sources.values()))
+    # Nothing may start before the crashes are recorded.
+    source.value = PoolConfig.from_queues(2, [QUEUE], ["east"])
+    pool = world.owner()._term.pool
+    names = [f"check{number}" for number in range(checks)]
+    for name in names:
+        world.submit(name, StepSpec(cpu_millis=1000, memory_mb=100))
+        world.round()
+    now_ms = int(world.clock.now().timestamp() * 1000)
+    for name in names:
+        (task,) = pool.workflows[name].tasks()
+        # The second crash keeps it suspected, however long it waits.
+        task.crashes = CrashRecord(2, True, 2, ("m11", "m12"))
+        task.waiting_since_ms = now_ms - MAX_TRIAL_WAIT_MS
+        pool._crashed[task.name] = task
+    source.value = PoolConfig.from_queues(3, [QUEUE])
+    world.round()
+    on_trial = {task.worker_id for task in world.owner()._term.pool.trials()}
+    assert len(on_trial) == min(checks, max_backlog_trials(11))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("share", [0.5, 1.0])
+def test_suspected_services_of_one_task_a_step_start_soon(share, seed, monkeypatch):
+    """Guards against services of many steps, none of them guilty, that are tried one by one."""
+    monkeypatch.setattr(trials, "SERVICE", attrs.evolve(trials.SERVICE, count=1))
+    played = Play(Parameters(100, 0, 11, (2,), seed, services=share))
+    while played.elapsed < SECONDS * SECOND and not played.is_through():
+        played.round()
+    waits = played.suspect_waits.longest(played.now()) | played.background_waits.longest(
+        played.now()
+    )
+    late = {name: wait / SECOND for name, wait in waits.items() if wait > max_wait(name)}
+    assert late == {}
+    assert played.innocent_given_up() == []
+
+
 def test_suspected_service_with_a_spread_limit_runs_again_soon():
     """Guards against a service whose tasks are tried one by one on workers of their own."""
     world = PoolWorld(30, run_ms=lambda name: 600_000)
