Try suspected tasks last on workers that do not carry out their starts

What callers saw: a suspected service with two crashes did not run again until a fault of other workers ended (19.6 and 19.4 s on the doubles, 9 s allowed), with sound workers idle. Cause: schedule_trials prefers idle workers on VMs without a crash under the task, and ignored that a worker refuses or loses its starts; such a worker stays idle, so it got each next trial, too. It now comes after the others, as for tasks that nobody suspects.

Ruled out: sorting by the whole penalty; a slow worker would then come after those on which a further crash proves nothing.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -43,7 +43,7 @@
     allocate_headroom,
     max_budget_fraction,
 )
-from .health import EXCLUSION_PENALTY
+from .health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from .workflows import Phase, StepTask, Workflow
 
 SHORT_TASK_RESERVE = 0.1
@@ -306,9 +306,10 @@
         wait to be tried one by one.
 
         Workers with few runs go first, since a crash would end these, but those on other VMs than
-        the earlier crashes before all others. A task with one crash less than a verdict needs waits
-        for such a VM, for `MAX_TRIAL_WAIT_MS` at most. Without a worker where nothing has started
-        lately, one is kept free of other starts until that is so.
+        the earlier crashes before all others, and workers that do not carry out their starts last.
+        A task with one crash less than a verdict needs waits for another VM, for
+        `MAX_TRIAL_WAIT_MS` at most. Without a worker where nothing has started lately, one is kept
+        free of other starts until that is so.
 
         :param suspects: suspected tasks that are ready to start.
         :param workers: candidate workers, none of which runs a suspected task.
@@ -392,7 +393,13 @@
                 if needs_other_vm:
                     passed_over[task.name] = OTHER_VM
                 continue
-            suitable = sorted(ranked, key=lambda worker: worker.machine in crashed)
+            suitable = sorted(
+                ranked,
+                key=lambda worker: (
+                    worker.penalty >= UNSTARTED_PENALTY,
+                    worker.machine in crashed,
+                ),
+            )
             worker = next(
                 (
                     worker
