--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -663,7 +663,9 @@
         kept: set[str] = set()
         if suspects:
             candidates = self._candidates(term, config)
-            decisions, kept = self._place_trials(term, suspects, candidates, passed_over)
+            decisions, kept = self._place_trials(
+                term, suspects, candidates, bool(urgent), passed_over
+            )
             candidates = [worker for worker in candidates if worker.worker_id not in kept]
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
@@ -690,17 +692,20 @@
         term: PoolTerm,
         suspects: list[StepTask],
         candidates: list[WorkerCapacity],
+        others_wait: bool,
         passed_over: dict[str, str],
     ) -> tuple[list[PlacementDecision], set[str]]:
         """Choose workers on which suspected tasks start apart from others.
 
+        :param others_wait: whether services or checks wait that nobody suspects. Suspected checks
+            then get no more workers once they have waited long.
         :param passed_over: updated with the tasks that a limit keeps from workers with room.
         """
         trials = term.pool.trials()
         taken = len({task.worker_id for task in trials})
         waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
         limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
-        overdue_limit = max_backlog_trials(len(candidates) + taken)
+        overdue_limit = limit if others_wait else max_backlog_trials(len(candidates) + taken)
         if taken >= overdue_limit and not any(task.spec.lasting for task in suspects):
             passed_over.update((task.name, TOO_MANY_TRIALS) for task in suspects)
             return [], set()
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -137,9 +137,13 @@
     assert played.world.history.violations == []
 
 
+@pytest.mark.parametrize("others_wait", [False, True])
 @pytest.mark.parametrize("checks", [3, 6, 8, 12])
-def test_suspected_checks_that_have_waited_long_use_most_workers(checks):
-    """Guards against the last suspects of a backlog that go by twos while other workers idle."""
+def test_suspected_checks_that_have_waited_long_use_most_workers(checks, others_wait):
+    """Guards against the last suspects of a backlog that go by twos while other workers idle.
+
+    They must not take the workers from a task that waits and that nobody suspects.
+    """
     world = PoolWorld(11, run_ms=lambda name: 5000)
     world.elect()
     world.run(3)
@@ -158,10 +162,13 @@
         task.crashes = CrashRecord(2, True, 2, ("m11", "m12"))
         task.waiting_since_ms = now_ms - MAX_TRIAL_WAIT_MS
         pool._crashed[task.name] = task
+    if others_wait:
+        world.submit("other", StepSpec(cpu_millis=9000, memory_mb=100))
     source.value = PoolConfig.from_queues(3, [QUEUE])
     world.round()
     on_trial = {task.worker_id for task in world.owner()._term.pool.trials()}
-    assert len(on_trial) == min(checks, max_backlog_trials(11))
+    limit = max_trials(11, checks) if others_wait else max_backlog_trials(11)
+    assert len(on_trial) == min(checks, limit)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
