Count the age of a run from the latest time at which it can have begun

Cause: the age of a run was counted from the earliest time at which its start could be carried out, START_WINDOW before its deadline. In the play a start without an answer was carried out 1.25 s after it was decided; 0.4 s later the run crashed its worker, but was taken for one that had outlived its trial of 1 s, so its crash was excused, and the next owner knew three crashes in place of four.

The age now counts from the run's first listing, or from its start deadline if that is earlier. Ruled out: the owner's own time of the first listing, since a report that the worker does not answer moves it. Probations last up to a report longer.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -45,6 +45,7 @@
         until when the previous owner may have extended the worker's lease.
     :param running: the worker's active runs by task.
     :param first_listed_at: when each active run was listed first, by task and run.
+    :param first_listed_ms: the same on the worker's clock, in milliseconds.
     :param reconciled_through: number of the last run end that was reconciled.
     :param ended_through: number of the last run end that is committed.
     :param incarnations: number of incarnations seen in this ownership term.
@@ -77,6 +78,7 @@
     received_at: timedelta = timedelta()
     running: dict[str, RunningRun] = attrs.field(factory=dict)
     first_listed_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
+    first_listed_ms: dict[tuple[str, int], int] = attrs.field(factory=dict)
     reconciled_through: int = 0
     ended_through: int = 0
     incarnations: int = 0
@@ -132,6 +134,9 @@
             (row.task, row.run): self.first_listed_at.get((row.task, row.run), now)
             for row in report.running
         }
+        self.first_listed_ms = {
+            key: self.first_listed_ms.get(key, report.clock_ms) for key in self.first_listed_at
+        }
         return True
 
     def clock_at(self, now: timedelta) -> int:
@@ -155,6 +160,7 @@
         self.clock_ms = 0
         self.reconciled_through = self.ended_through = 0
         self.running = {}
+        self.first_listed_at, self.first_listed_ms = {}, {}
         self._withdraw_starts(PROCESS_ENDED)
         self.stops.clear()
         self.stop_sent_at.clear()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -1073,8 +1073,12 @@
 
 
 def _age_ms(task: StepTask, member: Member) -> int:
-    """Return how long a task's run had lasted when its worker last listed its runs, at least."""
-    return member.clock_ms - task.start_by_ms + START_WINDOW // timedelta(milliseconds=1)
+    """Return how long a task's run had lasted when its worker last listed its runs, at least.
+
+    The run has begun by its first listing, and by its start deadline if it has begun at all.
+    """
+    listed_ms = member.first_listed_ms.get((task.name, task.run), task.start_by_ms)
+    return member.clock_ms - min(task.start_by_ms, listed_ms)
 
 
 def _recent_trials(lost: Collection[StepTask]) -> set[str]:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -19,6 +19,8 @@
 from mulberryslip.steps import StepSpec
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import Pool, RunAssigned, RunCheckpointed, RunEnded, RunOutcome
+from mulberryslipd.members import Member
+from mulberryslipd.schedulers import _age_ms
 from pool_doubles import CRASH_OUTAGE, QUEUE, SECOND, PoolWorld
 from test_workflows import workflow_accepted
 from trials import Parameters, Play
@@ -338,6 +340,24 @@
     return [message for message in messages if message["event"] == Event.RUN_WAITING.value]
 
 
+@pytest.mark.parametrize(
+    ("first_listed_ms", "clock_ms", "age_ms"),
+    [(4000, 4400, 400), (2600, 3600, 1000), (4700, 4900, 900), (None, 4600, 600)],
+)
+def test_run_is_no_older_than_its_start_can_be(first_listed_ms, clock_ms, age_ms):
+    """Guards against a deadly task that is cleared because its worker carried the start out late.
+
+    The start deadline is 4000 on the worker's clock.
+    """
+    pool, task = crashed_pool(1)
+    start(pool, task)
+    task.start_by_ms = 4000
+    member = Member("w0", clock_ms=clock_ms)
+    if first_listed_ms is not None:
+        member.first_listed_ms[task.name, task.run] = first_listed_ms
+    assert _age_ms(task, member) == age_ms
+
+
 def test_long_wait_of_each_kind_is_logged():
     """Guards against a service whose wait is hidden by a check that waits longer."""
     world = make_world()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1162,6 +1162,7 @@
         (4094, 0.03, 500),
         (4140, 0.03, 2),
         (5016, 0.03, 500),
+        (9058, 0.03, 500),
     ],
 )
 def test_guarantees_hold_under_random_faults(seed, deadly_share, max_listed_ends):
