Take a record of silent workers for stored only if its version is new

What callers could see: a service that runs twice (the users' rule TWICE).

Cause: after a write with an unknown outcome the owner read the record and compared its value. All empty records of an epoch are equal, so it took the one before for its own write, and granted a lease again to a worker that a write still on its way lists. Ruled out: the epochs and versions themselves; a write that has taken effect does shut out all earlier ones.

--- a/packages/daemon/src/mulberryslipd/silences.py
+++ b/packages/daemon/src/mulberryslipd/silences.py
@@ -141,7 +141,10 @@
             self._version, is_written = outcome.version, True
         else:
             stored = self._store.get(self._key)
-            is_written = stored is not None and stored.value == value
+            # An empty record equals the one before it, but for the version.
+            is_written = (
+                stored is not None and stored.value == value and stored.version != self._version
+            )
             if self._decode(stored)[0] <= self._epoch:
                 # The record of a later owner must not be replaced.
                 self._version = 0 if stored is None else stored.version
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 from mulberryslip.exceptions import StoreError
+from mulberryslip.outcomes import Unknown
 from mulberryslip.steps import StepSpec
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd import pools
@@ -388,3 +389,104 @@
         with monkeypatch.context() as patch:
             taken_over += play(seed, lambda: SilenceRecord, patch)[1]
     assert taken_over > 0
+
+
+class LateStore(FakeStore):
+    """A store that can carry out a write after its caller has given it up."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_late = False
+        self.late_writes = []
+
+    def put(self, key, value, expected_version, lease_id=""):
+        if not self.is_late:
+            return super().put(key, value, expected_version, lease_id)
+        self.is_late = False
+        self.late_writes.append((key, value, expected_version, lease_id))
+        return Unknown("no answer in time")
+
+    def carry_out_late_writes(self):
+        for write in self.late_writes:
+            super().put(*write)
+
+
+def test_late_write_does_not_list_a_worker_that_gets_leases_again():
+    """Guards against a run that is given up before the lease of its worker has ended."""
+    store = LateStore()
+    record = SilenceRecord(0, store)
+    record.take_over(4, 5)
+    # A first silence that has ended: the record of this epoch is empty.
+    record.write(record.plan({"w1": 4 * SECOND}, 10 * SECOND), 10 * SECOND)
+    record.write(record.plan({}, 11 * SECOND), 11 * SECOND)
+    assert record.is_empty
+    # A second one, whose record is late.
+    store.is_late = True
+    record.write(record.plan({"w1": 4 * SECOND}, 20 * SECOND), 20 * SECOND)
+    assert record.lists("w1")
+    # The worker reports; the record without it is lost.
+    store.lose_writes()
+    record.write(record.plan({}, 21 * SECOND), 21 * SECOND)
+    gets_leases = not record.lists("w1")
+    store.carry_out_late_writes()
+    taken_over = SilenceRecord(0, store).take_over(5, 6)
+    assert not (gets_leases and "w1" in taken_over)
+
+
+@pytest.mark.parametrize("is_carried_out", [False, True])
+def test_worker_of_a_late_record_runs_nothing_twice(is_carried_out, monkeypatch):
+    """Guards against the same fault in a whole world, with a second start of a service."""
+    world = PoolWorld(4, 0)
+    world.elect()
+    world.run(3)
+    for worker in world.workers:
+        worker.run_ms = lambda name: 600_000
+    world.submit(
+        "a",
+        StepSpec(cpu_millis=1000, memory_mb=100, lasting=True, count=3, max_per_worker=1),
+    )
+    world.run(10)
+    worker = next(worker for worker in world.workers[1:] if worker.runs)
+    put = world.store.put
+    late = []
+    is_slow = False
+
+    def answer_late(key, *args):
+        if is_slow and key == silences_key(0):
+            late.append((key, *args))
+            return Unknown("no answer in time")
+        return put(key, *args)
+
+    monkeypatch.setattr(world.store, "put", answer_late)
+
+    def cut():
+        world.cut |= {worker.id, world.address(worker)}
+
+    silences = world.owner()._term.silences
+    # A first silence leaves an empty record of this epoch.
+    cut()
+    world.run(20)
+    assert silences.lists(worker.id)
+    world.cut.clear()
+    world.run(10)
+    assert silences.is_empty
+    # The writes of a second one are slow, until the worker is back.
+    cut()
+    world.run(10)
+    is_slow = True
+    while not silences.lists(worker.id):
+        world.run(1)
+    world.cut.clear()
+    world.run(5)
+    was_listed = silences.lists(worker.id)
+    if is_carried_out:
+        put(*late[0])
+    is_slow = False
+    world.run(100)
+    assert not was_listed or silences.is_empty
+    # Twenty seconds later the worker is cut off and the owner changes.
+    cut()
+    world.owner().resign("planned stop")
+    world.elect(world.workers[0])
+    world.run(60)
+    assert world.history.violations == []
