--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -169,9 +169,8 @@
         """Record that a worker refused a start, or did not carry it out in time."""
         state = self._states[worker_id]
         if now >= state.unstarted_until:
-            state.unstarted_time = min(
-                MAX_UNSTARTED_PENALTY_TIME, max(UNSTARTED_PENALTY_TIME, 2 * state.unstarted_time)
-            )
+            state.unstarted_time = min(MAX_UNSTARTED_PENALTY_TIME, 2 * state.unstarted_time)
+        state.unstarted_time = max(UNSTARTED_PENALTY_TIME, state.unstarted_time)
         state.unstarted_at = now
         state.unstarted_until = now + state.unstarted_time
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -243,3 +243,16 @@
     for _ in range(10):
         health.record_unstarted("w", SECOND)
     assert health.penalty("w", SECOND + UNSTARTED_PENALTY_TIME) == 0
+
+
+@pytest.mark.parametrize("is_done", [False, True])
+def test_start_between_two_lost_ones_does_not_end_the_penalty(is_done):
+    """Guards against a worker that counts as well because it has not carried out a start again."""
+    health = WorkerHealth()
+    health.record_unstarted("w1", timedelta(seconds=10))
+    if is_done:
+        health.record_run_end("w1", True, timedelta(seconds=11))
+    else:
+        health.record_start("w1", timedelta(seconds=11))
+    health.record_unstarted("w1", timedelta(seconds=12))
+    assert health.penalty("w1", timedelta(seconds=12.1)) > 0
