Try suspected tasks on VMs without a crash first, also if the workers there lose starts

VMs without a crash under the task come first again, and among these the workers that carry out starts.

test_task_is_not_given_up_for_one_bad_machine_beside_workers_that_lose_starts failed before.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -305,8 +305,8 @@
         do similar work, and end together once one of them is given up. Others do so while too many
         wait to be tried one by one.
 
-        Workers with few runs go first, since a crash would end these, but those on other VMs than
-        the earlier crashes before all others, and workers that do not carry out their starts last.
+        Workers with few runs go first, since a crash would end these, but those that do not carry
+        out their starts after the others, and VMs where the task has crashed a worker last.
         A task with one crash less than a verdict needs waits for another VM, for
         `MAX_TRIAL_WAIT_MS` at most. Without a worker where nothing has started lately, one is kept
         free of other starts until that is so.
@@ -396,8 +396,8 @@
             suitable = sorted(
                 ranked,
                 key=lambda worker: (
-                    worker.penalty >= UNSTARTED_PENALTY,
                     worker.machine in crashed,
+                    worker.penalty >= UNSTARTED_PENALTY,
                 ),
             )
             worker = next(
--- a/tests/test_dispatches.py
+++ b/tests/test_dispatches.py
@@ -16,9 +16,10 @@
     SHORT_TASK_RESERVE,
     Dispatcher,
     estimated_run_time,
+    tasks_to_try,
 )
 from mulberryslip.headrooms import ImageInterference, InterferenceModel
-from mulberryslip.health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
+from mulberryslip.health import EXCLUSION_PENALTY, UNSTARTED_PENALTY, WorkerHealth
 from mulberryslip.models import Resources
 from mulberryslip.queues import Queue
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -554,3 +555,56 @@
     place(pool, scheduler)
     pool.apply(RunEnded("a/0/0/0", 1, RunOutcome.DONE.value, 10))
     assert scheduler.critical_path(workflow, include_done=False) == timedelta(seconds=2)
+
+
+def test_task_is_not_given_up_for_one_bad_machine_beside_workers_that_lose_starts():
+    """Guards against an innocent task given up after crashes on a single VM."""
+    pool, health = Pool(), WorkerHealth()
+    pool.apply(accepted_event("a", CHECKS, WorkflowSpec("p", (StepSpec(1, 1000, 1000),)), 0))
+    task = pool.task("a/0/0/0")
+    scheduler = dispatcher()
+    others = [f"w{number}" for number in (1, 2)]
+    for worker_id in others:
+        health.record_unstarted(worker_id, timedelta())
+    # Each crash of the worker on m0 is followed by a new worker there.
+    crashes, now_ms = 0, 0
+
+    def run(worker_id, machine):
+        nonlocal crashes, now_ms
+        number = task.run + 1
+        pool.apply(RunAssigned(task.name, number, worker_id, "1", machine, now_ms))
+        crashed = machine == "m0"
+        now_ms += 300 if crashed else 1600
+        outcome = RunOutcome.LOST if crashed else RunOutcome.UNSTARTED
+        if crashed:
+            crashes += 1
+        else:
+            health.record_unstarted(worker_id, timedelta(milliseconds=now_ms))
+        pool.apply(RunEnded(task.name, number, outcome.value, now_ms))
+
+    run("w0-0", "m0")
+    while now_ms < 30_000 and not task.workflow.is_ended:
+        now_ms += 200
+        workers = [
+            worker_capacity_of(
+                worker_id,
+                "1",
+                machine,
+                CHECKS.service,
+                "east",
+                [],
+                CAPACITY,
+                [],
+            )
+            for worker_id, machine in [(f"w0-{crashes}", "m0"), ("w1", "m1"), ("w2", "m2")]
+        ]
+        for worker in workers:
+            worker.penalty = health.penalty(worker.worker_id, timedelta(milliseconds=now_ms))
+        suspects = tasks_to_try(pool.ready(), pool.crashed_tasks(), now_ms)
+        if suspects:
+            decisions, _ = scheduler.schedule_trials(suspects, workers, {}, [], 2, now_ms)
+        else:
+            decisions = scheduler.schedule(pool.ready(), workers, now_ms)
+        for decision in decisions:
+            run(decision.worker.worker_id, decision.worker.machine)
+    assert not task.workflow.is_ended, f"given up after {crashes} crashes on one VM"
