--- a/packages/daemon/src/mulberryslipd/silences.py
+++ b/packages/daemon/src/mulberryslipd/silences.py
@@ -24,6 +24,9 @@
 CHECK_INTERVAL = timedelta(milliseconds=100)
 RETRY_PAUSE = timedelta(milliseconds=200)
 
+MAX_AGE_MS = 366 * 24 * 3600 * 1000
+"""Longest time of silence that a valid record states."""
+
 MS = timedelta(milliseconds=1)
 
 
@@ -161,7 +164,7 @@
             epoch, ages = raw.get("epoch"), raw.get("silent_ms")
             if not records.is_number(epoch) or not isinstance(ages, dict):
                 raise InvalidMessageError("a field is missing or invalid")
-            if not all(map(records.is_number, ages.values())):
+            if not all(records.is_number(age) and age <= MAX_AGE_MS for age in ages.values()):
                 raise InvalidMessageError("a time is invalid")
         except InvalidMessageError as exc:
             log(Event.MESSAGE_INVALID, what=self._key, reason=str(exc))
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -104,6 +104,24 @@
     assert SilenceRecord(0, store).take_over(5, 6) == {}
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b'{"epoch":5,"silent_ms":{"w1":100000000000000000}}',
+        b'{"epoch":5,"silent_ms":{"w1":1e400}}',
+        b'{"epoch":5,"silent_ms":{"w1":true}}',
+        b'{"epoch":5,"silent_ms":{"w1":NaN}}',
+        b'{"epoch":5,"silent_ms":{"w1":100000000000000}}',
+    ],
+)
+def test_damaged_record_does_not_keep_a_process_from_owning(store, value):
+    """Guards against a pool without an owner because of a damaged record."""
+    store.put(silences_key(0), value, 0)
+    SilenceRecord(0, store).take_over(5, 6)
+
+
 def test_fields_of_a_later_build_are_ignored(store):
     """Guards against a record that an earlier build cannot read."""
     store.put(silences_key(0), b'{"epoch":5,"silent_ms":{"w1":9},"more":1}', 0)
