Let the gauge of waiting services fall once nothing waits, and ask once a step

The tasks of a step have the same requirements, so one of each is compared. test_gauge_of_waiting_services_falls_once_none_waits failed before; the cost was not measured again.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -110,6 +110,8 @@
 
 ON_TRIAL = "runs a suspected task"
 
+SERVICE_WAIT_GAUGE = "service_wait_with_room_ms"
+
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
 """Shortest time that a run must have spent on a worker before it may be moved; before that, its
 measured speed is not meaningful."""
@@ -665,6 +667,8 @@
     def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
         waiting = term.pool.ready()
         config = self._source.config()
+        if not waiting:
+            self._metrics.set_gauge(SERVICE_WAIT_GAUGE, 0)
         if not waiting or config is None or self._source.age() > CONFIG_MAX_AGE:
             return []
         if not term.is_live():
@@ -881,7 +885,12 @@
         Workers that run a suspected task count, too: it is the owner that lets nothing start there.
         """
         longest_ms = 0
-        services = [task for task in waits.overdue if task.spec.lasting]
+        # The tasks of a step have the same requirements.
+        services = {
+            step_key(task): task
+            for task in sorted(waits.overdue, key=lambda task: task.waiting_since_ms, reverse=True)
+            if task.spec.lasting
+        }.values()
         if services:
             workers = [
                 self._allocated_capacity(term, member)
@@ -890,7 +899,7 @@
             ]
             admitted = (task for task in services if any(worker.admits(task) for worker in workers))
             longest_ms = max((waits.now_ms - task.waiting_since_ms for task in admitted), default=0)
-        self._metrics.set_gauge("service_wait_with_room_ms", longest_ms)
+        self._metrics.set_gauge(SERVICE_WAIT_GAUGE, longest_ms)
 
     def _allocated_capacity(self, term: PoolTerm, member: Member) -> WorkerCapacity:
         """Return the capacity of a worker, computed again only after its allocation changed."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,6 +13,7 @@
     max_trials,
     recent_runs,
 )
+from mulberryslip.dispatches import Dispatcher
 from mulberryslip.events import Event
 from mulberryslip.models import Resources
 from mulberryslip.queues import PoolConfig
@@ -396,6 +397,19 @@
     assert gauges["service_wait_with_room_ms"] == 0
 
 
+def test_gauge_of_waiting_services_falls_once_none_waits(monkeypatch):
+    """Guards against an alarm that lasts after the service runs."""
+    world = make_world(workers=3, run_ms=600_000)
+    owner = world.owner()
+    with monkeypatch.context() as patch:
+        patch.setattr(Dispatcher, "schedule", lambda *args: [])
+        world.submit("a", LASTING)
+        world.run(28)
+    world.run(60)
+    assert world.shown("a") == "running"
+    assert owner._metrics.snapshot().gauges["service_wait_with_room_ms"] == 0
+
+
 def test_refused_start_on_a_crashed_worker_is_no_evidence():
     """Guards against blaming tasks whose start never reached the worker."""
     world = make_world(workers=1)
