Let soaks of one seed use different ports

Trace: all three agents of one run ended with "Address already in use", since the ports came from the seed, and the other run listened on the same ones. The ports are now drawn apart from the seed, and only free ones are taken; the draw from the seed stays, so that its faults stay the same. test_two_soaks_of_one_seed_use_different_ports failed before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,7 @@
 from absl import app, flags
 from mulberryslip.models import Resources
 from mulberryslip.steps import StepSpec, WorkflowSpec
-from mulberryslip_testing.clusters import PORT_RANGE, Process
+from mulberryslip_testing.clusters import PORT_RANGE, Process, free_port
 from mulberryslip_testing.proxies import Direction, Proxy
 from platform_doubles import PlatformStoreServer, PlatformWorkerServer
 from pool_doubles import CAPACITY, History
@@ -52,7 +52,12 @@
 
 
 def free_ports(rng, count):
-    return rng.sample(PORT_RANGE, count)
+    """Return ports on which nothing listens, which another soak of the same seed may do."""
+    rng.sample(PORT_RANGE, count)  # The faults of a seed depend on the draws before them.
+    ports = set()
+    while len(ports) < count:
+        ports.add(free_port(ports))
+    return list(ports)
 
 
 class SoakWorker(PlatformWorkerServer):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,10 @@
 See `python tests/soak.py --help` for longer ones.
 """
 
+import random
+
 import pytest
-from soak import soak
+from soak import free_ports, soak
 
 REGRESSIONS = {
     1: "run ends of a worker incarnation were acknowledged with end numbers of the earlier one",
@@ -24,3 +26,8 @@
 def test_short_soak(tmp_path, pools):
     """Guards against violations that occur only between real processes, not with test doubles."""
     assert soak(5, 10, workers=4, pools=pools, directory=tmp_path) == []
+
+
+def test_two_soaks_of_one_seed_use_different_ports():
+    """Guards against processes that end because another run of the tests listens on their ports."""
+    assert set(free_ports(random.Random(1), 15)) != set(free_ports(random.Random(1), 15))
