Say exactly what the reserve holds back for short tasks

Checks that wait only because a worker has all the pending starts it may get do not hold services back (found by the reviewer). Docstring only.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -233,9 +233,9 @@
         - at its turn if `t >= LAST_RESORT_WAIT_MS` and `L + d <= (1 - S) * C`;
         - after all other tasks of the round if only `t >= LAST_RESORT_WAIT_MS` holds.
 
-        So services do not take the reserve while short tasks wait for it, short tasks do not take
-        more than the reserve from services that have waited, and after `LAST_RESORT_WAIT_MS` no
-        service waits beside room for it.
+        So services take no part of the reserve that a short task could start in now, short tasks do
+        not take more than the reserve from services that have waited, and after
+        `LAST_RESORT_WAIT_MS` the reserve keeps no service waiting beside room for it.
 
         :param waiting: tasks that are ready to start.
         :param workers: candidate workers; updated with the chosen runs.
