--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -46,6 +46,8 @@
     :param lost_runs: runs of the worker that the owner has not ended yet.
     :param is_settled: whether it has been decided if the crash is part of an outage.
     :param is_outage: whether it is part of an outage, so that it tells nothing about its runs.
+    :param together: number of crashes that counted towards an outage with it.
+    :param fleet: number of workers to which they were compared.
     """
 
     machine: str
@@ -55,6 +57,8 @@
     lost_runs: dict[tuple[str, int], StepTask] = attrs.field(factory=dict)
     is_settled: bool = False
     is_outage: bool = False
+    together: int = 0
+    fleet: int = 0
 
     def recent_workflows(self) -> set[str]:
         """Return the workflows whose tasks the worker had started shortly before."""
@@ -127,6 +131,7 @@
             sound = sum(at >= crash.at for at in listed_at)
             if is_outage or now - crash.at >= SETTLING_TIME or fleet - sound < min_workers:
                 crash.is_settled, crash.is_outage = True, is_outage
+                crash.together, crash.fleet = len(together), fleet
         return [crash for crash in self._crashes.values() if crash.is_settled and crash.lost_runs]
 
     def forget(self, incarnations: Mapping[str, str], now: timedelta) -> None:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -524,7 +524,11 @@
                     worker=lost[0].worker_id,
                     machine=crash.machine,
                     runs=len(lost),
+                    excused=len(excused),
                     outage=crash.is_outage,
+                    trial=crash.is_trial,
+                    together=crash.together,
+                    fleet=crash.fleet,
                 )
         return events
 
