Count crashes under trials and VMs once when an outage is judged

Cause: crashes of workers on trial did not count towards an outage, while these workers stayed part of the fleet. So the first wrong suspicion hid the next outage, which made more suspects. An ended worker and its next incarnation counted as two workers, and a new owner compared the first ends with the few workers it had heard.

The end of a worker and each survivor now have weights; a crash under a trial has a small one, a VM counts once, and workers with runs that a new owner has not heard keep the matter open for SETTLING_TIME.

Ruled out: counting crashes under trials in full, since six crashes of eleven under four trials would then be an outage (existing row of the table). The new rows and tests fail on the code before, which takes the fleet's end under eleven trials for single crashes.

--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -4,10 +4,13 @@
 
 - A task crashes the worker that starts it. One worker ends, and some time later another.
 - A data centre or a rack loses power, or an operator restarts the fleet. Many workers end at the
-  same moment, whatever they run.
+  same moment, whatever they run. It recurs while suspected tasks are tried on most workers.
+
+Each crash and each surviving worker is evidence for one cause or the other. Its weight is the
+logarithm of how much likelier it is in an outage than if tasks crash their workers.
 """
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 
@@ -27,12 +30,20 @@
 """Time after an outage in which further ends of workers belong to it. Agents report at least this
 often."""
 
-OUTAGE_SHARE = 1 / 3
-"""Share of the workers that must have ended together in an outage. Deadly tasks that start at the
-same time usually crash fewer."""
+CRASH_WEIGHT = 2.0
+TRIAL_WEIGHT = 0.2
+"""Weights of crashes within `OUTAGE_WINDOW`. A suspected task is a likely cause of its worker's
+crash, so such a crash says little by itself."""
+
+SURVIVOR_WEIGHT = -1.0
+"""Weight of a worker that has not ended."""
+
+MIN_CRASH_WEIGHT = 2.0
+"""Weight that the crashes of an outage must have without the survivors. A small fleet can end under
+trials alone."""
 
 MIN_OUTAGE_WORKERS = 3
-"""Number of workers that must have ended together in an outage, besides their share."""
+"""Number of workers that must have ended together in an outage, whatever the weights."""
 
 
 @attrs.define(eq=False)
@@ -97,7 +108,8 @@
     def settle(
         self,
         now: timedelta,
-        listed_at: Sequence[timedelta],
+        listed_at: Mapping[str, timedelta],
+        unheard: Collection[str],
         running_workflows: Callable[[], Collection[str]],
     ) -> list[WorkerCrash]:
         """Decide which crashes are part of an outage; return those with runs to end.
@@ -105,8 +117,9 @@
         A crash is left open for `SETTLING_TIME`, or until so many other workers have reported since
         that it cannot be part of an outage.
 
-        :param listed_at: for each worker that reports and does not leave, when it last listed its
-            runs.
+        :param listed_at: VMs of the workers that report and do not leave, with the time at which
+            the worker last listed its runs.
+        :param unheard: VMs of workers with runs that have not reported to this owner yet.
         :param running_workflows: returns the workflows with runs that these workers have listed.
         """
         if all(crash.is_settled and not crash.lost_runs for crash in self._crashes.values()):
@@ -114,24 +127,22 @@
         for crash in self._crashes.values():
             if crash.is_settled:
                 continue
-            together = [
-                other
+            ended = {
+                other.machine: other
                 for other in self._crashes.values()
-                if not other.is_trial and abs(other.at - crash.at) <= OUTAGE_WINDOW
-            ]
-            fleet = len(listed_at) + len(together)
-            min_workers = max(MIN_OUTAGE_WORKERS, OUTAGE_SHARE * fleet)
-            if (
-                len(together) >= min_workers
-                and _independent_crashes(together, running_workflows()) >= min_workers
-            ):
-                times = [other.at for other in together]
+                if abs(other.at - crash.at) <= OUTAGE_WINDOW
+            }
+            survivors = listed_at.keys() - ended.keys()
+            if _is_outage(list(ended.values()), len(survivors), running_workflows):
+                times = [other.at for other in ended.values()]
                 self._outage = (min(times), max(times) + OUTAGE_TAIL)
             is_outage = self._outage is not None and self._outage[0] <= crash.at <= self._outage[1]
-            sound = sum(at >= crash.at for at in listed_at)
-            if is_outage or now - crash.at >= SETTLING_TIME or fleet - sound < min_workers:
+            sound = sum(listed_at[machine] >= crash.at for machine in survivors)
+            fleet = {*listed_at, *ended, *unheard}
+            may_become_outage = _may_be_outage(len(fleet) - sound, sound)
+            if is_outage or now - crash.at >= SETTLING_TIME or not may_become_outage:
                 crash.is_settled, crash.is_outage = True, is_outage
-                crash.together, crash.fleet = len(together), fleet
+                crash.together, crash.fleet = len(ended), len(fleet)
         return [crash for crash in self._crashes.values() if crash.is_settled and crash.lost_runs]
 
     def forget(self, incarnations: Mapping[str, str], now: timedelta) -> None:
@@ -148,15 +159,48 @@
         }
 
 
-def _independent_crashes(crashes: Sequence[WorkerCrash], running: Collection[str]) -> int:
-    """Return the number of crashes, of which those that one workflow explains count as one.
+def _is_outage(
+    crashes: Sequence[WorkerCrash],
+    survivors: int,
+    running_workflows: Callable[[], Collection[str]],
+) -> bool:
+    """Return whether an outage is the likelier cause of crashes at the same moment.
+
+    :param survivors: number of workers that have not ended.
+    :param running_workflows: returns the workflows with runs that continue.
+    """
+    if not _may_be_outage(len(crashes), survivors):
+        return False
+    independent = _independent_crashes(crashes, running_workflows())
+    weight = sum(TRIAL_WEIGHT if crash.is_trial else CRASH_WEIGHT for crash in independent)
+    return (
+        len(independent) >= MIN_OUTAGE_WORKERS
+        and weight >= MIN_CRASH_WEIGHT
+        and weight + SURVIVOR_WEIGHT * survivors >= 0
+    )
+
+
+def _may_be_outage(crashes: int, survivors: int) -> bool:
+    """Return whether so many crashes are an outage if none of them is under trials."""
+    weight = CRASH_WEIGHT * crashes + SURVIVOR_WEIGHT * survivors
+    return crashes >= MIN_OUTAGE_WORKERS and weight >= 0
+
+
+def _independent_crashes(
+    crashes: Sequence[WorkerCrash], running: Collection[str]
+) -> list[WorkerCrash]:
+    """Return the crashes without those that one workflow explains, except for one of these.
 
     A workflow whose tasks all crash their workers has just started a run on each of these, and none
     of its runs continues elsewhere.
 
     :param running: workflows with runs that continue.
     """
-    explained: Counter[str] = Counter()
+    explained: dict[str, list[WorkerCrash]] = defaultdict(list)
     for crash in crashes:
-        explained.update(crash.recent_workflows() - set(running))
-    return len(crashes) - max(explained.values(), default=1) + 1
+        for workflow in crash.recent_workflows() - set(running):
+            explained[workflow].append(crash)
+    largest = max(explained.values(), key=len, default=[])
+    # A crash that is not under trials says more.
+    redundant = sorted(largest, key=lambda crash: crash.is_trial)[1:]
+    return [crash for crash in crashes if all(crash is not other for other in redundant)]
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -478,7 +478,8 @@
             task.is_suspected and task.incarnation == incarnation
             for task in term.pool.active_tasks(worker_id)
         )
-        return term.crashes.record(worker_id, incarnation, machine, is_trial, reason, at)
+        vm = machine or worker_id
+        return term.crashes.record(worker_id, incarnation, vm, is_trial, reason, at)
 
     def crashed_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for the runs of crashed workers.
@@ -491,14 +492,20 @@
         now_ms = self._now_ms()
         events: list[Any] = []
         reporting = self._reporting_members(term, now)
-        listed_at = [member.received_at for member in reporting]
+        listed_at = {member.machine or member.worker_id: member.received_at for member in reporting}
+        unheard = {
+            task.machine or worker_id
+            for worker_id in term.pool.workers_with_runs()
+            if worker_id not in term.members
+            for task in term.pool.active_tasks(worker_id)
+        }
 
         def running_workflows() -> set[str]:
             names = (name for member in reporting for name in member.running)
             tasks = (term.pool.task(name) for name in names)
             return {task.workflow.workflow_id for task in tasks if task is not None}
 
-        for crash in term.crashes.settle(now, listed_at, running_workflows):
+        for crash in term.crashes.settle(now, listed_at, unheard, running_workflows):
             lost = [
                 task
                 for (_, run), task in crash.lost_runs.items()
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -72,6 +72,11 @@
     return crash
 
 
+def survivors(count, at):
+    """Return VMs of workers that have listed their runs at some time."""
+    return {f"s{number}": at for number in range(count)}
+
+
 def pool_task(workflow):
     pool = Pool()
     pool.apply(workflow_accepted(workflow))
@@ -92,6 +97,13 @@
         (8, 11, "wide", (), 0, False),
         (8, 11, "wide", ("wide",), 0, True),
         (6, 11, "", (), 4, False),
+        (4, 4, "", (), 3, True),
+        (4, 4, "", (), 4, False),
+        (11, 11, "", (), 8, True),
+        (11, 11, "", (), 11, True),
+        (8, 11, "", (), 8, False),
+        (160, 160, "", (), 120, True),
+        (120, 160, "", (), 120, False),
     ],
 )
 def test_outage_is_told_from_crashes_by_tasks(crashed, fleet, workflow, running, trials, is_outage):
@@ -103,7 +115,7 @@
         for number in range(crashed)
     ]
     now = at + SETTLING_TIME
-    settled = crashes.settle(now, [at] * (fleet - crashed), lambda: running)
+    settled = crashes.settle(now, survivors(fleet - crashed, at), (), lambda: running)
     assert settled == made
     assert {crash.is_outage for crash in made} == {is_outage}
 
@@ -113,22 +125,43 @@
     crashes = WorkerCrashes()
     first = crash_of(crashes, 0, SECOND)
     now = SECOND + SETTLING_TIME / 3
-    assert crashes.settle(now, [SECOND / 2] * 10, set) == []
-    assert crashes.settle(now, [now] * 10, set) == [first]
+    assert crashes.settle(now, survivors(10, SECOND / 2), (), set) == []
+    assert crashes.settle(now, survivors(10, now), (), set) == [first]
     assert not first.is_outage
 
 
+def test_crash_is_left_open_until_a_new_owner_has_heard_the_other_workers():
+    """Guards against judging the first end in an outage as if the fleet were a single worker."""
+    crashes = WorkerCrashes()
+    unheard = [f"m{number}" for number in range(1, 11)]
+    first = crash_of(crashes, 0, SECOND)
+    assert crashes.settle(SECOND, {}, unheard, set) == []
+    for number in range(1, 8):
+        crash_of(crashes, number, SECOND + SETTLING_TIME / 2)
+    crashes.settle(SECOND + SETTLING_TIME / 2, {}, unheard, set)
+    assert first.is_outage
+
+
+def test_worker_that_has_restarted_is_no_survivor_of_its_outage():
+    """Guards against counting a VM twice, as an ended worker and as its next incarnation."""
+    crashes = WorkerCrashes()
+    made = [crash_of(crashes, number, SECOND) for number in range(4)]
+    back = {f"m{number}": SECOND for number in range(4)}
+    crashes.settle(SECOND + SETTLING_TIME, survivors(8, SECOND) | back, (), set)
+    assert {crash.is_outage for crash in made} == {True}
+
+
 def test_late_report_of_an_outage_belongs_to_it():
     """Guards against suspecting the runs of the worker whose end is noticed last."""
     crashes = WorkerCrashes()
     for number in range(8):
         crash_of(crashes, number, SECOND)
-    crashes.settle(SECOND, [SECOND] * 3, set)
+    crashes.settle(SECOND, survivors(3, SECOND), (), set)
     late = crash_of(crashes, 8, SECOND + OUTAGE_TAIL)
-    crashes.settle(SECOND + OUTAGE_TAIL, [SECOND + OUTAGE_TAIL] * 2, set)
+    crashes.settle(SECOND + OUTAGE_TAIL, survivors(2, SECOND + OUTAGE_TAIL), (), set)
     assert late.is_outage
     single = crash_of(crashes, 9, 3 * SECOND)
-    crashes.settle(3 * SECOND, [3 * SECOND] * 10, set)
+    crashes.settle(3 * SECOND, survivors(10, 3 * SECOND), (), set)
     assert single.is_settled and not single.is_outage
 
 
@@ -179,7 +212,7 @@
     """Guards against an agent that reports the same end again and again, as if in an outage."""
     crashes = WorkerCrashes()
     first = crash_of(crashes, 0, SECOND)
-    crashes.settle(2 * SECOND, [], set)
+    crashes.settle(2 * SECOND, {}, (), set)
     crashes.forget({"w0": "1"}, 120 * SECOND)
     assert crash_of(crashes, 0, 120 * SECOND) is first
     first.lost_runs = {}
