Judge the end of a worker by what the others can still show

Three faults, which the weights made visible:

- A settled crash no longer knew the workflows that explain it, as its runs are ended then, so crashes of one workflow in a row passed for independent ones.
- Runs of suspected tasks counted as proof that their workflow goes on elsewhere.
- A crash was left open although no outcome of the other workers' reports could make it an outage.
It is now settled unless it would be one if all workers that have not reported since had ended, with their trials.

While such a crash is open, no other task of its workflow is tried, since the crash may be the last one that the workflow needs to be given up. A workflow of whose step a task is done does not explain crashes. An outage is settled once it is known whether the whole fleet has ended, after OUTAGE_TAIL at most.

--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -17,7 +17,7 @@
 import attrs
 
 from .crashes import recent_runs
-from .workflows import StepTask
+from .workflows import Phase, StepTask
 
 SETTLING_TIME = timedelta(milliseconds=300)
 """Time for which the end of a worker is left open, so that reports on others can arrive. Agents
@@ -30,6 +30,10 @@
 """Time after an outage in which further ends of workers belong to it. Agents report at least this
 often."""
 
+MAX_SURVIVOR_SHARE = 0.1
+"""Share of the workers that may survive an outage of the whole fleet: some are not reached at the
+moment, or start just then."""
+
 CRASH_WEIGHT = 2.0
 TRIAL_WEIGHT = 0.2
 """Weights of crashes within `OUTAGE_WINDOW`. A suspected task is a likely cause of its worker's
@@ -57,6 +61,9 @@
     :param lost_runs: runs of the worker that the owner has not ended yet.
     :param is_settled: whether it has been decided if the crash is part of an outage.
     :param is_outage: whether it is part of an outage, so that it tells nothing about its runs.
+    :param is_fleet_outage: whether the whole fleet has ended, so that tasks would have had to crash
+        each of the workers.
+    :param workflows: its `recent_workflows` once it is settled, since its runs are ended then.
     :param together: number of crashes that counted towards an outage with it.
     :param fleet: number of workers to which they were compared.
     """
@@ -68,24 +75,60 @@
     lost_runs: dict[tuple[str, int], StepTask] = attrs.field(factory=dict)
     is_settled: bool = False
     is_outage: bool = False
+    is_fleet_outage: bool = False
+    workflows: set[str] | None = None
     together: int = 0
     fleet: int = 0
 
     def recent_workflows(self) -> set[str]:
-        """Return the workflows whose tasks the worker had started shortly before."""
+        """Return the workflows whose tasks the worker had started shortly before.
+
+        Those with a task of the same step that is done are left out.
+        """
+        if self.workflows is not None:
+            return self.workflows
         start_by_ms = {task.name: task.start_by_ms for task in self.lost_runs.values()}
         recent = recent_runs(start_by_ms) if start_by_ms else ()
         return {
-            task.workflow.workflow_id for task in self.lost_runs.values() if task.name in recent
+            task.workflow.workflow_id
+            for task in self.lost_runs.values()
+            if task.name in recent and not _is_step_proven(task)
         }
 
 
+@attrs.frozen
+class Survivor:
+    """A worker that reports and does not leave.
+
+    :param listed_at: when it last listed its runs, on the owner's clock.
+    :param trials: workflows of the suspected tasks that run there.
+    """
+
+    listed_at: timedelta
+    trials: frozenset[str] = frozenset()
+
+    def as_crash(self, machine: str) -> WorkerCrash:
+        """Return the crash that would follow if the worker has ended since."""
+        return WorkerCrash(
+            machine, self.listed_at, bool(self.trials), "", workflows=set(self.trials)
+        )
+
+
+@attrs.frozen
+class _Outage:
+    """An outage: from the first end of a worker to the last one that belongs to it."""
+
+    begin: timedelta
+    end: timedelta
+    is_fleet: bool
+
+
 class WorkerCrashes:
     """The latest crashes of workers, as one owner knows them. Not thread-safe."""
 
     def __init__(self) -> None:
         self._crashes: dict[tuple[str, str], WorkerCrash] = {}
-        self._outage: tuple[timedelta, timedelta] | None = None
+        self._outage: _Outage | None = None
 
     def record(
         self,
@@ -108,7 +151,7 @@
     def settle(
         self,
         now: timedelta,
-        listed_at: Mapping[str, timedelta],
+        reporting: Mapping[str, Survivor],
         unheard: Collection[str],
         running_workflows: Callable[[], Collection[str]],
     ) -> list[WorkerCrash]:
@@ -117,10 +160,10 @@
         A crash is left open for `SETTLING_TIME`, or until so many other workers have reported since
         that it cannot be part of an outage.
 
-        :param listed_at: VMs of the workers that report and do not leave, with the time at which
-            the worker last listed its runs.
+        :param reporting: workers that report and do not leave, by VM.
         :param unheard: VMs of workers with runs that have not reported to this owner yet.
-        :param running_workflows: returns the workflows with runs that these workers have listed.
+        :param running_workflows: returns the workflows with runs that these workers have listed and
+            whose tasks are not suspected.
         """
         if all(crash.is_settled and not crash.lost_runs for crash in self._crashes.values()):
             return []
@@ -132,19 +175,49 @@
                 for other in self._crashes.values()
                 if abs(other.at - crash.at) <= OUTAGE_WINDOW
             }
-            survivors = listed_at.keys() - ended.keys()
+            survivors = {
+                machine: worker for machine, worker in reporting.items() if machine not in ended
+            }
+            fleet = {*reporting, *ended, *unheard}
+            is_fleet_outage = len(fleet) - len(ended) <= MAX_SURVIVOR_SHARE * len(fleet)
             if _is_outage(list(ended.values()), len(survivors), running_workflows):
                 times = [other.at for other in ended.values()]
-                self._outage = (min(times), max(times) + OUTAGE_TAIL)
-            is_outage = self._outage is not None and self._outage[0] <= crash.at <= self._outage[1]
-            sound = sum(listed_at[machine] >= crash.at for machine in survivors)
-            fleet = {*listed_at, *ended, *unheard}
-            may_become_outage = _may_be_outage(len(fleet) - sound, sound)
-            if is_outage or now - crash.at >= SETTLING_TIME or not may_become_outage:
+                self._outage = _Outage(min(times), max(times) + OUTAGE_TAIL, is_fleet_outage)
+            outage = self._outage
+            is_outage = outage is not None and outage.begin <= crash.at <= outage.end
+            sound = sum(worker.listed_at >= crash.at for worker in survivors.values())
+            if is_outage:
+                may_change = not outage.is_fleet and sound <= MAX_SURVIVOR_SHARE * len(fleet)
+                settling_time = OUTAGE_TAIL
+            else:
+                possible = [
+                    *ended.values(),
+                    *(
+                        worker.as_crash(machine)
+                        for machine, worker in survivors.items()
+                        if worker.listed_at < crash.at
+                    ),
+                    *(Survivor(crash.at).as_crash(machine) for machine in unheard),
+                ]
+                may_change = _is_outage(possible, sound, running_workflows)
+                settling_time = SETTLING_TIME
+            if not may_change or now - crash.at >= settling_time:
+                crash.workflows = crash.recent_workflows()
                 crash.is_settled, crash.is_outage = True, is_outage
+                crash.is_fleet_outage = is_outage and outage.is_fleet
                 crash.together, crash.fleet = len(ended), len(fleet)
         return [crash for crash in self._crashes.values() if crash.is_settled and crash.lost_runs]
 
+    def undecided_trials(self) -> set[str]:
+        """Return the workflows with suspected tasks in crashes that are not settled yet."""
+        return {
+            task.workflow.workflow_id
+            for crash in self._crashes.values()
+            if not crash.is_settled
+            for task in crash.lost_runs.values()
+            if task.is_suspected
+        }
+
     def forget(self, incarnations: Mapping[str, str], now: timedelta) -> None:
         """Forget old crashes of workers that are gone or have restarted since.
 
@@ -167,9 +240,9 @@
     """Return whether an outage is the likelier cause of crashes at the same moment.
 
     :param survivors: number of workers that have not ended.
-    :param running_workflows: returns the workflows with runs that continue.
+    :param running_workflows: see `WorkerCrashes.settle`.
     """
-    if not _may_be_outage(len(crashes), survivors):
+    if len(crashes) < MIN_OUTAGE_WORKERS:
         return False
     independent = _independent_crashes(crashes, running_workflows())
     weight = sum(TRIAL_WEIGHT if crash.is_trial else CRASH_WEIGHT for crash in independent)
@@ -180,10 +253,9 @@
     )
 
 
-def _may_be_outage(crashes: int, survivors: int) -> bool:
-    """Return whether so many crashes are an outage if none of them is under trials."""
-    weight = CRASH_WEIGHT * crashes + SURVIVOR_WEIGHT * survivors
-    return crashes >= MIN_OUTAGE_WORKERS and weight >= 0
+def _is_step_proven(task: StepTask) -> bool:
+    """Return whether another task of the same step is done, so that they are likely harmless."""
+    return any(other.phase is Phase.DONE for other in task.workflow.steps[task.step])
 
 
 def _independent_crashes(
@@ -191,8 +263,8 @@
 ) -> list[WorkerCrash]:
     """Return the crashes without those that one workflow explains, except for one of these.
 
-    A workflow whose tasks all crash their workers has just started a run on each of these, and none
-    of its runs continues elsewhere.
+    A workflow whose tasks all crash their workers has just started a run on each of these, none of
+    its runs continues elsewhere, and no task of the step is done.
 
     :param running: workflows with runs that continue.
     """
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -4,7 +4,7 @@
 """
 
 import threading
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from typing import Any, Protocol
@@ -33,7 +33,7 @@
 from mulberryslip.headrooms import ColocatedRun, InterferenceEstimate
 from mulberryslip.health import RunProgress, WorkerHealth
 from mulberryslip.metrics import Metrics
-from mulberryslip.outages import WorkerCrash
+from mulberryslip.outages import Survivor, WorkerCrash
 from mulberryslip.queues import PoolConfig
 from mulberryslip.runners import RunningRun
 from mulberryslip.vms import Silence
@@ -110,6 +110,8 @@
 
 ON_TRIAL = "runs a suspected task"
 
+UNDECIDED_CRASH = "waits for the verdict on a crash"
+
 SERVICE_WAIT_GAUGE = "service_wait_with_room_ms"
 
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
@@ -492,7 +494,15 @@
         now_ms = self._now_ms()
         events: list[Any] = []
         reporting = self._reporting_members(term, now)
-        listed_at = {member.machine or member.worker_id: member.received_at for member in reporting}
+        trials = defaultdict(set)
+        for task in term.pool.trials():
+            trials[task.worker_id].add(task.workflow.workflow_id)
+        survivors = {
+            member.machine or member.worker_id: Survivor(
+                member.received_at, frozenset(trials.get(member.worker_id, ()))
+            )
+            for member in reporting
+        }
         unheard = {
             task.machine or worker_id
             for worker_id in term.pool.workers_with_runs()
@@ -503,9 +513,13 @@
         def running_workflows() -> set[str]:
             names = (name for member in reporting for name in member.running)
             tasks = (term.pool.task(name) for name in names)
-            return {task.workflow.workflow_id for task in tasks if task is not None}
+            return {
+                task.workflow.workflow_id
+                for task in tasks
+                if task is not None and not task.is_suspected
+            }
 
-        for crash in term.crashes.settle(now, listed_at, unheard, running_workflows):
+        for crash in term.crashes.settle(now, survivors, unheard, running_workflows):
             lost = [
                 task
                 for (_, run), task in crash.lost_runs.items()
@@ -737,6 +751,12 @@
             then get no more workers once they have waited long.
         :param passed_over: updated with the tasks that a limit keeps from workers with room.
         """
+        undecided = term.crashes.undecided_trials()
+        if undecided:
+            # The next crash may be one too many if the last one is evidence.
+            held = {task.name for task in suspects if task.workflow.workflow_id in undecided}
+            passed_over.update((name, UNDECIDED_CRASH) for name in held)
+            suspects = [task for task in suspects if task.name not in held]
         trials = term.pool.trials()
         taken = len({task.worker_id for task in trials})
         waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 from mulberryslip.models import Resources
-from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, WorkerCrashes
+from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, Survivor, WorkerCrashes
 from mulberryslip.steps import StepSpec
 from mulberryslip.workflows import Pool
 from pool_doubles import SECOND, PoolWorld
@@ -73,8 +73,8 @@
 
 
 def survivors(count, at):
-    """Return VMs of workers that have listed their runs at some time."""
-    return {f"s{number}": at for number in range(count)}
+    """Return workers that have listed their runs at some time, by VM."""
+    return {f"s{number}": Survivor(at) for number in range(count)}
 
 
 def pool_task(workflow):
@@ -136,7 +136,7 @@
     unheard = [f"m{number}" for number in range(1, 11)]
     first = crash_of(crashes, 0, SECOND)
     assert crashes.settle(SECOND, {}, unheard, set) == []
-    for number in range(1, 8):
+    for number in range(1, 11):
         crash_of(crashes, number, SECOND + SETTLING_TIME / 2)
     crashes.settle(SECOND + SETTLING_TIME / 2, {}, unheard, set)
     assert first.is_outage
@@ -146,7 +146,7 @@
     """Guards against counting a VM twice, as an ended worker and as its next incarnation."""
     crashes = WorkerCrashes()
     made = [crash_of(crashes, number, SECOND) for number in range(4)]
-    back = {f"m{number}": SECOND for number in range(4)}
+    back = {f"m{number}": Survivor(SECOND) for number in range(4)}
     crashes.settle(SECOND + SETTLING_TIME, survivors(8, SECOND) | back, (), set)
     assert {crash.is_outage for crash in made} == {True}
 
