Let all runs of a worker share the blame when the whole fleet ends

Cause: a run that had just started was excused for one outage only.

When the whole fleet has ended at once, tasks would have had to crash each worker, so the runs that had just started on a worker share the blame for it. One excuse remains for a task that was alone, and at most five, the runs that a task may have after its first crash. Outages of a part of the fleet are excused once, as before.

Ruled out: excusing all runs in an outage of the fleet without limit, since as many deadly tasks as workers would then never be found.

--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -222,7 +222,7 @@
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
     :param excused_starts: number of crashes soon after a start of the task that this process took
-        for an outage.
+        for an outage. One in an outage of the whole fleet counts for a part.
     """
 
     workflow: "Workflow"
@@ -242,7 +242,7 @@
     crashes: CrashRecord | None = None
     outlived_run: int = 0
     delivered_run: int = 0
-    excused_starts: int = 0
+    excused_starts: float = 0.0
 
     @property
     def is_suspected(self) -> bool:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -17,6 +17,7 @@
     FIRST_PROBATION_MS,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
+    MAX_UNCLEARED_RUNS,
     Excuse,
     max_backlog_trials,
     max_trials,
@@ -526,7 +527,7 @@
                 if task.has_active_run(run) and not self._is_listed_since(term, task, crash.at)
             ]
             crash.lost_runs = {}
-            excused = [task for task in lost if self._is_excused(term, task, crash)]
+            excused = self._excused(term, lost, crash)
             on_trial = _recent_trials([task for task in lost if task not in excused])
             for task in lost:
                 # The first of these events determines which runs were recent.
@@ -561,22 +562,41 @@
         status = member.running.get(task.name)
         return status is not None and status.run == task.run
 
-    def _is_excused(self, term: PoolTerm, task: StepTask, crash: WorkerCrash) -> bool:
-        """Return whether the crash of its worker is no evidence against a task.
+    def _excused(
+        self, term: PoolTerm, lost: Collection[StepTask], crash: WorkerCrash
+    ) -> list[StepTask]:
+        """Return the tasks for which the crash of their worker is no evidence.
 
         A task that starts at the same time as others, and crashes its worker like these, is excused
-        `MAX_EXCUSED_STARTS` times only. Once it is suspected, it is tried apart from them.
+        `MAX_EXCUSED_STARTS` times only. Once it is suspected, it is tried apart from them. When the
+        whole fleet has ended, each worker had to have such a task, so the runs that had just
+        started there share the blame.
         """
-        if task.delivered_run != task.run:
-            return True
-        if not crash.is_outage or task.is_suspected:
-            return crash.is_outage
+        excused = [
+            task
+            for task in lost
+            if task.delivered_run != task.run or (crash.is_outage and task.is_suspected)
+        ]
+        if not crash.is_outage:
+            return excused
+        others = [task for task in lost if task not in excused]
+        recent = [task for task in others if not self._has_lasted(term, task)]
+        blame = 1.0
+        if crash.is_fleet_outage and recent:
+            blame = max(1 / len(recent), 1 / MAX_UNCLEARED_RUNS)
+        for task in others:
+            if task in recent:
+                task.excused_starts += blame
+                if task.excused_starts > MAX_EXCUSED_STARTS:
+                    continue
+            excused.append(task)
+        return excused
+
+    def _has_lasted(self, term: PoolTerm, task: StepTask) -> bool:
+        """Return whether a run had certainly outlived the shortest probation."""
         member = term.members.get(task.worker_id)
         is_known = member is not None and member.incarnation == task.incarnation
-        if is_known and _age_ms(task, member) >= FIRST_PROBATION_MS:
-            return True
-        task.excused_starts += 1
-        return task.excused_starts <= MAX_EXCUSED_STARTS
+        return is_known and _age_ms(task, member) >= FIRST_PROBATION_MS
 
     def _survived_probation(
         self, term: PoolTerm, task: StepTask, on_trial: Collection[str]
