Take the end of a rack, and of a fleet that runs one wide workflow, for outages

Callers saw tasks on trial after outages that were plain to see:

- All workers of a rack or a data centre ended at once (three of eleven): under a third of the fleet, so each end was held against its runs.
Survivors outside a failure domain no longer count if all ends are inside and no worker of the domain survives.
Its label and data centre name the domains.
Two excuses and three crashes are the five runs that a task may have.

Three unrelated deadly tasks that happen to fill a rack are excused once.

--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -10,6 +10,7 @@
 logarithm of how much likelier it is in an outage than if tasks crash their workers.
 """
 
+import functools
 from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
@@ -58,11 +59,14 @@
     :param at: when the owner received the report of it, on the owner's clock.
     :param is_trial: whether suspected tasks ran there, so that one of them may be the cause.
     :param reason: how the owner learned of it.
+    :param domains: failure domains of the worker: its data centre and its labels.
     :param lost_runs: runs of the worker that the owner has not ended yet.
     :param is_settled: whether it has been decided if the crash is part of an outage.
     :param is_outage: whether it is part of an outage, so that it tells nothing about its runs.
     :param is_fleet_outage: whether the whole fleet has ended, so that tasks would have had to crash
         each of the workers.
+    :param suspected_workflow: workflow that may have crashed the whole fleet; empty if none can
+        have.
     :param workflows: its `recent_workflows` once it is settled, since its runs are ended then.
     :param together: number of crashes that counted towards an outage with it.
     :param fleet: number of workers to which they were compared.
@@ -72,10 +76,12 @@
     at: timedelta
     is_trial: bool
     reason: str
+    domains: frozenset[str] = frozenset()
     lost_runs: dict[tuple[str, int], StepTask] = attrs.field(factory=dict)
     is_settled: bool = False
     is_outage: bool = False
     is_fleet_outage: bool = False
+    suspected_workflow: str = ""
     workflows: set[str] | None = None
     together: int = 0
     fleet: int = 0
@@ -102,25 +108,46 @@
 
     :param listed_at: when it last listed its runs, on the owner's clock.
     :param trials: workflows of the suspected tasks that run there.
+    :param domains: see `WorkerCrash`.
     """
 
     listed_at: timedelta
     trials: frozenset[str] = frozenset()
+    domains: frozenset[str] = frozenset()
 
     def as_crash(self, machine: str) -> WorkerCrash:
         """Return the crash that would follow if the worker has ended since."""
         return WorkerCrash(
-            machine, self.listed_at, bool(self.trials), "", workflows=set(self.trials)
+            machine,
+            self.listed_at,
+            bool(self.trials),
+            "",
+            self.domains,
+            workflows=set(self.trials),
         )
 
 
 @attrs.frozen
 class _Outage:
-    """An outage: from the first end of a worker to the last one that belongs to it."""
+    """An outage.
+
+    :param begin: when the first worker ended.
+    :param end: when the last worker can have ended that belongs to it.
+    :param is_fleet: whether the whole fleet has ended.
+    :param domain: failure domain to which it is confined; empty if it is not.
+    :param workflow: workflow that would explain all but a few of the crashes; empty if none would.
+    """
 
     begin: timedelta
     end: timedelta
     is_fleet: bool
+    domain: str = ""
+    workflow: str = ""
+
+    def includes(self, crash: WorkerCrash) -> bool:
+        """Return whether a crash belongs to the outage."""
+        is_inside = not self.domain or self.domain in crash.domains
+        return is_inside and self.begin <= crash.at <= self.end
 
 
 class WorkerCrashes:
@@ -138,14 +165,16 @@
         is_trial: bool,
         reason: str,
         at: timedelta,
+        domains: frozenset[str] = frozenset(),
     ) -> WorkerCrash:
         """Record that a worker has ended; return its crash, the first one if it is known.
 
         :param is_trial: whether suspected tasks ran there.
+        :param domains: failure domains of the worker.
         """
         key = (worker_id, incarnation)
         if key not in self._crashes:
-            self._crashes[key] = WorkerCrash(machine, at, is_trial, reason)
+            self._crashes[key] = WorkerCrash(machine, at, is_trial, reason, domains)
         return self._crashes[key]
 
     def settle(
@@ -167,6 +196,7 @@
         """
         if all(crash.is_settled and not crash.lost_runs for crash in self._crashes.values()):
             return []
+        running = functools.cache(running_workflows)
         for crash in self._crashes.values():
             if crash.is_settled:
                 continue
@@ -179,19 +209,24 @@
                 machine: worker for machine, worker in reporting.items() if machine not in ended
             }
             fleet = {*reporting, *ended, *unheard}
-            is_fleet_outage = len(fleet) - len(ended) <= MAX_SURVIVOR_SHARE * len(fleet)
-            if _is_outage(list(ended.values()), len(survivors), running_workflows):
-                times = [other.at for other in ended.values()]
-                self._outage = _Outage(min(times), max(times) + OUTAGE_TAIL, is_fleet_outage)
-            outage = self._outage
-            is_outage = outage is not None and outage.begin <= crash.at <= outage.end
-            sound = sum(worker.listed_at >= crash.at for worker in survivors.values())
-            if is_outage:
-                may_change = not outage.is_fleet and sound <= MAX_SURVIVOR_SHARE * len(fleet)
+            crashes = list(ended.values())
+            domain = _outage_domain(crashes, [], list(survivors.values()), running)
+            is_fleet = len(fleet) - len(ended) <= MAX_SURVIVOR_SHARE * len(fleet)
+            workflow = ""
+            if domain is None and _has_fleet_ended(crashes, len(fleet)):
+                domain, (workflow, _) = "", _explained_crashes(crashes, running())
+            if domain is not None:
+                times = [other.at for other in crashes]
+                self._outage = _Outage(
+                    min(times), max(times) + OUTAGE_TAIL, is_fleet, domain, workflow
+                )
+            outage = self._outage if self._outage and self._outage.includes(crash) else None
+            sound = [worker for worker in survivors.values() if worker.listed_at >= crash.at]
+            if outage is not None:
+                may_change = not outage.is_fleet and len(sound) <= MAX_SURVIVOR_SHARE * len(fleet)
                 settling_time = OUTAGE_TAIL
             else:
-                possible = [
-                    *ended.values(),
+                unknown = [
                     *(
                         worker.as_crash(machine)
                         for machine, worker in survivors.items()
@@ -199,12 +234,16 @@
                     ),
                     *(Survivor(crash.at).as_crash(machine) for machine in unheard),
                 ]
-                may_change = _is_outage(possible, sound, running_workflows)
+                may_change = _outage_domain(
+                    crashes, unknown, sound, running
+                ) is not None or _has_fleet_ended([*crashes, *unknown], len(fleet))
                 settling_time = SETTLING_TIME
             if not may_change or now - crash.at >= settling_time:
                 crash.workflows = crash.recent_workflows()
-                crash.is_settled, crash.is_outage = True, is_outage
-                crash.is_fleet_outage = is_outage and outage.is_fleet
+                crash.is_settled, crash.is_outage = True, outage is not None
+                if outage is not None:
+                    crash.is_fleet_outage = outage.is_fleet
+                    crash.suspected_workflow = outage.workflow
                 crash.together, crash.fleet = len(ended), len(fleet)
         return [crash for crash in self._crashes.values() if crash.is_settled and crash.lost_runs]
 
@@ -232,6 +271,32 @@
         }
 
 
+def _outage_domain(
+    ended: Sequence[WorkerCrash],
+    unknown: Sequence[WorkerCrash],
+    survivors: Sequence[Survivor],
+    running_workflows: Callable[[], Collection[str]],
+) -> str | None:
+    """Return the failure domain of a likely outage; empty if it has none, None without an outage.
+
+    Survivors outside a domain are no evidence against an outage of which all workers are inside,
+    and in which no worker of the domain survives.
+
+    :param ended: crashes at the same moment.
+    :param unknown: further ones that may have taken place.
+    :param running_workflows: see `WorkerCrashes.settle`.
+    """
+    if _is_outage([*ended, *unknown], len(survivors), running_workflows):
+        return ""
+    surviving = {domain for worker in survivors for domain in worker.domains}
+    shared = frozenset.intersection(*(crash.domains for crash in ended))
+    for domain in sorted(shared - surviving):
+        inside = [crash for crash in unknown if domain in crash.domains]
+        if _is_outage([*ended, *inside], 0, running_workflows):
+            return domain
+    return None
+
+
 def _is_outage(
     crashes: Sequence[WorkerCrash],
     survivors: int,
@@ -258,11 +323,36 @@
     return any(other.phase is Phase.DONE for other in task.workflow.steps[task.step])
 
 
+def _has_fleet_ended(crashes: Sequence[WorkerCrash], fleet: int) -> bool:
+    """Return whether the whole fleet has ended, and not under trials alone.
+
+    Each worker had to run a task that crashes it, so an outage is likelier even if the tasks of one
+    workflow had just started everywhere.
+
+    :param fleet: number of workers.
+    """
+    others = sum(not crash.is_trial for crash in crashes)
+    return others >= MIN_OUTAGE_WORKERS and fleet - len(crashes) <= MAX_SURVIVOR_SHARE * fleet
+
+
 def _independent_crashes(
     crashes: Sequence[WorkerCrash], running: Collection[str]
 ) -> list[WorkerCrash]:
     """Return the crashes without those that one workflow explains, except for one of these.
 
+    :param running: workflows with runs that continue.
+    """
+    _, explained = _explained_crashes(crashes, running)
+    # A crash that is not under trials says more.
+    redundant = sorted(explained, key=lambda crash: crash.is_trial)[1:]
+    return [crash for crash in crashes if all(crash is not other for other in redundant)]
+
+
+def _explained_crashes(
+    crashes: Sequence[WorkerCrash], running: Collection[str]
+) -> tuple[str, list[WorkerCrash]]:
+    """Return the workflow that explains most crashes, with these; empty if none does.
+
     A workflow whose tasks all crash their workers has just started a run on each of these, none of
     its runs continues elsewhere, and no task of the step is done.
 
@@ -272,7 +362,4 @@
     for crash in crashes:
         for workflow in crash.recent_workflows() - set(running):
             explained[workflow].append(crash)
-    largest = max(explained.values(), key=len, default=[])
-    # A crash that is not under trials says more.
-    redundant = sorted(largest, key=lambda crash: crash.is_trial)[1:]
-    return [crash for crash in crashes if all(crash is not other for other in redundant)]
+    return max(explained.items(), key=lambda item: len(item[1]), default=("", []))
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -79,6 +79,10 @@
 """Time between journal records of checkpoints. Workers save about once a second, so more frequent
 records would hold the same checkpoints."""
 
+FLEET_OUTAGE_BLAME = 0.5
+"""Share of an excuse that an outage of the whole fleet takes up for a task that alone had just
+started on its worker. Two excuses and `CRASHES_BEFORE_GUILT` crashes are `MAX_UNCLEARED_RUNS`."""
+
 INTERFERENCE_RECORD_INTERVAL = timedelta(seconds=3)
 """Time between journal records of interference estimates; a new owner learns later changes
 itself."""
@@ -482,7 +486,9 @@
             for task in term.pool.active_tasks(worker_id)
         )
         vm = machine or worker_id
-        return term.crashes.record(worker_id, incarnation, vm, is_trial, reason, at)
+        member = term.members.get(worker_id)
+        domains = frozenset() if member is None else _failure_domains(member)
+        return term.crashes.record(worker_id, incarnation, vm, is_trial, reason, at, domains)
 
     def crashed_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for the runs of crashed workers.
@@ -500,7 +506,9 @@
             trials[task.worker_id].add(task.workflow.workflow_id)
         survivors = {
             member.machine or member.worker_id: Survivor(
-                member.received_at, frozenset(trials.get(member.worker_id, ()))
+                member.received_at,
+                frozenset(trials.get(member.worker_id, ())),
+                _failure_domains(member),
             )
             for member in reporting
         }
@@ -583,10 +591,11 @@
         recent = [task for task in others if not self._has_lasted(term, task)]
         blame = 1.0
         if crash.is_fleet_outage and recent:
-            blame = max(1 / len(recent), 1 / MAX_UNCLEARED_RUNS)
+            blame = max(FLEET_OUTAGE_BLAME / len(recent), 1 / MAX_UNCLEARED_RUNS)
         for task in others:
             if task in recent:
-                task.excused_starts += blame
+                is_suspect = task.workflow.workflow_id == crash.suspected_workflow
+                task.excused_starts += 1 if is_suspect else blame
                 if task.excused_starts > MAX_EXCUSED_STARTS:
                     continue
             excused.append(task)
@@ -1109,6 +1118,11 @@
     )
 
 
+def _failure_domains(member: Member) -> frozenset[str]:
+    """Return what a worker shares with others that may fail together: data centre and labels."""
+    return frozenset({f"data centre {member.data_centre}", *member.labels})
+
+
 def _lists_all_runs(report: wire.WorkerReport) -> bool:
     """Return whether a run that a report does not list has certainly not been started, or is lost.
 
