--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -31,6 +31,10 @@
 """Time after an outage in which further ends of workers belong to it. Agents report at least this
 often."""
 
+MAX_REPORT_DELAY = timedelta(milliseconds=100)
+"""Time by which the report that a worker is alive can arrive later than that of another one's end
+which it preceded."""
+
 MAX_SURVIVOR_SHARE = 0.1
 """Share of the workers that may survive an outage of the whole fleet: some are not reached at the
 moment, or start just then."""
@@ -60,6 +64,7 @@
     :param is_trial: whether suspected tasks ran there, so that one of them may be the cause.
     :param reason: how the owner learned of it.
     :param domains: failure domains of the worker: its data centre and its labels.
+    :param alive_at: when the owner last heard of the worker's runs; None if it never has.
     :param lost_runs: runs of the worker that the owner has not ended yet.
     :param is_settled: whether it has been decided if the crash is part of an outage.
     :param is_outage: whether it is part of an outage, so that it tells nothing about its runs.
@@ -77,6 +82,7 @@
     is_trial: bool
     reason: str
     domains: frozenset[str] = frozenset()
+    alive_at: timedelta | None = None
     lost_runs: dict[tuple[str, int], StepTask] = attrs.field(factory=dict)
     is_settled: bool = False
     is_outage: bool = False
@@ -86,6 +92,10 @@
     together: int = 0
     fleet: int = 0
 
+    def may_have_ended_by(self, at: timedelta) -> bool:
+        """Return whether the worker may have ended at a time or before."""
+        return self.alive_at is None or self.alive_at <= at + MAX_REPORT_DELAY
+
     def recent_workflows(self) -> set[str]:
         """Return the workflows whose tasks the worker had started shortly before.
 
@@ -147,7 +157,8 @@
     def includes(self, crash: WorkerCrash) -> bool:
         """Return whether a crash belongs to the outage."""
         is_inside = not self.domain or self.domain in crash.domains
-        return is_inside and self.begin <= crash.at <= self.end
+        is_in_time = self.begin <= crash.at <= self.end and crash.may_have_ended_by(self.begin)
+        return is_inside and is_in_time
 
 
 class WorkerCrashes:
@@ -166,15 +177,17 @@
         reason: str,
         at: timedelta,
         domains: frozenset[str] = frozenset(),
+        alive_at: timedelta | None = None,
     ) -> WorkerCrash:
         """Record that a worker has ended; return its crash, the first one if it is known.
 
         :param is_trial: whether suspected tasks ran there.
         :param domains: failure domains of the worker.
+        :param alive_at: when the owner last heard of the worker's runs.
         """
         key = (worker_id, incarnation)
         if key not in self._crashes:
-            self._crashes[key] = WorkerCrash(machine, at, is_trial, reason, domains)
+            self._crashes[key] = WorkerCrash(machine, at, is_trial, reason, domains, alive_at)
         return self._crashes[key]
 
     def settle(
@@ -204,6 +217,8 @@
                 other.machine: other
                 for other in self._crashes.values()
                 if abs(other.at - crash.at) <= OUTAGE_WINDOW
+                and other.may_have_ended_by(crash.at)
+                and crash.may_have_ended_by(other.at)
             }
             survivors = {
                 machine: worker for machine, worker in reporting.items() if machine not in ended
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -43,6 +43,8 @@
     :param clock_ms: the worker's clock when it last listed its runs.
     :param received_at: when that listing arrived, on the owner's clock; before the first listing,
         until when the previous owner may have extended the worker's lease.
+    :param listed_at: when the current incarnation last listed its runs; None before the first time.
+    :param previous_listed_at: the same for the incarnation before it.
     :param running: the worker's active runs by task.
     :param first_listed_at: when each active run was listed first, by task and run.
     :param first_listed_ms: the same on the worker's clock, in milliseconds.
@@ -76,6 +78,8 @@
     agent: str = ""
     clock_ms: int = 0
     received_at: timedelta = timedelta()
+    listed_at: timedelta | None = None
+    previous_listed_at: timedelta | None = None
     running: dict[str, RunningRun] = attrs.field(factory=dict)
     first_listed_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     first_listed_ms: dict[tuple[str, int], int] = attrs.field(factory=dict)
@@ -129,6 +133,7 @@
             self._withdraw_starts(PROCESS_ENDED)
             return True
         self.clock_ms = report.clock_ms
+        self.listed_at = now
         self.running = {row.task: running_of(row) for row in report.running}
         self.first_listed_at = {
             (row.task, row.run): self.first_listed_at.get((row.task, row.run), now)
@@ -143,6 +148,10 @@
         """Return the lowest value that the worker's clock can show now, in milliseconds."""
         return self.clock_ms + (now - self.received_at) // timedelta(milliseconds=1)
 
+    def last_alive_at(self, incarnation: str) -> timedelta | None:
+        """Return when an incarnation last listed its runs; None if that is not known."""
+        return self.listed_at if incarnation == self.incarnation else self.previous_listed_at
+
     def fence(self, epoch: int) -> int:
         """Return the fencing token for calls to this incarnation of the worker."""
         return epoch * FENCES_PER_EPOCH + self.incarnations % FENCES_PER_EPOCH
@@ -154,6 +163,7 @@
         self.capacity = capacity
 
     def _begin_incarnation(self, incarnation: str) -> None:
+        self.previous_listed_at, self.listed_at = self.listed_at, None
         self.incarnation = incarnation
         self.incarnations += 1
         self.leaving = False
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -488,7 +488,10 @@
         vm = machine or worker_id
         member = term.members.get(worker_id)
         domains = frozenset() if member is None else _failure_domains(member)
-        return term.crashes.record(worker_id, incarnation, vm, is_trial, reason, at, domains)
+        alive_at = None if member is None else member.last_alive_at(incarnation)
+        return term.crashes.record(
+            worker_id, incarnation, vm, is_trial, reason, at, domains, alive_at
+        )
 
     def crashed_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for the runs of crashed workers.
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -8,7 +8,7 @@
 from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, Survivor, WorkerCrashes
 from mulberryslip.steps import StepSpec
 from mulberryslip.workflows import Pool
-from pool_doubles import SECOND, PoolWorld
+from pool_doubles import MS, SECOND, PoolWorld
 from test_workflows import workflow_accepted
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
@@ -251,6 +251,19 @@
     assert world.history.violations == []
 
 
+def test_workers_that_were_alive_after_another_ended_are_no_outage():
+    """Guards against deadly tasks that start one after another and pass for an outage."""
+    crashes = WorkerCrashes()
+    made = [
+        crashes.record(
+            f"w{number}", "1", f"m{number}", False, "refused", at, alive_at=at - 100 * MS
+        )
+        for number, at in enumerate([SECOND, SECOND + 250 * MS, SECOND + 500 * MS])
+    ]
+    crashes.settle(SECOND + OUTAGE_TAIL + SETTLING_TIME, survivors(6, SECOND), (), set)
+    assert {crash.is_outage for crash in made} == {False}
+
+
 def test_known_crash_is_not_counted_again():
     """Guards against an agent that reports the same end again and again, as if in an outage."""
     crashes = WorkerCrashes()
