Start the threads for workers outside an owner's round

Seen: `WorkerThreadPool.submit` starts a worker's thread with `Thread.start`, which returns only once the new thread runs. An owner's round calls it for each worker in turn. On a busy machine a new thread can wait for a processor for some tenths of a second while the other threads of its process run (traced in tests/test_proxies.py: runnable, never run, 218 ms, at load 22).

A starter thread now starts them; the round goes on. The calls wait in the worker's queue, so their order stays.

--- a/packages/daemon/src/mulberryslipd/peers.py
+++ b/packages/daemon/src/mulberryslipd/peers.py
@@ -31,6 +31,9 @@
 class WorkerThreadPool:
     """Run the calls in one thread per worker, up to a limit.
 
+    A further thread starts these threads: on a busy machine, `Thread.start` waits some tenths of a
+    second until the new thread first runs, and a round would wait for each worker in turn.
+
     :param name: prefix of the thread names.
     :param max_threads: with more workers, several share a thread.
     """
@@ -42,6 +45,8 @@
         self._queues: list[queue.SimpleQueue] = []
         self._queue_by_worker: dict[str, queue.SimpleQueue] = {}
         self._stopped = False
+        self._unstarted: queue.SimpleQueue[threading.Thread | None] = queue.SimpleQueue()
+        threading.Thread(target=self._start_threads, name=f"{name}-starter", daemon=True).start()
 
     def submit(self, worker_id: str, call: Callable[[], Any]) -> Future:
         """Run a call after the earlier ones to the same worker."""
@@ -65,18 +70,25 @@
             queues = list(self._queues)
         for calls in queues:
             calls.put(None)
+        self._unstarted.put(None)
 
     def _assign_queue(self, worker_id: str) -> queue.SimpleQueue:
         if len(self._queues) < self._max_threads:
             calls: queue.SimpleQueue = queue.SimpleQueue()
             self._queues.append(calls)
             name = f"{self._name}-{len(self._queues)}"
-            threading.Thread(target=self._run, args=(calls,), name=name, daemon=True).start()
+            self._unstarted.put(
+                threading.Thread(target=self._run, args=(calls,), name=name, daemon=True)
+            )
         else:
             calls = self._queues[len(self._queue_by_worker) % self._max_threads]
         self._queue_by_worker[worker_id] = calls
         return calls
 
+    def _start_threads(self) -> None:
+        while (thread := self._unstarted.get()) is not None:
+            thread.start()
+
     def _run(self, calls: queue.SimpleQueue) -> None:
         while (item := calls.get()) is not None:
             fut, call = item
