Keep a running process of a soak when a second fault restarts it

Cause: `kill` and `kill_all_agents` may overlap, and both start the process again. `Process.start` replaced its handle of a running process, so that the soak neither ended that process nor sent it faults.

tests/test_soak.py::test_process_that_two_faults_restart_is_started_once failed before.

--- a/packages/testing/src/mulberryslip_testing/clusters.py
+++ b/packages/testing/src/mulberryslip_testing/clusters.py
@@ -47,7 +47,9 @@
     popen: subprocess.Popen | None = None
 
     def start(self) -> None:
-        """Start the process, or restart it after it has ended."""
+        """Start the process, or restart it after it has ended; one that runs is kept."""
+        if self.running():
+            return
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(self.argv, stdout=log, stderr=subprocess.STDOUT)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,8 +4,10 @@
 """
 
 import random
+import sys
 
 import pytest
+from mulberryslip_testing.clusters import Process
 from soak import free_ports, soak
 
 REGRESSIONS = {
@@ -31,3 +33,18 @@
 def test_two_soaks_of_one_seed_use_different_ports():
     """Guards against processes that end because another run of the tests listens on their ports."""
     assert set(free_ports(random.Random(1), 15)) != set(free_ports(random.Random(1), 15))
+
+
+def test_process_that_two_faults_restart_is_started_once(tmp_path):
+    """Guards against a process that a soak loses sight of and leaves running after its end."""
+    argv = [sys.executable, "-c", "import time; time.sleep(60)"]
+    process = Process("sleeper", argv, tmp_path / "log")
+    process.start()
+    first = process.popen
+    try:
+        process.start()
+        assert process.popen is first
+    finally:
+        process.kill()
+        first.kill()
+        first.wait()
