Start the proxy's threads before its connections need them

Cause: the proxy and the tests' echo server start threads for each new connection. A traced run (load 22): the new thread was runnable and had never run for 218 ms, then the next one likewise, while the other threads of the process ran; the test waits 0.3 s. In others, the echo server had accepted and its new thread did not run for 0.29 s. Ruled out in most traced runs: a stall of the whole process (a thread that sleeps 5 ms at a time was never late by 30 ms), slow connects (at most 3 ms).

The proxy now hands connections to threads that already wait, and another thread starts those that replace them; the echo server serves all connections in one thread. test_new_connections_wait_for_no_thread_to_start failed before. No bound changed.

--- a/packages/testing/src/mulberryslip_testing/proxies.py
+++ b/packages/testing/src/mulberryslip_testing/proxies.py
@@ -1,10 +1,12 @@
 """Fault-injecting TCP proxy on loopback: delay, throttle, discard, truncate, reset and refuse."""
 
 import enum
+import queue
 import random
 import socket
 import struct
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -22,6 +24,9 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+_THREADS_PER_CONNECTION = 2
+
+
 class Direction(enum.Enum):
     """Direction of the bytes on a connection."""
 
@@ -107,6 +112,69 @@
         sock.close()
 
 
+class _WaitingThreads:
+    """Threads that run calls, a number of which are started before they are needed.
+
+    On a busy machine, a new thread may wait some tenths of a second until it first runs, which
+    would be a delay that no fault of the proxy accounts for.
+
+    :param count: number of threads that wait for calls.
+    """
+
+    def __init__(self, count: int):
+        self._count = count
+        self._calls: queue.SimpleQueue = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._idle = 0
+        self._stopped = False
+        self._taken = threading.Semaphore(0)
+        for _ in range(count):
+            self._start(self._run)
+        self._start(self._replace_taken)
+
+    def run(self, target: Callable[..., None], *args: object) -> None:
+        """Run a call in a waiting thread, or in a new one as soon as it has started."""
+        self._calls.put((target, args))
+
+    def stop(self) -> None:
+        """End the threads that wait for calls."""
+        with self._lock:
+            self._stopped = True
+        self._taken.release()
+        self._calls.put(None)
+
+    def _start(self, target: Callable[[], None]) -> None:
+        threading.Thread(target=target, name="proxy", daemon=True).start()
+
+    def _run(self) -> None:
+        while self._wait_again():
+            call = self._calls.get()
+            with self._lock:
+                self._idle -= 1
+            if call is None:
+                self._calls.put(None)  # Ends the next thread.
+                return
+            self._taken.release()
+            target, args = call
+            target(*args)
+
+    def _wait_again(self) -> bool:
+        with self._lock:
+            if self._stopped or self._idle >= self._count:
+                return False
+            self._idle += 1
+            return True
+
+    def _replace_taken(self) -> None:
+        while self._taken.acquire():
+            with self._lock:
+                if self._stopped:
+                    return
+                is_lacking = self._idle < self._count
+            if is_lacking:
+                self._start(self._run)
+
+
 class Proxy:
     """Proxy that forwards TCP connections, with two threads for each.
 
@@ -116,6 +184,8 @@
     :param seed: seed of the random jitter.
     :param listen_port: TCP port of the proxy; 0 selects a free port.
     :param listen_host: loopback address of the proxy.
+    :param expected_connections: connections that may open at the same time without a delay for the
+        start of their threads.
     """
 
     def __init__(
@@ -126,6 +196,7 @@
         seed: int = 1,
         listen_port: int = 0,
         listen_host: str = "127.0.0.1",
+        expected_connections: int = 2,
     ):
         self._server = (host, port)
         self._clock = clock or SystemClock()
@@ -138,6 +209,8 @@
         self._accepted = 0
         self._listener: socket.socket | None = None
         self._address = (listen_host, listen_port)
+        # One more thread accepts the connections.
+        self._threads = _WaitingThreads(expected_connections * _THREADS_PER_CONNECTION + 1)
         self._listen()
 
     @property
@@ -209,8 +282,9 @@
             self._listen()
 
     def stop(self) -> None:
-        """Close all connections and stop listening."""
+        """Close all connections and stop listening, for good."""
         self.disconnect()
+        self._threads.stop()
 
     def _change(self, **fields: object) -> None:
         with self._lock:
@@ -225,10 +299,7 @@
             self._address = listener.getsockname()
             self._listener = listener
             self._cut = False
-        self._spawn(self._accept, listener)
-
-    def _spawn(self, target: object, *args: object) -> None:
-        threading.Thread(target=target, args=args, name="proxy", daemon=True).start()
+        self._threads.run(self._accept, listener)
 
     def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -236,7 +307,7 @@
                 client, _ = listener.accept()
             except OSError:
                 return
-            self._spawn(self._connect, client)
+            self._threads.run(self._connect, client)
 
     def _connect(self, client: socket.socket) -> None:
         try:
@@ -249,7 +320,7 @@
         if not self._register(conn):
             conn.close()
             return
-        self._spawn(self._forward, conn, Direction.TO_CLIENT)
+        self._threads.run(self._forward, conn, Direction.TO_CLIENT)
         self._forward(conn, Direction.TO_SERVER)
 
     def _register(self, conn: _Connection) -> bool:
--- a/tests/test_proxies.py
+++ b/tests/test_proxies.py
@@ -1,8 +1,8 @@
 """Tests of the TCP proxy that simulates a faulty network."""
 
 import contextlib
+import selectors
 import socket
-import socketserver
 import threading
 import time
 from datetime import timedelta
@@ -13,30 +13,59 @@
 BOTH = tuple(Direction)
 
 
-class Echo(socketserver.BaseRequestHandler):
-    """Echo handler that counts the received bytes on the server object."""
+class EchoServer:
+    """Echo server that counts the received bytes.
 
-    def handle(self):
+    One thread serves all connections, since the start of another may take longer than the tests
+    wait for an answer.
+    """
+
+    def __init__(self):
+        self.received = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ, self._accept)
+        self._stopped = False
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def stop(self):
+        self._stopped = True
+        self._thread.join()
+        for key in list(self._selector.get_map().values()):
+            key.fileobj.close()
+        self._selector.close()
+
+    def _serve(self):
+        while not self._stopped:
+            for key, _ in self._selector.select(0.01):
+                key.data(key.fileobj)
+
+    def _accept(self, listener):
+        sock, _ = listener.accept()
+        self._selector.register(sock, selectors.EVENT_READ, self._answer)
+
+    def _answer(self, sock):
         with contextlib.suppress(OSError):
-            while data := self.request.recv(65536):
-                self.server.received += len(data)
-                self.request.sendall(data)
+            if data := sock.recv(65536):
+                self.received += len(data)
+                sock.sendall(data)
+                return
+        self._selector.unregister(sock)
+        sock.close()
 
 
 @pytest.fixture
 def echo():
-    server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Echo)
-    server.daemon_threads = True
-    server.received = 0
-    threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
+    server = EchoServer()
     yield server
-    server.shutdown()
-    server.server_close()
+    server.stop()
 
 
 @pytest.fixture
 def proxy(echo):
-    proxy = Proxy("127.0.0.1", echo.server_address[1])
+    proxy = Proxy("127.0.0.1", echo.port)
     yield proxy
     proxy.stop()
 
@@ -155,3 +184,17 @@
     proxy.restore()
     with connect(proxy) as sock:
         assert exchange(sock) == b"ping"
+
+
+def test_new_connections_wait_for_no_thread_to_start(proxy, monkeypatch):
+    """Guards against delays of new connections on a busy machine, where new threads run late."""
+    start = threading.Thread.start
+
+    def start_late(thread):
+        time.sleep(2)
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start_late)
+    with connect(proxy) as first, connect(proxy) as second:
+        assert exchange(first) == b"ping"
+        assert exchange(second) == b"ping"
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -152,7 +152,8 @@
 
 @pytest.fixture
 def proxy(live_server):
-    proxy = Proxy("127.0.0.1", live_server.port)
+    # Four connections of a client, and four that replace them.
+    proxy = Proxy("127.0.0.1", live_server.port, expected_connections=8)
     yield proxy
     proxy.stop()
 
