Let a success after a common failure end the exclusions of all workers

What callers saw: after 10 to 20 s in which all runs failed (whatever they have in common: an image store, a network, a configuration), tasks waited for up to 12 s beside idle workers that were well again.

Cause: the outage is counted against each worker. Each stays excluded or is probed with one run in 2 s until it succeeds by itself; a long run, which ends late, keeps its worker in that state.

Now the first success on a worker that was failing together with two thirds of those that may run its task ends the exclusions of these. One more failure excludes each again. A success on a worker that was not failing proves nothing and changes nothing.

Ruled out: fewer probes while all fail (they save attempts).

Not covered: without any short run, each worker is still probed until a run has ended.

--- a/packages/core/src/mulberryslip/health.py
+++ b/packages/core/src/mulberryslip/health.py
@@ -26,7 +26,10 @@
 FLEET_SHARE = 3
 """At most one in this many workers is excluded for longer than `INITIAL_EXCLUSION`, or for stalled
 runs. Such an exclusion moves work to other workers; if these fail or stall as well, it only keeps
-the fleet idle. For failed runs, only the workers count to which such work could go."""
+the fleet idle. For failed runs, only the workers count to which such work could go.
+
+If all the others fail at the same time, their failures have one cause. Once a run succeeds on one
+of them, that cause has ended, and the earlier failures are no evidence against the rest."""
 
 EXCLUSIONS_BEFORE_PROBES = 2
 """Consecutive exclusions after which a worker is probed with single runs until one succeeds, so
@@ -86,6 +89,12 @@
         """Return when the exclusion for failed runs ends, or the time between two probes."""
         return max(self.excluded_until, self.next_probe_at)
 
+    def forget_exclusions(self, now: timedelta) -> None:
+        """Forget earlier exclusions for failed runs; one that lasts goes on."""
+        self.exclusions = 0
+        self.next_exclusion = INITIAL_EXCLUSION
+        self.next_probe_at = now
+
 
 @attrs.define
 class _ProgressTrack:
@@ -149,9 +158,10 @@
         """
         state = self._states[worker_id]
         if is_done:
-            state.failures = state.exclusions = 0
-            state.next_exclusion = INITIAL_EXCLUSION
-            state.next_probe_at = now
+            if suitable is not None and self._has_common_failure(worker_id, suitable):
+                self._end_exclusions(suitable, now)
+            state.failures = 0
+            state.forget_exclusions(now)
             state.unstarted_time = timedelta()
             return False
         state.failures += 1
@@ -280,6 +290,25 @@
         )
         return excluded * FLEET_SHARE <= len(suitable)
 
+    def _is_failing(self, worker_id: str) -> bool:
+        state = self._states.get(worker_id)
+        return state is not None and state.failures >= FAILURES_BEFORE_EXCLUSION
+
+    def _has_common_failure(self, worker_id: str, suitable: Collection[str]) -> bool:
+        """Return whether a worker fails together with most of those that may run its tasks."""
+        if not self._is_failing(worker_id):
+            return False
+        others = len(suitable) - sum(map(self._is_failing, suitable))
+        return others * FLEET_SHARE <= len(suitable)
+
+    def _end_exclusions(self, worker_ids: Iterable[str], now: timedelta) -> None:
+        """End the exclusions of failing workers; the next failed run excludes each again."""
+        for worker_id in filter(self._is_failing, worker_ids):
+            state = self._states[worker_id]
+            state.failures = FAILURES_BEFORE_EXCLUSION - 1
+            state.forget_exclusions(now)
+            state.excluded_until = min(state.excluded_until, now)
+
     def _has_stalled(self, worker_id: str, now: timedelta) -> bool:
         """Return whether a run of a worker stood still until shortly before."""
         state = self._states.get(worker_id)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -117,6 +117,33 @@
     assert (penalty >= EXCLUSION_PENALTY) is is_long
 
 
+@pytest.mark.parametrize(
+    ("failing", "recovered", "is_released"),
+    [(12, "w0", True), (8, "w0", True), (7, "w0", False), (11, "w11", False)],
+    ids=["all", "two thirds", "fewer", "the sound one"],
+)
+def test_success_on_one_worker_after_a_common_failure_speaks_for_all(
+    failing, recovered, is_released
+):
+    """Guards against an outage of what all runs need that is held against each single worker."""
+    health = WorkerHealth()
+    fleet = [f"w{number}" for number in range(12)]
+    now = SECOND
+    for _ in range(3):
+        for worker_id in fleet[:failing]:
+            for _ in range(FAILURES_BEFORE_EXCLUSION):
+                health.record_run_end(worker_id, False, now, fleet)
+        now += INITIAL_EXCLUSION
+    assert all(health.is_probed(worker_id) for worker_id in fleet[:failing])
+    health.record_run_end(recovered, True, now, fleet)
+    for worker_id in set(fleet[:failing]) - {recovered}:
+        assert health.is_probed(worker_id) is not is_released
+        assert not (is_released and health.penalty(worker_id, now) >= EXCLUSION_PENALTY)
+        health.record_run_end(worker_id, False, now, fleet)
+        if is_released:
+            assert health.penalty(worker_id, now) >= EXCLUSION_PENALTY
+
+
 def test_worker_that_fails_again_is_probed_until_a_run_succeeds():
     """Guards against many attempts wasted on a worker whose exclusion has just ended."""
     health = WorkerHealth()
--- a/tests/test_unreliable_workers.py
+++ b/tests/test_unreliable_workers.py
@@ -151,6 +151,28 @@
     assert world.shown("c") == "completed"
 
 
+@pytest.mark.parametrize("outage_s", [10, 20])
+@pytest.mark.parametrize("workers", [6, 12])
+def test_long_tasks_start_soon_after_all_runs_have_failed_for_a_time(workers, outage_s):
+    """Guards against workers that each have to succeed with a run once what all need is back."""
+    world = new_world(workers)
+    for worker in world.workers:
+        worker.run_ms = lambda name: 60_000 if name.startswith("long") else 1000
+        worker.end_kind_of = lambda name: EndKind.FAILED
+    for number in range(outage_s * ROUNDS_PER_SECOND):
+        if number % 2 == 0:
+            world.submit(f"f{number}", attrs.evolve(TASK, cpu_millis=100, count=2))
+        world.round()
+    for worker in world.workers:
+        worker.end_kind_of = lambda name: EndKind.DONE
+    world.submit("long", attrs.evolve(TASK, count=6 * workers))
+    for second in range(7):
+        world.submit(f"c{second}", attrs.evolve(TASK, cpu_millis=100))
+        world.run(ROUNDS_PER_SECOND)
+    running = [name for worker in world.workers for name in worker.runs]
+    assert sum(name.startswith("long") for name in running) == 6 * workers
+
+
 def serve_another_service(world, workers):
     for worker in workers:
         announcement = worker.announcement
