Let an answer after a common outage end the backoff of all workers

What callers saw: after an outage of the network between an entry and its workers, requests went to the few workers that had answered first, and were refused there for lack of time, while the other workers were well and idle.

Cause: unanswered requests put each worker into backoff of up to 5 s, and an answer ends it only for the worker that gave it. The requests that follow see the rest as unusable.

Two of the new cases fail without the change.

Now an answer of a worker that was unreachable ends the backoff of the unreachable ones, if these are two thirds of the workers of the service. Their failures stay counted: one that fails again is in backoff as long as before.

Ruled out: to send a request to a worker in backoff rather than refuse it (the outcome of a request that is not idempotent would be unknown). Refusals are no outage: with overload, backoff goes on as before (case `all refuse`).

--- a/packages/core/src/mulberryslip/routings.py
+++ b/packages/core/src/mulberryslip/routings.py
@@ -61,6 +61,13 @@
 BACKOFF_BASE = timedelta(milliseconds=50)
 MAX_BACKOFF = timedelta(seconds=5)
 
+COMMON_OUTAGE_SHARE = 2 / 3
+"""Share of a service's workers without any answer that shows a cause outside of them.
+
+Once one of them answers again, the others are no longer in backoff. One that refuses a request has
+a reason of its own.
+"""
+
 LATENCY_WINDOW = 256
 LATENCY_REFRESH = 32
 HEDGE_PERCENTILE = 0.95
@@ -124,6 +131,7 @@
     :param own_requests: requests that this process has in flight there.
     :param other_requests: requests of other entries according to the newest report.
     :param failures: refusals and lost replies since the last response.
+    :param is_unreachable: whether the last failure came without an answer.
     :param backoff_until: monotonic time until which the worker is in backoff.
     """
 
@@ -133,6 +141,7 @@
     own_requests: int = 0
     other_requests: int = 0
     failures: int = 0
+    is_unreachable: bool = False
     backoff_until: timedelta = timedelta()
 
     def report(self, load: WorkerLoad, now: timedelta) -> None:
@@ -276,7 +285,10 @@
         with self._lock:
             state = self._record_end(worker_id, load)
             if state is not None:
+                if state.is_unreachable:
+                    self._end_common_outage(service)
                 state.failures = 0
+                state.is_unreachable = False
                 state.backoff_until = timedelta()
             self._record_latency(service, latency)
 
@@ -290,6 +302,7 @@
             # Jitter keeps the entries from sending requests to the worker again at the same moment.
             state.backoff_until = self._clock.monotonic() + backoff * self._rng.uniform(0.5, 1.0)
             state.failures += 1
+            state.is_unreachable = load is None
 
     def in_flight(self, worker_id: str) -> int:
         """Return the number of requests that this process has in flight at a worker."""
@@ -470,6 +483,20 @@
         # A hedge sent in the last half of the time left would rarely meet the deadline.
         return delay if delay <= deadline / 2 else None
 
+    def _end_common_outage(self, service: str) -> None:
+        """End the backoff of the workers that were unreachable if these are most of a service's.
+
+        Their failures stay counted, so one that fails again is in backoff for as long as before.
+        """
+        for (name, _), candidate_set in self._candidate_sets.items():
+            if name != service:
+                continue
+            states = [self._state(view) for view in candidate_set.workers]
+            unreachable = [state for state in states if state.is_unreachable]
+            if len(unreachable) >= COMMON_OUTAGE_SHARE * len(states):
+                for state in unreachable:
+                    state.backoff_until = timedelta()
+
     def _record_latency(self, name: str, latency: timedelta) -> None:
         service = self._service(name)
         service.latencies.append(latency / _US)
--- a/tests/test_routings.py
+++ b/tests/test_routings.py
@@ -197,6 +197,42 @@
     assert choose(router, [workers[0]]).worker_id == "bad"
 
 
+@pytest.mark.parametrize(
+    ("failing", "load", "is_over"),
+    [
+        (6, None, True),
+        (4, None, True),
+        (3, None, False),
+        (6, WorkerLoad(service_time_us=5000), False),
+    ],
+    ids=["all", "two thirds", "half", "all refuse"],
+)
+def test_answer_after_an_outage_of_most_workers_speaks_for_all(failing, load, is_over):
+    """Guards against one worker that gets all requests, and refusals, after a network outage."""
+    router, clock = make_router()
+    views = [view(f"w{number}") for number in range(6)]
+    unreachable = [f"w{number}" for number in range(failing)]
+    choose(router, views)
+    for _ in range(10):
+        for worker_id in unreachable:
+            router.record_sent(worker_id)
+            router.record_failure(worker_id, load)
+    router.record_sent("w0")
+    router.record_response("w0", "check", 5 * MS, None)
+    views = [view(f"w{number}") for number in range(6)]
+    sent = Counter()
+    for _ in range(60):
+        choice = choose(router, views, 20 * MS, service(max_in_flight=8))
+        sent[choice.worker_id] += 1
+        router.record_sent(choice.worker_id)
+    assert (sum(sent[worker_id] for worker_id in unreachable[1:]) > 0) is is_over
+    assert (sent[""] == 0) is (is_over or failing < 6)
+    router.record_failure("w1", load)
+    clock.advance(timedelta(seconds=1))
+    views = [view(f"w{number}") for number in range(6)]
+    assert "w1" not in {choose(router, views).worker_id for _ in range(60)}
+
+
 @pytest.mark.parametrize(
     ("parameters", "latency_ms", "deadline_ms", "expected_ms"),
     [
