Put no workers in quarantine for jobs that failed in a common outage

What operators saw: after an outage of what all jobs need, a third of the fleet went into quarantine for 30 s or more as soon as the first job did well.

Cause: jobs that fail on every worker are no evidence until their template makes progress on one of them. That first progress after the outage turned the failures of all other workers into evidence at once.

Evidence: 9 workers with three failed jobs each, then one job that finishes: 3 in quarantine before, none now; the same with 6 of 9 failing. With 5 of 9, 3 are quarantined as before.

Now, if jobs fail in a row on two thirds of the fleet and one of these workers makes progress, the failures of the others that are not in quarantine are dropped; three new failures are needed.

Ruled out: dropping them after progress of any worker. A sound worker beside failing ones shows that they are to blame, as before.

Not covered: the first progress on a worker without three failures, such as a new one. Records of lost workers count as failing until they are forgotten, as they count for the limit of quarantined ones.

--- a/packages/core/src/mulberryslip/quarantines.py
+++ b/packages/core/src/mulberryslip/quarantines.py
@@ -104,6 +104,10 @@
         :param finished: False for a checkpoint.
         """
         now = self._clock.monotonic()
+        if self._has_common_failure(worker_id):
+            for other, record in self._records.items():
+                if not self.is_quarantined(other):
+                    record.failures.clear()
         workers = self._template_progress.setdefault(template, OrderedDict())
         workers[worker_id] = now
         workers.move_to_end(worker_id)
@@ -135,6 +139,19 @@
         if record is not None and record.quarantined_until is not None:
             log(Event.WORKER_RELEASED, worker=worker_id, reason="a task finished")
 
+    def _has_common_failure(self, worker_id: str) -> bool:
+        """Return whether jobs fail in a row on a worker and on two thirds of the fleet.
+
+        Progress there shows that a cause outside of the workers has ended.
+        """
+        failing = [
+            other
+            for other, record in self._records.items()
+            if len(record.failures) >= MIN_FAILED_JOBS
+        ]
+        others = self._fleet_size() - len(failing)
+        return worker_id in failing and others * FLEET_SHARE <= self._fleet_size()
+
     def _quarantine_if_due(self, worker_id: str) -> None:
         record = self._records[worker_id]
         if self.is_quarantined(worker_id) or len(record.failures) < MIN_FAILED_JOBS:
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -186,3 +186,12 @@
     for number in range(8):
         fail(fleet, f"w{number}", f"a{number}", f"b{number}", f"c{number}")
     assert len([view for view in fleet.workers() if view.quarantined]) == 3
+
+
+@pytest.mark.parametrize(("failing", "quarantined"), [(9, 0), (6, 0), (5, 3)])
+def test_outage_of_a_common_dependency_puts_no_worker_in_quarantine(fleet, failing, quarantined):
+    """Guards against failures of an outage that count against workers once it has ended."""
+    for number in range(failing):
+        fail(fleet, f"w{number}", f"a{number}", f"b{number}", f"c{number}")
+    finish(fleet, "w0", "x")
+    assert len([view for view in fleet.workers() if view.quarantined]) == quarantined
