Do not answer "not run" for a job call that an earlier send may have carried out

Callers of the role `entry` saw 503 `not_run` for a submission or a cancellation that was accepted: the reply of the owner was lost, the entry sent the call again, found no owner (or one that did nothing) until its search for an owner ended, and returned only the last reply.

Cause: `ShardClient._call_owner` forgot that an earlier send had an unknown outcome.

Ruled out: a claim of a request id is not sent again after a lost reply; a conflict, an invalid body and "not found" are answers about the state that the owner has read, and stay as they are.

Before: `not_run`. After: 504 `outcome_unknown` with both reasons; a later send that succeeds is still answered as such.

--- a/packages/daemon/src/mulberryslipd/services.py
+++ b/packages/daemon/src/mulberryslipd/services.py
@@ -244,10 +244,12 @@
     ) -> Any:
         """Call the owner; retry while there is none or the owner record is outdated.
 
-        :param retry_lost: whether to retry when the reply was lost.
+        :param retry_lost: whether to retry when the reply was lost. After that a reply that the
+            call was not carried out does not hold for its earlier sends.
         """
         search_deadline = Deadline(self._clock, deadline.cap(OWNER_SEARCH_TIMEOUT))
         failures = 0
+        unknown_reason = ""
         while True:
             if self._owners[shard].is_owner():
                 reply = self._call_local(shard, method, make_request())
@@ -257,11 +259,13 @@
                 )
             is_lost = reply.outcome == Outcome.OUTCOME_UNKNOWN and retry_lost
             if not (is_lost or reply.outcome == Outcome.NOT_OWNER):
-                return reply
+                return _final_reply(method, reply, unknown_reason)
+            if is_lost:
+                unknown_reason = unknown_reason or reply.reason or "the outcome is not known"
             failures += 1
             pause = backoff(failures, self._rng, timedelta(milliseconds=50))
             if pause >= search_deadline.remaining():
-                return reply
+                return _final_reply(method, reply, unknown_reason)
             self._clock.sleep(pause)
 
     def _call_local(self, shard: int, method: str, req: Any) -> Any:
@@ -400,6 +404,17 @@
     )
 
 
+def _final_reply(method: str, reply: Any, unknown_reason: str) -> Any:
+    """Return the reply to a call, given the reply to its last send.
+
+    :param unknown_reason: why an earlier send may have been carried out, or empty.
+    """
+    if not unknown_reason or reply.outcome not in (Outcome.NOT_RUN, Outcome.NOT_OWNER):
+        return reply
+    reason = f"{unknown_reason}; then: {reply.reason}"
+    return _error_reply(method, Outcome.OUTCOME_UNKNOWN, reason)
+
+
 def _error_reply(method: str, outcome: int, reason: str) -> Any:
     if method == "report":
         return ReportReply(outcome=outcome, acknowledged=[])
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -11,15 +11,20 @@
 import pytest
 import urllib3
 from mulberryslip import SystemClock
+from mulberryslip.clocks import ManualClock
 from mulberryslip.configs import CONFIG_KEY, ConfigView
+from mulberryslip.exceptions import NotSentError, ReplyLostError
 from mulberryslip.fleets import Fleet
 from mulberryslip.models import Resources, WorkerDescription, WorkerLoad
+from mulberryslip.retries import Deadline
 from mulberryslip.servers import Server
 from mulberryslip.wire import WorkerService as WorkerWire
 from mulberryslip.wire.ttypes import ClaimReply, ForwardReply, JobReply, Load, Outcome
 from mulberryslip.wire.ttypes import Resources as WireResources
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.entries import EntryDaemon, EntryOptions
+from mulberryslipd.requests import SenderIdentity
+from mulberryslipd.services import OwnerDirectory, ShardClient
 from mulberryslipd.sessions import Session
 from mulberryslipd.sources import ConfigSource
 
@@ -311,6 +316,61 @@
     assert time.monotonic() - started_at < 4.5
 
 
+class ScriptedChannels:
+    """Channels that give each call the next reply or error; the last one stays."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+
+    def call(self, address, method, req, deadline):
+        reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+LOST = ReplyLostError("no reply")
+NOT_SENT = NotSentError("refused")
+
+
+def job_reply(outcome):
+    return JobReply(outcome, "a reason", b"")
+
+
+@pytest.mark.parametrize("method", ["submit", "cancel"])
+@pytest.mark.parametrize(
+    ("replies", "outcome"),
+    [
+        ([LOST], Outcome.OUTCOME_UNKNOWN),
+        ([LOST, job_reply(Outcome.OK)], Outcome.OK),
+        ([LOST, NOT_SENT, job_reply(Outcome.OK)], Outcome.OK),
+        ([LOST, NOT_SENT], Outcome.OUTCOME_UNKNOWN),
+        ([LOST, job_reply(Outcome.NOT_OWNER)], Outcome.OUTCOME_UNKNOWN),
+        ([LOST, job_reply(Outcome.NOT_RUN)], Outcome.OUTCOME_UNKNOWN),
+        ([job_reply(Outcome.OUTCOME_UNKNOWN), NOT_SENT], Outcome.OUTCOME_UNKNOWN),
+        ([LOST, job_reply(Outcome.CONFLICT)], Outcome.CONFLICT),
+        ([NOT_SENT], Outcome.NOT_OWNER),
+        ([NOT_SENT, job_reply(Outcome.NOT_RUN)], Outcome.NOT_RUN),
+    ],
+)
+def test_outcome_of_a_job_call(store, method, replies, outcome):
+    """Guards against "not run" for a job call that an earlier send may have carried out."""
+    clock = ManualClock()
+    record = {"entry_id": "entry-2", "host": "127.0.0.1", "port": 1, "incarnation": "1"}
+    store.put("shards/0/owner", json.dumps(record).encode(), 0)
+    client = ShardClient(
+        SenderIdentity("entry-1", "1", "concord"),
+        {0: InMemoryOwner(owned=False)},
+        OwnerDirectory(store, clock),
+        ScriptedChannels(*replies),
+        lambda: 1,
+        clock,
+        random.Random(1),
+    )
+    deadline = Deadline(clock, timedelta(seconds=5))
+    assert client.call_job_owner(method, "j-1", b"{}", "r-1", deadline).outcome == outcome
+
+
 def test_resend_through_another_entry_is_not_run_again(pair):
     """Guards against running a request twice when its caller resends it to another entry."""
     first, second = pair
