Do not answer "not made" for a configuration change whose write may have taken effect

Operators saw 503 "the change was not made" or 400 `invalid` for a change that was in force: the answer to its write was lost, and what the entry read after that was an answer without a version, or a document that does not parse.

Cause: `ConfigWriter.write` kept the unknown outcome only if the store was unavailable afterwards; other errors of the store, and `ConfigError` for the stored document, ended the call as if nothing had been written. A stored document that does not parse also came out as a fault of the operator's change (400).

Ruled out: an unavailable store after a lost answer (`test_outage_after_a_lost_store_response_is_outcome_unknown`) and lost answers alone (`test_write_with_a_lost_store_response_is_read_back`) were right before; an error of `decide` after a readable answer stays definite, as the document then shows whether the write has taken effect.

Before: 503 or 400. After: 504 `outcome_unknown`, the same Change-Id may be sent again; without an earlier write, an unreadable document gives 503 "the change was not made" instead of 400.

--- a/packages/daemon/src/mulberryslipd/sources.py
+++ b/packages/daemon/src/mulberryslipd/sources.py
@@ -239,6 +239,7 @@
         :param based_on: revision on which the operator based the change.
         :param change_id: the operator's id of the change, or empty.
         :raises ConfigError: when the change makes the document invalid.
+        :raises StoreError: the document cannot be read or written; the change was not made.
         """
         # Every record needs an id, by which a write whose response was lost is found again.
         record_id = change_id or f"entry-{uuid.uuid4().hex}"
@@ -247,10 +248,14 @@
         for attempt in range(1, MAX_WRITE_ATTEMPTS + 1):
             try:
                 outcome = self._try_write(change, based_on, record_id, operator)
-            except StoreUnavailableError as exc:
-                if not unknown_reason:
+            except StoreError as exc:
+                if unknown_reason:
+                    # Whether the earlier write took effect is still not known.
+                    outcome = Unknown(str(exc))
+                elif isinstance(exc, StoreUnavailableError):
                     return ChangeUnavailable(str(exc))
-                outcome = Unknown(str(exc))
+                else:
+                    raise
             if isinstance(outcome, AlreadyAccepted):
                 return ChangeAccepted(outcome.revision, resent=not unknown_reason)
             if isinstance(outcome, ChangeAccepted | Stale):
@@ -270,7 +275,11 @@
     ) -> ChangeAccepted | AlreadyAccepted | Stale | Unknown | None:
         """Try once; return None when the document was changed meanwhile."""
         stored = self._store.get(CONFIG_KEY)
-        current = self._source.apply_stored(stored)
+        try:
+            current = self._source.apply_stored(stored)
+        except ConfigError as exc:
+            # Nothing is wrong with the change; an earlier write of it may have taken effect.
+            raise StoreError(f"the stored document: {exc}") from exc
         decision = decide(current, change, based_on, change_id, operator)
         if not isinstance(decision, Accepted):
             return decision
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,12 +5,14 @@
 import threading
 from datetime import timedelta
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mulberryslip import SystemClock
 from mulberryslip.changes import Stale
 from mulberryslip.configs import CONFIG_KEY, ConfigView
+from mulberryslip.exceptions import StoreError
 from mulberryslip_testing.applications import call_application
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.operators import OperatorInterface
@@ -276,6 +278,32 @@
     assert resent.json() == {"revision": 2, "resent": True}
 
 
+@pytest.mark.parametrize("lose", ["lose_responses", "lose_writes"])
+@pytest.mark.parametrize("unreadable", ["answer", "document"])
+def test_unreadable_answer_after_a_lost_store_response_is_outcome_unknown(
+    store, entry, lose, unreadable
+):
+    """Guards against "not made" or "invalid" for a change whose write may have taken effect."""
+    get, put = store.get, store.put
+
+    def get_unreadable(key):
+        if unreadable == "answer":
+            raise StoreError("the answer has no valid version")
+        return attrs.evolve(get(key), value=b"{", version=99)
+
+    def put_and_fail(*args):
+        getattr(store, lose)(1)
+        store.get = get_unreadable
+        return put(*args)
+
+    store.put = put_and_fail
+    result = entry.set_data_centre("concord", "out", 1, Change_Id="c-1")
+    assert (result.status, result.json()["error"]["code"]) == (504, "outcome_unknown")
+    store.get, store.put = get, put
+    resent = entry.set_data_centre("concord", "out", 1, Change_Id="c-1")
+    assert (resent.status, resent.json()["revision"]) == (200, 2)
+
+
 PUT_CONCORD = ("PUT", "/v1/data-centres/concord")
 BAD_INPUT = [
     (*PUT_CONCORD, b'{"state": "out"}', {}, 428, "revision_required"),
