Let a failing call of the runtime for one task leave the other tasks of a worker alone

Callers saw (role `worker`) finished tasks that stayed `running` while another task of the worker could not be stopped, tasks that lost all progress with their VM, and services beside batch tasks at full speed: one task whose checkpoint, throttle, stop or deletion fails each time (a hung task, an answer without a handle, a status of 500) ended each tick of `Executions` at that task. Later tasks got no checkpoint, nothing was throttled, no end was read, and no record was deleted, for as long as the task lived.

Cause: the parts of a tick ran one after the other and the first `RuntimeAdapterError` left all that came after it undone.

Evidence: 6 new cases (checkpoint; throttle after a failed checkpoint or throttle; ends after a failed checkpoint or stop; deletion), all failed before and pass now; `test_workers` and `test_robustness` whole. Ruled out: renewals of leases run in a thread of their own and were not held up; a thread did not end (`test_unexpected_error_ends_no_loop_of_the_worker`).

Before: nothing after the failing call. After: each part of a tick runs, and within a part an attempt whose call has failed comes last from then on; a part still ends at its first failure, so that an unresponsive runtime costs a time-out for each part and not for each task.

--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -105,6 +105,7 @@
     confirmed_at: timedelta | None = None
     stop_command: TaskStopCommand | None = None
     checkpoint_due: timedelta | None = None
+    call_failed_at: timedelta = timedelta()
     version: int = 0
     acknowledged_version: int = 0
 
@@ -317,10 +318,12 @@
         if not self._is_recovered:
             self._recover()
         self._suspend_unleased()
-        self._execute_stop_commands()
-        self._take_checkpoints()
-        self._throttle(batch_permille)
-        self._forget_in_runtime()
+        _run_all(
+            self._execute_stop_commands,
+            self._take_checkpoints,
+            lambda: self._throttle(batch_permille),
+            self._forget_in_runtime,
+        )
 
     def suspend_all(self, reason: str) -> None:
         """Command every attempt to be checkpointed and stopped, and try to do so once."""
@@ -458,11 +461,29 @@
 
     def _execute_stop_commands(self) -> None:
         with self._runtime_lock:
-            with self._lock:
-                to_stop = [h for h in self._held.values() if h.is_running and h.stop_command]
-            for held in to_stop:
-                self._stop_in_runtime(held)
-            self._update_states()
+            _run_all(self._stop_commanded, self._update_states)
+
+    def _stop_commanded(self) -> None:
+        with self._lock:
+            to_stop = [h for h in self._held.values() if h.is_running and h.stop_command]
+        self._call_each(to_stop, self._stop_in_runtime)
+
+    def _call_each(
+        self, held_attempts: Iterable[HeldAttempt], call: Callable[[HeldAttempt], None]
+    ) -> None:
+        """Make a call of the runtime for each attempt, until one fails.
+
+        An attempt whose call has failed comes last from then on. A task that fails every call thus
+        does not block the others, and an unresponsive runtime costs one time-out.
+
+        :raises RuntimeAdapterError: a call failed.
+        """
+        for held in sorted(held_attempts, key=lambda held: held.call_failed_at):
+            try:
+                call(held)
+            except RuntimeAdapterError:
+                held.call_failed_at = self._clock.monotonic()
+                raise
 
     def _stop_in_runtime(self, held: HeldAttempt) -> None:
         # The runtime refuses to stop a task that has ended; its list shows the end state.
@@ -550,8 +571,7 @@
                 and held.checkpoint_due is not None
                 and held.checkpoint_due <= now
             ]
-        for held in due:
-            self._take_checkpoint(held, now)
+        self._call_each(due, lambda held: self._take_checkpoint(held, now))
 
     def _take_checkpoint(self, held: HeldAttempt, now: timedelta) -> None:
         try:
@@ -568,16 +588,15 @@
     def _throttle(self, batch_permille: int) -> None:
         with self._lock:
             changed = [
-                (held, permille)
+                held
                 for held in self._held.values()
                 if held.is_running and held.is_confirmed and held.stop_command is None
-                if (permille := _throttle_permille_of(held, batch_permille))
-                != held.throttle_permille
+                if _throttle_permille_of(held, batch_permille) != held.throttle_permille
             ]
-        for held, permille in changed:
-            self._throttle_one(held, permille)
+        self._call_each(changed, lambda held: self._throttle_one(held, batch_permille))
 
-    def _throttle_one(self, held: HeldAttempt, permille: int) -> None:
+    def _throttle_one(self, held: HeldAttempt, batch_permille: int) -> None:
+        permille = _throttle_permille_of(held, batch_permille)
         try:
             self._runtime.throttle(held.runtime_id, permille)
         except RuntimeRefusedError:
@@ -595,13 +614,23 @@
             runtime_ids = list(self._to_forget)
         for runtime_id in runtime_ids:
             try:
-                self._runtime.forget(runtime_id)
-            except RuntimeRefusedError:
-                self._runtime.stop(runtime_id)
-                self._runtime.forget(runtime_id)
+                self._forget_one(runtime_id)
+            except RuntimeAdapterError:
+                with self._lock:
+                    # The next call begins with the others.
+                    self._to_forget.remove(runtime_id)
+                    self._to_forget.append(runtime_id)
+                raise
             with self._lock:
                 self._to_forget.remove(runtime_id)
 
+    def _forget_one(self, runtime_id: str) -> None:
+        try:
+            self._runtime.forget(runtime_id)
+        except RuntimeRefusedError:
+            self._runtime.stop(runtime_id)
+            self._runtime.forget(runtime_id)
+
     def _report_of_stopped(self, attempt: Attempt, command: TaskStopCommand) -> AttemptReport:
         held = self._held.get(attempt)
         if held is not None:
@@ -619,6 +648,21 @@
         return AttemptReport(absent, 0)
 
 
+def _run_all(*steps: Callable[[], None]) -> None:
+    """Run steps that do not depend on each other.
+
+    :raises RuntimeAdapterError: the error of the first step that failed, after the last step.
+    """
+    failures = []
+    for step in steps:
+        try:
+            step()
+        except RuntimeAdapterError as exc:
+            failures.append(exc)
+    if failures:
+        raise failures[0]
+
+
 def parse_runtime_id(text: str) -> Attempt | None:
     """Return the attempt of a runtime task id; None when the id has another format."""
     match = _RUNTIME_ID.fullmatch(text)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -851,6 +851,79 @@
     assert bench.admission.used() == Resources()
 
 
+def fail_for(bench, monkeypatch, method, attempt=TASK):
+    """Let one call of the runtime fail for one task without end, as for a task that hangs."""
+    call = getattr(bench.runtime, method)
+
+    def call_or_fail(task_id, *args):
+        if task_id == f"{attempt.key.job_id}/{attempt.key.index}/{attempt.number}":
+            raise RuntimeAdapterError(f"{method}: status 500")
+        return call(task_id, *args)
+
+    monkeypatch.setattr(bench.runtime, method, call_or_fail)
+
+
+def steps(bench, count=4, permille=1000):
+    for _ in range(count):
+        with contextlib.suppress(RuntimeAdapterError):
+            bench.step(permille=permille)
+
+
+OTHER_TASK = Attempt(TaskKey("job", 1), 1)
+
+
+def other_report(bench):
+    return next(r.held for r in bench.executions.reports(0) if r.held.attempt == OTHER_TASK)
+
+
+def test_task_without_checkpoints_leaves_the_others_theirs(bench, monkeypatch):
+    """Guards against one task that cannot be saved, after which no other task is saved."""
+    bench.grant()
+    fail_for(bench, monkeypatch, "checkpoint")
+    for attempt in (TASK, OTHER_TASK):
+        bench.run(attempt=attempt)
+    for held in bench.executions._held.values():
+        held.checkpoint_due = bench.clock.monotonic()
+    steps(bench)
+    assert other_report(bench).checkpoint
+
+
+@pytest.mark.parametrize("method", ["checkpoint", "throttle"])
+def test_call_that_fails_for_one_task_leaves_the_others_throttled(bench, monkeypatch, method):
+    """Guards against batch tasks at full speed beside services since a call for one has failed."""
+    bench.grant()
+    fail_for(bench, monkeypatch, method)
+    for attempt in (TASK, OTHER_TASK):
+        bench.run(attempt=attempt)
+    next(iter(bench.executions._held.values())).checkpoint_due = bench.clock.monotonic()
+    steps(bench, permille=300)
+    assert other_report(bench).throttle_permille == 300
+
+
+@pytest.mark.parametrize("method", ["checkpoint", "stop"])
+def test_task_that_cannot_be_stopped_leaves_the_ends_of_others_reported(bench, monkeypatch, method):
+    """Guards against finished tasks that are not reported while one task cannot be stopped."""
+    bench.grant()
+    fail_for(bench, monkeypatch, method)
+    bench.run()
+    bench.run(task_input(10), attempt=OTHER_TASK)
+    bench.executions.stop([TASK], TaskStopCommand(wire.TaskState.STOPPED, True, "moved"))
+    steps(bench, count=2)
+    assert other_report(bench).state == wire.TaskState.FINISHED
+
+
+def test_record_that_cannot_be_deleted_leaves_the_others_deleted(bench, monkeypatch):
+    """Guards against records of ended tasks that fill the runtime since one cannot be deleted."""
+    bench.grant()
+    fail_for(bench, monkeypatch, "forget")
+    for attempt in (TASK, OTHER_TASK):
+        bench.run(task_input(10), attempt=attempt)
+    steps(bench, count=1)
+    bench.executions.acknowledge([TASK, OTHER_TASK])
+    steps(bench)
+    assert [task.task_id for task in bench.runtime.tasks()] == ["job/0/1"]
+
+
 def test_task_that_finishes_before_its_stop_is_finished(bench):
     """Guards against a finished task that is reported as stopped and run again."""
     bench.grant()
