Keep calls to workers possible when a thread cannot be started

Seen in the role `entry` when the machine had no thread left: `WorkerThreadPool.submit` raised (in the loop of the owner that ends its ownership of the shard, by reading `ShardOwner.run`), and the queue of the thread that had not started stayed in use. Workers that later shared this queue got no call at all, and their calls were never done, so that no renewal, start or stop followed.

Cause: the queue was added before its thread was started, and a shared queue was chosen among all of them.

Evidence: both cases of the new test failed before (in a trial without the first check, the third worker's call was put silently into a queue without a thread), and pass now; `test_robustness` and `test_owners` whole. Ruled out: the server's acceptor and the threads of hedged requests handle the same error already; other loops start their threads once, with the process.

Before: an error in the owner's loop, calls that wait for ever. After: the worker shares a thread that runs, or, without any, the call ends with the error, is logged, and the next one tries again.

--- a/packages/daemon/src/mulberryslipd/peers.py
+++ b/packages/daemon/src/mulberryslipd/peers.py
@@ -50,7 +50,12 @@
             if self._stopped:
                 fut.cancel()
                 return fut
-            calls = self._queue_by_worker.get(worker_id) or self._assign_queue(worker_id)
+            try:
+                calls = self._queue_by_worker.get(worker_id) or self._assign_queue(worker_id)
+            except RuntimeError as exc:
+                log(Event.INTERNAL_ERROR, method="start a thread for calls", error=repr(exc))
+                fut.set_exception(exc)
+                return fut
         calls.put((fut, call))
         return fut
 
@@ -67,16 +72,30 @@
             calls.put(None)
 
     def _assign_queue(self, worker_id: str) -> queue.SimpleQueue:
+        """Return a queue for a worker: one with a new thread, or else one that is shared.
+
+        :raises RuntimeError: no thread can be started and there is none to share.
+        """
+        calls = None
         if len(self._queues) < self._max_threads:
-            calls: queue.SimpleQueue = queue.SimpleQueue()
-            self._queues.append(calls)
-            name = f"{self._name}-{len(self._queues)}"
-            threading.Thread(target=self._run, args=(calls,), name=name, daemon=True).start()
-        else:
-            calls = self._queues[len(self._queue_by_worker) % self._max_threads]
+            try:
+                calls = self._start_thread()
+            except RuntimeError:
+                if not self._queues:
+                    raise
+        if calls is None:
+            calls = self._queues[len(self._queue_by_worker) % len(self._queues)]
         self._queue_by_worker[worker_id] = calls
         return calls
 
+    def _start_thread(self) -> queue.SimpleQueue:
+        """Start a thread and return its queue; a queue without a thread would keep its calls."""
+        calls: queue.SimpleQueue = queue.SimpleQueue()
+        name = f"{self._name}-{len(self._queues) + 1}"
+        threading.Thread(target=self._run, args=(calls,), name=name, daemon=True).start()
+        self._queues.append(calls)
+        return calls
+
     def _run(self, calls: queue.SimpleQueue) -> None:
         while (item := calls.get()) is not None:
             fut, call = item
--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -45,6 +45,7 @@
 from mulberryslipd.executions import AttemptReport, HeldAttempt, parse_runtime_id
 from mulberryslipd.intents import PoolConfigSource
 from mulberryslipd.members import check_report
+from mulberryslipd.peers import WorkerThreadPool
 from mulberryslipd.pools import MAX_ROUND_BYTES
 from mulberryslipd.workers import report_to_wire
 from pool_doubles import MS, PoolWorld
@@ -608,6 +609,29 @@
     assert world.elect() is owner
 
 
+@pytest.mark.parametrize("threads_before", [0, 1])
+def test_thread_that_cannot_start_leaves_calls_to_workers_possible(monkeypatch, threads_before):
+    """Guards against an owner that calls its workers no more since a thread could not start."""
+    pool = WorkerThreadPool("test", max_threads=2)
+    for number in range(threads_before):
+        assert pool.submit(f"earlier-{number}", lambda: "done").result(timeout=5) == "done"
+
+    def fail(thread):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", fail)
+    worker_ids = ["w1", "w2", "w3"]
+    try:
+        futures = [pool.submit(worker_id, lambda: "done") for worker_id in worker_ids]
+        failures = [type(fut.exception(timeout=5)) for fut in futures]
+        assert failures == [RuntimeError if not threads_before else type(None)] * 3
+        monkeypatch.undo()
+        futures = [pool.submit(worker_id, lambda: "done") for worker_id in worker_ids]
+        assert [fut.result(timeout=5) for fut in futures] == ["done"] * 3
+    finally:
+        pool.stop()
+
+
 # Malformed messages to the owner of the pool
 
 
