Let a fault in one policy end neither the ownership of a shard nor the other policies

Callers of the role `entry` would see jobs that never start: an unexpected error of a policy (evacuation, interference) ended the round before its starts, and the ownership with it; each next owner, at any entry, ended at the same decision. The owner of pools leaves failing parts of a round out (`test_unexpected_error_in_one_part_of_a_round_does_not_end_the_ownership`); the shards' owner did not.

No input that makes one of today's policies fail was found: extreme usage, throttles, checkpoints and reasons in workers' reports were tried on a scratch file, and no policy or commit failed.

Before: no starts, one claim after the other. After: the policy's decisions are left out and logged, all else goes on.

--- a/packages/daemon/src/mulberryslipd/supervisions.py
+++ b/packages/daemon/src/mulberryslipd/supervisions.py
@@ -11,7 +11,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.fleets import Fleet
 from mulberryslip.jobs import Job
-from mulberryslip.models import Attempt, Priority, Resources, TaskClass
+from mulberryslip.models import Attempt, Priority, Resources, TaskClass, WorkerView
 from mulberryslip.quotas import AccountQuota, AccountUsage, Quotas
 from mulberryslip.tasks import Task, TaskPhase
 
@@ -72,7 +72,7 @@
         tasks = [task for _, task in running]
         workers = self._fleet.workers()
         for policy in policies:
-            for action in policy.decide(now, workers, tasks):
+            for action in _decide(policy, now, workers, tasks):
                 self.apply_action(action)
 
     def apply_action(self, action: Action) -> None:
@@ -170,3 +170,15 @@
                 overdue[task.worker_id, f"ran longer than max_run_s = {limit}"].append(attempt)
         for (worker_id, reason), attempts in overdue.items():
             self._attempts.stop(worker_id, attempts, reason, checkpoint=False, overdue=True)
+
+
+def _decide(
+    policy: Any, now: timedelta, workers: Sequence[WorkerView], tasks: Sequence[RunningTask]
+) -> list[Action]:
+    """Return the actions of a policy; none if it fails."""
+    try:
+        return list(policy.decide(now, workers, tasks))
+    except Exception as exc:
+        # The error would end the ownership, then that of each next owner, and nothing would start.
+        log(Event.INTERNAL_ERROR, what=type(policy).__name__, reason=repr(exc))
+        return []
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -511,6 +511,45 @@
     cluster.check_history()
 
 
+class FailingPolicy:
+    """Policy with a fault; sets an event at the last of some decisions."""
+
+    def __init__(self, stop):
+        self.stop = stop
+        self.decisions = 0
+
+    def decide(self, now, workers, running):
+        self.decisions += 1
+        if self.decisions == 5:
+            self.stop.set()
+        raise ZeroDivisionError("division by zero")
+
+
+def test_unexpected_error_of_a_policy_does_not_end_the_ownership():
+    """Guards against a shard on which nothing starts at any entry for a fault in one policy."""
+    cluster = Cluster()
+    stop = threading.Event()
+    owner = cluster.owner(policies=[FailingPolicy(stop)])
+    submit(owner, tasks=3)
+    owner._end_term("claimed by its thread")
+    owner.run(stop)
+    assert len(cluster.running()) == 3
+    assert len({worker.epoch for worker in cluster.workers}) == 1
+
+
+def test_unexpected_error_of_a_policy_leaves_the_others_in_force():
+    """Guards against tasks that stay in a data centre out of service for a fault in a policy."""
+    cluster = Cluster(workers=2, data_centres=("yes", "no"))
+    policies = [FailingPolicy(threading.Event()), EvacuationPlanner(cluster.clock)]
+    owner = cluster.owner(policies=policies)
+    submit(owner, tasks=4)
+    cluster.run(owner, 4)
+    cluster.set_config({"yes": "in", "no": "out"})
+    owner._source.refresh()
+    cluster.run(owner, 60)
+    assert [worker for _, worker in cluster.running()] == ["w0"] * 4
+
+
 def test_quotas_get_the_usage_of_each_account():
     """Guards against quotas that are never applied because usage is not reported."""
     cluster = Cluster(workers=2)
