Keep results, reasons and handles of checkpoints that no report can hold out of a worker's reports

Callers saw (role `worker`) tasks that stayed `running` for ever, also those of others on the same worker: a task with a result over the 4 MB of a frame, or a checkpoint whose handle cannot be encoded or is as long, was in each reply to a renewal and in each report, and none of these could be read. The lease went on, since a lost reply counts as a possible renewal (by reading `LeaseRenewer.renew`).

Cause: the owner checks these values (`_finish_event`, `_valid_checkpoint`, `_truncate_text`), the worker only whether listed ones are texts; the handle in the answer to a checkpoint was not checked at all.

Ruled out: odd rows of the list (`test_odd_task_of_the_runtime_leaves_the_others_listed`) and numbers over 32 bits.

Before: no report of the worker. After: the worker applies the owner's limits: a result of over 16384 characters fails the task with the owner's reason, reasons are cut, and a handle of over 256 characters counts as no checkpoint.

--- a/packages/core/src/mulberryslip/runtimes.py
+++ b/packages/core/src/mulberryslip/runtimes.py
@@ -32,6 +32,7 @@
 from .exceptions import InvalidMessageError, RuntimeAdapterError, RuntimeRefusedError
 from .models import Resources
 from .steps import MAX_AMOUNT
+from .transitions import MAX_CHECKPOINT_CHARS, MAX_REASON_CHARS
 
 CALL_TIMEOUT = timedelta(seconds=1)
 MAX_CONNECTIONS = 4
@@ -223,9 +224,11 @@
 
     def checkpoint(self, task_id: str) -> str:
         """Save a running task's progress."""
-        return _required_string(
-            self._call("POST", f"{_task_path(task_id)}/checkpoint", {}), "checkpoint"
-        )
+        path = f"{_task_path(task_id)}/checkpoint"
+        handle = _required_string(self._call("POST", path, {}), "checkpoint")
+        if not _is_handle(handle):
+            raise RuntimeAdapterError(f"{path}: a handle of {len(handle)} characters")
+        return handle
 
     def throttle(self, task_id: str, permille: int) -> None:
         """Limit a task's processor time."""
@@ -273,7 +276,7 @@
 
 def _required_string(document: dict[str, Any], key: str) -> str:
     value = document.get(key)
-    if not isinstance(value, str) or not value:
+    if not _is_text(value) or not value:
         raise RuntimeAdapterError(f"response from the runtime has no {key}")
     return value
 
@@ -299,9 +302,9 @@
     return RuntimeTask(
         task_id=task_id,
         state=RuntimeState(item["state"]),
-        checkpoint=value("checkpoint", _is_text, ""),
+        checkpoint=value("checkpoint", _is_handle, ""),
         result=value("result", _is_text, ""),
-        reason=value("reason", _is_text, ""),
+        reason=value("reason", _is_text, "")[:MAX_REASON_CHARS],
         usage=Resources(**value("usage", _is_resources, {})),
         throttle_permille=value("throttle_permille", _is_amount, 1000),
         template=value("template", _is_text, ""),
@@ -313,6 +316,10 @@
     return isinstance(value, str) and records.is_unicode(value)
 
 
+def _is_handle(value: Any) -> bool:
+    return _is_text(value) and len(value) <= MAX_CHECKPOINT_CHARS
+
+
 def _is_amount(value: Any) -> bool:
     return records.is_number(value) and value <= MAX_AMOUNT
 
--- a/packages/daemon/src/mulberryslipd/executions.py
+++ b/packages/daemon/src/mulberryslipd/executions.py
@@ -15,6 +15,7 @@
 from mulberryslip.models import Attempt, Resources, TaskClass, TaskKey
 from mulberryslip.runtimes import Runtime, RuntimeSpec, RuntimeState, RuntimeTask
 from mulberryslip.steps import MAX_AMOUNT
+from mulberryslip.transitions import MAX_RESULT_CHARS
 from mulberryslip.wire.ttypes import Outcome, TaskState
 
 from .pressures import FULL_PERMILLE
@@ -526,6 +527,13 @@
             state, reason = held.stop_command.state, held.stop_command.reason
         held.checkpoint = task.checkpoint
         held.result = task.result
+        if len(task.result) > MAX_RESULT_CHARS:
+            # With it, the replies to renewals could be larger than a frame.
+            held.result = ""
+            if state == TaskState.FINISHED:
+                length = len(task.result)
+                reason = f"the result has {length} characters; {MAX_RESULT_CHARS} are allowed"
+                state = TaskState.FAILED
         self._end(held, state, reason)
 
     def _end_unlisted(self, held: HeldAttempt, listed_after: timedelta) -> None:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -32,7 +32,8 @@
 from mulberryslipd.executions import Executions, TaskStartCommand, TaskStopCommand
 from mulberryslipd.forwarders import OutcomeCache
 from mulberryslipd.pressures import PressureGauge, ThrottleController
-from mulberryslipd.workers import WorkerDaemon, WorkerOptions
+from mulberryslipd.workers import WorkerDaemon, WorkerOptions, report_to_wire
+from thrift.TSerialization import serialize
 
 MS = timedelta(milliseconds=1)
 SECOND = timedelta(seconds=1)
@@ -924,6 +925,61 @@
     assert [task.task_id for task in bench.runtime.tasks()] == ["job/0/1"]
 
 
+def encoded_reports(bench):
+    return [serialize(report_to_wire(report)) for report in bench.executions.reports(0)]
+
+
+@pytest.mark.parametrize("size", [16 * 1024, 5_000_000])
+def test_long_result_of_one_task_leaves_the_replies_to_renewals_readable(bench, monkeypatch, size):
+    """Guards against one result over the size of a frame, after which no end is reported."""
+    change = {"result": "9" * size, "reason": "r" * size, "checkpoint": "c" * size}
+    bench.grant()
+    bench.run(task_input(10))
+    monkeypatch.setattr(bench.runtime, "_call", widen_rows(bench.runtime._call, change))
+    bench.step()
+    held = bench.report()
+    if size == 16 * 1024:
+        assert (held.state, held.result) == (wire.TaskState.FINISHED, "9" * size)
+    else:
+        assert (held.state, held.result) == (wire.TaskState.FAILED, "")
+        assert held.reason == "the result has 5000000 characters; 16384 are allowed"
+    assert sum(map(len, encoded_reports(bench))) < 20_000
+
+
+def widen_rows(call, change):
+    """Return the runtime's call with other values in each listed task."""
+
+    def call_widened(method, path, body=None):
+        document = call(method, path, body)
+        if (method, path) != ("GET", "/tasks"):
+            return document
+        return {"tasks": [{**task, **change} for task in document["tasks"]]}
+
+    return call_widened
+
+
+@pytest.mark.parametrize("handle", ["\ud800", "c" * 257, "c" * 5_000_000])
+def test_odd_handle_of_a_checkpoint_leaves_the_task_reported(bench, monkeypatch, handle):
+    """Guards against tasks given up as their worker's replies cannot be encoded or read."""
+    call = bench.runtime._call
+
+    def call_with_odd_handle(method, path, body=None):
+        document = call(method, path, body)
+        return {"checkpoint": handle} if path.endswith("/checkpoint") else document
+
+    monkeypatch.setattr(bench.runtime, "_call", call_with_odd_handle)
+    bench.grant()
+    bench.run(checkpoint="")
+    bench.executions._held[TASK].checkpoint_due = bench.clock.monotonic()
+    steps(bench)
+    assert bench.report().is_running
+    assert sum(map(len, encoded_reports(bench))) < 1000
+    bench.executions.stop([TASK], TaskStopCommand(wire.TaskState.STOPPED, True, "moved"))
+    steps(bench, count=8)
+    assert bench.report().state == wire.TaskState.STOPPED
+    assert sum(map(len, encoded_reports(bench))) < 1000
+
+
 def test_task_that_finishes_before_its_stop_is_finished(bench):
     """Guards against a finished task that is reported as stopped and run again."""
     bench.grant()
