Commit results that one record cannot hold in several

Callers saw (role `entry`) finished tasks that stayed `running` without end: 80 tasks of one worker ended at about the same time with results of 16 kB that do not compress well.

Cause: `AttemptTracker.commit_reports` committed all events of a reply together, though they do not depend on each other; `CommitLog` divides only what several threads commit.

Ruled out: the store and the size of the reply (1.3 MB of 4 MB). What the shard cannot keep is still dropped with the oldest ended jobs (`test_shard_that_outgrows_its_snapshot_drops_its_oldest_results`).

Before: no end of this worker was committed.

--- a/packages/daemon/src/mulberryslipd/attempts.py
+++ b/packages/daemon/src/mulberryslipd/attempts.py
@@ -26,6 +26,7 @@
 )
 from mulberryslip.wire.ttypes import StopRequest, TaskReport, TaskState
 
+from .commits import split_events
 from .explanations import Explanations
 from .peers import WorkerExecutor
 from .terms import (
@@ -98,7 +99,8 @@
                 new = self._report_events(report, *found)
                 events += new
                 workers += [found[1].worker_id] * len(new)
-        changed = self._term.commit(events)
+        # Results of tasks that have ended together can be larger than a record.
+        changed = [applied for part in split_events(events) for applied in self._term.commit(part)]
         for worker, event, applied in zip(workers, events, changed, strict=True):
             if applied:
                 self._record_event(worker, event)
--- a/packages/daemon/src/mulberryslipd/commits.py
+++ b/packages/daemon/src/mulberryslipd/commits.py
@@ -107,7 +107,8 @@
     def commit(self, events: list[Any]) -> list[bool]:
         """Commit events and apply them.
 
-        :param events: journal events; all of them go into the same record.
+        :param events: journal events; all of them go into the same record. See `split_events` for
+            more than a record can hold.
         :returns: for each event whether it changed the state.
         :raises FencedError: another owner claimed the shard.
         :raises JournalError: the store did not answer; `unresolved` tells whether the events may
@@ -262,6 +263,20 @@
         return state, dropped
 
 
+def split_events(events: list[Any]) -> list[list[Any]]:
+    """Divide events that do not depend on each other into parts that fit into one record each."""
+    parts: list[list[Any]] = []
+    chars = 0
+    for event in events:
+        event_chars = _estimate_chars(event)
+        if not parts or chars + event_chars > MAX_GROUP_CHARS or len(parts[-1]) == MAX_GROUP_EVENTS:
+            parts.append([])
+            chars = 0
+        parts[-1].append(event)
+        chars += event_chars
+    return parts
+
+
 def _stored_bytes(state: dict) -> int:
     return len(zlib.compress(json.dumps(state, separators=(",", ":")).encode(), 1))
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -3,13 +3,15 @@
 import contextlib
 import json
 import random
+import string
 import threading
 import time
 from concurrent.futures import Future
 
 import attrs
 import pytest
-from mulberryslip import SystemClock, TaskKey
+import shard_doubles
+from mulberryslip import Resources, SystemClock, TaskKey
 from mulberryslip.actions import Action, ActionKind
 from mulberryslip.evacuations import EvacuationPlanner
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError
@@ -261,6 +263,26 @@
     assert quarantined == ["w0"]
 
 
+@pytest.mark.parametrize("size", [1000, 16_000])
+def test_results_that_no_record_can_hold_together_are_committed(monkeypatch, size):
+    """Guards against finished tasks that are never committed since they end at the same time."""
+    monkeypatch.setattr(shard_doubles, "CAPACITY", Resources(80_000, 160_000, 0, 80))
+    rng = random.Random(1)
+    letters = string.ascii_letters + string.digits
+    cluster = Cluster(workers=1)
+    owner = cluster.owner()
+    for number in range(10):
+        submit(owner, f"j{number}", tasks=8)
+    cluster.run(owner, 12)
+    assert len(cluster.running()) == 80
+    cluster.finish(result=lambda: json.dumps("".join(rng.choices(letters, k=size))))
+    cluster.run(owner, 5, ignore_errors=True)
+    assert cluster.workers[0].held == {}
+    listed = json.loads(owner.list_jobs(wire.ShardRequest(header(), 0)).body)
+    # The oldest results are dropped if the shard cannot hold them all.
+    assert {job["state"] for job in listed} == {"finished"}
+
+
 def test_cancellation_ends_queued_and_running_tasks_at_once():
     """Guards against cancelled tasks that keep running, start later or deliver a result."""
     cluster = Cluster(workers=1)
