--- a/packages/daemon/src/mulberryslipd/peers.py
+++ b/packages/daemon/src/mulberryslipd/peers.py
@@ -31,9 +31,6 @@
 class WorkerThreadPool:
     """Run the calls in one thread per worker, up to a limit.
 
-    A further thread starts these threads: on a busy machine, `Thread.start` waits some tenths of a
-    second until the new thread first runs, and a round would wait for each worker in turn.
-
     :param name: prefix of the thread names.
     :param max_threads: with more workers, several share a thread.
     """
@@ -45,8 +42,6 @@
         self._queues: list[queue.SimpleQueue] = []
         self._queue_by_worker: dict[str, queue.SimpleQueue] = {}
         self._stopped = False
-        self._unstarted: queue.SimpleQueue[threading.Thread | None] = queue.SimpleQueue()
-        threading.Thread(target=self._start_threads, name=f"{name}-starter", daemon=True).start()
 
     def submit(self, worker_id: str, call: Callable[[], Any]) -> Future:
         """Run a call after the earlier ones to the same worker."""
@@ -55,7 +50,12 @@
             if self._stopped:
                 fut.cancel()
                 return fut
-            calls = self._queue_by_worker.get(worker_id) or self._assign_queue(worker_id)
+            try:
+                calls = self._queue_by_worker.get(worker_id) or self._assign_queue(worker_id)
+            except RuntimeError as exc:
+                log(Event.INTERNAL_ERROR, method="start a thread for calls", error=repr(exc))
+                fut.set_exception(exc)
+                return fut
         calls.put((fut, call))
         return fut
 
@@ -70,24 +70,31 @@
             queues = list(self._queues)
         for calls in queues:
             calls.put(None)
-        self._unstarted.put(None)
 
     def _assign_queue(self, worker_id: str) -> queue.SimpleQueue:
+        """Return a queue for a worker: one with a new thread, or else one that is shared.
+
+        :raises RuntimeError: no thread can be started and there is none to share.
+        """
+        calls = None
         if len(self._queues) < self._max_threads:
-            calls: queue.SimpleQueue = queue.SimpleQueue()
-            self._queues.append(calls)
-            name = f"{self._name}-{len(self._queues)}"
-            self._unstarted.put(
-                threading.Thread(target=self._run, args=(calls,), name=name, daemon=True)
-            )
-        else:
-            calls = self._queues[len(self._queue_by_worker) % self._max_threads]
+            try:
+                calls = self._start_thread()
+            except RuntimeError:
+                if not self._queues:
+                    raise
+        if calls is None:
+            calls = self._queues[len(self._queue_by_worker) % len(self._queues)]
         self._queue_by_worker[worker_id] = calls
         return calls
 
-    def _start_threads(self) -> None:
-        while (thread := self._unstarted.get()) is not None:
-            thread.start()
+    def _start_thread(self) -> queue.SimpleQueue:
+        """Start a thread and return its queue; a queue without a thread would keep its calls."""
+        calls: queue.SimpleQueue = queue.SimpleQueue()
+        name = f"{self._name}-{len(self._queues) + 1}"
+        threading.Thread(target=self._run, args=(calls,), name=name, daemon=True).start()
+        self._queues.append(calls)
+        return calls
 
     def _run(self, calls: queue.SimpleQueue) -> None:
         while (item := calls.get()) is not None:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -3,13 +3,15 @@
 import contextlib
 import json
 import random
+import string
 import threading
 import time
 from concurrent.futures import Future
 
 import attrs
 import pytest
-from mulberryslip import SystemClock, TaskKey
+import shard_doubles
+from mulberryslip import Resources, SystemClock, TaskKey
 from mulberryslip.actions import Action, ActionKind
 from mulberryslip.evacuations import EvacuationPlanner
 from mulberryslip.exceptions import FencedError, NotSentError, ReplyLostError
@@ -261,6 +263,26 @@
     assert quarantined == ["w0"]
 
 
+@pytest.mark.parametrize("size", [1000, 16_000])
+def test_results_that_no_record_can_hold_together_are_committed(monkeypatch, size):
+    """Guards against finished tasks that are never committed since they end at the same time."""
+    monkeypatch.setattr(shard_doubles, "CAPACITY", Resources(80_000, 160_000, 0, 80))
+    rng = random.Random(1)
+    letters = string.ascii_letters + string.digits
+    cluster = Cluster(workers=1)
+    owner = cluster.owner()
+    for number in range(10):
+        submit(owner, f"j{number}", tasks=8)
+    cluster.run(owner, 12)
+    assert len(cluster.running()) == 80
+    cluster.finish(result=lambda: json.dumps("".join(rng.choices(letters, k=size))))
+    cluster.run(owner, 5, ignore_errors=True)
+    assert cluster.workers[0].held == {}
+    listed = json.loads(owner.list_jobs(wire.ShardRequest(header(), 0)).body)
+    # The oldest results are dropped if the shard cannot hold them all.
+    assert {job["state"] for job in listed} == {"finished"}
+
+
 def test_cancellation_ends_queued_and_running_tasks_at_once():
     """Guards against cancelled tasks that keep running, start later or deliver a result."""
     cluster = Cluster(workers=1)
@@ -511,6 +533,45 @@
     cluster.check_history()
 
 
+class FailingPolicy:
+    """Policy with a fault; sets an event at the last of some decisions."""
+
+    def __init__(self, stop):
+        self.stop = stop
+        self.decisions = 0
+
+    def decide(self, now, workers, running):
+        self.decisions += 1
+        if self.decisions == 5:
+            self.stop.set()
+        raise ZeroDivisionError("division by zero")
+
+
+def test_unexpected_error_of_a_policy_does_not_end_the_ownership():
+    """Guards against a shard on which nothing starts at any entry for a fault in one policy."""
+    cluster = Cluster()
+    stop = threading.Event()
+    owner = cluster.owner(policies=[FailingPolicy(stop)])
+    submit(owner, tasks=3)
+    owner._end_term("claimed by its thread")
+    owner.run(stop)
+    assert len(cluster.running()) == 3
+    assert len({worker.epoch for worker in cluster.workers}) == 1
+
+
+def test_unexpected_error_of_a_policy_leaves_the_others_in_force():
+    """Guards against tasks that stay in a data centre out of service for a fault in a policy."""
+    cluster = Cluster(workers=2, data_centres=("yes", "no"))
+    policies = [FailingPolicy(threading.Event()), EvacuationPlanner(cluster.clock)]
+    owner = cluster.owner(policies=policies)
+    submit(owner, tasks=4)
+    cluster.run(owner, 4)
+    cluster.set_config({"yes": "in", "no": "out"})
+    owner._source.refresh()
+    cluster.run(owner, 60)
+    assert [worker for _, worker in cluster.running()] == ["w0"] * 4
+
+
 def test_quotas_get_the_usage_of_each_account():
     """Guards against quotas that are never applied because usage is not reported."""
     cluster = Cluster(workers=2)
