Let trials alone make no outage while workers survive

While workers survive, an outage needs three independent ends without trials, as before the weights. The new row of the table fails before.

--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -326,8 +326,10 @@
         return False
     independent = _independent_crashes(crashes, running_workflows())
     weight = sum(TRIAL_WEIGHT if crash.is_trial else CRASH_WEIGHT for crash in independent)
+    # Survivors show that deadly tasks on trial are enough of a cause.
+    counted = [crash for crash in independent if not survivors or not crash.is_trial]
     return (
-        len(independent) >= MIN_OUTAGE_WORKERS
+        len(counted) >= MIN_OUTAGE_WORKERS
         and weight >= MIN_CRASH_WEIGHT
         and weight + SURVIVOR_WEIGHT * survivors >= 0
     )
