Bound the excuses of suspected tasks, and keep verdicts cheap and free of errors

Trials were excused in every outage, and a second wide workflow had the reduced blame.

A suspected task is now excused without limit only if the whole fleet has ended and not under trials alone, otherwise once together with its other excuses. A task is excused twice only where four runs or more had just started, and once if its workflow had started on several workers.

--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -69,10 +69,9 @@
     :param is_settled: whether it has been decided if the crash is part of an outage.
     :param is_outage: whether it is part of an outage, so that it tells nothing about its runs.
     :param is_fleet_outage: whether the whole fleet has ended, so that tasks would have had to crash
-        each of the workers.
-    :param suspected_workflow: workflow that may have crashed the whole fleet; empty if none can
-        have.
-    :param workflows: its `recent_workflows` once it is settled, since its runs are ended then.
+        each of the workers, and not under trials alone.
+    :param suspected_workflows: workflows that may have crashed the whole fleet.
+    :param workflows: its `recent_workflows` when it was judged last.
     :param together: number of crashes that counted towards an outage with it.
     :param fleet: number of workers to which they were compared.
     """
@@ -87,8 +86,8 @@
     is_settled: bool = False
     is_outage: bool = False
     is_fleet_outage: bool = False
-    suspected_workflow: str = ""
-    workflows: set[str] | None = None
+    suspected_workflows: frozenset[str] = frozenset()
+    workflows: set[str] = attrs.field(factory=set)
     together: int = 0
     fleet: int = 0
 
@@ -101,8 +100,6 @@
 
         Those with a task of the same step that is done are left out.
         """
-        if self.workflows is not None:
-            return self.workflows
         start_by_ms = {task.name: task.start_by_ms for task in self.lost_runs.values()}
         recent = recent_runs(start_by_ms) if start_by_ms else ()
         return {
@@ -145,14 +142,14 @@
     :param end: when the last worker can have ended that belongs to it.
     :param is_fleet: whether the whole fleet has ended.
     :param domain: failure domain to which it is confined; empty if it is not.
-    :param workflow: workflow that would explain all but a few of the crashes; empty if none would.
+    :param workflows: see `WorkerCrash.suspected_workflows`.
     """
 
     begin: timedelta
     end: timedelta
     is_fleet: bool
     domain: str = ""
-    workflow: str = ""
+    workflows: frozenset[str] = frozenset()
 
     def includes(self, crash: WorkerCrash) -> bool:
         """Return whether a crash belongs to the outage."""
@@ -161,6 +158,67 @@
         return is_inside and is_in_time
 
 
+@attrs.frozen
+class _Group:
+    """Crashes that may have taken place at the same moment.
+
+    :param survivors: workers that have not ended with them, by VM.
+    :param fleet: number of all workers.
+    :param outage: the outage that is their likely cause; None without one.
+    """
+
+    crashes: list[WorkerCrash]
+    survivors: dict[str, Survivor]
+    fleet: int
+    outage: _Outage | None
+
+    @classmethod
+    def of(
+        cls,
+        crashes: list[WorkerCrash],
+        reporting: Mapping[str, Survivor],
+        unheard: Collection[str],
+        running: Callable[[], Collection[str]],
+    ) -> "_Group":
+        """Judge crashes; see `WorkerCrashes.settle` for the other parameters."""
+        ended = {crash.machine for crash in crashes}
+        survivors = {
+            machine: worker for machine, worker in reporting.items() if machine not in ended
+        }
+        fleet = len({*reporting, *ended, *unheard})
+        domain = _outage_domain(crashes, [], list(survivors.values()), running)
+        is_fleet = _has_fleet_ended(crashes, fleet)
+        workflows: frozenset[str] = frozenset()
+        if domain is None and is_fleet:
+            domain, workflows = "", _widespread_workflows(crashes, running())
+        outage = None
+        if domain is not None:
+            times = [crash.at for crash in crashes]
+            outage = _Outage(min(times), max(times) + OUTAGE_TAIL, is_fleet, domain, workflows)
+        return cls(crashes, survivors, fleet, outage)
+
+    def may_be_outage(
+        self,
+        at: timedelta,
+        possible: Mapping[str, WorkerCrash],
+        unheard: Collection[str],
+        running: Callable[[], Collection[str]],
+    ) -> bool:
+        """Return whether it is an outage if all workers have ended that have not listed since.
+
+        :param at: time since which a listing shows that a worker has survived.
+        :param possible: the crashes of the reporting workers that would follow, by VM.
+        """
+        unknown = [
+            possible[machine] for machine, worker in self.survivors.items() if worker.listed_at < at
+        ]
+        unknown += [Survivor(at).as_crash(machine) for machine in unheard]
+        sound = [worker for worker in self.survivors.values() if worker.listed_at >= at]
+        return _outage_domain(
+            self.crashes, unknown, sound, running
+        ) is not None or _has_fleet_ended([*self.crashes, *unknown], self.fleet)
+
+
 class WorkerCrashes:
     """The latest crashes of workers, as one owner knows them. Not thread-safe."""
 
@@ -209,59 +267,56 @@
         """
         if all(crash.is_settled and not crash.lost_runs for crash in self._crashes.values()):
             return []
-        running = functools.cache(running_workflows)
-        for crash in self._crashes.values():
-            if crash.is_settled:
-                continue
-            ended = {
-                other.machine: other
-                for other in self._crashes.values()
-                if abs(other.at - crash.at) <= OUTAGE_WINDOW
-                and other.may_have_ended_by(crash.at)
-                and crash.may_have_ended_by(other.at)
-            }
-            survivors = {
-                machine: worker for machine, worker in reporting.items() if machine not in ended
-            }
-            fleet = {*reporting, *ended, *unheard}
-            crashes = list(ended.values())
-            domain = _outage_domain(crashes, [], list(survivors.values()), running)
-            is_fleet = len(fleet) - len(ended) <= MAX_SURVIVOR_SHARE * len(fleet)
-            workflow = ""
-            if domain is None and _has_fleet_ended(crashes, len(fleet)):
-                domain, (workflow, _) = "", _explained_crashes(crashes, running())
-            if domain is not None:
-                times = [other.at for other in crashes]
-                self._outage = _Outage(
-                    min(times), max(times) + OUTAGE_TAIL, is_fleet, domain, workflow
-                )
+        running = functools.cache(lambda: frozenset(running_workflows()))
+        possible = {machine: worker.as_crash(machine) for machine, worker in reporting.items()}
+        unsettled = [crash for crash in self._crashes.values() if not crash.is_settled]
+        for crash in unsettled:
+            crash.workflows = crash.recent_workflows()
+        # Most crashes of an outage have the same group.
+        groups: dict[frozenset[str], _Group] = {}
+        may_be_outage: dict[tuple[frozenset[str], int], bool] = {}
+        for crash in unsettled:
+            ended = self._ended_with(crash)
+            key = frozenset(ended)
+            if key not in groups:
+                groups[key] = _Group.of(list(ended.values()), reporting, unheard, running)
+            group = groups[key]
+            if group.outage is not None:
+                self._outage = group.outage
             outage = self._outage if self._outage and self._outage.includes(crash) else None
-            sound = [worker for worker in survivors.values() if worker.listed_at >= crash.at]
+            sound = sum(worker.listed_at >= crash.at for worker in group.survivors.values())
             if outage is not None:
-                may_change = not outage.is_fleet and len(sound) <= MAX_SURVIVOR_SHARE * len(fleet)
+                may_change = (
+                    not outage.is_fleet
+                    and len(ended) < group.fleet
+                    and sound <= MAX_SURVIVOR_SHARE * group.fleet
+                )
                 settling_time = OUTAGE_TAIL
             else:
-                unknown = [
-                    *(
-                        worker.as_crash(machine)
-                        for machine, worker in survivors.items()
-                        if worker.listed_at < crash.at
-                    ),
-                    *(Survivor(crash.at).as_crash(machine) for machine in unheard),
-                ]
-                may_change = _outage_domain(
-                    crashes, unknown, sound, running
-                ) is not None or _has_fleet_ended([*crashes, *unknown], len(fleet))
+                if (key, sound) not in may_be_outage:
+                    may_be_outage[key, sound] = group.may_be_outage(
+                        crash.at, possible, unheard, running
+                    )
+                may_change = may_be_outage[key, sound]
                 settling_time = SETTLING_TIME
             if not may_change or now - crash.at >= settling_time:
-                crash.workflows = crash.recent_workflows()
                 crash.is_settled, crash.is_outage = True, outage is not None
                 if outage is not None:
                     crash.is_fleet_outage = outage.is_fleet
-                    crash.suspected_workflow = outage.workflow
-                crash.together, crash.fleet = len(ended), len(fleet)
+                    crash.suspected_workflows = outage.workflows
+                crash.together, crash.fleet = len(ended), group.fleet
         return [crash for crash in self._crashes.values() if crash.is_settled and crash.lost_runs]
 
+    def _ended_with(self, crash: WorkerCrash) -> dict[str, WorkerCrash]:
+        """Return the crashes that may have taken place at the same moment, by VM."""
+        return {
+            other.machine: other
+            for other in self._crashes.values()
+            if abs(other.at - crash.at) <= OUTAGE_WINDOW
+            and other.may_have_ended_by(crash.at)
+            and crash.may_have_ended_by(other.at)
+        }
+
     def undecided_trials(self) -> set[str]:
         """Return the workflows with suspected tasks in crashes that are not settled yet."""
         return {
@@ -337,7 +392,9 @@
 
 def _is_step_proven(task: StepTask) -> bool:
     """Return whether another task of the same step is done, so that they are likely harmless."""
-    return any(other.phase is Phase.DONE for other in task.workflow.steps[task.step])
+    # A workflow that has ended meanwhile has no steps any more.
+    steps = task.workflow.steps
+    return task.step < len(steps) and any(other.phase is Phase.DONE for other in steps[task.step])
 
 
 def _has_fleet_ended(crashes: Sequence[WorkerCrash], fleet: int) -> bool:
@@ -359,24 +416,39 @@
 
     :param running: workflows with runs that continue.
     """
-    _, explained = _explained_crashes(crashes, running)
+    explained = _explained_crashes(crashes, running)
     # A crash that is not under trials says more.
-    redundant = sorted(explained, key=lambda crash: crash.is_trial)[1:]
-    return [crash for crash in crashes if all(crash is not other for other in redundant)]
+    redundant = {id(crash) for crash in sorted(explained, key=lambda crash: crash.is_trial)[1:]}
+    return [crash for crash in crashes if id(crash) not in redundant]
 
 
 def _explained_crashes(
     crashes: Sequence[WorkerCrash], running: Collection[str]
-) -> tuple[str, list[WorkerCrash]]:
-    """Return the workflow that explains most crashes, with these; empty if none does.
+) -> list[WorkerCrash]:
+    """Return the crashes that one workflow explains, the one that explains most.
 
     A workflow whose tasks all crash their workers has just started a run on each of these, none of
     its runs continues elsewhere, and no task of the step is done.
 
     :param running: workflows with runs that continue.
     """
+    explained = _crashes_by_workflow(crashes, running)
+    return max(explained.values(), key=len, default=[])
+
+
+def _widespread_workflows(
+    crashes: Sequence[WorkerCrash], running: Collection[str]
+) -> frozenset[str]:
+    """Return the workflows that would each explain several of the crashes."""
+    explained = _crashes_by_workflow(crashes, running)
+    return frozenset(workflow for workflow, group in explained.items() if len(group) > 1)
+
+
+def _crashes_by_workflow(
+    crashes: Sequence[WorkerCrash], running: Collection[str]
+) -> dict[str, list[WorkerCrash]]:
     explained: dict[str, list[WorkerCrash]] = defaultdict(list)
     for crash in crashes:
-        for workflow in crash.recent_workflows() - set(running):
+        for workflow in crash.workflows.difference(running):
             explained[workflow].append(crash)
-    return max(explained.items(), key=lambda item: len(item[1]), default=("", []))
+    return explained
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -221,8 +221,8 @@
         nothing was started on its worker later.
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
-    :param excused_starts: number of crashes soon after a start of the task that this process took
-        for an outage. One in an outage of the whole fleet counts for a part.
+    :param excused_starts: number of crashes that this process took for an outage although the task
+        had just started or was suspected; some count for a part.
     """
 
     workflow: "Workflow"
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -17,7 +17,6 @@
     FIRST_PROBATION_MS,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
-    MAX_UNCLEARED_RUNS,
     Excuse,
     max_backlog_trials,
     max_trials,
@@ -79,9 +78,11 @@
 """Time between journal records of checkpoints. Workers save about once a second, so more frequent
 records would hold the same checkpoints."""
 
-FLEET_OUTAGE_BLAME = 0.5
-"""Share of an excuse that an outage of the whole fleet takes up for a task that alone had just
-started on its worker. Two excuses and `CRASHES_BEFORE_GUILT` crashes are `MAX_UNCLEARED_RUNS`."""
+SHARED_BLAME = 0.5
+MIN_SHARED_STARTS = 4
+"""Part of an excuse that an outage of the whole fleet takes up for a task that had just started,
+and number of such runs on its worker from which on they share the blame. Two excused runs and
+`CRASHES_BEFORE_GUILT` crashes are `MAX_UNCLEARED_RUNS`."""
 
 INTERFERENCE_RECORD_INTERVAL = timedelta(seconds=3)
 """Time between journal records of interference estimates; a new owner learns later changes
@@ -587,29 +588,29 @@
         """Return the tasks for which the crash of their worker is no evidence.
 
         A task that starts at the same time as others, and crashes its worker like these, is excused
-        `MAX_EXCUSED_STARTS` times only. Once it is suspected, it is tried apart from them. When the
-        whole fleet has ended, each worker had to have such a task, so the runs that had just
-        started there share the blame.
+        `MAX_EXCUSED_STARTS` times only, also while it is suspected. When the whole fleet has ended,
+        each worker had to have such a task. So the end takes up `SHARED_BLAME` of an excuse where
+        several runs had just started, and none of a suspected task: others that nobody suspected
+        have ended together with it.
         """
-        excused = [
-            task
-            for task in lost
-            if task.delivered_run != task.run or (crash.is_outage and task.is_suspected)
-        ]
+        excused = [task for task in lost if task.delivered_run != task.run]
         if not crash.is_outage:
             return excused
-        others = [task for task in lost if task not in excused]
-        recent = [task for task in others if not self._has_lasted(term, task)]
-        blame = 1.0
-        if crash.is_fleet_outage and recent:
-            blame = max(FLEET_OUTAGE_BLAME / len(recent), 1 / MAX_UNCLEARED_RUNS)
-        for task in others:
-            if task in recent:
-                is_suspect = task.workflow.workflow_id == crash.suspected_workflow
-                task.excused_starts += 1 if is_suspect else blame
-                if task.excused_starts > MAX_EXCUSED_STARTS:
-                    continue
-            excused.append(task)
+        recent = {
+            task.name for task in lost if not task.is_suspected and not self._has_lasted(term, task)
+        }
+        is_shared = crash.is_fleet_outage and len(recent) >= MIN_SHARED_STARTS
+        for task in lost:
+            if task in excused:
+                continue
+            if task.is_suspected:
+                task.excused_starts += not crash.is_fleet_outage
+            elif task.name in recent:
+                is_widespread = task.workflow.workflow_id in crash.suspected_workflows
+                is_unlikely = is_shared and not is_widespread
+                task.excused_starts += SHARED_BLAME if is_unlikely else 1
+            if task.excused_starts <= MAX_EXCUSED_STARTS:
+                excused.append(task)
         return excused
 
     def _has_lasted(self, term: PoolTerm, task: StepTask) -> bool:
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -1,13 +1,14 @@
 """Waits of harmless tasks after their workers have ended, and of tasks suspected of crashes."""
 
 import random
+import time
 
 import attrs
 import pytest
 from mulberryslip.models import Resources
 from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, Survivor, WorkerCrashes
 from mulberryslip.steps import StepSpec
-from mulberryslip.workflows import Pool
+from mulberryslip.workflows import Pool, WorkflowCancelled
 from pool_doubles import MS, SECOND, PoolWorld
 from test_workflows import workflow_accepted
 
@@ -275,3 +276,57 @@
     first.lost_runs = {}
     crashes.forget({"w0": "2"}, 120 * SECOND)
     assert crash_of(crashes, 0, 120 * SECOND) is not first
+
+
+@pytest.mark.parametrize(
+    ("workers", "workflows", "count", "cpu_millis", "crash_ms"),
+    [
+        (4, 12, 1, 40_000, 10),
+        (11, 2, 11, 30_000, 10),
+        (11, 2, 11, 30_000, 400),
+        (11, 11, 1, 40_000, 400),
+        (40, 40, 1, 40_000, 10),
+    ],
+)
+def test_deadly_tasks_that_end_the_whole_fleet_are_given_up(
+    workers, workflows, count, cpu_millis, crash_ms
+):
+    """Guards against deadly tasks on each worker that pass for an outage again and again."""
+    world = make_world(workers)
+    for worker in world.workers:
+        worker.crash_ms_of = lambda name: crash_ms
+    names = [f"deadly{number}" for number in range(workflows)]
+    for name in names:
+        world.submit(name, attrs.evolve(TASK, cpu_millis=cpu_millis, count=count))
+    world.run(50 * ROUNDS_PER_SECOND)
+    assert shown_counts(world, names) == {"failed": workflows}
+    assert world.history.violations == []
+
+
+def test_run_of_a_workflow_that_has_ended_does_not_stop_the_verdicts():
+    """Guards against crashes that are never settled because one of them raises an error."""
+    crashes = WorkerCrashes()
+    pools = []
+    for number in range(4):
+        pools.append(Pool())
+        pools[-1].apply(workflow_accepted(f"a{number}"))
+        task = pools[-1].task(f"a{number}/0/0/0")
+        crash = crashes.record(f"w{number}", "1", f"m{number}", False, "refused", SECOND)
+        crash.lost_runs[task.name, 1] = task
+    pools[0].apply(WorkflowCancelled("a0", 5))
+    assert len(crashes.settle(2 * SECOND, {}, (), set)) == 4
+
+
+@pytest.mark.parametrize(("workers", "crashed"), [(200, 200), (800, 200)])
+def test_verdict_on_many_crashes_does_not_delay_a_round(workers, crashed):
+    """Guards against a round that compares all crashes with one another."""
+    crashes = WorkerCrashes()
+    for number in range(crashed):
+        for run in range(18):
+            crash = crashes.record(f"w{number}", "1", f"m{number}", False, "refused", SECOND)
+            task = pool_task(f"a{number}x{run}")
+            crash.lost_runs[task.name, 1] = task
+    others = survivors(workers - crashed, SECOND / 2)
+    began = time.process_time()
+    crashes.settle(SECOND, others, (), set)
+    assert time.process_time() - began < 0.2
