Excuse suspected and older runs for the end of the fleet whatever excuses they had

Only runs that had just started, and suspected ones in an outage of a part of the fleet, use excuses up now. Both cases of the new test fail before.

--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -604,12 +604,15 @@
             if task in excused:
                 continue
             if task.is_suspected:
-                task.excused_starts += not crash.is_fleet_outage
-            elif task.name in recent:
-                is_widespread = task.workflow.workflow_id in crash.suspected_workflows
-                is_unlikely = is_shared and not is_widespread
-                task.excused_starts += SHARED_BLAME if is_unlikely else 1
-            if task.excused_starts <= MAX_EXCUSED_STARTS:
+                blame = 0 if crash.is_fleet_outage else 1
+            elif task.name not in recent:
+                blame = 0
+            elif is_shared and task.workflow.workflow_id not in crash.suspected_workflows:
+                blame = SHARED_BLAME
+            else:
+                blame = 1
+            task.excused_starts += blame
+            if not blame or task.excused_starts <= MAX_EXCUSED_STARTS:
                 excused.append(task)
         return excused
 
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from mulberryslip.crashes import CrashRecord
 from mulberryslip.models import Resources
 from mulberryslip.outages import OUTAGE_TAIL, SETTLING_TIME, Survivor, WorkerCrashes
 from mulberryslip.steps import StepSpec
@@ -266,6 +267,24 @@
     assert {crash.is_outage for crash in made} == {False}
 
 
+@pytest.mark.parametrize("is_suspected", [False, True])
+def test_task_that_had_its_excuses_is_not_blamed_for_the_end_of_the_fleet(is_suspected):
+    """Guards against giving up a harmless task after several outages of the whole fleet."""
+    world = make_world()
+    world.submit("a", attrs.evolve(TASK, lasting=True))
+    world.submit("b", attrs.evolve(TASK, lasting=True, count=10))
+    world.run(3 * ROUNDS_PER_SECOND)
+    pool = world.owner()._term.pool
+    (task,) = pool.workflows["a"].tasks()
+    task.excused_starts = 2
+    task.crashes = CrashRecord(2, is_suspected, 2, ("m20", "m21"))
+    pool._crashed[task.name] = task
+    for worker in world.workers:
+        worker.crash()
+    world.run(2 * ROUNDS_PER_SECOND)
+    assert task.crashes.count == 2
+
+
 def test_known_crash_is_not_counted_again():
     """Guards against an agent that reports the same end again and again, as if in an outage."""
     crashes = WorkerCrashes()
