--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -270,7 +270,7 @@
 @pytest.mark.parametrize("is_suspected", [False, True])
 def test_task_that_had_its_excuses_is_not_blamed_for_the_end_of_the_fleet(is_suspected):
     """Guards against giving up a harmless task after several outages of the whole fleet."""
-    world = make_world()
+    world = make_world(run_ms=600_000)
     world.submit("a", attrs.evolve(TASK, lasting=True))
     world.submit("b", attrs.evolve(TASK, lasting=True, count=10))
     world.run(3 * ROUNDS_PER_SECOND)
