State in docstrings and pages what the verdicts do now

Read as a newcomer: settle's docstring left out OUTAGE_TAIL, together and fleet count VMs, MAX_EXCUSED_STARTS counts parts. No code changes.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -26,8 +26,8 @@
 them have crashed a worker. The others ended with a worker that went silent, perhaps in a crash."""
 
 MAX_EXCUSED_STARTS = 1
-"""Crashes soon after a start of the task that are taken for outages. With many of them, a task that
-crashes its workers could start too often."""
+"""Crashes under a task that had just started, or is suspected, which are taken for outages. Some in
+outages of the whole fleet count for a part. With many, a deadly task could start too often."""
 
 FIRST_PROBATION_MS = 1000
 MAX_PROBATION_MS = 8000
--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -72,8 +72,8 @@
         each of the workers, and not under trials alone.
     :param suspected_workflows: workflows that may have crashed the whole fleet.
     :param workflows: its `recent_workflows` when it was judged last.
-    :param together: number of crashes that counted towards an outage with it.
-    :param fleet: number of workers to which they were compared.
+    :param together: number of VMs with a crash that counted towards an outage with it.
+    :param fleet: number of VMs to which they were compared.
     """
 
     machine: str
@@ -257,8 +257,9 @@
     ) -> list[WorkerCrash]:
         """Decide which crashes are part of an outage; return those with runs to end.
 
-        A crash is left open for `SETTLING_TIME`, or until so many other workers have reported since
-        that it cannot be part of an outage.
+        A crash is left open for `SETTLING_TIME`, or until the workers that have not reported since
+        cannot make it part of an outage. One of an outage is left open for `OUTAGE_TAIL`, or until
+        it is known whether the whole fleet has ended.
 
         :param reporting: workers that report and do not leave, by VM.
         :param unheard: VMs of workers with runs that have not reported to this owner yet.
