Let a long-running task that has run for long lose runs without being suspected

Cause: a verdict has no memory of runs that lasted. A service that has run well for 15 s and loses two workers in a row to its neighbours is suspected, waits for trials, closes workers to others, and is given up.

A proven task may lose four runs early, each before it has proven itself again, without evidence against it. After that, and for a crash after the run has lasted, crashes count as before, so a task that becomes deadly is given up after four crashes more; one that crashes its workers late is found as before. A crash after a long run is remembered, and later long runs then prove nothing for 30 s.

Weighed: a proof for all tasks of the step. A submission with a deadly task has harmless ones beside it that prove themselves, so the deadly one would get four starts more (BUDGET). Ruled out: proofs for checks; they end within seconds.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -5,6 +5,7 @@
 - One task crashes each worker that starts it, and each crash also ends the other runs there. Which
   of them is to blame can only be seen when a suspected task starts apart from others.
 - A data centre loses power, so many workers crash at once under tasks that are harmless.
+- Tasks crash worker after worker while long-running ones that have run well restart beside them.
 """
 
 import enum
@@ -37,6 +38,14 @@
 CLEARED_AFTER_MS = 30_000
 """Run time after which the earlier crashes of a task do not count any more."""
 
+PROVEN_AFTER_MS = 5000
+"""Run time after which a long-running task has proven itself: it does not crash the workers that
+start it. A crash later in a run counts as evidence all the same."""
+
+MAX_LOSSES_OF_PROVEN = 4
+"""Runs that a proven task may lose to its workers, each before it has proven itself again, until
+its crashes count like those of any task. It bounds the starts of one that has become deadly."""
+
 MAX_CRASHED_MACHINES = 8
 
 MAX_TRIAL_SHARE = 0.25
@@ -81,6 +90,8 @@
     :param excuse: whether one more crash is excused, because the trial of another task is the
         likelier cause. The next crash counts it, too, and no other one is excused. After a crash
         that followed a survived trial, none is.
+    :param is_late: whether the first crash came after a run that had lasted for
+        `PROVEN_AFTER_MS`. Further such runs then prove nothing.
     """
 
     count: int = 0
@@ -88,6 +99,7 @@
     uncleared_runs: int = 0
     machines: tuple[str, ...] = ()
     excuse: Excuse = Excuse.NONE
+    is_late: bool = False
 
     @property
     def is_exhausted(self) -> bool:
--- a/packages/core/src/mulberryslip/snapshots.py
+++ b/packages/core/src/mulberryslip/snapshots.py
@@ -22,6 +22,11 @@
 CHECKPOINT_RESERVE_BYTES = 64
 """Stored bytes kept for the checkpoint of a task that writes checkpoints."""
 
+PROOF_RESERVE_BYTES = 16
+PROOF_TEXT_BYTES = 80
+"""Stored bytes and length in bytes of JSON text kept for the record that a long-running task has
+proven itself, and in which run."""
+
 BASE_RESERVE_BYTES = 2048
 """Stored bytes kept for the parts of a snapshot that belong to no workflow and for the variation of
 the compression."""
@@ -154,7 +159,8 @@
     text_bytes = len(json.dumps(records.encode(event), separators=(",", ":")))
     total = SnapshotSize(text_bytes, text_bytes)
     for step in spec.steps:
-        total += _reserve(step.count, step.count if step.checkpoints else 0)
+        unproven = step.count if step.lasting else 0
+        total += _reserve(step.count, step.count if step.checkpoints else 0, unproven)
     return total
 
 
@@ -167,18 +173,22 @@
 
 
 def _workflow_reserve(workflow: Workflow) -> SnapshotSize:
-    unstarted = unsaved = 0
+    unstarted = unsaved = unproven = 0
     for task in workflow.tasks():
         if task.phase in (Phase.WAITING, Phase.HELD):
             unstarted += task.run == 0
             unsaved += task.spec.checkpoints and not task.checkpoint
-    return _reserve(unstarted, unsaved)
+            unproven += task.spec.lasting and task.outlived_run != task.run
+    return _reserve(unstarted, unsaved, unproven)
+
 
+def _reserve(unstarted: int, unsaved: int, unproven: int) -> SnapshotSize:
+    """Return the reserve for tasks without a run, without a checkpoint, and without a proof.
 
-def _reserve(unstarted: int, unsaved: int) -> SnapshotSize:
-    """Return the reserve for tasks without a run, and for tasks without a checkpoint."""
+    :param unproven: number of long-running tasks whose latest run is not recorded to have lasted.
+    """
     checkpoint_bytes = unsaved * CHECKPOINT_RESERVE_BYTES
     return SnapshotSize(
-        unstarted * TASK_RESERVE_BYTES + checkpoint_bytes,
-        unstarted * TASK_TEXT_BYTES + checkpoint_bytes,
+        unstarted * TASK_RESERVE_BYTES + checkpoint_bytes + unproven * PROOF_RESERVE_BYTES,
+        unstarted * TASK_TEXT_BYTES + checkpoint_bytes + unproven * PROOF_TEXT_BYTES,
     )
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -15,7 +15,7 @@
 import attrs
 
 from . import records
-from .crashes import CrashRecord, Excuse, recent_runs
+from .crashes import MAX_LOSSES_OF_PROVEN, CrashRecord, Excuse, recent_runs
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
@@ -117,7 +117,8 @@
     A record that repeats the last checkpoint tells that the run has outlived the probation of its
     task, or the longest one if no worker has crashed under the task. If the task was no longer
     suspected, its crashes do not count any more; but if the next event is that the run was lost,
-    that crash is excused, and the earlier ones go on counting.
+    that crash is excused, and the earlier ones go on counting. A long-running task under which no
+    crash counts is proven then, see `StepTask.losses_left`.
     """
 
     task: str = records.text("t", MAX_NAME_CHARS)
@@ -216,9 +217,11 @@
     :param waiting_since_ms: when the task last began to wait for a worker, in milliseconds since
         1970; 0 before the first time. A run that was not started does not end the wait.
     :param crashes: worker crashes under the task; None if there are none that count.
-    :param outlived_run: number of the run that has lasted longer than any probation while no
-        crashes counted; 0 for none. A crash then does not make the task suspected just because
-        nothing was started on its worker later.
+    :param outlived_run: number of the run that has lasted longer than any probation, or has proven
+        a long-running task, while no crashes counted; 0 for none. A crash then does not make the
+        task suspected just because nothing was started on its worker later.
+    :param losses_left: how many runs a long-running task that has proven itself may still lose
+        without evidence against it; 0 if it has not, see `MAX_LOSSES_OF_PROVEN`.
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
     :param excused_starts: number of crashes that this process took for an outage although the task
@@ -243,6 +246,7 @@
     waiting_since_ms: int = 0
     crashes: CrashRecord | None = None
     outlived_run: int = 0
+    losses_left: int = 0
     delivered_run: int = 0
     excused_starts: float = 0.0
     lost_run: int = 0
@@ -252,6 +256,11 @@
         """Return whether the task may crash workers and must start apart from others."""
         return self.crashes is not None and self.crashes.is_suspected
 
+    @property
+    def is_proven(self) -> bool:
+        """Return whether the task has run for long and has lost few runs since."""
+        return self.losses_left > 0
+
     @property
     def has_lost_start(self) -> bool:
         """Return whether the start of the latest run was lost."""
@@ -334,7 +343,7 @@
         self._workers_to_stop_runs_on: set[str] = set()
         self._crashed: dict[str, StepTask] = {}
         self._lapsed: dict[str, StepTask] = {}
-        self._last_forgotten: tuple[str, CrashRecord] | None = None
+        self._last_forgotten: tuple[str, CrashRecord, int] | None = None
         self._recent_runs: dict[tuple[str, str], frozenset[str]] = {}
         self._newly_suspected: list[StepTask] = []
         self._ended: dict[str, None] = {}
@@ -602,17 +611,24 @@
             return False
         is_guilty = False
         if outcome is RunOutcome.LOST and self._last_forgotten is not None:
-            name, record = self._last_forgotten
+            name, record, losses_left = self._last_forgotten
             if name == task.name:
+                task.losses_left = losses_left
                 record.excuse, record.is_suspected = Excuse.PENDING, True
                 task.crashes, self._crashed[task.name] = record, task
                 return False
+        if outcome is RunOutcome.LAPSED and task.is_proven:
+            task.losses_left -= 1
+            return False
         if outcome is RunOutcome.LAPSED and task.crashes is None:
             self._lapsed[task.name] = task
         if outcome is RunOutcome.LOST:
             if task.crashes is None:
                 # A run that lapsed may have ended in a crash that no owner learned of.
-                task.crashes = CrashRecord(uncleared_runs=int(task.name in self._lapsed))
+                task.crashes = CrashRecord(
+                    uncleared_runs=int(task.name in self._lapsed),
+                    is_late=task.spec.lasting and task.outlived_run == task.run,
+                )
                 self._crashed[task.name] = task
             was_suspected = task.is_suspected
             recent = self._recent_runs_at_crash(task)
@@ -621,6 +637,7 @@
             is_guilty = task.crashes.record_crash(task.machine or task.worker_id, recent, task.name)
             if task.is_suspected and not was_suspected:
                 self._newly_suspected.append(task)
+                task.losses_left = 0
         if task.crashes is None:
             return False
         if outcome is not RunOutcome.UNSTARTED:
@@ -644,17 +661,18 @@
         return recent
 
     def _record_survival(self, task: StepTask) -> bool:
-        if task.crashes is None:
-            is_new = task.outlived_run != task.run
-            task.outlived_run = task.run
-            return is_new
-        if task.crashes.is_suspected:
+        if task.crashes is not None and task.crashes.is_suspected:
             task.crashes.is_suspected = False
-        else:
-            self._last_forgotten = task.name, task.crashes
+            return True
+        is_new = task.outlived_run != task.run
+        if task.crashes is not None:
+            self._last_forgotten = task.name, task.crashes, task.losses_left
             self._forget_crashes(task)
-            task.outlived_run = task.run
-        return True
+            is_new = True
+        task.outlived_run = task.run
+        if task.spec.lasting:
+            task.losses_left = MAX_LOSSES_OF_PROVEN
+        return is_new
 
     def _forget_crashes(self, task: StepTask) -> None:
         task.crashes = None
@@ -726,6 +744,12 @@
                 if task.crashes.excuse is not Excuse.NONE
             ],
             "lapsed": list(self._lapsed),
+            "proven": [
+                [name, [task.losses_left for task in workflow.tasks()]]
+                for name, workflow in self.workflows.items()
+                if any(task.is_proven for task in workflow.tasks())
+            ],
+            "late_crashes": [task.name for task in self._crashed.values() if task.crashes.is_late],
             "outlived": [
                 [task.name, task.run]
                 for tasks in self._active_by_worker.values()
@@ -760,6 +784,12 @@
             for name, run in raw.get("outlived", ()):
                 _check_types((name, run), (str, int))
                 pool._tasks[name].outlived_run = run
+            for name, losses_left in raw.get("proven", ()):
+                _check_types(losses_left, (int,) * len(losses_left))
+                for task, left in zip(pool.workflows[name].tasks(), losses_left, strict=True):
+                    task.losses_left = left
+            for name in raw.get("late_crashes", ()):
+                pool._crashed[name].crashes.is_late = True
             pool.publish()
         except (TypeError, KeyError, ValueError, IndexError) as exc:
             raise InvalidMessageError(f"invalid pool snapshot: {exc!r}") from exc
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -555,6 +555,7 @@
                 self._scheduler.expire,
                 self._scheduler.new_checkpoints,
                 self._scheduler.survived_probations,
+                self._scheduler.proven_runs,
                 self._scheduler.learned_interference,
             ):
                 events += self._apply(term, self._run_part(part, term))
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -22,6 +22,7 @@
     FIRST_PROBATION_MS,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
+    PROVEN_AFTER_MS,
     Excuse,
     max_backlog_trials,
     max_trials,
@@ -106,6 +107,9 @@
 SURVIVAL_INTERVAL = timedelta(milliseconds=100)
 """Time between two checks for suspected tasks that have outlived their probation."""
 
+PROOF_INTERVAL = timedelta(milliseconds=500)
+"""Time between two checks for long-running tasks that have proven themselves, of all runs."""
+
 LOST_RUNS_INTERVAL = timedelta(milliseconds=100)
 """Time between two checks for lost workers, which compare all workers."""
 
@@ -234,6 +238,7 @@
         self._lost_runs_timer = _Timer(LOST_RUNS_INTERVAL, now)
         self._wait_log_timer = _Timer(WAIT_LOG_INTERVAL, now)
         self._survival_timer = _Timer(SURVIVAL_INTERVAL, now)
+        self._proof_timer = _Timer(PROOF_INTERVAL, now)
 
     def restore_interference(self, term: PoolTerm) -> None:
         """Restore the interference estimates that earlier owners recorded."""
@@ -615,8 +620,16 @@
         each worker had to have such a task. So the end takes up `SHARED_BLAME` of an excuse where
         several runs had just started, and none of a suspected task: others that nobody suspected
         have ended together with it.
+
+        A proven task is excused for a run that ended early: such a crash can only be its fault if
+        it has changed since, and `StepTask.losses_left` bounds how often that is ignored.
         """
-        excused = [task for task in lost if task.delivered_run != task.run]
+        excused = [
+            task
+            for task in lost
+            if task.delivered_run != task.run
+            or (task.is_proven and not task.is_suspected and not self._has_proven(term, task))
+        ]
         if not crash.is_outage:
             return excused
         recent = {
@@ -645,6 +658,14 @@
         is_known = member is not None and member.incarnation == task.incarnation
         return is_known and _age_ms(task, member) >= FIRST_PROBATION_MS
 
+    def _has_proven(self, term: PoolTerm, task: StepTask) -> bool:
+        """Return whether a run is known to have lasted for `PROVEN_AFTER_MS`."""
+        member = term.members.get(task.worker_id)
+        is_known = member is not None and member.incarnation == task.incarnation
+        return task.outlived_run == task.run or (
+            is_known and _age_ms(task, member) >= PROVEN_AFTER_MS
+        )
+
     def _survived_probation(
         self, term: PoolTerm, task: StepTask, on_trial: Collection[str]
     ) -> list[Any]:
@@ -665,7 +686,12 @@
             and on_trial
             and task.name not in on_trial
         )
-        required_ms = FIRST_PROBATION_MS if is_cleared else MAX_PROBATION_MS
+        if is_cleared:
+            required_ms = FIRST_PROBATION_MS
+        else:
+            required_ms = PROVEN_AFTER_MS if task.spec.lasting else MAX_PROBATION_MS
+        if task.outlived_run == task.run:
+            return []
         if (task.crashes is None or is_cleared) and _age_ms(task, member) >= required_ms:
             return [RunCheckpointed(task.name, task.run, task.checkpoint)]
         return []
@@ -726,7 +752,8 @@
             if status is None or not task.has_active_run(status.run):
                 continue
             if not task.is_suspected:
-                required_ms = CLEARED_AFTER_MS
+                is_early = task.spec.lasting and not task.crashes.is_late
+                required_ms = PROVEN_AFTER_MS if is_early else CLEARED_AFTER_MS
             elif has_backlog or self._admits_any(term, member, services):
                 # Others wait for the worker.
                 required_ms = FIRST_PROBATION_MS
@@ -736,6 +763,25 @@
                 events.append(RunCheckpointed(task.name, task.run, task.checkpoint))
         return events
 
+    def proven_runs(self, term: PoolTerm) -> list[Any]:
+        """Return events for runs that have lasted so long that their services are proven.
+
+        The events repeat the last checkpoint, see `RunCheckpointed`.
+        """
+        if not self._proof_timer.is_due(self._clock.monotonic()):
+            return []
+        return [
+            RunCheckpointed(name, status.run, task.checkpoint)
+            for member in term.members.values()
+            for name, status in member.running.items()
+            if (task := term.pool.task(name)) is not None
+            and task.spec.lasting
+            and task.crashes is None
+            and task.outlived_run != status.run
+            and task.has_active_run(status.run)
+            and _age_ms(task, member) >= PROVEN_AFTER_MS
+        ]
+
     def _admits_any(self, term: PoolTerm, member: Member, tasks: Iterable[StepTask]) -> bool:
         """Return whether a worker has room for one of some tasks, apart from trials."""
         return any(self._allocated_capacity(term, member).admits(task) for task in tasks)
