Excuse proven services also late in their runs, beside runs that began later

Each had lost three runs of 6 to 9 s; such a loss counts as evidence, although a check had just started beside it.

A proven task is now excused for the loss of a longer run, too, if a run that nothing proves was the last to start on the worker: tasks that crash their workers do so soon after they start. A service that crashes its workers late would be excused again and again on a busy fleet. So a proof has a second limit: twelve losses until a run has lasted for 30 s. Without younger runs beside it, the crash counts as before.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -42,9 +42,11 @@
 """Run time after which a long-running task has proven itself: it does not crash the workers that
 start it. A crash later in a run counts as evidence all the same."""
 
-MAX_LOSSES_OF_PROVEN = 4
-"""Runs that a proven task may lose to its workers, each before it has proven itself again, until
-its crashes count like those of any task. It bounds the starts of one that has become deadly."""
+MAX_LOSSES_IN_SERIES = 4
+MAX_LOSSES = 12
+"""Runs that a proven task may lose to its workers until its crashes count like those of any task:
+without a run of `PROVEN_AFTER_MS` between them, and without one of `CLEARED_AFTER_MS`. They bound
+the starts of a task that has become deadly, at once or late in its runs."""
 
 MAX_CRASHED_MACHINES = 8
 
@@ -77,6 +79,34 @@
     COUNTED = "counted"
 
 
+@attrs.frozen
+class Proof:
+    """What a long-running task that has run for long may lose without evidence against it.
+
+    :param in_series: number of runs until it has proven itself again.
+    :param in_all: number of runs until one has lasted for `CLEARED_AFTER_MS`.
+    """
+
+    in_series: int
+    in_all: int
+
+    def __bool__(self) -> bool:
+        """Return whether the loss of one more run is excused."""
+        return self.in_series > 0
+
+    def after_loss(self) -> "Proof":
+        """Return the proof after the loss of a run."""
+        return Proof(self.in_series - 1, self.in_all - 1)
+
+    def renewed(self) -> "Proof":
+        """Return the proof after a run of `PROVEN_AFTER_MS`."""
+        return Proof(min(MAX_LOSSES_IN_SERIES, self.in_all), self.in_all)
+
+
+FULL_PROOF = Proof(MAX_LOSSES_IN_SERIES, MAX_LOSSES)
+"""Proof after the first run of `PROVEN_AFTER_MS`, and after each of `CLEARED_AFTER_MS`."""
+
+
 @attrs.define
 class CrashRecord:
     """The worker crashes under one task since it last ran without one.
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -15,7 +15,7 @@
 import attrs
 
 from . import records
-from .crashes import MAX_LOSSES_OF_PROVEN, CrashRecord, Excuse, recent_runs
+from .crashes import FULL_PROOF, CrashRecord, Excuse, Proof, recent_runs
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
@@ -118,7 +118,7 @@
     task, or the longest one if no worker has crashed under the task. If the task was no longer
     suspected, its crashes do not count any more; but if the next event is that the run was lost,
     that crash is excused, and the earlier ones go on counting. A long-running task under which no
-    crash counts is proven then, see `StepTask.losses_left`.
+    crash counts is proven then, and a second such record in a run renews its proof in full.
     """
 
     task: str = records.text("t", MAX_NAME_CHARS)
@@ -220,8 +220,8 @@
     :param outlived_run: number of the run that has lasted longer than any probation, or has proven
         a long-running task, while no crashes counted; 0 for none. A crash then does not make the
         task suspected just because nothing was started on its worker later.
-    :param losses_left: how many runs a long-running task that has proven itself may still lose
-        without evidence against it; 0 if it has not, see `MAX_LOSSES_OF_PROVEN`.
+    :param proof: what a long-running task that has run for long may lose without evidence against
+        it; None if it has not run for long, or is suspected since.
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
     :param excused_starts: number of crashes that this process took for an outage although the task
@@ -246,7 +246,7 @@
     waiting_since_ms: int = 0
     crashes: CrashRecord | None = None
     outlived_run: int = 0
-    losses_left: int = 0
+    proof: Proof | None = None
     delivered_run: int = 0
     excused_starts: float = 0.0
     lost_run: int = 0
@@ -259,7 +259,7 @@
     @property
     def is_proven(self) -> bool:
         """Return whether the task has run for long and has lost few runs since."""
-        return self.losses_left > 0
+        return bool(self.proof)
 
     @property
     def has_lost_start(self) -> bool:
@@ -343,7 +343,7 @@
         self._workers_to_stop_runs_on: set[str] = set()
         self._crashed: dict[str, StepTask] = {}
         self._lapsed: dict[str, StepTask] = {}
-        self._last_forgotten: tuple[str, CrashRecord, int] | None = None
+        self._last_forgotten: tuple[str, CrashRecord, Proof | None] | None = None
         self._recent_runs: dict[tuple[str, str], frozenset[str]] = {}
         self._newly_suspected: list[StepTask] = []
         self._ended: dict[str, None] = {}
@@ -611,14 +611,14 @@
             return False
         is_guilty = False
         if outcome is RunOutcome.LOST and self._last_forgotten is not None:
-            name, record, losses_left = self._last_forgotten
+            name, record, proof = self._last_forgotten
             if name == task.name:
-                task.losses_left = losses_left
+                task.proof = proof
                 record.excuse, record.is_suspected = Excuse.PENDING, True
                 task.crashes, self._crashed[task.name] = record, task
                 return False
         if outcome is RunOutcome.LAPSED and task.is_proven:
-            task.losses_left -= 1
+            task.proof = task.proof.after_loss()
             return False
         if outcome is RunOutcome.LAPSED and task.crashes is None:
             self._lapsed[task.name] = task
@@ -637,7 +637,7 @@
             is_guilty = task.crashes.record_crash(task.machine or task.worker_id, recent, task.name)
             if task.is_suspected and not was_suspected:
                 self._newly_suspected.append(task)
-                task.losses_left = 0
+                task.proof = None
         if task.crashes is None:
             return False
         if outcome is not RunOutcome.UNSTARTED:
@@ -664,15 +664,18 @@
         if task.crashes is not None and task.crashes.is_suspected:
             task.crashes.is_suspected = False
             return True
-        is_new = task.outlived_run != task.run
+        before = (task.crashes, task.proof, task.outlived_run)
         if task.crashes is not None:
-            self._last_forgotten = task.name, task.crashes, task.losses_left
+            is_full = task.crashes.is_late
+            self._last_forgotten = task.name, task.crashes, task.proof
             self._forget_crashes(task)
-            is_new = True
+        else:
+            is_full = task.outlived_run == task.run
         task.outlived_run = task.run
         if task.spec.lasting:
-            task.losses_left = MAX_LOSSES_OF_PROVEN
-        return is_new
+            is_full = is_full or task.proof is None
+            task.proof = FULL_PROOF if is_full else task.proof.renewed()
+        return (task.crashes, task.proof, task.outlived_run) != before
 
     def _forget_crashes(self, task: StepTask) -> None:
         task.crashes = None
@@ -745,9 +748,9 @@
             ],
             "lapsed": list(self._lapsed),
             "proven": [
-                [name, [task.losses_left for task in workflow.tasks()]]
+                [name, [_proof_row(task) for task in workflow.tasks()]]
                 for name, workflow in self.workflows.items()
-                if any(task.is_proven for task in workflow.tasks())
+                if any(task.proof is not None for task in workflow.tasks())
             ],
             "late_crashes": [task.name for task in self._crashed.values() if task.crashes.is_late],
             "outlived": [
@@ -784,10 +787,11 @@
             for name, run in raw.get("outlived", ()):
                 _check_types((name, run), (str, int))
                 pool._tasks[name].outlived_run = run
-            for name, losses_left in raw.get("proven", ()):
-                _check_types(losses_left, (int,) * len(losses_left))
-                for task, left in zip(pool.workflows[name].tasks(), losses_left, strict=True):
-                    task.losses_left = left
+            for name, proofs in raw.get("proven", ()):
+                for task, row in zip(pool.workflows[name].tasks(), proofs, strict=True):
+                    if row is not None:
+                        _check_types(row, (int, int))
+                        task.proof = Proof(*row)
             for name in raw.get("late_crashes", ()):
                 pool._crashed[name].crashes.is_late = True
             pool.publish()
@@ -905,6 +909,10 @@
     ]
 
 
+def _proof_row(task: StepTask) -> list[int] | None:
+    return None if task.proof is None else list(attrs.astuple(task.proof))
+
+
 _CRASH_ROW_TYPES = (str, int, bool, int, list)
 _TASK_ROW_TYPES = (str, int, str, str, str, int, int, str, list, int)
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -20,6 +20,7 @@
 from mulberryslip.crashes import (
     CLEARED_AFTER_MS,
     FIRST_PROBATION_MS,
+    FULL_PROOF,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
     PROVEN_AFTER_MS,
@@ -621,14 +622,20 @@
         several runs had just started, and none of a suspected task: others that nobody suspected
         have ended together with it.
 
-        A proven task is excused for a run that ended early: such a crash can only be its fault if
-        it has changed since, and `StepTask.losses_left` bounds how often that is ignored.
+        A proven task is excused for a run that ended early, which can only be its fault if it has
+        changed since, and for one beside runs that started later and that nothing proves. `Proof`
+        bounds how often.
         """
+        has_young = any(self._is_young(term, task) for task in _recent_tasks(lost))
         excused = [
             task
             for task in lost
             if task.delivered_run != task.run
-            or (task.is_proven and not task.is_suspected and not self._has_proven(term, task))
+            or (
+                task.is_proven
+                and not task.is_suspected
+                and (has_young or not self._has_proven(term, task))
+            )
         ]
         if not crash.is_outage:
             return excused
@@ -658,6 +665,10 @@
         is_known = member is not None and member.incarnation == task.incarnation
         return is_known and _age_ms(task, member) >= FIRST_PROBATION_MS
 
+    def _is_young(self, term: PoolTerm, task: StepTask) -> bool:
+        """Return whether neither the run of a task nor an earlier one has lasted."""
+        return not task.is_proven and not self._has_proven(term, task)
+
     def _has_proven(self, term: PoolTerm, task: StepTask) -> bool:
         """Return whether a run is known to have lasted for `PROVEN_AFTER_MS`."""
         member = term.members.get(task.worker_id)
@@ -770,17 +781,19 @@
         """
         if not self._proof_timer.is_due(self._clock.monotonic()):
             return []
-        return [
-            RunCheckpointed(name, status.run, task.checkpoint)
-            for member in term.members.values()
-            for name, status in member.running.items()
-            if (task := term.pool.task(name)) is not None
-            and task.spec.lasting
-            and task.crashes is None
-            and task.outlived_run != status.run
-            and task.has_active_run(status.run)
-            and _age_ms(task, member) >= PROVEN_AFTER_MS
-        ]
+        events = []
+        for member in term.members.values():
+            for name, status in member.running.items():
+                task = term.pool.task(name)
+                if task is None or not task.spec.lasting or task.crashes is not None:
+                    continue
+                if not task.has_active_run(status.run) or task.proof == FULL_PROOF:
+                    continue
+                is_renewal = task.outlived_run == status.run
+                required_ms = CLEARED_AFTER_MS if is_renewal else PROVEN_AFTER_MS
+                if _age_ms(task, member) >= required_ms:
+                    events.append(RunCheckpointed(name, status.run, task.checkpoint))
+        return events
 
     def _admits_any(self, term: PoolTerm, member: Member, tasks: Iterable[StepTask]) -> bool:
         """Return whether a worker has room for one of some tasks, apart from trials."""
@@ -1345,12 +1358,20 @@
 def _recent_trials(lost: Collection[StepTask]) -> set[str]:
     """Return the suspected tasks that a crashed worker had started shortly before.
 
+    :param lost: tasks whose runs it lost.
+    """
+    return {task.name for task in _recent_tasks(lost) if task.is_suspected}
+
+
+def _recent_tasks(lost: Collection[StepTask]) -> list[StepTask]:
+    """Return the tasks that a crashed worker had started last.
+
     :param lost: tasks whose runs it lost.
     """
     if not lost:
-        return set()
+        return []
     recent = recent_runs({task.name: task.start_by_ms for task in lost})
-    return {task.name for task in lost if task.is_suspected and task.name in recent}
+    return [task for task in lost if task.name in recent]
 
 
 def is_cheap_to_stop(task: StepTask, status: RunningRun) -> bool:
