Start a service that has waited for 4 s wherever no rule forbids it

Cause: about thirty reasons keep a service from a worker. Two had no bound at all: a service above the short tasks' reserve, and one with three crashes behind others like it.

The reasons are two types now, in refusals.py. A Requirement is a rule, or a fact about the worker, and binds always. A Preference binds a service for START_DEADLINE_MS; then it starts in the round on any worker with room, on trial or not, and preferences only decide between workers. In the reserve for short tasks it starts after the short tasks of the round. A crash after a start beside a trial is a verdict on neither task; a guilty one is still given up after five runs with three crashes.

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -6,6 +6,7 @@
 import attrs
 
 from .models import Resources
+from .refusals import Requirement
 from .workflows import StepTask
 
 
@@ -143,25 +144,25 @@
         """Return whether a run fits on this worker and its step may run here."""
         return not self.refusal(task)
 
-    def refusal(self, task: StepTask) -> str:
-        """Return why a run may not start on this worker; empty if it fits and may run here."""
+    def refusal(self, task: StepTask) -> Requirement | None:
+        """Return why a run may not start on this worker; None if it fits and may run here."""
         if self.service != task.workflow.queue.service:
-            return "another service"
+            return Requirement.OTHER_SERVICE
         if not task.spec.demand.fits(self.free):
-            return "no room"
+            return Requirement.NO_ROOM
         return self._placement_refusal(task)
 
     def may_run(self, task: StepTask) -> bool:
         """Return whether a run may start on this worker if it fits."""
         return self.service == task.workflow.queue.service and not self._placement_refusal(task)
 
-    def _placement_refusal(self, task: StepTask) -> str:
+    def _placement_refusal(self, task: StepTask) -> Requirement | None:
         spec = task.spec
         if spec.required_label and spec.required_label not in self.labels:
-            return "label missing"
+            return Requirement.LABEL_MISSING
         if spec.max_per_worker and self.steps.get(step_key(task), 0) >= spec.max_per_worker:
-            return "spread limit"
-        return ""
+            return Requirement.SPREAD_LIMIT
+        return None
 
     def admits_with(self, task: StepTask, freed: Resources) -> bool:
         """Return whether a run fits on this worker, and may run here, once more is free."""
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -46,6 +46,7 @@
 )
 from .health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from .models import Resources
+from .refusals import Preference, Requirement
 from .workflows import Phase, StepTask, Workflow
 
 SHORT_TASK_RESERVE = 0.1
@@ -57,6 +58,10 @@
 task needs of the reserve, because its users have no service until it starts. Its attempts are not
 limited, so a failure costs little."""
 
+START_DEADLINE_MS = 4000
+"""Waiting time after which a long-running task starts in this round on any worker that no
+`Requirement` excludes. Each `Preference` has a bound of its own, but their sum has none."""
+
 RESERVATION_WAIT_MS = 2000
 """Waiting time after which a long-running task gets a worker reserved. Trials of other tasks and
 short runs would otherwise take the worker again and again, since they need less room."""
@@ -142,16 +147,6 @@
 MAX_TRIALS_PER_ROUND = 8
 """Maximum number of suspected tasks placed in one round; each is compared against all workers."""
 
-RESERVED = "reserved for short tasks"
-"""Reason why a long-running task gets none of the workers with room."""
-
-TOO_MANY_TRIALS = "workers on trial"
-KEEPS_WORKER = "waits for an idle worker"
-OTHER_VM = "waits for another VM"
-"""Reasons why a suspected task gets none of the workers with room: the limit on workers that run
-suspected tasks, a worker that is kept free until nothing has started there lately, and VMs on which
-a further crash would prove nothing."""
-
 
 @attrs.frozen
 class PlacementDecision:
@@ -264,7 +259,7 @@
         waiting: Iterable[StepTask],
         workers: Sequence[WorkerCapacity],
         now_ms: int,
-        passed_over: MutableMapping[str, str] | None = None,
+        passed_over: MutableMapping[str, Preference] | None = None,
     ) -> list[PlacementDecision]:
         """Return the runs to start now.
 
@@ -313,7 +308,7 @@
                 taken_millis = long_running_millis if is_last_resort else used_millis
                 if taken_millis + spec.cpu_millis > max_long_running_millis:
                     if not is_last_resort:
-                        passed_over[task.name] = RESERVED
+                        passed_over[task.name] = Preference.SHORT_TASKS
                         continue
                     if position < len(ordered):
                         deferred.append(task)  # Waiting short tasks use the reserve first.
@@ -332,6 +327,66 @@
             decisions.append(PlacementDecision(task, worker))
         return decisions
 
+    def schedule_overdue(
+        self,
+        services: Iterable[StepTask],
+        workers: Sequence[WorkerCapacity],
+        on_trial: Sequence[WorkerCapacity],
+        now_ms: int,
+        passed_over: MutableMapping[str, Preference] | None = None,
+    ) -> list[PlacementDecision]:
+        """Return the runs of long-running tasks to start now, wherever there is room.
+
+        A `Preference` only decides between workers. A start beside a trial proves nothing, neither
+        against the task nor against the one on trial, see `Pool`.
+
+        :param services: tasks that have waited for `START_DEADLINE_MS`.
+        :param workers: candidate workers; updated with the chosen runs.
+        :param on_trial: workers that run suspected tasks; updated as well.
+        :param now_ms: current time, in milliseconds since 1970.
+        :param passed_over: updated with the tasks that would start in the reserve for short tasks,
+            for which these have to be asked first. If it is None, they start.
+        """
+        self._clear_caches()
+        decisions: list[PlacementDecision] = []
+        usable = [*workers, *on_trial]
+        trial_ids = {worker.worker_id for worker in on_trial}
+        long_running_millis = sum(worker.long_running_millis for worker in usable)
+        capacity_millis = sum(worker.capacity.cpu_millis for worker in usable)
+        max_long_running_millis = (1 - SHORT_TASK_RESERVE) * capacity_millis
+        # The tasks of a step have the same requirements.
+        unplaceable: set[tuple[str, int]] = set()
+        for task in sorted(services, key=lambda task: (task.waiting_since_ms, task.name)):
+            step = (task.workflow.workflow_id, task.step)
+            if step in unplaceable:
+                continue
+            wait_ms = now_ms - task.waiting_since_ms
+            fitting = [worker for worker in usable if worker.admits(task)]
+            worker = min(
+                fitting,
+                key=lambda worker: (
+                    worker.worker_id in trial_ids,
+                    _refusal(task, worker, wait_ms) is not None,
+                    worker.worker_id in task.failed_on,
+                    worker.penalty,
+                    worker.machine in (task.crashes.machines if task.crashes else ()),
+                    worker.pending_starts if task.has_lost_start else 0,
+                    -worker.free.cpu_millis,
+                ),
+                default=None,
+            )
+            if worker is None:
+                unplaceable.add(step)
+                continue
+            millis = task.spec.demand.cpu_millis
+            if passed_over is not None and long_running_millis + millis > max_long_running_millis:
+                passed_over[task.name] = Preference.SHORT_TASKS
+                continue
+            self._reserve(task, worker)
+            long_running_millis += millis
+            decisions.append(PlacementDecision(task, worker))
+        return decisions
+
     def ends_soon(self, task: StepTask, age: timedelta) -> bool:
         """Return whether a run is expected to end so soon that a service may wait for its room.
 
@@ -471,7 +526,7 @@
         running: Collection[StepTask],
         limit: int,
         now_ms: int,
-        passed_over: MutableMapping[str, str] | None = None,
+        passed_over: MutableMapping[str, Preference] | None = None,
         overdue_limit: int | None = None,
         reservations: Reservations | None = None,
     ) -> tuple[list[PlacementDecision], set[str]]:
@@ -578,16 +633,16 @@
             if step not in max_by_step:
                 max_by_step[step] = max_trials_of(task.workflow, task.step)
             if step in pending:
-                passed_over[task.name] = KEEPS_WORKER
+                passed_over[task.name] = Preference.KEEPS_WORKER
                 continue
             if len(kept) >= MAX_TRIALS_PER_ROUND:
-                passed_over[task.name] = "trials of a round"
+                passed_over[task.name] = Preference.TRIALS_OF_ROUND
                 continue
             if taken + len(kept) >= max_workers and not is_overdue_service:
-                passed_over[task.name] = TOO_MANY_TRIALS
+                passed_over[task.name] = Preference.TRIALS_OF_FLEET
                 continue
             if trials[workflow_id] >= max_by_step[step]:
-                passed_over[task.name] = "trials of the workflow"
+                passed_over[task.name] = Preference.TRIALS_OF_WORKFLOW
                 continue
             crashed = task.crashes.machines
             # A verdict needs crashes on different VMs.
@@ -599,7 +654,7 @@
                 if may_join and join(task, wait_ms):
                     trials[workflow_id] += 1
                 elif needs_other_vm:
-                    passed_over[task.name] = OTHER_VM
+                    passed_over[task.name] = Preference.OTHER_VM
                 continue
             suitable = sorted(
                 ranked,
@@ -624,7 +679,7 @@
                 if may_join and join(task, wait_ms):
                     trials[workflow_id] += 1
                 elif needs_other_vm:
-                    passed_over[task.name] = OTHER_VM
+                    passed_over[task.name] = Preference.OTHER_VM
                 continue
             ranked.remove(worker)
             kept.add(worker.worker_id)
@@ -632,7 +687,7 @@
             starts_together = task.spec.lasting or tries_steps
             must_wait, *_ = preference(worker)
             if must_wait:
-                passed_over[task.name] = KEEPS_WORKER
+                passed_over[task.name] = Preference.KEEPS_WORKER
                 if starts_together:
                     # The others need no worker of their own.
                     pending.add(step)
@@ -694,7 +749,7 @@
         task: StepTask,
         workers: Iterable[WorkerCapacity],
         wait_ms: int,
-        limit: str = "not chosen",
+        limit: Preference = Preference.NOT_CHOSEN,
     ) -> Counter[str]:
         """Return why workers do not get a waiting task, with the number of workers.
 
@@ -937,14 +992,16 @@
             heapq.heapreplace(self._heap, (-value, position))
 
 
-def _refusal(task: StepTask, worker: WorkerCapacity, wait_ms: int) -> str:
-    """Return why a task may not start on a worker; empty if it may."""
+def _refusal(
+    task: StepTask, worker: WorkerCapacity, wait_ms: int
+) -> Requirement | Preference | None:
+    """Return why a task does not start on a worker; None if it may."""
     is_probe = worker.is_probed and not task.spec.lasting
     max_pending = MAX_PENDING_STARTS_WITH_SERVICES if task.spec.lasting else MAX_PENDING_STARTS
     if worker.pending_starts >= (1 if is_probe else max_pending):
-        return "too many starts at once"
+        return Preference.PENDING_STARTS
     if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
-        return "excluded"
+        return Preference.EXCLUDED
     return worker.refusal(task)
 
 
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -7,7 +7,7 @@
 
 import enum
 import json
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from functools import singledispatchmethod
 from types import MappingProxyType
 from typing import Any
@@ -655,11 +655,28 @@
             for other in self._active_by_worker[task.worker_id].values()
             if other.incarnation == task.incarnation
         }
-        recent = self._recent_runs.pop(key, None) or recent_runs(start_by_ms)
+        recent = self._recent_runs.pop(key, None)
+        if recent is None:
+            recent = recent_runs(start_by_ms)
+            tasks = [self._tasks[name] for name in recent]
+            if any(other.spec.lasting for other in tasks) and (
+                self._has_earlier_trial(task, recent)
+                or len({other.is_suspected for other in tasks}) > 1
+            ):
+                # An overdue service started beside a trial: the crash proves nothing.
+                recent = frozenset()
         if len(start_by_ms) > 1:
             self._recent_runs[key] = recent
         return recent
 
+    def _has_earlier_trial(self, task: StepTask, recent: Collection[str]) -> bool:
+        """Return whether a suspected run on the worker of a task began before some recent ones."""
+        return any(
+            other.is_suspected and other.name not in recent
+            for other in self._active_by_worker[task.worker_id].values()
+            if other.incarnation == task.incarnation
+        )
+
     def _record_survival(self, task: StepTask) -> bool:
         if task.crashes is not None and task.crashes.is_suspected:
             task.crashes.is_suspected = False
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -33,7 +33,7 @@
     LAST_RESORT_WAIT_MS,
     MAX_ESTIMATE_MS,
     RESERVATION_WAIT_MS,
-    TOO_MANY_TRIALS,
+    START_DEADLINE_MS,
     Dispatcher,
     PlacementDecision,
     Reservations,
@@ -46,6 +46,7 @@
 from mulberryslip.models import Resources
 from mulberryslip.outages import Survivor, WorkerCrash
 from mulberryslip.queues import PoolConfig
+from mulberryslip.refusals import Preference, Requirement
 from mulberryslip.runners import RunningRun
 from mulberryslip.vms import Silence
 from mulberryslip.wire import ttypes as wire
@@ -128,10 +129,6 @@
 
 WAIT_LOG_INTERVAL = timedelta(seconds=1)
 
-ON_TRIAL = "runs a suspected task"
-
-UNDECIDED_CRASH = "waits for the verdict on a crash"
-
 SERVICE_WAIT_GAUGE = "service_wait_with_room_ms"
 
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
@@ -191,7 +188,7 @@
     overdue: list[StepTask]
     candidates: list[WorkerCapacity]
     kept: int
-    passed_over: dict[str, str]
+    passed_over: dict[str, Preference]
     now_ms: int
 
 
@@ -840,6 +837,23 @@
             return []
         now_ms = self._now_ms()
         term.pool.bound_waits(now_ms)
+        candidates: list[WorkerCapacity] | None = None
+        decisions: list[PlacementDecision] = []
+        passed_over: dict[str, Preference] = {}
+        services = [task for task in waiting if task.spec.lasting]
+        overdue_services = [
+            task for task in services if now_ms - task.waiting_since_ms >= START_DEADLINE_MS
+        ]
+        if overdue_services:
+            candidates = self._candidates(term, config)
+            on_trial = self._trial_workers(term, config)
+            decisions = self._dispatcher.schedule_overdue(
+                overdue_services, candidates, on_trial, now_ms, passed_over
+            )
+            placed = {decision.task.name for decision in decisions}
+            waiting = [task for task in waiting if task.name not in placed]
+            services = [task for task in services if task.name not in placed]
+        left_to_short_tasks = [task for task in overdue_services if task.name in passed_over]
         suspects = tasks_to_try(waiting, term.pool.crashed_tasks(), now_ms)
         others = waiting
         if suspects:
@@ -847,24 +861,27 @@
             others = [task for task in waiting if task.name not in names]
         urgent = [task for task in others if not task.spec.fills]
         best_effort = [task for task in others if task.spec.fills]
-        candidates: list[WorkerCapacity] | None = None
-        decisions: list[PlacementDecision] = []
-        passed_over: dict[str, str] = {}
         kept: set[str] = set()
         reservations = Reservations()
-        services = [task for task in waiting if task.spec.lasting]
         if _has_waited(services, now_ms):
-            candidates = self._candidates(term, config)
+            candidates = self._candidates(term, config) if candidates is None else candidates
             reservations = self._reserve_workers(term, config, services, suspects, candidates)
         if suspects:
             candidates = self._candidates(term, config) if candidates is None else candidates
-            decisions, kept = self._place_trials(
-                term, suspects, candidates, bool(urgent), passed_over, reservations
+            taken = {decision.worker.worker_id for decision in decisions}
+            untaken = [worker for worker in candidates if worker.worker_id not in taken]
+            trials, kept = self._place_trials(
+                term, suspects, untaken, bool(urgent), passed_over, reservations
             )
+            decisions += trials
             candidates = [worker for worker in candidates if worker.worker_id not in kept]
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
             decisions += self._dispatcher.schedule(urgent, candidates, now_ms, passed_over)
+        if left_to_short_tasks:
+            decisions += self._place_in_reserve(
+                term, config, left_to_short_tasks, candidates, decisions
+            )
         if self._wait_log_timer.is_due(self._clock.monotonic()):
             placed = {decision.task.name for decision in decisions}
             overdue = [
@@ -882,6 +899,46 @@
             decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
         return decisions
 
+    def _trial_workers(self, term: PoolTerm, config: PoolConfig) -> list[WorkerCapacity]:
+        """Return the workers that would be candidates if they ran no suspected task."""
+        return [
+            self._allocated_capacity(term, member).copy()
+            for member, reason in self._availability(term, config)
+            if reason is Preference.ON_TRIAL
+        ]
+
+    def _place_in_reserve(
+        self,
+        term: PoolTerm,
+        config: PoolConfig,
+        services: Iterable[StepTask],
+        candidates: Iterable[WorkerCapacity],
+        decisions: Iterable[PlacementDecision],
+    ) -> list[PlacementDecision]:
+        """Choose workers for overdue services in what this round's short tasks have left.
+
+        :param candidates: updated with the chosen runs.
+        :param decisions: the earlier decisions of the round.
+        """
+        placed = {decision.task.name for decision in decisions}
+        # What was withheld or kept for others does not bind overdue services.
+        workers = self._candidates(term, config)
+        on_trial = self._trial_workers(term, config)
+        by_id = {worker.worker_id: worker for worker in (*workers, *on_trial)}
+        for decision in decisions:
+            by_id[decision.worker.worker_id].reserve(decision.task)
+        chosen = self._dispatcher.schedule_overdue(
+            [task for task in services if task.name not in placed],
+            workers,
+            on_trial,
+            self._now_ms(),
+        )
+        candidates_by_id = {worker.worker_id: worker for worker in candidates}
+        for decision in chosen:
+            if decision.worker.worker_id in candidates_by_id:
+                candidates_by_id[decision.worker.worker_id].reserve(decision.task)
+        return chosen
+
     def _reserve_workers(
         self,
         term: PoolTerm,
@@ -891,11 +948,7 @@
         candidates: list[WorkerCapacity],
     ) -> Reservations:
         """Reserve workers for services, and withhold from the candidates what others must leave."""
-        on_trial = [
-            self._allocated_capacity(term, member)
-            for member, reason in self._availability(term, config)
-            if reason == ON_TRIAL
-        ]
+        on_trial = self._trial_workers(term, config)
         now = self._clock.monotonic()
         for candidate in candidates:
             member = term.members[candidate.worker_id]
@@ -919,7 +972,7 @@
         suspects: list[StepTask],
         candidates: list[WorkerCapacity],
         others_wait: bool,
-        passed_over: dict[str, str],
+        passed_over: dict[str, Preference],
         reservations: Reservations,
     ) -> tuple[list[PlacementDecision], set[str]]:
         """Choose workers on which suspected tasks start apart from others.
@@ -933,7 +986,7 @@
         if undecided:
             # The next crash may be one too many if the last one is evidence.
             held = {task.name for task in suspects if task.workflow.workflow_id in undecided}
-            passed_over.update((name, UNDECIDED_CRASH) for name in held)
+            passed_over.update((name, Preference.UNDECIDED_CRASH) for name in held)
             suspects = [task for task in suspects if task.name not in held]
         trials = term.pool.trials()
         taken = len({task.worker_id for task in trials})
@@ -941,7 +994,7 @@
         limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
         overdue_limit = limit if others_wait else max_backlog_trials(len(candidates) + taken)
         if taken >= overdue_limit and not any(task.spec.lasting for task in suspects):
-            passed_over.update((task.name, TOO_MANY_TRIALS) for task in suspects)
+            passed_over.update((task.name, Preference.TRIALS_OF_FLEET) for task in suspects)
             return [], set()
         now = self._clock.monotonic()
         last_starts = {}
@@ -1031,31 +1084,33 @@
             )
         return candidates
 
-    def _availability(self, term: PoolTerm, config: PoolConfig) -> Iterator[tuple[Member, str]]:
-        """Yield each worker with the reason why it may not get runs; empty if it may."""
+    def _availability(
+        self, term: PoolTerm, config: PoolConfig
+    ) -> Iterator[tuple[Member, Requirement | Preference | None]]:
+        """Yield each worker with the reason why it does not get runs; None if it may."""
         now = self._clock.monotonic()
         newest = _newest_incarnations(term.members.values())
         trial_workers = {task.worker_id for task in term.pool.trials()}
         for member in term.members.values():
             if not member.clock_ms:
-                reason = "no listing yet"
+                reason = Requirement.NO_LISTING
             elif member.leaving:
-                reason = "leaving"
+                reason = Requirement.LEAVING
             elif member.is_absent:
-                reason = "process ended"
+                reason = Requirement.PROCESS_ENDED
             elif newest.get(member.machine, "") > member.incarnation:
-                reason = "replaced by a newer worker"
+                reason = Requirement.REPLACED
             elif member.data_centre in config.data_centres_out:
-                reason = "data centre out"
+                reason = Requirement.DATA_CENTRE_OUT
             elif now - member.received_at > MAX_REPORT_AGE:
-                reason = "no recent report"
+                reason = Requirement.NO_REPORT
             elif term.silences.lists(member.worker_id):
                 # A start renews the worker's lease.
-                reason = "recorded as silent"
+                reason = Requirement.SILENT
             elif member.worker_id in trial_workers:
-                reason = ON_TRIAL
+                reason = Preference.ON_TRIAL
             else:
-                reason = ""
+                reason = None
             yield member, reason
 
     def _log_long_waits(self, term: PoolTerm, config: PoolConfig, waits: "_Waits") -> None:
@@ -1075,10 +1130,10 @@
                 longest,
                 waits.candidates,
                 wait_ms,
-                waits.passed_over.get(longest.name, "not chosen"),
+                waits.passed_over.get(longest.name, Preference.NOT_CHOSEN),
             )
             if waits.kept:
-                reasons["kept for a trial"] = waits.kept
+                reasons[Preference.KEPT] = waits.kept
             log(
                 Event.RUN_WAITING,
                 task=longest.name,
@@ -1094,7 +1149,7 @@
                 lacking=Counter(
                     name
                     for worker in others
-                    if worker.capacity.refusal(longest) == "no room"
+                    if worker.capacity.refusal(longest) is Requirement.NO_ROOM
                     for name in worker.capacity.lacking(longest)
                 ),
             )
@@ -1103,7 +1158,7 @@
         """Return the workers that are up, before the starts of this round."""
         workers = []
         for member, reason in self._availability(term, config):
-            if reason not in ("", ON_TRIAL):
+            if reason not in (None, Preference.ON_TRIAL):
                 continue
             capacity = self._allocated_capacity(term, member)
             active = term.pool.active_tasks(member.worker_id)
@@ -1116,7 +1171,7 @@
                 "stopping": taken - total_demand(active),
                 "all": taken,
             }
-            workers.append(_OccupiedWorker(capacity, reason == ON_TRIAL, parts))
+            workers.append(_OccupiedWorker(capacity, reason is Preference.ON_TRIAL, parts))
         return workers
 
     def _record_service_wait(self, term: PoolTerm, config: PoolConfig, waits: "_Waits") -> None:
@@ -1135,7 +1190,7 @@
             workers = [
                 self._allocated_capacity(term, member)
                 for member, reason in self._availability(term, config)
-                if reason in ("", ON_TRIAL)
+                if reason in (None, Preference.ON_TRIAL)
             ]
             admitted = (task for task in services if any(worker.admits(task) for worker in workers))
             longest_ms = max((waits.now_ms - task.waiting_since_ms for task in admitted), default=0)
