Count two lapsed runs before the first known crash as possible crashes

A task whose runs had lapsed before its first known crash counted one of them, however many there were.

Two count now.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -26,6 +26,10 @@
 """Runs of a task since its first crash after which it is given up, if `CRASHES_BEFORE_GUILT` of
 them have crashed a worker. The others ended with a worker that went silent, perhaps in a crash."""
 
+MAX_LAPSED_RUNS = 2
+"""Runs that lapsed before the first crash that is known under a task, and that count as crashes of
+which no owner has learned."""
+
 MAX_EXCUSED_STARTS = 1
 """Crashes under a task that had just started, or is suspected, which are taken for outages. Some in
 outages of the whole fleet count for a part. With many, a deadly task could start too often."""
@@ -115,7 +119,7 @@
     :param is_suspected: whether the task may have caused one of them, so that its next run must be
         apart from others.
     :param uncleared_runs: number of runs since the first crash that did not end by themselves, and
-        one if any before it lapsed.
+        of those before it that lapsed, `MAX_LAPSED_RUNS` at most.
     :param machines: VMs of the last `MAX_CRASHED_MACHINES` workers that crashed.
     :param excuse: whether one more crash is excused, because the trial of another task is the
         likelier cause. The next crash counts it, too, and no other one is excused. After a crash
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -7,6 +7,7 @@
 
 import enum
 import json
+from collections import Counter
 from collections.abc import Collection, Iterator, Sequence
 from functools import singledispatchmethod
 from types import MappingProxyType
@@ -15,7 +16,7 @@
 import attrs
 
 from . import records
-from .crashes import FULL_PROOF, CrashRecord, Excuse, Proof, recent_runs
+from .crashes import FULL_PROOF, MAX_LAPSED_RUNS, CrashRecord, Excuse, Proof, recent_runs
 from .exceptions import InvalidMessageError
 from .queues import Queue
 from .runners import EndKind, RunProfile
@@ -342,7 +343,7 @@
         self._last_allocation_version = 0
         self._workers_to_stop_runs_on: set[str] = set()
         self._crashed: dict[str, StepTask] = {}
-        self._lapsed: dict[str, StepTask] = {}
+        self._lapsed: dict[str, int] = {}
         self._last_forgotten: tuple[str, CrashRecord, Proof | None] | None = None
         self._recent_runs: dict[tuple[str, str], frozenset[str]] = {}
         self._newly_suspected: list[StepTask] = []
@@ -621,12 +622,12 @@
             task.proof = task.proof.after_loss()
             return False
         if outcome is RunOutcome.LAPSED and task.crashes is None:
-            self._lapsed[task.name] = task
+            self._lapsed[task.name] = self._lapsed.get(task.name, 0) + 1
         if outcome is RunOutcome.LOST:
             if task.crashes is None:
                 # A run that lapsed may have ended in a crash that no owner learned of.
                 task.crashes = CrashRecord(
-                    uncleared_runs=int(task.name in self._lapsed),
+                    uncleared_runs=min(self._lapsed.get(task.name, 0), MAX_LAPSED_RUNS),
                     is_late=task.spec.lasting and task.outlived_run == task.run,
                 )
                 self._crashed[task.name] = task
@@ -763,7 +764,12 @@
                 for task in self._crashed.values()
                 if task.crashes.excuse is not Excuse.NONE
             ],
-            "lapsed": list(self._lapsed),
+            # Earlier builds read each name once.
+            "lapsed": [
+                name
+                for name, runs in self._lapsed.items()
+                for _ in range(min(runs, MAX_LAPSED_RUNS))
+            ],
             "proven": [
                 [name, [_proof_row(task) for task in workflow.tasks()]]
                 for name, workflow in self.workflows.items()
@@ -800,7 +806,7 @@
             for name, excuse in raw.get("excuses", ()):
                 if name in pool._crashed:
                     pool._crashed[name].crashes.excuse = Excuse(excuse)
-            pool._lapsed = {name: pool._tasks[name] for name in raw.get("lapsed", ())}
+            pool._lapsed = dict(Counter(pool._tasks[name].name for name in raw.get("lapsed", ())))
             for name, run in raw.get("outlived", ()):
                 _check_types((name, run), (str, int))
                 pool._tasks[name].outlived_run = run
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -640,15 +640,21 @@
     assert pool.workflows["a"].state == "failed"
 
 
-def test_run_before_the_first_known_crash_counts_as_a_possible_crash():
-    """Guards against one start too many after a crash that took the owner along."""
+@pytest.mark.parametrize("lapsed", [1, 2])
+@pytest.mark.parametrize("is_restored", [False, True])
+def test_run_before_the_first_known_crash_counts_as_a_possible_crash(lapsed, is_restored):
+    """Guards against one start too many after crashes that took the owner along."""
     pool = Pool()
     pool.apply(workflow_accepted("a"))
     task = pool.task("a/0/0/0")
     pool.apply(workflow_accepted("b"))
     start(pool, pool.task("b/0/0/0"))
-    for outcome in (RunOutcome.LAPSED, *[RunOutcome.LOST] * (MAX_UNCLEARED_RUNS - 1)):
+    lost = MAX_UNCLEARED_RUNS - lapsed
+    for number, outcome in enumerate([RunOutcome.LAPSED] * lapsed + [RunOutcome.LOST] * lost):
         assert not pool.workflows["a"].is_ended
+        if is_restored and number == lapsed:
+            pool = Pool.from_snapshot(json.loads(json.dumps(pool.to_snapshot())))
+            task = pool.task("a/0/0/0")
         start(pool, task)
         end(pool, task, outcome)
     assert pool.workflows["a"].state == "failed"
