Bound what a proof excuses, and mend faults of starts past the deadline

- A task that became suspected lost its proof, and the next run of 5 s gave it a full one, so the limit of losses without a run of 30 s was none.
The limit outlives the suspicion now, it is eight, and the crashes of a task that has had a proof are cleared after 30 s.
- An overdue service may be the last crash of a task on trial: such workers come last.
A suspected one starts where a crash ends fewest runs.
- A worker whose report became too old within the round raised an error, and the round placed nothing.

--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -47,7 +47,7 @@
 start it. A crash later in a run counts as evidence all the same."""
 
 MAX_LOSSES_IN_SERIES = 4
-MAX_LOSSES = 12
+MAX_LOSSES = 8
 """Runs that a proven task may lose to its workers until its crashes count like those of any task:
 without a run of `PROVEN_AFTER_MS` between them, and without one of `CLEARED_AFTER_MS`. They bound
 the starts of a task that has become deadly, at once or late in its runs."""
@@ -102,6 +102,10 @@
         """Return the proof after the loss of a run."""
         return Proof(self.in_series - 1, self.in_all - 1)
 
+    def revoked(self) -> "Proof":
+        """Return the proof after the task has become suspected."""
+        return Proof(0, self.in_all)
+
     def renewed(self) -> "Proof":
         """Return the proof after a run of `PROVEN_AFTER_MS`."""
         return Proof(min(MAX_LOSSES_IN_SERIES, self.in_all), self.in_all)
@@ -124,8 +128,8 @@
     :param excuse: whether one more crash is excused, because the trial of another task is the
         likelier cause. The next crash counts it, too, and no other one is excused. After a crash
         that followed a survived trial, none is.
-    :param is_late: whether the first crash came after a run that had lasted for
-        `PROVEN_AFTER_MS`. Further such runs then prove nothing.
+    :param is_late: whether the task had lasted for `PROVEN_AFTER_MS` in a run before the first
+        crash. Further such runs then prove nothing.
     """
 
     count: int = 0
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -334,6 +334,7 @@
         on_trial: Sequence[WorkerCapacity],
         now_ms: int,
         passed_over: MutableMapping[str, Preference] | None = None,
+        last_resort: Collection[str] = (),
     ) -> list[PlacementDecision]:
         """Return the runs of long-running tasks to start now, wherever there is room.
 
@@ -346,6 +347,7 @@
         :param now_ms: current time, in milliseconds since 1970.
         :param passed_over: updated with the tasks that would start in the reserve for short tasks,
             for which these have to be asked first. If it is None, they start.
+        :param last_resort: ids of workers on trial where one more crash may give a task up.
         """
         self._clear_caches()
         decisions: list[PlacementDecision] = []
@@ -365,12 +367,14 @@
             worker = min(
                 fitting,
                 key=lambda worker: (
+                    worker.worker_id in last_resort,
                     worker.worker_id in trial_ids,
                     _refusal(task, worker, wait_ms) is not None,
                     worker.worker_id in task.failed_on,
                     worker.penalty,
                     worker.machine in (task.crashes.machines if task.crashes else ()),
                     worker.pending_starts if task.has_lost_start else 0,
+                    worker.runs if task.is_suspected else 0,
                     -worker.free.cpu_millis,
                 ),
                 default=None,
--- a/packages/core/src/mulberryslip/snapshots.py
+++ b/packages/core/src/mulberryslip/snapshots.py
@@ -22,10 +22,10 @@
 CHECKPOINT_RESERVE_BYTES = 64
 """Stored bytes kept for the checkpoint of a task that writes checkpoints."""
 
-PROOF_RESERVE_BYTES = 16
-PROOF_TEXT_BYTES = 80
+PROOF_RESERVE_BYTES = 24
+PROOF_TEXT_BYTES = 60
 """Stored bytes and length in bytes of JSON text kept for the record that a long-running task has
-proven itself, and in which run."""
+proven itself, and in which run, without its name, which is written twice at most."""
 
 BASE_RESERVE_BYTES = 2048
 """Stored bytes kept for the parts of a snapshot that belong to no workflow and for the variation of
@@ -159,8 +159,9 @@
     text_bytes = len(json.dumps(records.encode(event), separators=(",", ":")))
     total = SnapshotSize(text_bytes, text_bytes)
     for step in spec.steps:
-        unproven = step.count if step.lasting else 0
-        total += _reserve(step.count, step.count if step.checkpoints else 0, unproven)
+        total += _reserve(step.count, step.count if step.checkpoints else 0)
+        if step.lasting:
+            total += _proof_reserve(step.count, len(event.workflow_id))
     return total
 
 
@@ -179,16 +180,22 @@
             unstarted += task.run == 0
             unsaved += task.spec.checkpoints and not task.checkpoint
             unproven += task.spec.lasting and task.outlived_run != task.run
-    return _reserve(unstarted, unsaved, unproven)
+    return _reserve(unstarted, unsaved) + _proof_reserve(unproven, len(workflow.workflow_id))
 
 
-def _reserve(unstarted: int, unsaved: int, unproven: int) -> SnapshotSize:
-    """Return the reserve for tasks without a run, without a checkpoint, and without a proof.
+def _proof_reserve(unproven: int, id_chars: int) -> SnapshotSize:
+    """Return the reserve for long-running tasks whose latest run is not recorded to have lasted.
 
-    :param unproven: number of long-running tasks whose latest run is not recorded to have lasted.
+    :param id_chars: length of the workflow's id.
     """
+    text_bytes = PROOF_TEXT_BYTES + 2 * id_chars
+    return SnapshotSize(unproven * PROOF_RESERVE_BYTES, unproven * text_bytes)
+
+
+def _reserve(unstarted: int, unsaved: int) -> SnapshotSize:
+    """Return the reserve for tasks without a run, and for tasks without a checkpoint."""
     checkpoint_bytes = unsaved * CHECKPOINT_RESERVE_BYTES
     return SnapshotSize(
-        unstarted * TASK_RESERVE_BYTES + checkpoint_bytes + unproven * PROOF_RESERVE_BYTES,
-        unstarted * TASK_TEXT_BYTES + checkpoint_bytes + unproven * PROOF_TEXT_BYTES,
+        unstarted * TASK_RESERVE_BYTES + checkpoint_bytes,
+        unstarted * TASK_TEXT_BYTES + checkpoint_bytes,
     )
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -222,7 +222,7 @@
         a long-running task, while no crashes counted; 0 for none. A crash then does not make the
         task suspected just because nothing was started on its worker later.
     :param proof: what a long-running task that has run for long may lose without evidence against
-        it; None if it has not run for long, or is suspected since.
+        it; None if it has not run for long.
     :param delivered_run: number of the run of which this process knows that its start reached the
         worker's agent, see `Pool.record_delivery`; 0 for none.
     :param excused_starts: number of crashes that this process took for an outage although the task
@@ -628,7 +628,8 @@
                 # A run that lapsed may have ended in a crash that no owner learned of.
                 task.crashes = CrashRecord(
                     uncleared_runs=min(self._lapsed.get(task.name, 0), MAX_LAPSED_RUNS),
-                    is_late=task.spec.lasting and task.outlived_run == task.run,
+                    is_late=task.spec.lasting
+                    and (task.outlived_run == task.run or task.proof is not None),
                 )
                 self._crashed[task.name] = task
             was_suspected = task.is_suspected
@@ -638,7 +639,7 @@
             is_guilty = task.crashes.record_crash(task.machine or task.worker_id, recent, task.name)
             if task.is_suspected and not was_suspected:
                 self._newly_suspected.append(task)
-                task.proof = None
+                task.proof = task.proof and task.proof.revoked()
         if task.crashes is None:
             return False
         if outcome is not RunOutcome.UNSTARTED:
@@ -659,11 +660,8 @@
         recent = self._recent_runs.pop(key, None)
         if recent is None:
             recent = recent_runs(start_by_ms)
-            tasks = [self._tasks[name] for name in recent]
-            if any(other.spec.lasting for other in tasks) and (
-                self._has_earlier_trial(task, recent)
-                or len({other.is_suspected for other in tasks}) > 1
-            ):
+            has_service = any(self._tasks[name].spec.lasting for name in recent)
+            if has_service and self._has_earlier_trial(task, recent):
                 # An overdue service started beside a trial: the crash proves nothing.
                 recent = frozenset()
         if len(start_by_ms) > 1:
@@ -771,7 +769,7 @@
                 for _ in range(min(runs, MAX_LAPSED_RUNS))
             ],
             "proven": [
-                [name, [_proof_row(task) for task in workflow.tasks()]]
+                [name, _proof_rows(workflow)]
                 for name, workflow in self.workflows.items()
                 if any(task.proof is not None for task in workflow.tasks())
             ],
@@ -810,11 +808,11 @@
             for name, run in raw.get("outlived", ()):
                 _check_types((name, run), (str, int))
                 pool._tasks[name].outlived_run = run
-            for name, proofs in raw.get("proven", ()):
-                for task, row in zip(pool.workflows[name].tasks(), proofs, strict=True):
-                    if row is not None:
-                        _check_types(row, (int, int))
-                        task.proof = Proof(*row)
+            for name, rows in raw.get("proven", ()):
+                tasks = list(pool.workflows[name].tasks())
+                for row in rows:
+                    _check_types(row, (int, int, int))
+                    tasks[row[0]].proof = Proof(*row[1:])
             for name in raw.get("late_crashes", ()):
                 pool._crashed[name].crashes.is_late = True
             pool.publish()
@@ -932,8 +930,12 @@
     ]
 
 
-def _proof_row(task: StepTask) -> list[int] | None:
-    return None if task.proof is None else list(attrs.astuple(task.proof))
+def _proof_rows(workflow: Workflow) -> list[list[int]]:
+    return [
+        [position, *attrs.astuple(task.proof)]
+        for position, task in enumerate(workflow.tasks())
+        if task.proof is not None
+    ]
 
 
 _CRASH_ROW_TYPES = (str, int, bool, int, list)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -848,7 +848,7 @@
             candidates = self._candidates(term, config)
             on_trial = self._trial_workers(term, config)
             decisions = self._dispatcher.schedule_overdue(
-                overdue_services, candidates, on_trial, now_ms, passed_over
+                overdue_services, candidates, on_trial, now_ms, passed_over, _last_trials(term.pool)
             )
             placed = {decision.task.name for decision in decisions}
             waiting = [task for task in waiting if task.name not in placed]
@@ -926,12 +926,15 @@
         on_trial = self._trial_workers(term, config)
         by_id = {worker.worker_id: worker for worker in (*workers, *on_trial)}
         for decision in decisions:
-            by_id[decision.worker.worker_id].reserve(decision.task)
+            # A worker's last report may have become too old since the decision.
+            if decision.worker.worker_id in by_id:
+                by_id[decision.worker.worker_id].reserve(decision.task)
         chosen = self._dispatcher.schedule_overdue(
             [task for task in services if task.name not in placed],
             workers,
             on_trial,
             self._now_ms(),
+            last_resort=_last_trials(term.pool),
         )
         candidates_by_id = {worker.worker_id: worker for worker in candidates}
         for decision in chosen:
@@ -1368,6 +1371,11 @@
     return any(now_ms - task.waiting_since_ms >= RESERVATION_WAIT_MS for task in services)
 
 
+def _last_trials(pool: Pool) -> set[str]:
+    """Return the workers that run a suspected task which one more crash may give up."""
+    return {task.worker_id for task in pool.trials() if not task.crashes.survives_unproved_crash}
+
+
 def _failure_domains(member: Member) -> frozenset[str]:
     """Return what a worker shares with others that may fail together: data centre and labels."""
     return frozenset({f"data centre {member.data_centre}", *member.labels})
