Log what each worker lists, and what a placed run takes up

Nobody could check the owner's book against the workers in operation: event 437 names no service that the owner believes to be running, and 431 does not say what a run takes up.

Event 612 (WORKER_LISTING) names the worker, its announced capacity and its running tasks: the first 64 by name, with the number of all. The agent logs it only once the worker, the capacity or the tasks have changed since the last line, and at most once a second; a change that comes too soon goes with a later listing. Event 431 has `demand` and `lasting`.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -54,6 +54,13 @@
 REPORT_TIMEOUT = timedelta(milliseconds=2500)
 """The owner replies to a report with ended runs after a commit, which may take up to 2 s."""
 
+LISTING_LOG_INTERVAL = timedelta(seconds=1)
+"""Shortest time between two log lines of an agent with its worker's listing. Each line costs
+processor time, and a design size of 810 workers has as many agents."""
+
+MAX_LOGGED_TASKS = 64
+"""Maximum number of running tasks that such a log line names."""
+
 OWNER_WAIT_TIMEOUT = timedelta(milliseconds=500)
 RETRY_PAUSE = timedelta(milliseconds=100)
 COMMAND_THREADS = 4
@@ -124,6 +131,20 @@
     start_by_ms: int
 
 
+@attrs.frozen
+class _LoggedListing:
+    """What the last log line of a listing said.
+
+    :param tasks: the running tasks, also those that the line did not name.
+    :param at: when it was logged.
+    """
+
+    worker_id: str
+    capacity: Resources
+    tasks: list[str]
+    at: timedelta
+
+
 class Agent:
     """Controls one worker on behalf of the owner of the pool.
 
@@ -175,6 +196,7 @@
         self._owner_capacity: Resources | None = None
         # The worker's clock when it last listed its runs, and when that listing arrived.
         self._listed = (0, clock.monotonic())
+        self._logged_listing: _LoggedListing | None = None
 
     # Calls from the worker
 
@@ -297,6 +319,7 @@
             return False
         self._listed = (listing.clock_ms, self._clock.monotonic())
         worker = self._newest_announcement(worker)
+        self._log_listing(worker, listing)
         self._drop_profiles(worker, listing, started_profiles)
         self._adjust_duty_cycles(worker, listing)
         if self._is_outdated(worker):
@@ -329,6 +352,28 @@
         newest = self._announcement
         return newest if newest.incarnation == worker.incarnation else worker
 
+    def _log_listing(self, worker: WorkerAnnouncement, listing: RunListing) -> None:
+        """Log a listing, unless the last line is recent or said the same.
+
+        A change that comes too soon after the last line is logged with a later listing.
+        """
+        now = self._clock.monotonic()
+        last = self._logged_listing
+        if last is not None and now - last.at < LISTING_LOG_INTERVAL:
+            return
+        tasks = sorted(row.task for row in listing.running)
+        current = _LoggedListing(worker.worker_id, worker.capacity, tasks, now)
+        if last is not None and current == attrs.evolve(last, at=now):
+            return
+        self._logged_listing = current
+        log(
+            Event.WORKER_LISTING,
+            worker=worker.worker_id,
+            capacity=list(worker.capacity.amounts()),
+            running=tasks[:MAX_LOGGED_TASKS],
+            total=len(tasks),
+        )
+
     def _is_outdated(self, worker: WorkerAnnouncement) -> bool:
         """Return whether an announcement of the listed incarnation is too old for starts.
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -1287,6 +1287,8 @@
                 report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
                 start_by_ms=task.start_by_ms,
                 resumed=bool(task.checkpoint),
+                demand=list(task.spec.demand.amounts()),
+                lasting=task.spec.lasting,
             )
 
     def queue_stop_commands(self, term: PoolTerm) -> None:
