--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -46,7 +46,7 @@
 """Run time after which a long-running task has proven itself: it does not crash the workers that
 start it. A crash later in a run counts as evidence all the same."""
 
-MAX_LOSSES_IN_SERIES = 4
+MAX_LOSSES_IN_SERIES = 3
 MAX_LOSSES = 8
 """Runs that a proven task may lose to its workers until its crashes count like those of any task:
 without a run of `PROVEN_AFTER_MS` between them, and without one of `CLEARED_AFTER_MS`. They bound
--- a/tests/test_review_49.py
+++ b/tests/test_proofs_and_deadlines_bounds.py
@@ -85,7 +85,7 @@
         (6500, 10),
         TURNS_DEADLY,
     ],
-    ids=lambda value: str(value)[:16],
+    ids=lambda times: "-".join(map(str, times[:3])),
 )
 def test_deadly_service_is_given_up_within_the_budget(crash_times_ms, checks):
     """Guards against more than three starts after three crashes under a task."""
