--- a/tests/crash_series.py
+++ b/tests/crash_series.py
@@ -1,8 +1,10 @@
 """Experiment on the doubles: services beside checks while parts of the fleet crash in series.
 
-`python crash_series.py --first=N --plays=M` plays M seeds and prints one JSON line for each.
+`python crash_series.py --first=N --plays=M` plays M seeds and prints one JSON line for each; with
+`--changes`, capacities and the owner change, too.
 """
 
+import functools
 import json
 import random
 import time
@@ -13,7 +15,7 @@
 from mulberryslip.models import Resources
 from mulberryslip.steps import StepSpec
 from pool_doubles import SECOND
-from service_waits import CHECK_MS, MIN_ROOM_TIME, ROOM_FACTOR, SERVICE_MS, Fleet, Play
+from service_waits import CHECK_MS, MIN_ROOM_TIME, ROOM_FACTOR, ROUND, SERVICE_MS, Fleet, Play
 
 MAX_CALM_WAIT = 6 * SECOND
 """The rule counts from 6 s after the last run of a service and the last disturbance."""
@@ -74,6 +76,36 @@
         )
 
 
+@attrs.frozen
+class Changes:
+    """What changes beside the crashes, without a disturbance for the rule.
+
+    :param share: share of the workers whose capacity shrinks and grows by turns.
+    :param lowest: smallest part of its capacity that such a worker shrinks to.
+    :param turn: longest time from one change of a worker's capacity to the next, in seconds.
+    :param is_together: whether these workers shrink and grow at the same time.
+    :param owners: number of planned changes of the owner.
+    """
+
+    share: float
+    lowest: float
+    turn: float
+    is_together: bool
+    owners: int
+
+    @classmethod
+    def of_seed(cls, seed):
+        """Return changes chosen at random."""
+        rng = random.Random(f"changes {seed}")
+        return cls(
+            share=rng.uniform(0.2, 1.0),
+            lowest=rng.choice([0.0, 0.3, 0.6]),
+            turn=rng.uniform(1.5, 8.0),
+            is_together=rng.random() < 0.5,
+            owners=rng.choice([0, 0, 1, 2, 3]),
+        )
+
+
 @attrs.define
 class CalmWait:
     """How long a service task has waited beside room without a disturbance.
@@ -93,10 +125,13 @@
     """Services, checks and best-effort tasks while parts of the fleet crash in series.
 
     A crash by a deadly check ends the runs beside it, but is no disturbance.
+
+    :param changes: changes of capacities and of the owner; None for none.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, changes=None):
         self.parameters = Parameters.of_seed(seed)
+        self.changes = changes
         self.crash_ms = {}
         self.calm_waits = {}
         self.given_up = set()
@@ -105,6 +140,9 @@
         self._record_start = self.world.history.record_start
         self.world.history.record_start = self._observe_start
         self._schedule()
+        if changes is not None:
+            # The draws of the crashes and of the checks must not depend on the changes.
+            self._schedule_changes(random.Random(f"times {seed}"))
 
     def _fill(self, fleet):
         for worker in self.workers:
@@ -141,7 +179,29 @@
                 self.at(seconds, lambda kind=kind, seconds=seconds: self._submit(kind, seconds))
                 seconds += rng.expovariate(rate)
 
+    def _schedule_changes(self, rng):
+        changes = self.changes
+        changing = rng.sample(self.workers, max(1, round(len(self.workers) * changes.share)))
+        groups = [changing] if changes.is_together else [[worker] for worker in changing]
+        for group in groups:
+            seconds = rng.uniform(0, changes.turn)
+            is_lower = True
+            while seconds < self.seconds:
+                part = rng.uniform(changes.lowest, 0.9) if is_lower else 1.0
+                self.at(seconds, functools.partial(self._set_capacity, group, part))
+                seconds += rng.uniform(1, changes.turn)
+                is_lower = not is_lower
+        for _ in range(changes.owners):
+            self.at(rng.uniform(0, self.seconds - CALM_SECONDS / 2), self.change_owner)
+
+    def _set_capacity(self, workers, part):
+        for worker in workers:
+            worker.capacity = Resources(*(round(part * amount) for amount in CAPACITY.amounts()))
+
     def _submit(self, kind, seconds):
+        if self.world.owner() is None:
+            self.at(ROUND / SECOND, lambda: self._submit(kind, seconds))
+            return
         name = f"{kind}{seconds}"
         self.world.submit(name, BEST_EFFORT if kind == "batch" else CHECK)
         if kind == "check-deadly":
@@ -172,7 +232,8 @@
         running = {name for worker in self.workers for name in worker.runs}
         room = {spec: self.room(spec) for spec in {task.spec for task in self._watched.values()}}
         services = {name.split("/")[0] for name in self._watched}
-        self.given_up |= {name for name in services if self.pool.workflows[name].is_ended}
+        if self.world.owner() is not None:
+            self.given_up |= {name for name in services if self.pool.workflows[name].is_ended}
         for task in self._watched.values():
             if task.name.split("/")[0] in self.given_up:
                 continue
@@ -201,16 +262,17 @@
         }
 
 
-def measure(seed):
+def measure(seed, changes=None):
     """Play a seed; return its parameters and the measured values."""
     began = time.monotonic()
-    play = SeriesPlay(seed)
+    play = SeriesPlay(seed, changes)
     play.run()
     waits = play.calm_waits.values()
     late = play.late()
     return {
         "seed": seed,
         **attrs.asdict(play.parameters),
+        "changes": None if changes is None else attrs.asdict(changes),
         "worst_s": max(wait.longest for wait in waits) / SECOND,
         "worst_room_s": max(wait.longest_room for wait in waits) / SECOND,
         "late": len(late),
@@ -226,10 +288,12 @@
 def main(argv):
     del argv
     for seed in range(flags.FLAGS.first, flags.FLAGS.first + flags.FLAGS.plays):
-        print(json.dumps(measure(seed)), flush=True)
+        changes = Changes.of_seed(seed) if flags.FLAGS.changes else None
+        print(json.dumps(measure(seed, changes)), flush=True)
 
 
 if __name__ == "__main__":
     flags.DEFINE_integer("first", 0, "First seed.", 0)
     flags.DEFINE_integer("plays", 100, "Number of seeds.", 1)
+    flags.DEFINE_bool("changes", False, "Whether capacities and the owner change.")
     app.run(main)
