Prefer other VMs for a task under which a VM has crashed

Three crashes of one VM are no evidence from three VMs, and the VM may be what crashes. Cause: only schedule_trials and schedule_overdue look at the VMs of a task's crashes. `schedule`, which starts the tasks that are no suspects and those whose trials take too long, and the reservations didn't, and services go where services are.

A worker on such a VM has CRASHED_HERE_PENALTY now, for services with PACKING_WEIGHT on top. It is a preference: nothing waits for another VM, and a worker that loses starts comes later for short tasks, and for services that have lost one.

Not changed: when a task is suspected and given up. Each incarnation of a worker counts as a worker, so a task that crashes one VM again and again is given up after five runs with three crashes as before; the verdict after a trial needs three VMs already. A proven service keeps no record of the VMs of its excused losses.

Ruled out: the penalty in `_score` with the VMs in the key of the ranking. The tasks of a step then share no ranking. Also ruled out: a penalty above that of a worker that loses starts, for short tasks. They would be sent to it again and again.

tests/test_crashed_vms.py: before, with the constant alone, 86 of 136 cases fail, among them a service on the doubles that restarts on the VM that has crashed; after, none. 622 cases of tests/test_{crashes,dispatches,trials,service_waits_in_series, start_deadlines,proven_services,reservations,reservation_limits,events, worker_listings,crashed_vms,fleets}.py pass. Of test_long_waits and test_service_waits the four cases in KNOWN-RED fail, with the same times as without the change (12.4, 16.2, 19.2 and 10.0 s).

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -101,6 +101,12 @@
 """Score penalty of a worker on which the task has failed before. It outweighs the advantage of a
 worker with services of the same image, or the task would fail there again and again."""
 
+CRASHED_HERE_PENALTY = 5.0
+"""Score penalty of a worker on a VM where a worker has crashed under the task: the VM may be what
+crashes, and crashes on one VM are no evidence against the task. For a long-running task,
+`PACKING_WEIGHT` comes on top. A worker that has lost a start is worse for short tasks, and for
+long-running ones that have lost a start."""
+
 PENDING_START_PENALTY = 1.0
 """Score penalty of a worker for each start that it has not confirmed, for a service of which a
 start was lost: if the next worker loses starts, too, not all tasks of the service wait for it."""
@@ -274,6 +280,8 @@
         not take more than the reserve from services that have waited, and after
         `LAST_RESORT_WAIT_MS` the reserve keeps no service waiting beside room for it.
 
+        VMs where a worker has crashed under a task come after others that are well.
+
         :param waiting: tasks that are ready to start.
         :param workers: candidate workers; updated with the chosen runs.
         :param now_ms: current time, in milliseconds since 1970.
@@ -316,7 +324,7 @@
             if ranking is None or ranking.key != key:
                 score = functools.partial(self._score, task, wait_ms=wait_ms)
                 ranking = _Ranking(key, score, workers)
-            worker = ranking.best()
+            worker = ranking.best(task)
             if worker is None:
                 continue
             self._reserve(task, worker)
@@ -369,7 +377,7 @@
                     _refusal(task, worker, wait_ms) is not None,
                     worker.worker_id in task.failed_on,
                     worker.penalty,
-                    worker.machine in (task.crashes.machines if task.crashes else ()),
+                    worker.machine in _crashed_vms(task),
                     worker.pending_starts if task.has_lost_start else 0,
                     -worker.free.cpu_millis,
                 ),
@@ -909,10 +917,14 @@
     def _best_worker(
         self, task: StepTask, workers: Sequence[WorkerCapacity], wait_ms: int
     ) -> WorkerCapacity | None:
-        return _Ranking((), functools.partial(self._score, task, wait_ms=wait_ms), workers).best()
+        ranking = _Ranking((), functools.partial(self._score, task, wait_ms=wait_ms), workers)
+        return ranking.best(task)
 
     def _score(self, task: StepTask, worker: WorkerCapacity, wait_ms: int) -> float | None:
-        """Return the score of a worker for a task, or None if the task may not start there."""
+        """Return the score of a worker for a task, or None if the task may not start there.
+
+        The crashes under the task do not count; see `_Ranking.best`.
+        """
         if _refusal(task, worker, wait_ms):
             return None
         spec = task.spec
@@ -977,21 +989,55 @@
         scored = ((score(worker), position) for position, worker in enumerate(workers))
         self._heap = [(-value, position) for value, position in scored if value is not None]
         heapq.heapify(self._heap)
+        self._best: tuple[float, int] | None = None
 
-    def best(self) -> WorkerCapacity | None:
-        """Return the first worker with the highest score, or None if no worker is suitable."""
-        return self._workers[self._heap[0][1]] if self._heap else None
+    def best(self, task: StepTask) -> WorkerCapacity | None:
+        """Return the first worker with the highest score, or None if no worker is suitable.
+
+        :param task: one of the tasks that are alike. The VMs where workers have crashed under it
+            are its own, and scoring all workers again for each task would take long after an
+            outage.
+        """
+        crashed_vms = _crashed_vms(task)
+        penalty = CRASHED_HERE_PENALTY + PACKING_WEIGHT * task.spec.lasting
+        if not self._heap:
+            return None
+        if not crashed_vms:
+            self._best = self._heap[0]
+            return self._workers[self._best[1]]
+        best: tuple[float, int] | None = None
+        passed: list[tuple[float, int]] = []
+        while self._heap and (best is None or self._heap[0] < best):
+            value, position = entry = heapq.heappop(self._heap)
+            passed.append(entry)
+            if self._workers[position].machine in crashed_vms:
+                value += penalty
+            if best is None or (value, position) < best:
+                best, self._best = (value, position), entry
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return self._workers[self._best[1]]
 
     def update_best(self) -> None:
         """Score the best worker again, because it got a run."""
-        position = self._heap[0][1]
+        _, position = self._best
         value = self._score(self._workers[position])
-        if value is None:
+        if self._heap[0] != self._best:
+            self._heap.remove(self._best)
+            if value is not None:
+                self._heap.append((-value, position))
+            heapq.heapify(self._heap)
+        elif value is None:
             heapq.heappop(self._heap)
         else:
             heapq.heapreplace(self._heap, (-value, position))
 
 
+def _crashed_vms(task: StepTask) -> tuple[str, ...]:
+    """Return the VMs of workers that have crashed under a task."""
+    return task.crashes.machines if task.crashes else ()
+
+
 def _refusal(
     task: StepTask, worker: WorkerCapacity, wait_ms: int
 ) -> Requirement | Preference | None:
