--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -63,6 +63,11 @@
 """Maximum share of the workers on which suspected tasks run while many wait or some have waited
 long."""
 
+MIN_CRASHED_TRIALS = 2
+CRASHED_TRIALS_WINDOW_MS = 5000
+"""Crashes under trials, and time in which they count, from which on a backlog gets no more workers
+than `MAX_TRIAL_SHARE`: trials that go on crashing would take most workers, and the services there."""
+
 MAX_TRIALS_IN_SERIES = 3
 """Number of trials that a worker may have before it, above which more workers run trials. Each
 takes `FIRST_PROBATION_MS` and the time until its survival is committed."""
--- a/packages/core/src/mulberryslip/outages.py
+++ b/packages/core/src/mulberryslip/outages.py
@@ -318,6 +318,13 @@
             and crash.may_have_ended_by(other.at)
         }
 
+    def crashed_trials(self, since: timedelta) -> int:
+        """Return how many workers have crashed under trials since a time, outages apart."""
+        return sum(
+            crash.is_trial and not crash.is_outage and crash.at >= since
+            for crash in self._crashes.values()
+        )
+
     def undecided_trials(self) -> set[str]:
         """Return the workflows with suspected tasks in crashes that are not settled yet."""
         return {
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -19,10 +19,12 @@
 from mulberryslip.clocks import Clock
 from mulberryslip.crashes import (
     CLEARED_AFTER_MS,
+    CRASHED_TRIALS_WINDOW_MS,
     FIRST_PROBATION_MS,
     FULL_PROOF,
     MAX_EXCUSED_STARTS,
     MAX_PROBATION_MS,
+    MIN_CRASHED_TRIALS,
     PROVEN_AFTER_MS,
     Excuse,
     max_backlog_trials,
@@ -996,6 +998,10 @@
         waiting_steps = {(task.workflow.workflow_id, task.step) for task in suspects}
         limit = max_trials(len(candidates) + taken, len(waiting_steps) + taken)
         overdue_limit = limit if others_wait else max_backlog_trials(len(candidates) + taken)
+        window = timedelta(milliseconds=CRASHED_TRIALS_WINDOW_MS)
+        since = self._clock.monotonic() - window
+        if term.crashes.crashed_trials(since) >= MIN_CRASHED_TRIALS:
+            limit = overdue_limit = max_trials(len(candidates) + taken)
         if taken >= overdue_limit and not any(task.spec.lasting for task in suspects):
             passed_over.update((task.name, Preference.TRIALS_OF_FLEET) for task in suspects)
             return [], set()
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -8,6 +8,7 @@
 import pytest
 import trials
 from mulberryslip.crashes import (
+    CRASHED_TRIALS_WINDOW_MS,
     FIRST_PROBATION_MS,
     MAX_UNCLEARED_RUNS,
     SUSPICION_WINDOW_MS,
@@ -137,6 +138,48 @@
     assert played.world.history.violations == []
 
 
+def suspected_checks(world, checks):
+    """Submit suspected checks that have waited long; nothing starts before the next round."""
+    source = next(iter(world.sources.values()))
+    source.value = PoolConfig.from_queues(2, [QUEUE], ["east"])
+    pool = world.owner()._term.pool
+    now_ms = int(world.clock.now().timestamp() * 1000)
+    for number in range(checks):
+        world.submit(f"check{number}", StepSpec(cpu_millis=1000, memory_mb=100))
+        world.round()
+        (task,) = pool.workflows[f"check{number}"].tasks()
+        # The second crash keeps it suspected, however long it waits.
+        task.crashes = CrashRecord(2, True, 2, ("m11", "m12"))
+        task.waiting_since_ms = now_ms - MAX_TRIAL_WAIT_MS
+        pool._crashed[task.name] = task
+    source.value = PoolConfig.from_queues(3, [QUEUE])
+
+
+@pytest.mark.parametrize(
+    ("crashes", "is_trial", "age_ms", "is_limited"),
+    [
+        (2, True, 0, True),
+        (1, True, 0, False),
+        (2, False, 0, False),
+        (2, True, CRASHED_TRIALS_WINDOW_MS + 1000, False),
+    ],
+)
+def test_trials_that_crash_do_not_take_most_workers(crashes, is_trial, age_ms, is_limited):
+    """Guards against a backlog of deadly checks that ends the services on most workers."""
+    world = PoolWorld(11, run_ms=lambda name: 5000)
+    world.elect()
+    world.run(3)
+    suspected_checks(world, 8)
+    crashed_at = world.clock.monotonic() - age_ms * MS
+    for number in range(crashes):
+        world.owner()._term.crashes.record(
+            f"gone{number}", "1", f"gone{number}", is_trial, "refused", crashed_at
+        )
+    world.round()
+    on_trial = {task.worker_id for task in world.owner()._term.pool.trials()}
+    assert len(on_trial) == (max_trials(11) if is_limited else 8)
+
+
 @pytest.mark.parametrize("others_wait", [False, True])
 @pytest.mark.parametrize("checks", [3, 6, 8, 12])
 def test_suspected_checks_that_have_waited_long_use_most_workers(checks, others_wait):
