--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -65,8 +65,8 @@
 
 MIN_CRASHED_TRIALS = 2
 CRASHED_TRIALS_WINDOW_MS = 5000
-"""Crashes under trials, and time in which they count, from which on a backlog gets no more workers
-than `MAX_TRIAL_SHARE`: trials that go on crashing would take most workers, and the services there."""
+"""Crashes under trials within a time, from which on a backlog gets no more workers than
+`MAX_TRIAL_SHARE`. Trials that go on crashing would end the services on most workers."""
 
 MAX_TRIALS_IN_SERIES = 3
 """Number of trials that a worker may have before it, above which more workers run trials. Each
