Avoid workers that lose starts for overdue services that have lost one

Cause: the order of workers for overdue services left out which workers have carried out no start since they lost one, so a service went to one after the other.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -379,6 +379,7 @@
                     worker.worker_id in trial_ids,
                     _refusal(task, worker, wait_ms) is not None,
                     worker.worker_id in task.failed_on,
+                    task.has_lost_start and worker.has_lost_starts,
                     worker.penalty,
                     worker.machine in _crashed_vms(task),
                     worker.pending_starts if task.has_lost_start else 0,
