--- a/packages/core/src/mulberryslip/crashes.py
+++ b/packages/core/src/mulberryslip/crashes.py
@@ -44,7 +44,7 @@
 
 PROVEN_AFTER_MS = 5000
 """Run time after which a long-running task has proven itself: it does not crash the workers that
-start it. A crash later in a run counts as evidence all the same."""
+start it. It may still crash one later in a run, which counts unless a younger run is likelier."""
 
 MAX_LOSSES_IN_SERIES = 3
 MAX_LOSSES = 8
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -690,6 +690,9 @@
         member = term.members.get(task.worker_id)
         if member is None or member.incarnation != task.incarnation or task.is_suspected:
             return []
+        if task.outlived_run == task.run:
+            # A second record would renew the proof of the task.
+            return []
         is_cleared = (
             task.crashes is not None
             and task.crashes.excuse is Excuse.NONE
@@ -700,8 +703,6 @@
             required_ms = FIRST_PROBATION_MS
         else:
             required_ms = PROVEN_AFTER_MS if task.spec.lasting else MAX_PROBATION_MS
-        if task.outlived_run == task.run:
-            return []
         if (task.crashes is None or is_cleared) and _age_ms(task, member) >= required_ms:
             return [RunCheckpointed(task.name, task.run, task.checkpoint)]
         return []
