Tighten two bounds of the tests of proofs to what the rule and the limits say

The tests allowed six starts of a deadly service; BUDGET is broken by the third start after three crashes, so five are allowed, as the doubles count.

The limit of losses was compared with 12, left from an earlier value; it is MAX_LOSSES. That test also took a record as one of a short run which the owner writes only after 30 s. It ends before that now, and a new table checks on the owner when crashes are cleared. No product code changes.

--- a/tests/test_proofs_and_deadlines_bounds.py
+++ b/tests/test_proofs_and_deadlines_bounds.py
@@ -1,4 +1,4 @@
-"""Tests of the bounds of proofs and of starts past the deadline, written in a review."""
+"""Tests of the bounds of proofs and of starts past the deadline."""
 
 import json
 import random
@@ -6,7 +6,13 @@
 
 import attrs
 import pytest
-from mulberryslip.crashes import CrashRecord
+from mulberryslip.crashes import (
+    CLEARED_AFTER_MS,
+    CRASHES_BEFORE_GUILT,
+    MAX_LOSSES,
+    PROVEN_AFTER_MS,
+    CrashRecord,
+)
 from mulberryslip.dispatches import PlacementDecision
 from mulberryslip.models import Resources
 from mulberryslip.snapshots import growth_reserve
@@ -21,7 +27,7 @@
     encode_event,
 )
 from mulberryslipd.schedulers import MAX_REPORT_AGE
-from pool_doubles import PoolWorld
+from pool_doubles import MAX_FINAL_STARTS, PoolWorld
 from test_crashes import ROUNDS_PER_SECOND, end, start
 from test_start_deadlines import make_service, make_worker, schedule_overdue
 from test_workflows import workflow_accepted
@@ -29,8 +35,8 @@
 SERVICE = StepSpec(cpu_millis=1000, memory_mb=100, lasting=True)
 CHECK = StepSpec(cpu_millis=500, memory_mb=100)
 SERVICE_MS = 3_600_000
-MAX_DEADLY_STARTS = 6
-"""Three crashes, and three starts after them."""
+MAX_DEADLY_STARTS = CRASHES_BEFORE_GUILT + MAX_FINAL_STARTS
+"""The third start after three crashes breaks the rule."""
 
 TURNS_DEADLY = (20_000, *(10,) * 40)
 """Times from the starts of a task to its crashes: it runs well once."""
@@ -88,7 +94,7 @@
     ids=lambda times: "-".join(map(str, times[:3])),
 )
 def test_deadly_service_is_given_up_within_the_budget(crash_times_ms, checks):
-    """Guards against more than three starts after three crashes under a task."""
+    """Guards against three starts or more after three crashes under a task."""
     starts, state = play_deadly_service(crash_times_ms, checks)
     assert (state, starts <= MAX_DEADLY_STARTS) == ("failed", True), starts
 
@@ -99,8 +105,8 @@
     pool.apply(workflow_accepted("a", SERVICE))
     task = pool.task("a/0/0/0")
     losses = 0
-    # No run lasts for `CLEARED_AFTER_MS`: each is recorded as proven once at most.
-    for outcome in [*(SURVIVED, LAPSED) * 12, LOST, SURVIVED, SURVIVED, LAPSED]:
+    # No run lasts for `CLEARED_AFTER_MS`, and the last one has only outlived its trial.
+    for outcome in [*(SURVIVED, LAPSED) * 12, LOST, SURVIVED, LAPSED]:
         if not task.has_active_run(task.run):
             start(pool, task)
         if outcome is SURVIVED:
@@ -108,7 +114,33 @@
         else:
             losses += outcome is LAPSED and task.is_proven
             end(pool, task, outcome)
-    assert losses <= 12
+    assert losses <= MAX_LOSSES
+    assert task.crashes.is_late
+
+
+@pytest.mark.parametrize(
+    ("is_late", "run_s", "is_cleared"),
+    [
+        (False, PROVEN_AFTER_MS // 1000 + 2, True),
+        (True, PROVEN_AFTER_MS // 1000 + 2, False),
+        (True, CLEARED_AFTER_MS // 1000 - 2, False),
+        (True, CLEARED_AFTER_MS // 1000 + 2, True),
+    ],
+)
+def test_crashes_of_a_task_that_had_proven_itself_are_cleared_later(is_late, run_s, is_cleared):
+    """Guards against a proof that each run of some seconds after a trial renews in full."""
+    world = PoolWorld(1, run_ms=lambda name: SERVICE_MS)
+    world.elect()
+    world.run(3)
+    world.submit("service", SERVICE)
+    pool = world.owner()._term.pool
+    task = pool.task("service/0/0/0")
+    task.crashes = CrashRecord(1, False, 1, ("m9",), is_late=is_late)
+    pool._crashed[task.name] = task
+    while task.name not in world.workers[0].runs:
+        world.round()
+    world.run(run_s * ROUNDS_PER_SECOND)
+    assert (task.crashes is None) is is_cleared
 
 
 @pytest.mark.parametrize("gap_ms", [0, 300, 2000])
@@ -249,7 +281,7 @@
         if not service.has_active_run(service.run):
             start(pool, service, machine, 10_000)
         end(pool, service, LOST)
-    # On 4479de1 the first crash made it suspected, and the third one gives it up.
+    # Earlier builds suspect it after the first crash, and give it up after the third one.
     assert service.workflow.state == "failed"
 
 
