Estimate the interference of pairs of images by one of two rules

Cause: a fit of 27,000 pairs of listings of 14 workers shows that three quarters of the pairs decrease a headroom by 0.3 to 1.5 per worker and the others by 5 to 16. One normal distribution for all pairs puts many harmless pairs at 1 to 3, so that their runs are throttled and avoid workers on which they would disturb nobody.

Change: the estimate of a pair is a class of its own.

--- a/packages/core/src/mulberryslip/headrooms.py
+++ b/packages/core/src/mulberryslip/headrooms.py
@@ -14,28 +14,9 @@
 
 import attrs
 
+from .pair_estimates import NormalEstimate, PairEstimate
 from .runners import RunningRun, RunProfile
 
-PRIOR_MEAN = 3.5
-PRIOR_DEVIATION = 3.5
-"""Mean and standard deviation of the interference of a pair without observations."""
-
-PEAK_FACTOR = 1.2
-"""Factor applied to the mean of an interference estimate. Interference fluctuates within seconds,
-and its peaks harm the service."""
-
-UNCERTAINTY_DEVIATIONS = 0.5
-"""Standard deviations added to an interference estimate to allow for its uncertainty."""
-
-VARIANCE_PER_S = 0.01
-"""Variance added to an interference estimate per second, because interference changes with load."""
-
-TAIL_NOISE = 0.12
-"""Relative noise of a tail latency, which is a rough measurement over the last half second."""
-
-HEADROOM_DRIFT_PER_S = 0.4
-"""Change of a service's headroom per second due to its own load."""
-
 MAX_LISTING_INTERVAL = timedelta(seconds=1)
 """Maximum time between two run listings that are compared."""
 
@@ -53,9 +34,6 @@
 BASELINE_TIME_CONSTANT = timedelta(seconds=8)
 """Averaging time of a service's baseline headroom: about half a cycle of its load."""
 
-MAX_KNOWN_VARIANCE = 6.0
-"""Variance below which an interference estimate is shared; half of the prior's variance."""
-
 TAIL_TIME_CONSTANT = timedelta(milliseconds=450)
 """Time constant with which tail latencies follow the processor use of best-effort runs, determined
 by comparing listings of all pairs."""
@@ -111,21 +89,6 @@
     deviation: float
 
 
-@attrs.define
-class _Estimate:
-    mean: float = PRIOR_MEAN
-    variance: float = PRIOR_DEVIATION**2
-    updated: timedelta = timedelta()
-
-    def add_uncertainty(self, now: timedelta) -> None:
-        age = max(0.0, (now - self.updated).total_seconds())
-        self.variance = min(PRIOR_DEVIATION**2, self.variance + VARIANCE_PER_S * age)
-        self.updated = max(now, self.updated)
-
-    def conservative(self) -> float:
-        return PEAK_FACTOR * self.mean + UNCERTAINTY_DEVIATIONS * self.variance**0.5
-
-
 class LaggedShares:
     """Processor use of best-effort images with the lag at which tail latencies reflect it.
 
@@ -170,10 +133,13 @@
     """Estimates the interference of image pairs and the baseline headroom of services.
 
     Not thread-safe.
+
+    :param estimate_type: rule by which a pair is estimated.
     """
 
-    def __init__(self) -> None:
-        self._pairs: dict[tuple[str, str], _Estimate] = {}
+    def __init__(self, estimate_type: type[PairEstimate] = NormalEstimate) -> None:
+        self._estimate_type = estimate_type
+        self._pairs: dict[tuple[str, str], PairEstimate] = {}
         self._received: dict[tuple[str, str], float] = {}
         self._last_listings: dict[str, _Listing] = {}
         self._lagged_shares: dict[str, LaggedShares] = {}
@@ -216,6 +182,15 @@
         for image, low in lowest_by_image.items():
             self._update_baseline(worker_id, image, low, shares, now)
 
+    def use(self, estimate_type: type[PairEstimate], now: timedelta) -> None:
+        """Estimate pairs by another rule from now on, starting from what is known."""
+        if estimate_type is self._estimate_type:
+            return
+        known = self.estimates()
+        self._estimate_type = estimate_type
+        self._pairs.clear()
+        self.restore(known, now)
+
     def accept_estimates(self, interferences: Iterable[ImageInterference]) -> None:
         """Accept estimates of another process; they take precedence over own estimates."""
         self._received.update(
@@ -231,7 +206,8 @@
         received = self._received.get((best_effort, latency_critical))
         if received is not None:
             return received
-        return self._pairs.get((best_effort, latency_critical), _Estimate()).conservative()
+        known = self._pairs.get((best_effort, latency_critical))
+        return (self._estimate_type() if known is None else known).conservative()
 
     def total_interference(self, shares: Mapping[str, float], latency_critical: str) -> float:
         """Return by how much best-effort runs decrease the headroom of a latency-critical image.
@@ -250,8 +226,7 @@
         return [
             ImageInterference(*pair, round(estimate.conservative(), 2))
             for pair in itertools.product(best_effort, latency_critical)
-            if (estimate := self._pairs.get(pair)) is not None
-            and estimate.variance < MAX_KNOWN_VARIANCE
+            if (estimate := self._pairs.get(pair)) is not None and estimate.is_known
         ]
 
     def estimates(self) -> list[InterferenceEstimate]:
@@ -259,14 +234,14 @@
         return [
             InterferenceEstimate(*pair, estimate.mean, estimate.variance**0.5)
             for pair, estimate in self._pairs.items()
-            if estimate.variance < MAX_KNOWN_VARIANCE
+            if estimate.is_known
         ]
 
     def restore(self, estimates: Iterable[InterferenceEstimate], now: timedelta) -> None:
         """Continue from the estimates of another process."""
         for known in estimates:
-            self._pairs[known.best_effort_image, known.latency_critical_image] = _Estimate(
-                known.mean, min(PRIOR_DEVIATION, known.deviation) ** 2, now
+            self._pairs[known.best_effort_image, known.latency_critical_image] = (
+                self._estimate_type.restored(known.mean, known.deviation, now)
             )
 
     def baseline_headroom(self, worker_id: str, image: str) -> float | None:
@@ -294,7 +269,7 @@
     ) -> None:
         """Update the estimates for one service from the change of its headroom between listings.
 
-        A Kalman filter update without covariances, for the images whose shares changed.
+        Without covariances, for the images whose shares changed.
         """
         latency_critical = colocated_run.profile.image
         earlier, later = before.headrooms[colocated_run.listed_run.task], colocated_run.headroom
@@ -307,17 +282,15 @@
             return
         pairs = {image: self._estimate(image, latency_critical, listing.at) for image in changes}
         seconds = (listing.at - before.at).total_seconds()
-        noise = TAIL_NOISE**2 * (earlier**2 + later**2) + (HEADROOM_DRIFT_PER_S * seconds) ** 2
-        error = earlier - later - sum(pairs[image].mean * x for image, x in changes.items())
-        spread = noise + sum(pairs[image].variance * x * x for image, x in changes.items())
+        explained = {image: pairs[image].mean * x for image, x in changes.items()}
+        variances = {image: pairs[image].variance * x * x for image, x in changes.items()}
+        error = earlier - later - sum(explained.values())
+        spread = self._estimate_type.noise(earlier, later, seconds) + sum(variances.values())
         is_saturated = min(earlier, later) < SATURATED_HEADROOM
         for image, x in changes.items():
-            estimate = pairs[image]
-            gain = estimate.variance * x / spread
-            if is_saturated and gain * error <= 0:
-                continue
-            estimate.mean = max(0.0, estimate.mean + gain * error)
-            estimate.variance *= 1 - gain * x
+            pairs[image].observe(
+                error + explained[image], x, spread - variances[image], is_saturated
+            )
 
     def _update_baseline(
         self, worker_id: str, image: str, headroom: float, shares: dict[str, float], now: timedelta
@@ -334,10 +307,14 @@
         self._baselines[worker_id, image] = (baseline + weight * (isolated - baseline), now)
 
     def _mean(self, best_effort: str, latency_critical: str) -> float:
-        return self._pairs.get((best_effort, latency_critical), _Estimate()).mean
-
-    def _estimate(self, best_effort: str, latency_critical: str, now: timedelta) -> _Estimate:
-        estimate = self._pairs.setdefault((best_effort, latency_critical), _Estimate(updated=now))
+        known = self._pairs.get((best_effort, latency_critical))
+        return (self._estimate_type() if known is None else known).mean
+
+    def _estimate(self, best_effort: str, latency_critical: str, now: timedelta) -> PairEstimate:
+        pair = (best_effort, latency_critical)
+        estimate = self._pairs.get(pair)
+        if estimate is None:
+            estimate = self._pairs[pair] = self._estimate_type(updated=now)
         estimate.add_uncertainty(now)
         return estimate
 
