Add the gate for decisions about wide best-effort steps

Some decisions must only apply in pools with wide best-effort steps. The key pool.wide_step_tasks (default 0, off) is the least mean width; Pool counts the best-effort steps of unended workflows as events are applied, so the check has constant cost and a new owner decides alike.

--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -13,6 +13,7 @@
 from .exceptions import SettingsError
 from .models import Resources
 from .partitions import MAX_POOLS, pool_count
+from .steps import MAX_STEP_TASKS
 
 ROLES = ("entry", "worker", "gateway", "agent")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -195,6 +196,7 @@
 POOL_KEYS = {
     "count": _integer(0, MAX_POOLS, 0),
     "lease_ms": _integer(500, 600_000, 6000),
+    "wide_step_tasks": _integer(0, MAX_STEP_TASKS, 0),
 }
 VMS_KEYS = {"url": _url("")}
 ADAPTER_KEYS = {"module": Key(str, "a Python module name", str.isidentifier, REQUIRED)}
@@ -227,7 +229,8 @@
     :param cluster: number of shards; must be equal on all processes.
     :param timing: intervals and leases in milliseconds; must be equal on all processes.
     :param role: keys of the role's own table, such as `[entry]` or `[worker]`.
-    :param pool: number of pools and lease of workers; empty for roles without pools.
+    :param pool: number of pools, lease of workers, and width of steps of a wide pool; empty for
+        roles without pools.
     :param adapter: module of the platform's adapter; empty for roles without one.
     :param vms: address of the platform's list of VMs; empty for roles that do not read it.
     """
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -21,6 +21,7 @@
 from .queues import Queue
 from .runners import EndKind, RunProfile
 from .steps import MAX_CHECKPOINT_CHARS, MAX_NAME_CHARS, StepSpec, WorkflowSpec
+from .wide_steps import StepWidths
 
 MAX_SPEC_CHARS = 700_000
 """Keeps an accepted workflow within the 900 KB that a journal record may have."""
@@ -335,6 +336,10 @@
 
     def __init__(self) -> None:
         self.workflows: dict[str, Workflow] = {}
+        self.unended: dict[str, Workflow] = {}
+        """The workflows that have not ended; `workflows` keeps the others for `RETENTION_MS`."""
+        self.best_effort_widths = StepWidths()
+        """Widths of the best-effort steps of these workflows."""
         self.interferences: dict[tuple[str, str], InterferenceEstimated] = {}
         self._tasks: dict[str, StepTask] = {}
         self._ready: dict[str, StepTask] = {}
@@ -443,6 +448,8 @@
             workflow.unfinished_counts.append(step.count)
             self._tasks.update((task.name, task) for task in tasks)
         self.workflows[event.workflow_id] = workflow
+        self.unended[event.workflow_id] = workflow
+        self.best_effort_widths.add(spec)
         self._changed[event.workflow_id] = workflow
         self._queue_ready(workflow, event.at_ms)
         return True
@@ -700,6 +707,7 @@
 
     def _end(self, workflow: Workflow, at_ms: int) -> None:
         workflow.ended_ms = max(1, at_ms)
+        self._remove_unended(workflow)
         self._changed[workflow.workflow_id] = workflow
         for task in workflow.tasks():
             if task.phase is Phase.WAITING:
@@ -709,6 +717,10 @@
                 self._workers_to_stop_runs_on.add(task.worker_id)
         self._forget_tasks(workflow)
 
+    def _remove_unended(self, workflow: Workflow) -> None:
+        del self.unended[workflow.workflow_id]
+        self.best_effort_widths.remove(workflow.spec)
+
     def _allocate_capacity(self, task: StepTask) -> None:
         self._active_by_worker.setdefault(task.worker_id, {})[task.name] = task
         self._change_allocation(task.worker_id)
@@ -834,6 +846,8 @@
         workflow = self.workflows[accepted["j"]]
         workflow.is_failed, workflow.is_cancelled = failed, cancelled
         workflow.ended_ms = ended_ms
+        if workflow.is_ended:
+            self._remove_unended(workflow)
         for task, row in zip(workflow.tasks(), rows, strict=True):
             _check_types(row, _TASK_ROW_TYPES)
             phase, task.run, task.worker_id, task.incarnation, task.machine = row[:5]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,17 @@
         "memory_mb": 250000,
     },
 }
+AGENT = {
+    "process": {"role": "agent", "id": "agent-1", "data_centre": "concord", "host": "127.0.0.1"},
+    "store": {"url": "http://127.0.0.1:9000"},
+    "agent": {
+        "wire": "127.0.0.1:7201",
+        "announcements": "127.0.0.1:7202",
+        "metrics": "127.0.0.1:7203",
+        "worker_url": "http://127.0.0.1:8001",
+    },
+    "adapter": {"module": "adapter"},
+}
 
 
 def changed(document, table, key, value):
@@ -31,7 +42,7 @@
     return document
 
 
-@pytest.mark.parametrize("document", [ENTRY, WORKER])
+@pytest.mark.parametrize("document", [ENTRY, WORKER, AGENT])
 def test_minimal_settings_are_accepted(document):
     """Guards against a default value that fails its own validation."""
     assert settings.parse(document).process["id"] == document["process"]["id"]
@@ -63,6 +74,8 @@
         (ENTRY, "timing", "renew_interval_ms", 10_000, "at most a third"),
         (WORKER, "worker", "entries", [], "worker.entries = []: must be a list"),
         (WORKER, "worker", "service_cpu_millis", 64000, "must be less than worker.cpu_millis"),
+        (AGENT, "pool", "wide_step_tasks", -1, "pool.wide_step_tasks = -1: must be an integer"),
+        (AGENT, "pool", "wide_step_tasks", 4097, "an integer from 0 to 4096"),
         (ENTRY, "store", "url", "https://store", "store.url = 'https://store': must be"),
         (
             WORKER,
@@ -89,6 +102,11 @@
     assert len(info.value.faults) == 3
 
 
+def test_scheduling_for_wide_steps_is_off_by_default():
+    """Guards against existing deployments whose scheduling changes with an upgrade."""
+    assert settings.parse(AGENT).pool["wide_step_tasks"] == 0
+
+
 @pytest.mark.parametrize("content", [b"role = ", b"\xff\xfe", None])
 def test_unreadable_file_is_a_settings_error(tmp_path, content):
     """Guards against a traceback instead of a message for a broken file."""
