Order headroom by latest start in pools with wide steps, by learned work

Cause: steps of 20 to 80 tasks with a tail of seven times the mean. The deadline by the caller's estimate is too early for a workflow with a straggler, so the straggler got headroom last, and a workflow that could be in time counted as late.

Change: work follows from the progress that workers list, the critical path from the longest task of each step, and agents get the latest start of a run as its place in the order. Best-effort runs prefer workers where they take up little headroom. All of it only while the gate for wide steps is open.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -20,6 +20,7 @@
 from collections.abc import (
     Callable,
     Collection,
+    Container,
     Iterable,
     Mapping,
     MutableMapping,
@@ -36,6 +37,7 @@
     MAX_TRIALS_PER_WORKFLOW,
     SUSPICION_WINDOW_MS,
 )
+from .critical_paths import CriticalPaths
 from .duty_cycles import RESERVED_HEADROOM
 from .headrooms import (
     NEGLIGIBLE_INTERFERENCE,
@@ -46,7 +48,9 @@
 )
 from .health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from .models import Resources
+from .pair_estimates import NormalEstimate, SeparatedEstimate
 from .refusals import Preference, Requirement
+from .work_estimates import WorkEstimates
 from .workflows import Phase, StepTask, Workflow
 
 SHORT_TASK_RESERVE = 0.1
@@ -118,6 +122,10 @@
 """Minimum increase in speed, as a share of full speed, for which a best-effort run is moved; a
 move costs the run a stop and a start."""
 
+TIER_DELAY_MS = 24 * 3600 * 1000
+"""By how much later the tasks of a workflow that is late count as due, for each tier: they get only
+headroom that workflows which can still be in time leave."""
+
 MAX_ESTIMATE_MS = 31 * 24 * 3600 * 1000
 """Longest run time that is assumed for a task, whatever its caller estimates."""
 
@@ -128,12 +136,13 @@
 """Multiple of its completion objective after which a workflow has no value to its caller."""
 
 THROUGHPUT_WEIGHT = 3.0
+HEADROOM_WEIGHT = 2.0
 INTERFERENCE_WEIGHT = 0.5
 OTHER_IMAGE_WEIGHT = 0.5
 SAME_IMAGE_WEIGHT = 1.0
 PACKING_WEIGHT = 4.0
-"""Score weights, relative to 100 free cores: added throughput, reduction of a service's headroom,
-each other latency-critical image on the worker, the same image on the worker, and the presence of
+"""Score weights, relative to 100 free cores: added throughput, share of a service's headroom that
+a best-effort run takes up (only with wide steps), reduction of a service's headroom, each other latency-critical image on the worker, the same image on the worker, and the presence of
 any service on the worker."""
 
 MAX_MOVES = 4
@@ -257,9 +266,38 @@
     def __init__(self, run_time: Callable[[StepTask], timedelta], model: InterferenceModel):
         self._run_time = run_time
         self.model = model
+        self.is_wide = False
+        self.estimates = WorkEstimates()
+        self._paths = CriticalPaths(run_time, self.estimates)
         self._throughputs: dict[str, float] = {}
         self._marginal_throughputs: dict[str, dict[tuple[str, int], float]] = {}
 
+    def set_wide(self, is_wide: bool, now: timedelta) -> None:
+        """Switch the decisions for wide best-effort steps on or off, see `WideStepGate`.
+
+        :param now: monotonic time.
+        """
+        if is_wide != self.is_wide:
+            self.is_wide = is_wide
+            self.model.use(SeparatedEstimate if is_wide else NormalEstimate, now)
+
+    def observe_progress(
+        self, task: StepTask, run: int, percent: int, gauge: int, at: timedelta
+    ) -> None:
+        """Learn the work of a best-effort task from a listing of its run.
+
+        :param percent: progress of the run.
+        :param gauge: processors in use, in thousandths of a core.
+        :param at: monotonic time of the listing.
+        """
+        if self.is_wide and task.spec.fills:
+            speed = gauge / max(1, task.spec.cpu_millis)
+            self.estimates.observe(task.name, run, percent, speed, self._run_time(task), at)
+
+    def retain(self, workflow_ids: Container[str]) -> None:
+        """Discard what was learned of all workflows but the given ones."""
+        self._paths.retain(workflow_ids)
+
     def schedule(
         self,
         waiting: Iterable[StepTask],
@@ -807,6 +845,8 @@
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the scheduling priority of a workflow."""
+        if self._has_learned_path(workflow):
+            self._paths.refresh(workflow, now_ms)
         due_ms = self.due_ms(workflow)
         if any(step.lasting for step in workflow.spec.steps):
             return Urgency(0, workflow.queue.priority, False, due_ms)
@@ -827,11 +867,38 @@
         """Return the deadline of a workflow, in milliseconds since 1970."""
         return workflow.accepted_ms + _ms(self.objective(workflow))
 
+    def latest_start_ms(self, task: StepTask, now_ms: int) -> int:
+        """Return when a task has to begin at full speed so that its workflow is in time.
+
+        Agents allocate headroom in this order, so the tasks that others wait for come first.
+
+        :param now_ms: current time, in milliseconds since 1970.
+        :returns: milliseconds since 1970; the deadline of the workflow if its path is not learned.
+        """
+        workflow = task.workflow
+        if not self._has_learned_path(workflow):
+            return self.due_ms(workflow)
+        urgency = self.urgency(workflow, now_ms)
+        path = self._paths.refresh(workflow, now_ms)
+        late_ms = max(0, urgency.tier - 1) * TIER_DELAY_MS
+        return urgency.due_ms + late_ms - _ms(path.after[task.step]) - _ms(self._paths.work(task))
+
+    def _has_learned_path(self, workflow: Workflow) -> bool:
+        """Return whether the critical path follows from the progress of the workflow's runs."""
+        return (
+            self.is_wide
+            and bool(workflow.steps)
+            and any(step.fills for step in workflow.spec.steps)
+        )
+
     def critical_path(self, workflow: Workflow, include_done: bool) -> timedelta:
         """Return the expected run time of the critical path of a workflow.
 
         :param include_done: whether to count steps that are already done.
         """
+        path = self._paths.path(workflow) if self._has_learned_path(workflow) else None
+        if path is not None:
+            return path.total if include_done else path.remaining
         ends: list[timedelta] = []
         for number, step in enumerate(workflow.spec.steps):
             before = max((ends[earlier] for earlier in step.after), default=timedelta())
@@ -902,6 +969,24 @@
                     self.model.interference(task.spec.image, image) * share
                 )
 
+    def _headroom_share(self, task: StepTask, worker: WorkerCapacity) -> float:
+        """Return which part of a service's headroom a best-effort run takes up, at most 1.
+
+        The lower of the usual and the current headroom counts. Tasks last for a few seconds, a
+        quarter of a cycle of the services' load.
+        """
+        share = worker.cpu_share(task.spec.cpu_millis)
+        taken = 0.0
+        for image in worker.latency_critical_runs:
+            interference = self.model.interference(task.spec.image, image)
+            if interference > NEGLIGIBLE_INTERFERENCE:
+                headroom = min(
+                    worker.baseline_headrooms.get(image, DEFAULT_HEADROOM),
+                    worker.lowest_headrooms.get(image, DEFAULT_HEADROOM),
+                )
+                taken = max(taken, interference * share / max(0.01, headroom - RESERVED_HEADROOM))
+        return min(1.0, taken)
+
     def _would_violate_objective(self, task: StepTask, worker: WorkerCapacity) -> bool:
         """Return whether a run violates a latency objective before its duty cycle can be set."""
         share = worker.cpu_share(task.spec.cpu_millis)
@@ -947,6 +1032,8 @@
             if throughput_gain < MIN_MARGINAL_THROUGHPUT and needs_good_worker:
                 return None
             score -= OBJECTIVE_VIOLATION_PENALTY * violates_objective
+            if self.is_wide:
+                score -= HEADROOM_WEIGHT * self._headroom_share(task, worker)
             return score + worker.unused_millis / 100_000 + THROUGHPUT_WEIGHT * throughput_gain
         if spec.lasting:
             if task.has_lost_start:
--- a/packages/core/src/mulberryslip/wide_steps.py
+++ b/packages/core/src/mulberryslip/wide_steps.py
@@ -41,20 +41,31 @@
     best_effort_widths: StepWidths
 
 
-@attrs.frozen
+MIN_STEPS = 6
+"""Best-effort steps from which on their mean width decides. The widths of single steps vary by a
+factor of four around their mean."""
+
+
+@attrs.define
 class WideStepGate:
     """Tells whether the decisions for wide best-effort steps apply to a pool.
 
     :param min_tasks: mean number of tasks of a best-effort step from which on they apply; 0 turns
         them off.
+    :param min_steps: number of steps from which on the mean decides.
     """
 
     min_tasks: int = 0
+    min_steps: int = MIN_STEPS
+    _is_wide: bool = attrs.field(default=False, init=False)
 
     def applies_to(self, pool: HasStepWidths) -> bool:
-        """Return whether a pool counts as wide now; it does not without best-effort work.
+        """Return whether a pool counts as wide now.
 
-        The cost is constant, so that every decision round can ask.
+        With few steps, the last answer stays; it is False at first. The cost is constant, so that
+        every decision round can ask.
         """
         widths = pool.best_effort_widths
-        return 0 < self.min_tasks * widths.steps <= widths.tasks
+        if widths.steps >= self.min_steps:
+            self._is_wide = 0 < self.min_tasks * widths.steps <= widths.tasks
+        return self._is_wide
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -60,6 +60,8 @@
     :param stop_sent_at: when the last stop command was queued, by task and run.
     :param stop_reasons: why to stop runs whose tasks continue elsewhere, by task and run.
     :param has_commands: set while commands wait for the agent.
+    :param sent_latest_starts: latest start of best-effort runs that the agent was told last, by
+        task, in milliseconds since 1970.
     :param unassigned: tasks of listed runs that are not active; None for an unknown task.
     :param unassigned_version: what `unassigned` was computed from.
     :param allocation: capacity of the worker without the assigned runs; None before it is computed.
@@ -94,6 +96,7 @@
     stop_sent_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_commands: threading.Event = attrs.field(factory=threading.Event)
+    sent_latest_starts: dict[str, int] = attrs.field(factory=dict)
     unassigned: tuple[StepTask | None, ...] = ()
     unassigned_version: tuple = ()
     allocation: WorkerCapacity | None = None
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -32,6 +32,7 @@
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.stores import Store
 from mulberryslip.vms import VMInventory
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import (
@@ -110,6 +111,7 @@
     :param identity: what the owner key says about this process.
     :param times: lease times of workers and of the owner.
     :param inventory: the platform's list of VMs; None if there is none.
+    :param gate: tells whether the decisions for wide best-effort steps apply; None if never.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         rng: random.Random,
         times: PoolLeaseTimes | None = None,
         inventory: VMInventory | None = None,
+        gate: WideStepGate | None = None,
     ):
         self._number = number
         self._key = owner_key(number)
@@ -140,7 +143,7 @@
         self._rng = rng
         self._times = times or PoolLeaseTimes()
         self._inventory = inventory
-        self._scheduler = PoolScheduler(source, dispatcher, self._times, metrics, clock)
+        self._scheduler = PoolScheduler(source, dispatcher, self._times, metrics, clock, gate)
         self._term: PoolTerm | None = None
         self._takeover_epoch = 0
         self._isolation = IsolationPolicy()
@@ -861,6 +864,8 @@
         with term.lock:
             tasks = [term.pool.task(name) for name in req.unprofiled]
             profiles = [self._scheduler.profile(task) for task in tasks if task is not None]
+            if member.incarnation == req.worker.incarnation:
+                profiles += self._scheduler.changed_profiles(term, member)
             interference = self._interference(term, member)
             is_current = member.incarnation == req.worker.incarnation
             ended_through = member.ended_through if is_current else 0
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -51,6 +51,7 @@
 from mulberryslip.refusals import Preference, Requirement
 from mulberryslip.runners import RunningRun
 from mulberryslip.vms import Silence
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
     OUTCOME_BY_END_KIND,
@@ -106,6 +107,9 @@
 """Smallest change of an interference estimate that is recorded, in thousandths: a third of the
 weakest interference between heavy pairs of images."""
 
+MIN_LATEST_START_CHANGE_MS = 400
+"""Smallest change of a run's latest start that its agent is told: the time between two listings."""
+
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
 SURVIVAL_INTERVAL = timedelta(milliseconds=100)
@@ -213,6 +217,7 @@
     :param source: the operators' configuration.
     :param dispatcher: chooses workers for tasks.
     :param times: lease times that decide when a run has certainly ended.
+    :param gate: tells whether the decisions for wide best-effort steps apply.
     """
 
     def __init__(
@@ -222,7 +227,9 @@
         times: PoolLeaseTimes,
         metrics: Metrics,
         clock: Clock,
+        gate: WideStepGate | None = None,
     ):
+        self._gate = WideStepGate() if gate is None else gate
         self._source = source
         self._dispatcher = dispatcher
         self._times = times
@@ -337,6 +344,12 @@
             self._dispatcher.model.observe(
                 member.worker_id, member.received_at, colocated_runs, member.capacity.cpu_millis
             )
+        for name, status in member.running.items():
+            task = term.pool.task(name)
+            if task is not None and task.has_active_run(status.run):
+                self._dispatcher.observe_progress(
+                    task, status.run, status.progress_percent, status.gauge, member.received_at
+                )
         progress = [
             RunProgress(
                 name,
@@ -719,6 +732,7 @@
                 self._dispatcher.model.forget(worker_id)
         incarnations = {name: member.incarnation for name, member in term.members.items()}
         term.crashes.forget(incarnations, now)
+        self._dispatcher.retain(term.pool.unended)
         expired = term.pool.expired(self._now_ms())
         return [WorkflowsExpired(expired)] if expired else []
 
@@ -822,6 +836,7 @@
 
     def place(self, term: PoolTerm) -> list[PlacementDecision]:
         """Choose workers for ready tasks; return the placements to commit and start."""
+        self._apply_gate(term)
         decisions = self._choose_workers(term)
         now = self._clock.monotonic()
         for decision in decisions:
@@ -829,6 +844,15 @@
                 self._health.record_probe(decision.worker.worker_id, now)
         return decisions
 
+    def _apply_gate(self, term: PoolTerm) -> None:
+        """Switch the decisions for wide best-effort steps on or off."""
+        is_wide = self._gate.applies_to(term.pool)
+        if is_wide != self._dispatcher.is_wide:
+            self._dispatcher.set_wide(is_wide, self._clock.monotonic())
+            widths = term.pool.best_effort_widths
+            log(Event.WIDE_STEPS, is_wide=is_wide, steps=widths.steps, tasks=widths.tasks)
+            self._metrics.set_gauge("wide_steps", int(is_wide))
+
     def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
         waiting = term.pool.ready()
         config = self._source.config()
@@ -1342,6 +1366,29 @@
             del member.stop_sent_at[key]
             member.stop_reasons.pop(key, None)
 
+    def changed_profiles(self, term: PoolTerm, member: Member) -> list[wire.RunProfile]:
+        """Return the profiles of listed best-effort runs whose place in the order has changed.
+
+        A reply that is lost is made up for by the next change; until then the order is stale, which
+        delays runs but breaks no limit.
+        """
+        if not self._dispatcher.is_wide:
+            return []
+        now_ms = self._now_ms()
+        changed = []
+        sent: dict[str, int] = {}
+        for name, status in member.running.items():
+            task = term.pool.task(name)
+            if task is None or not task.spec.fills or not task.has_active_run(status.run):
+                continue
+            start_ms = self._dispatcher.latest_start_ms(task, now_ms)
+            sent[name] = member.sent_latest_starts.get(name, 0)
+            if abs(start_ms - sent[name]) >= MIN_LATEST_START_CHANGE_MS:
+                sent[name] = start_ms
+                changed.append(self.profile(task))
+        member.sent_latest_starts = sent
+        return changed
+
     def profile(self, task: StepTask) -> wire.RunProfile:
         """Return the profile of a run that its agent needs, as a wire message."""
         profile = run_profile(task)
@@ -1351,7 +1398,7 @@
             profile.fills,
             profile.cpu_millis,
             profile.target_ms,
-            self._dispatcher.due_ms(task.workflow),
+            self._dispatcher.latest_start_ms(task, self._now_ms()),
         )
 
     def _now_ms(self) -> int:
--- a/tests/test_wide_steps.py
+++ b/tests/test_wide_steps.py
@@ -34,13 +34,36 @@
 )
 def test_mean_width_decides(min_tasks, workflows, expected):
     """Guards against pools that are scheduled as wide although it is off or steps are narrow."""
-    assert WideStepGate(min_tasks).applies_to(pool_with(*workflows)) is expected
+    assert WideStepGate(min_tasks, 1).applies_to(pool_with(*workflows)) is expected
+
+
+@pytest.mark.parametrize(
+    ("widths", "expected"),
+    [
+        ([20] * 5, [False] * 5),
+        ([20] * 7, [False] * 5 + [True] * 2),
+        ([20] * 6 + [4] * 7, [False] * 5 + [True] * 7 + [False]),
+    ],
+)
+def test_few_steps_decide_nothing(widths, expected):
+    """Guards against a pool that changes between both ways of scheduling with each workflow."""
+    gate = WideStepGate(12)
+    pool = Pool()
+    decisions = []
+    for number, width in enumerate(widths):
+        spec = WorkflowSpec("p", (step(width),))
+        pool.apply(accepted_event(f"a{number}", QUEUE, spec, 1))
+        decisions.append(gate.applies_to(pool))
+    assert decisions == expected
+    for number in range(len(widths)):
+        pool.apply(WorkflowCancelled(f"a{number}", 2))
+    assert gate.applies_to(pool) is expected[-1]
 
 
 def test_ended_workflows_do_not_count_and_a_snapshot_keeps_the_decision():
     """Guards against a new owner that decides differently from the one before."""
     pool = pool_with([step(20)], [step(1)], [step(30)])
-    gate = WideStepGate(8)
+    gate = WideStepGate(8, 1)
     pool.apply(WorkflowCancelled("a0", 2))
     pool.apply(WorkflowCancelled("a2", 2))
     restored = Pool.from_snapshot(pool.to_snapshot())
