--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -48,7 +48,7 @@
 )
 from .health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from .models import Resources
-from .pair_estimates import NormalEstimate, SeparatedEstimate
+from .pair_estimates import IndependentEstimates, JointEstimates
 from .refusals import Preference, Requirement
 from .work_estimates import WorkEstimates
 from .workflows import Phase, StepTask, Workflow
@@ -142,8 +142,9 @@
 SAME_IMAGE_WEIGHT = 1.0
 PACKING_WEIGHT = 4.0
 """Score weights, relative to 100 free cores: added throughput, share of a service's headroom that
-a best-effort run takes up (only with wide steps), reduction of a service's headroom, each other latency-critical image on the worker, the same image on the worker, and the presence of
-any service on the worker."""
+a best-effort run takes up (only with wide steps), reduction of a service's headroom, each other
+latency-critical image on the worker, the same image on the worker, and the presence of any service
+on the worker."""
 
 MAX_MOVES = 4
 """Maximum number of runs moved in one round, which limits the cost of a wrong decision."""
@@ -279,7 +280,7 @@
         """
         if is_wide != self.is_wide:
             self.is_wide = is_wide
-            self.model.use(SeparatedEstimate if is_wide else NormalEstimate, now)
+            self.model.use(JointEstimates() if is_wide else IndependentEstimates(), now)
 
     def observe_progress(
         self, task: StepTask, run: int, percent: int, gauge: int, at: timedelta
--- a/packages/core/src/mulberryslip/headrooms.py
+++ b/packages/core/src/mulberryslip/headrooms.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from .pair_estimates import NormalEstimate, PairEstimate
+from .pair_estimates import HeadroomChange, IndependentEstimates, PairEstimates
 from .runners import RunningRun, RunProfile
 
 MAX_LISTING_INTERVAL = timedelta(seconds=1)
@@ -134,12 +134,10 @@
 
     Not thread-safe.
 
-    :param estimate_type: rule by which a pair is estimated.
     """
 
-    def __init__(self, estimate_type: type[PairEstimate] = NormalEstimate) -> None:
-        self._estimate_type = estimate_type
-        self._pairs: dict[tuple[str, str], PairEstimate] = {}
+    def __init__(self) -> None:
+        self._pairs: PairEstimates = IndependentEstimates()
         self._received: dict[tuple[str, str], float] = {}
         self._last_listings: dict[str, _Listing] = {}
         self._lagged_shares: dict[str, LaggedShares] = {}
@@ -176,19 +174,13 @@
         before = self._last_listings.get(worker_id)
         self._last_listings[worker_id] = listing
         if before is not None and timedelta() < now - before.at <= MAX_LISTING_INTERVAL:
-            for colocated_run in latency_critical:
-                if colocated_run.listed_run.task in before.headrooms:
-                    self._update_estimates(before, listing, colocated_run)
+            self._pairs.observe(_changes_between(before, listing, latency_critical))
         for image, low in lowest_by_image.items():
             self._update_baseline(worker_id, image, low, shares, now)
 
-    def use(self, estimate_type: type[PairEstimate], now: timedelta) -> None:
+    def use(self, estimates: PairEstimates, now: timedelta) -> None:
         """Estimate pairs by another rule from now on, starting from what is known."""
-        if estimate_type is self._estimate_type:
-            return
-        known = self.estimates()
-        self._estimate_type = estimate_type
-        self._pairs.clear()
+        known, self._pairs = self.estimates(), estimates
         self.restore(known, now)
 
     def accept_estimates(self, interferences: Iterable[ImageInterference]) -> None:
@@ -206,8 +198,7 @@
         received = self._received.get((best_effort, latency_critical))
         if received is not None:
             return received
-        known = self._pairs.get((best_effort, latency_critical))
-        return (self._estimate_type() if known is None else known).conservative()
+        return self._pairs.conservative((best_effort, latency_critical))
 
     def total_interference(self, shares: Mapping[str, float], latency_critical: str) -> float:
         """Return by how much best-effort runs decrease the headroom of a latency-critical image.
@@ -224,24 +215,26 @@
     ) -> list[ImageInterference]:
         """Return the sufficiently certain estimates for pairs of the given images."""
         return [
-            ImageInterference(*pair, round(estimate.conservative(), 2))
+            ImageInterference(*pair, round(self._pairs.conservative(pair), 2))
             for pair in itertools.product(best_effort, latency_critical)
-            if (estimate := self._pairs.get(pair)) is not None and estimate.is_known
+            if self._pairs.is_known(pair)
         ]
 
     def estimates(self) -> list[InterferenceEstimate]:
         """Return the sufficiently certain estimates, for `restore` in another process."""
         return [
-            InterferenceEstimate(*pair, estimate.mean, estimate.variance**0.5)
-            for pair, estimate in self._pairs.items()
-            if estimate.is_known
+            InterferenceEstimate(*pair, mean, deviation)
+            for pair, (mean, deviation) in self._pairs.known().items()
         ]
 
     def restore(self, estimates: Iterable[InterferenceEstimate], now: timedelta) -> None:
         """Continue from the estimates of another process."""
         for known in estimates:
-            self._pairs[known.best_effort_image, known.latency_critical_image] = (
-                self._estimate_type.restored(known.mean, known.deviation, now)
+            self._pairs.restore(
+                (known.best_effort_image, known.latency_critical_image),
+                known.mean,
+                known.deviation,
+                now,
             )
 
     def baseline_headroom(self, worker_id: str, image: str) -> float | None:
@@ -264,39 +257,11 @@
         for key in [key for key in self._baselines if key[0] == worker_id]:
             del self._baselines[key]
 
-    def _update_estimates(
-        self, before: _Listing, listing: _Listing, colocated_run: ColocatedRun
-    ) -> None:
-        """Update the estimates for one service from the change of its headroom between listings.
-
-        Without covariances, for the images whose shares changed.
-        """
-        latency_critical = colocated_run.profile.image
-        earlier, later = before.headrooms[colocated_run.listed_run.task], colocated_run.headroom
-        changes = {
-            image: listing.shares.get(image, 0.0) - before.shares.get(image, 0.0)
-            for image in listing.shares.keys() | before.shares.keys()
-        }
-        changes = {image: x for image, x in changes.items() if abs(x) >= MIN_SHARE_CHANGE}
-        if not changes:
-            return
-        pairs = {image: self._estimate(image, latency_critical, listing.at) for image in changes}
-        seconds = (listing.at - before.at).total_seconds()
-        explained = {image: pairs[image].mean * x for image, x in changes.items()}
-        variances = {image: pairs[image].variance * x * x for image, x in changes.items()}
-        error = earlier - later - sum(explained.values())
-        spread = self._estimate_type.noise(earlier, later, seconds) + sum(variances.values())
-        is_saturated = min(earlier, later) < SATURATED_HEADROOM
-        for image, x in changes.items():
-            pairs[image].observe(
-                error + explained[image], x, spread - variances[image], is_saturated
-            )
-
     def _update_baseline(
         self, worker_id: str, image: str, headroom: float, shares: dict[str, float], now: timedelta
     ) -> None:
         isolated = headroom + sum(
-            self._mean(best_effort, image) * share for best_effort, share in shares.items()
+            self._pairs.mean((best_effort, image)) * share for best_effort, share in shares.items()
         )
         known = self._baselines.get((worker_id, image))
         if known is None:
@@ -306,17 +271,38 @@
         weight = min(1.0, max(timedelta(), now - at) / BASELINE_TIME_CONSTANT)
         self._baselines[worker_id, image] = (baseline + weight * (isolated - baseline), now)
 
-    def _mean(self, best_effort: str, latency_critical: str) -> float:
-        known = self._pairs.get((best_effort, latency_critical))
-        return (self._estimate_type() if known is None else known).mean
-
-    def _estimate(self, best_effort: str, latency_critical: str, now: timedelta) -> PairEstimate:
-        pair = (best_effort, latency_critical)
-        estimate = self._pairs.get(pair)
-        if estimate is None:
-            estimate = self._pairs[pair] = self._estimate_type(updated=now)
-        estimate.add_uncertainty(now)
-        return estimate
+
+def _changes_between(
+    before: _Listing, listing: _Listing, latency_critical: Iterable[ColocatedRun]
+) -> list[HeadroomChange]:
+    """Return the changes of the headrooms of the runs that are in both listings of a worker.
+
+    Empty unless the use of processors by a best-effort image has changed.
+    """
+    shares = {
+        image: listing.shares.get(image, 0.0) - before.shares.get(image, 0.0)
+        for image in listing.shares.keys() | before.shares.keys()
+    }
+    shares = {image: x for image, x in shares.items() if abs(x) >= MIN_SHARE_CHANGE}
+    if not shares:
+        return []
+    headrooms = [
+        (item.profile.image, before.headrooms[item.listed_run.task], item.headroom)
+        for item in latency_critical
+        if item.listed_run.task in before.headrooms
+    ]
+    return [
+        HeadroomChange(
+            image,
+            earlier,
+            later,
+            shares,
+            (listing.at - before.at).total_seconds(),
+            min(earlier, later) < SATURATED_HEADROOM,
+            listing.at,
+        )
+        for image, earlier, later in headrooms
+    ]
 
 
 def used_shares(colocated_runs: Iterable[ColocatedRun], cpu_millis: int) -> dict[str, float]:
--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -1,11 +1,11 @@
-"""Estimates of the interference of one pair of images. This module performs no I/O.
+"""Estimates of the interference of pairs of images. This module performs no I/O.
 
 The interference of a best-effort image with a latency-critical one is the decrease of the latter's
-headroom when the former uses a whole worker. Both rules update an estimate from the change of a
-headroom between two run listings.
+headroom when the former uses a whole worker. Both classes learn it from changes of a headroom
+between two run listings.
 """
 
-import math
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import Protocol
 
@@ -34,252 +34,297 @@
 HEADROOM_DRIFT_PER_S = 0.4
 """Change of a service's headroom per second due to its own load."""
 
-NEGLIGIBLE_MEAN = 0.5
-NEGLIGIBLE_DEVIATION = 0.5
-"""Interference of pairs that hardly interfere: 0.3 to 1.5 in listings of 14 workers."""
+JOINT_TAIL_NOISE = 0.06
+JOINT_DRIFT_PER_S = 0.2
+"""The same for joint estimates. The residuals of a fit of 27,000 pairs of listings, in which the
+effects of several images are told apart, are half of those above."""
 
-MAX_NEGLIGIBLE_MEAN = 0.95
-"""Bound of the estimate for such a pair, below `headrooms.NEGLIGIBLE_INTERFERENCE`."""
+JOINT_PEAK_FACTOR = 1.3
+JOINT_UNCERTAINTY_DEVIATIONS = 1.0
+"""`PEAK_FACTOR` and `UNCERTAINTY_DEVIATIONS` for joint estimates. They are certain enough to keep
+disturbing runs away from services, instead of slowing them down beside these."""
 
-STRONG_MEAN = 9.0
-STRONG_DEVIATION = 4.0
-"""Interference of the other pairs: 5 to 16 in the same listings."""
+JOINT_VARIANCE_PER_S = 0.02
 
-MIN_STRONG_MEAN = 3.0
+NEGLIGIBLE_MEAN = 0.95
+MAX_NEGLIGIBLE = 2.0
+"""Interference that a pair has to be below for certain, by two standard deviations, to count as
+negligible, and the most that is assumed of it then. The same fit has two groups of pairs, from 0.3
+to 1.5 and from 5 to 16."""
 
-STRONG_PRIOR = 0.3
-"""Probability that a pair without observations interferes strongly."""
+MAX_ERROR_DEVIATIONS = 3.0
+"""Standard deviations to which the error of an observation is bounded: a burst of a service's own
+load looks like interference."""
 
-MAX_LOG_ODDS = 6.0
-"""Bound of the log odds, so that a pair whose interference changes is soon classified again."""
+MAX_JOINT_IMAGES = 32
+"""Most best-effort images for which the covariances with one latency-critical image are kept. An
+update takes time with the square of their number."""
 
-MAX_LOG_ODDS_STEP = 2.0
-"""Bound of the change by one observation: a change of the service's own load within one interval
-can look like interference."""
+Pair = tuple[str, str]
+"""A best-effort and a latency-critical image."""
 
-STRONG_PROBABILITY = 0.1
-"""Probability above which a pair counts as strong. A service over its objective costs its users
-more than a best-effort run that is slowed down for a few seconds costs its caller."""
 
-STRONG_VARIANCE_PER_S = 0.05
-"""Variance added per second to the estimate of a strong pair."""
-
-SEPARATED_TAIL_NOISE = 0.06
-SEPARATED_DRIFT_PER_S = 0.2
-"""Noise and drift assumed while pairs are classified. The residuals of a fit of 27,000 pairs of
-listings were half of `TAIL_NOISE` and `HEADROOM_DRIFT_PER_S`."""
-
-
-class PairEstimate(Protocol):
-    """Estimate of the interference of one pair of images.
+@attrs.frozen
+class HeadroomChange:
+    """Change of the headroom of a latency-critical image on a worker between two listings.
 
-    :param mean: expected interference.
-    :param variance: variance of the interference.
+    :param shares: changes of the shares of the worker's processors that best-effort images use; not
+        empty, and none is 0.
+    :param is_saturated: whether the change can only show that the images interfere.
+    :param at: monotonic time of the later listing.
     """
 
-    mean: float
-    variance: float
+    latency_critical: str
+    earlier: float
+    later: float
+    shares: Mapping[str, float]
+    seconds: float
+    is_saturated: bool
+    at: timedelta
 
-    @classmethod
-    def restored(cls, mean: float, deviation: float, now: timedelta) -> "PairEstimate":
-        """Continue from the estimate of another process."""
+    def variance(self, tail_noise: float, drift_per_s: float) -> float:
+        """Return the variance of the change that no interference explains.
+
+        :param tail_noise: relative noise of a tail latency.
+        :param drift_per_s: change per second due to the service's own load.
+        """
+        noise = tail_noise**2 * (self.earlier**2 + self.later**2)
+        return noise + (drift_per_s * self.seconds) ** 2
 
-    @staticmethod
-    def noise(earlier: float, later: float, seconds: float) -> float:
-        """Return the variance of the change between two headrooms without interference."""
 
-    def add_uncertainty(self, now: timedelta) -> None:
-        """Add the uncertainty that has grown since the last update."""
+class PairEstimates(Protocol):
+    """Estimates of the interference of all pairs."""
 
-    def observe(self, decrease: float, share: float, noise: float, only_increase: bool) -> None:
-        """Update the estimate.
+    def observe(self, changes: Iterable[HeadroomChange]) -> None:
+        """Update the estimates from the changes on one worker between two listings."""
 
-        :param decrease: decrease of the headroom that other images do not explain.
-        :param share: change of the image's share of the worker's processors; not 0.
-        :param noise: variance of `decrease` that this pair does not explain.
-        :param only_increase: whether the observation can only raise the estimate.
-        """
+    def mean(self, pair: Pair) -> float:
+        """Return the expected interference of a pair."""
 
-    def conservative(self) -> float:
+    def conservative(self, pair: Pair) -> float:
         """Return an estimate that allows for fluctuations and uncertainty."""
 
-    @property
-    def is_known(self) -> bool:
-        """Return whether the estimate is certain enough for other processes."""
+    def is_known(self, pair: Pair) -> bool:
+        """Return whether the estimate of a pair is certain enough for other processes."""
 
+    def known(self) -> dict[Pair, tuple[float, float]]:
+        """Return mean and standard deviation of all known estimates."""
 
-def headroom_variance(
-    tail_noise: float, drift_per_s: float, earlier: float, later: float, seconds: float
-) -> float:
-    """Return the variance of the change between two headrooms without interference."""
-    return tail_noise**2 * (earlier**2 + later**2) + (drift_per_s * seconds) ** 2
+    def restore(self, pair: Pair, mean: float, deviation: float, now: timedelta) -> None:
+        """Continue from the estimate of another process."""
 
 
 @attrs.define
-class NormalEstimate:
-    """One normal distribution for all pairs: a Kalman filter without covariances."""
-
+class _Estimate:
     mean: float = PRIOR_MEAN
     variance: float = PRIOR_DEVIATION**2
     updated: timedelta = timedelta()
 
-    @classmethod
-    def restored(cls, mean: float, deviation: float, now: timedelta) -> "NormalEstimate":
-        """Continue from the estimate of another process."""
-        return cls(mean, min(PRIOR_DEVIATION, deviation) ** 2, now)
-
-    @staticmethod
-    def noise(earlier: float, later: float, seconds: float) -> float:
-        """Return the variance of the change between two headrooms without interference."""
-        return headroom_variance(TAIL_NOISE, HEADROOM_DRIFT_PER_S, earlier, later, seconds)
-
     def add_uncertainty(self, now: timedelta) -> None:
-        """Add the uncertainty that has grown since the last update."""
         age = max(0.0, (now - self.updated).total_seconds())
         self.variance = min(PRIOR_DEVIATION**2, self.variance + VARIANCE_PER_S * age)
         self.updated = max(now, self.updated)
 
-    def observe(self, decrease: float, share: float, noise: float, only_increase: bool) -> None:
-        """Update the estimate, see `PairEstimate`."""
-        gain = self.variance * share / (noise + self.variance * share * share)
-        error = decrease - self.mean * share
-        if only_increase and gain * error <= 0:
-            return
-        self.mean = max(0.0, self.mean + gain * error)
-        self.variance *= 1 - gain * share
 
-    def conservative(self) -> float:
+class IndependentEstimates:
+    """Estimates each pair for itself: a Kalman filter without covariances."""
+
+    def __init__(self) -> None:
+        self._pairs: dict[Pair, _Estimate] = {}
+
+    def observe(self, changes: Iterable[HeadroomChange]) -> None:
+        """Update the estimates from the changes on one worker between two listings."""
+        for change in changes:
+            self._observe(change)
+
+    def _observe(self, change: HeadroomChange) -> None:
+        pairs = {
+            image: self._pairs.setdefault(
+                (image, change.latency_critical), _Estimate(updated=change.at)
+            )
+            for image in change.shares
+        }
+        for estimate in pairs.values():
+            estimate.add_uncertainty(change.at)
+        noise = change.variance(TAIL_NOISE, HEADROOM_DRIFT_PER_S)
+        error = (
+            change.earlier
+            - change.later
+            - sum(pairs[image].mean * x for image, x in change.shares.items())
+        )
+        spread = noise + sum(pairs[image].variance * x * x for image, x in change.shares.items())
+        for image, x in change.shares.items():
+            estimate = pairs[image]
+            gain = estimate.variance * x / spread
+            if change.is_saturated and gain * error <= 0:
+                continue
+            estimate.mean = max(0.0, estimate.mean + gain * error)
+            estimate.variance *= 1 - gain * x
+
+    def mean(self, pair: Pair) -> float:
+        """Return the expected interference of a pair."""
+        return self._pairs.get(pair, _Estimate()).mean
+
+    def conservative(self, pair: Pair) -> float:
         """Return an estimate that allows for fluctuations and uncertainty."""
-        return PEAK_FACTOR * self.mean + UNCERTAINTY_DEVIATIONS * self.variance**0.5
-
-    @property
-    def is_known(self) -> bool:
-        """Return whether the estimate is certain enough for other processes."""
-        return self.variance < MAX_KNOWN_VARIANCE
+        estimate = self._pairs.get(pair, _Estimate())
+        return PEAK_FACTOR * estimate.mean + UNCERTAINTY_DEVIATIONS * estimate.variance**0.5
+
+    def is_known(self, pair: Pair) -> bool:
+        """Return whether the estimate of a pair is certain enough for other processes."""
+        estimate = self._pairs.get(pair)
+        return estimate is not None and estimate.variance < MAX_KNOWN_VARIANCE
+
+    def known(self) -> dict[Pair, tuple[float, float]]:
+        """Return mean and standard deviation of all known estimates."""
+        return {
+            pair: (estimate.mean, estimate.variance**0.5)
+            for pair, estimate in self._pairs.items()
+            if self.is_known(pair)
+        }
+
+    def restore(self, pair: Pair, mean: float, deviation: float, now: timedelta) -> None:
+        """Continue from the estimate of another process."""
+        self._pairs[pair] = _Estimate(mean, min(PRIOR_DEVIATION, deviation) ** 2, now)
 
 
-@attrs.define
-class SeparatedEstimate:
-    """Classifies a pair as interfering strongly or hardly: a mixture of two normal distributions.
+class _JointFilter:
+    """Kalman filter for the interference of all best-effort images with one latency-critical image.
 
-    Load pattern: best-effort tasks of many images arrive in wide steps, and each worker hosts
-    services of several images. Most pairs of images hardly interfere, and the others take up a
-    service's whole headroom with a tenth of a worker. One distribution for all puts a harmless pair
-    in between, so that its runs are slowed down for no reason.
-
-    :param log_odds: logarithm of the odds that the pair interferes strongly.
-    :param strong_mean: interference if it does.
-    :param strong_variance: variance of `strong_mean`.
-    :param negligible_mean: interference if it does not.
-    :param negligible_variance: variance of `negligible_mean`.
+    :ivar means: expected interference by best-effort image, in the order of the last change.
     """
 
-    log_odds: float = math.log(STRONG_PRIOR / (1 - STRONG_PRIOR))
-    strong_mean: float = STRONG_MEAN
-    strong_variance: float = STRONG_DEVIATION**2
-    negligible_mean: float = NEGLIGIBLE_MEAN
-    negligible_variance: float = NEGLIGIBLE_DEVIATION**2
-    updated: timedelta = timedelta()
-
-    @classmethod
-    def restored(cls, mean: float, deviation: float, now: timedelta) -> "SeparatedEstimate":
-        """Continue from the estimate of another process."""
-        estimate = cls(updated=now)
-        probability = (mean - NEGLIGIBLE_MEAN) / (STRONG_MEAN - NEGLIGIBLE_MEAN)
-        if probability > 0.5:
-            estimate.strong_mean = max(MIN_STRONG_MEAN, mean)
-            estimate.strong_variance = min(STRONG_DEVIATION, deviation) ** 2
-        estimate.log_odds = _bounded(
-            math.log(max(probability, 1e-3) / max(1 - probability, 1e-3)), MAX_LOG_ODDS
-        )
-        return estimate
-
-    @staticmethod
-    def noise(earlier: float, later: float, seconds: float) -> float:
-        """Return the variance of the change between two headrooms without interference."""
-        return headroom_variance(
-            SEPARATED_TAIL_NOISE, SEPARATED_DRIFT_PER_S, earlier, later, seconds
-        )
-
-    @property
-    def strong_probability(self) -> float:
-        """Return the probability that the pair interferes strongly."""
-        return 1 / (1 + math.exp(-self.log_odds))
-
-    @property
-    def mean(self) -> float:
-        """Return the expected interference."""
-        probability = self.strong_probability
-        return probability * self.strong_mean + (1 - probability) * self.negligible_mean
-
-    @property
-    def variance(self) -> float:
-        """Return the variance of the interference."""
-        probability = self.strong_probability
-        second_moment = probability * (self.strong_variance + self.strong_mean**2)
-        second_moment += (1 - probability) * (self.negligible_variance + self.negligible_mean**2)
-        return max(0.0, second_moment - self.mean**2)
+    def __init__(self, now: timedelta) -> None:
+        self.means: dict[str, float] = {}
+        self._covariances: dict[str, dict[str, float]] = {}
+        self._at = now
+
+    def variance(self, image: str) -> float:
+        """Return the variance of an image's interference."""
+        return self._covariances[image][image]
+
+    def set(self, image: str, mean: float, variance: float) -> None:
+        """Set the estimate of an image, independent of the others."""
+        if image not in self.means and len(self.means) >= MAX_JOINT_IMAGES:
+            self._drop(next(iter(self.means)))
+        self.means.pop(image, None)
+        self.means[image] = mean
+        for other in self.means:
+            self._covariances.setdefault(image, {})[other] = 0.0
+            self._covariances[other][image] = 0.0
+        self._covariances[image][image] = variance
+
+    def update(
+        self, shares: Mapping[str, float], decrease: float, noise: float, only_increase: bool
+    ) -> None:
+        """Update the estimates from one change of the headroom.
+
+        :param shares: changes of the shares of the images.
+        :param noise: variance of `decrease` that no interference explains.
+        """
+        for image in shares:
+            if image not in self.means:
+                self.set(image, PRIOR_MEAN, PRIOR_DEVIATION**2)
+        if len(shares) > MAX_JOINT_IMAGES:
+            return
+        projected = {
+            image: sum(row[other] * x for other, x in shares.items())
+            for image, row in self._covariances.items()
+        }
+        spread = noise + sum(projected[image] * x for image, x in shares.items())
+        error = decrease - sum(self.means[image] * x for image, x in shares.items())
+        bound = MAX_ERROR_DEVIATIONS * spread**0.5
+        error = max(-bound, min(bound, error))
+        if only_increase and error * sum(shares.values()) <= 0:
+            return
+        for image, value in projected.items():
+            gain = value / spread
+            if not gain:
+                continue
+            self.means[image] += gain * error
+            row = self._covariances[image]
+            for other, other_value in projected.items():
+                row[other] -= gain * other_value
 
     def add_uncertainty(self, now: timedelta) -> None:
         """Add the uncertainty that has grown since the last update."""
-        age = max(0.0, (now - self.updated).total_seconds())
-        self.strong_variance = min(
-            STRONG_DEVIATION**2, self.strong_variance + STRONG_VARIANCE_PER_S * age
-        )
-        self.updated = max(now, self.updated)
+        age = max(0.0, (now - self._at).total_seconds())
+        self._at = max(now, self._at)
+        for image, row in self._covariances.items():
+            row[image] = min(PRIOR_DEVIATION**2, row[image] + JOINT_VARIANCE_PER_S * age)
 
-    def observe(self, decrease: float, share: float, noise: float, only_increase: bool) -> None:
-        """Update the estimate, see `PairEstimate`."""
-        strong = _Component(self.strong_mean, self.strong_variance, share, noise)
-        negligible = _Component(self.negligible_mean, self.negligible_variance, share, noise)
-        step = strong.log_likelihood(decrease) - negligible.log_likelihood(decrease)
-        if only_increase and step <= 0:
-            return
-        self.log_odds = _bounded(self.log_odds + _bounded(step, MAX_LOG_ODDS_STEP), MAX_LOG_ODDS)
-        probability = self.strong_probability
-        self.strong_mean, self.strong_variance = strong.updated(decrease, probability)
-        self.strong_mean = max(MIN_STRONG_MEAN, self.strong_mean)
-        self.negligible_mean, self.negligible_variance = negligible.updated(
-            decrease, 1 - probability
-        )
-        self.negligible_mean = min(MAX_NEGLIGIBLE_MEAN, max(0.0, self.negligible_mean))
-
-    def conservative(self) -> float:
-        """Return an estimate that allows for fluctuations and uncertainty."""
-        if self.strong_probability <= STRONG_PROBABILITY:
-            return self.negligible_mean
-        return PEAK_FACTOR * self.strong_mean + UNCERTAINTY_DEVIATIONS * self.strong_variance**0.5
+    def _drop(self, image: str) -> None:
+        del self.means[image], self._covariances[image]
+        for row in self._covariances.values():
+            del row[image]
 
-    @property
-    def is_known(self) -> bool:
-        """Return whether the estimate is certain enough for other processes."""
-        return True
-
-
-@attrs.frozen
-class _Component:
-    """One of the two normal distributions of a `SeparatedEstimate`, and an observation."""
 
-    mean: float
-    variance: float
-    share: float
-    noise: float
+class JointEstimates:
+    """Estimates the interference of all best-effort images with a latency-critical one together.
 
-    def log_likelihood(self, decrease: float) -> float:
-        """Return the logarithm of the observation's likelihood, up to a constant."""
-        error = decrease - self.mean * self.share
-        return -0.5 * (math.log(self._spread) + error * error / self._spread)
+    Load pattern: best-effort tasks of many images arrive in wide steps, and each worker hosts
+    services of several images. When runs of several images start, stop or are throttled together,
+    independent estimates share the effect of one image out to all, so that harmless images are
+    throttled and disturbing ones are not.
+    """
 
-    def updated(self, decrease: float, weight: float) -> tuple[float, float]:
-        """Return mean and variance after the observation, which belongs here with a probability."""
-        gain = weight * self.variance * self.share / self._spread
-        error = decrease - self.mean * self.share
-        return self.mean + gain * error, self.variance * (1 - gain * self.share)
+    def __init__(self) -> None:
+        self._filters: dict[str, _JointFilter] = {}
+
+    def observe(self, changes: Iterable[HeadroomChange]) -> None:
+        """Update the estimates from the changes on one worker between two listings."""
+        by_image: dict[str, list[HeadroomChange]] = {}
+        for change in changes:
+            by_image.setdefault(change.latency_critical, []).append(change)
+        for image, same in by_image.items():
+            joint = self._filter(image, same[0].at)
+            joint.add_uncertainty(same[0].at)
+            # The tasks of an image on a worker are disturbed alike: their mean has less noise.
+            joint.update(
+                same[0].shares,
+                sum(change.earlier - change.later for change in same) / len(same),
+                sum(change.variance(JOINT_TAIL_NOISE, JOINT_DRIFT_PER_S) for change in same)
+                / len(same) ** 2,
+                any(change.is_saturated for change in same),
+            )
+
+    def mean(self, pair: Pair) -> float:
+        """Return the expected interference of a pair."""
+        return max(0.0, self._estimate(pair)[0])
+
+    def conservative(self, pair: Pair) -> float:
+        """Return an estimate that allows for fluctuations and uncertainty."""
+        mean, deviation = self._estimate(pair)
+        if mean + 2 * deviation < MAX_NEGLIGIBLE:
+            return max(0.0, min(mean, NEGLIGIBLE_MEAN))
+        return max(
+            NEGLIGIBLE_MEAN, JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
+        )
 
-    @property
-    def _spread(self) -> float:
-        return self.noise + self.variance * self.share * self.share
+    def is_known(self, pair: Pair) -> bool:
+        """Return whether the estimate of a pair is certain enough for other processes."""
+        return self._estimate(pair)[1] ** 2 < MAX_KNOWN_VARIANCE
+
+    def known(self) -> dict[Pair, tuple[float, float]]:
+        """Return mean and standard deviation of all known estimates."""
+        return {
+            (best_effort, latency_critical): (max(0.0, mean), deviation)
+            for latency_critical, joint in self._filters.items()
+            for best_effort in joint.means
+            for mean, deviation in [self._estimate((best_effort, latency_critical))]
+            if deviation**2 < MAX_KNOWN_VARIANCE
+        }
+
+    def restore(self, pair: Pair, mean: float, deviation: float, now: timedelta) -> None:
+        """Continue from the estimate of another process."""
+        self._filter(pair[1], now).set(pair[0], mean, min(PRIOR_DEVIATION, deviation) ** 2)
 
+    def _filter(self, latency_critical: str, now: timedelta) -> _JointFilter:
+        return self._filters.setdefault(latency_critical, _JointFilter(now))
 
-def _bounded(value: float, bound: float) -> float:
-    return max(-bound, min(bound, value))
+    def _estimate(self, pair: Pair) -> tuple[float, float]:
+        best_effort, latency_critical = pair
+        joint = self._filters.get(latency_critical)
+        if joint is None or best_effort not in joint.means:
+            return PRIOR_MEAN, PRIOR_DEVIATION
+        return joint.means[best_effort], max(0.0, joint.variance(best_effort)) ** 0.5
