--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -47,7 +47,7 @@
 JOINT_VARIANCE_PER_S = 0.02
 
 NEGLIGIBLE_MEAN = 0.95
-MAX_NEGLIGIBLE = 2.0
+MAX_NEGLIGIBLE = 3.0
 """Interference that a pair has to be below for certain, by two standard deviations, to count as
 negligible, and the most that is assumed of it then. The same fit has two groups of pairs, from 0.3
 to 1.5 and from 5 to 16."""
