--- a/idl/mulberryslip.thrift
+++ b/idl/mulberryslip.thrift
@@ -319,7 +319,8 @@
   3: required bool fills,
   4: required i32 cpu_millis,
   5: required i32 target_ms,       // tail latency of a latency-critical task; 0: it serves nobody
-  6: required i64 due_ms,          // when its workflow is to be done, since 1970
+  6: required i64 due_ms,          // headroom goes to runs in this order: when the workflow is due,
+                                   // or when the run has to begin for that, since 1970
 }
 
 struct ImagePressure {
@@ -349,10 +350,11 @@
   4: required i64 lease_until_ms,  // on the worker's clock; 0 grants nothing
   5: required i64 fence,           // fencing token for calls to the worker
   6: required i64 ended_through,   // ends up to this number are committed
-  7: required list<RunProfile> profiles, // of the tasks named as unprofiled
+  7: required list<RunProfile> profiles, // of the tasks named as unprofiled, and changed ones
   9: required list<ImagePressure> pressures, // of the images that run on the worker
   10: optional bool take_over,     // the owner has lost the store; the agent may claim the pool
   11: optional string newest_incarnation, // of the worker, if it sorts after the one that reports
+  12: optional bool stable_duty_cycles, // the agent sets duty cycles from filtered headrooms
 }
 
 struct OrdersRequest {
--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -5,6 +5,7 @@
 between two run listings.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import Protocol
@@ -46,11 +47,20 @@
 
 JOINT_VARIANCE_PER_S = 0.02
 
-NEGLIGIBLE_MEAN = 0.95
-MAX_NEGLIGIBLE = 3.0
-"""Interference that a pair has to be below for certain, by two standard deviations, to count as
-negligible, and the most that is assumed of it then. The same fit has two groups of pairs, from 0.3
-to 1.5 and from 5 to 16."""
+NEGLIGIBLE_MEAN = 0.5
+NEGLIGIBLE_DEVIATION = 0.5
+STRONG_MEAN = 9.0
+STRONG_DEVIATION = 4.0
+STRONG_SHARE = 0.25
+"""Distributions of the interference of both groups of pairs in the same fit, from 0.3 to 1.5 and
+from 5 to 16, and share of the second one."""
+
+MIN_OBSERVED_PRECISION = 0.02
+"""Precision below which observations do not tell the group of a pair."""
+
+MAX_STRONG_PROBABILITY = 0.1
+"""Probability up to which a pair counts as one of the first group. A service over its objective
+costs its users more than a slow best-effort run costs its caller."""
 
 MAX_ERROR_DEVIATIONS = 3.0
 """Standard deviations to which the error of an observation is bounded: a burst of a service's own
@@ -294,12 +304,8 @@
 
     def conservative(self, pair: Pair) -> float:
         """Return an estimate that allows for fluctuations and uncertainty."""
-        mean, deviation = self._estimate(pair)
-        if mean + 2 * deviation < MAX_NEGLIGIBLE:
-            return max(0.0, min(mean, NEGLIGIBLE_MEAN))
-        return max(
-            NEGLIGIBLE_MEAN, JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
-        )
+        mean, deviation = _classified(*self._estimate(pair))
+        return JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
 
     def is_known(self, pair: Pair) -> bool:
         """Return whether the estimate of a pair is certain enough for other processes."""
@@ -328,3 +334,33 @@
         if joint is None or best_effort not in joint.means:
             return PRIOR_MEAN, PRIOR_DEVIATION
         return joint.means[best_effort], max(0.0, joint.variance(best_effort)) ** 0.5
+
+
+def _classified(mean: float, deviation: float) -> tuple[float, float]:
+    """Return mean and standard deviation of an estimate, given that pairs form two groups.
+
+    The estimate is split into the prior of the filter and what the observations say.
+    """
+    precision = 1 / max(0.01, deviation) ** 2
+    observed_precision = precision - 1 / PRIOR_DEVIATION**2
+    if observed_precision < MIN_OBSERVED_PRECISION:
+        return mean, deviation
+    observed = (mean * precision - PRIOR_MEAN / PRIOR_DEVIATION**2) / observed_precision
+    variance = 1 / observed_precision
+    strong = STRONG_SHARE * _density(observed - STRONG_MEAN, STRONG_DEVIATION**2 + variance)
+    negligible = (1 - STRONG_SHARE) * _density(
+        observed - NEGLIGIBLE_MEAN, NEGLIGIBLE_DEVIATION**2 + variance
+    )
+    is_strong = strong > MAX_STRONG_PROBABILITY * (strong + negligible)
+    group_mean, group_deviation = (
+        (STRONG_MEAN, STRONG_DEVIATION) if is_strong else (NEGLIGIBLE_MEAN, NEGLIGIBLE_DEVIATION)
+    )
+    group_precision = 1 / group_deviation**2
+    total = group_precision + observed_precision
+    combined = (group_mean * group_precision + observed * observed_precision) / total
+    return max(0.0, combined), total**-0.5
+
+
+def _density(error: float, variance: float) -> float:
+    """Return the density of a normal distribution, up to a constant."""
+    return math.exp(-0.5 * error * error / variance) / variance**0.5
--- a/packages/core/src/mulberryslip/wire/ttypes.py
+++ b/packages/core/src/mulberryslip/wire/ttypes.py
@@ -4373,11 +4373,12 @@
      - pressures
      - take_over
      - newest_incarnation
+     - stable_duty_cycles
 
     """
 
 
-    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None, take_over=None, newest_incarnation=None,):
+    def __init__(self, outcome=None, epoch=None, lease_until_ms=None, fence=None, ended_through=None, profiles=None, pressures=None, take_over=None, newest_incarnation=None, stable_duty_cycles=None,):
         self.outcome = outcome
         self.epoch = epoch
         self.lease_until_ms = lease_until_ms
@@ -4387,6 +4388,7 @@
         self.pressures = pressures
         self.take_over = take_over
         self.newest_incarnation = newest_incarnation
+        self.stable_duty_cycles = stable_duty_cycles
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4454,6 +4456,11 @@
                     self.newest_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.stable_duty_cycles = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4506,6 +4513,10 @@
             oprot.writeFieldBegin('newest_incarnation', TType.STRING, 11)
             oprot.writeString(self.newest_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.newest_incarnation)
             oprot.writeFieldEnd()
+        if self.stable_duty_cycles is not None:
+            oprot.writeFieldBegin('stable_duty_cycles', TType.BOOL, 12)
+            oprot.writeBool(self.stable_duty_cycles)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5542,6 +5553,7 @@
     (9, TType.LIST, 'pressures', (TType.STRUCT, [ImagePressure, None], False), None, ),  # 9
     (10, TType.BOOL, 'take_over', None, None, ),  # 10
     (11, TType.STRING, 'newest_incarnation', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'stable_duty_cycles', None, None, ),  # 12
 )
 all_structs.append(OrdersRequest)
 OrdersRequest.thrift_spec = (
--- a/tests/test_pair_estimates.py
+++ b/tests/test_pair_estimates.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 
 import pytest
-from mulberryslip.headrooms import NEGLIGIBLE_INTERFERENCE
 from mulberryslip.pair_estimates import (
     MAX_JOINT_IMAGES,
     HeadroomChange,
@@ -14,6 +13,7 @@
 
 SECOND = timedelta(seconds=1)
 INTERVAL = 0.4
+HARMLESS = 2.0
 
 
 def play(estimates, interferences, seed, listings, noise=0.06, drift=0.1, together=3):
@@ -36,11 +36,11 @@
 
 
 def misjudged(estimates, interferences):
-    """Return the images that are taken for negligible or for disturbing although they are not."""
+    """Return the images that are taken for harmless or for disturbing although they are not."""
     return {
         image
         for image, true in interferences.items()
-        if (estimates.conservative((image, "s")) <= NEGLIGIBLE_INTERFERENCE) != (true < 2)
+        if (estimates.conservative((image, "s")) < HARMLESS) != (true < HARMLESS)
     }
 
 
