--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -97,6 +97,10 @@
 """Minimum throughput that a best-effort task must add to a worker, as a share of the task's full
 speed. Below this, the task waits for a better worker."""
 
+MAX_HEADROOM_SHARE = 0.5
+"""Largest part of a service's headroom that a best-effort run may take up at its start, with wide
+steps. It would be slowed down as soon as the load of the service rises."""
+
 ANY_WORKER_WAIT_MS = 10_000
 """Waiting time after which a best-effort task starts on any worker where it fits: it makes progress
 whenever the load of the services there is low."""
@@ -1034,7 +1038,10 @@
                 return None
             score -= OBJECTIVE_VIOLATION_PENALTY * violates_objective
             if self.is_wide:
-                score -= HEADROOM_WEIGHT * self._headroom_share(task, worker)
+                headroom_share = self._headroom_share(task, worker)
+                if headroom_share > MAX_HEADROOM_SHARE and needs_good_worker:
+                    return None
+                score -= HEADROOM_WEIGHT * headroom_share
             return score + worker.unused_millis / 100_000 + THROUGHPUT_WEIGHT * throughput_gain
         if spec.lasting:
             if task.has_lost_start:
--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -55,6 +55,10 @@
 """Distributions of the interference of both groups of pairs in the same fit, from 0.3 to 1.5 and
 from 5 to 16, and share of the second one."""
 
+MAX_NEGLIGIBLE_MEAN = 0.95
+"""Bound of the estimate of a pair of the first group, below `headrooms.NEGLIGIBLE_INTERFERENCE`: its
+runs are not slowed down for a service that is within its objective."""
+
 MIN_OBSERVED_PRECISION = 0.02
 """Precision below which observations do not tell the group of a pair."""
 
@@ -304,7 +308,9 @@
 
     def conservative(self, pair: Pair) -> float:
         """Return an estimate that allows for fluctuations and uncertainty."""
-        mean, deviation = _classified(*self._estimate(pair))
+        mean, deviation, is_strong = _classified(*self._estimate(pair))
+        if not is_strong:
+            return min(mean, MAX_NEGLIGIBLE_MEAN)
         return JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
 
     def is_known(self, pair: Pair) -> bool:
@@ -336,15 +342,15 @@
         return joint.means[best_effort], max(0.0, joint.variance(best_effort)) ** 0.5
 
 
-def _classified(mean: float, deviation: float) -> tuple[float, float]:
+def _classified(mean: float, deviation: float) -> tuple[float, float, bool]:
     """Return mean and standard deviation of an estimate, given that pairs form two groups.
 
-    The estimate is split into the prior of the filter and what the observations say.
+    Also tells whether the pair counts as one of the group that interferes strongly. The estimate is split into the prior of the filter and what the observations say.
     """
     precision = 1 / max(0.01, deviation) ** 2
     observed_precision = precision - 1 / PRIOR_DEVIATION**2
     if observed_precision < MIN_OBSERVED_PRECISION:
-        return mean, deviation
+        return mean, deviation, True
     observed = (mean * precision - PRIOR_MEAN / PRIOR_DEVIATION**2) / observed_precision
     variance = 1 / observed_precision
     strong = STRONG_SHARE * _density(observed - STRONG_MEAN, STRONG_DEVIATION**2 + variance)
@@ -358,7 +364,7 @@
     group_precision = 1 / group_deviation**2
     total = group_precision + observed_precision
     combined = (group_mean * group_precision + observed * observed_precision) / total
-    return max(0.0, combined), total**-0.5
+    return max(0.0, combined), total**-0.5, is_strong
 
 
 def _density(error: float, variance: float) -> float:
