Report every invalid part of a configuration document

The validation of a document stopped at its first fault, so an operator with several of them needed as many attempts. inspect_document collects one fault for each invalid part; parse_document raises the first one, as before.

--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -8,7 +8,7 @@
 import itertools
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, TypeVar
 
@@ -231,6 +231,18 @@
     digest: str = _field(_Text(64), "")
 
 
+@attrs.frozen
+class InspectedDocument:
+    """Result of the validation of a whole document.
+
+    :param view: the valid parts of the document.
+    :param faults: why parts were left out, one for each of them; empty for a valid document.
+    """
+
+    view: "ConfigView"
+    faults: tuple[ConfigError, ...] = ()
+
+
 @attrs.frozen
 class ConfigView:
     """Immutable view of one revision of the document.
@@ -295,13 +307,14 @@
     :raises ConfigError: when it is not JSON, repeats a name in an object, or nests too deeply.
     """
     if _nesting_depth(body) > MAX_NESTING_DEPTH:
-        raise ConfigError(f"{where} is not valid JSON: nested deeper than {MAX_NESTING_DEPTH}")
+        message = f"{where} is not valid JSON: nested deeper than {MAX_NESTING_DEPTH}"
+        raise ConfigError(message, where)
     try:
         return json.loads(
             body, object_pairs_hook=_reject_duplicates, parse_constant=_reject_constant
         )
     except (ValueError, RecursionError) as exc:
-        raise ConfigError(f"{where} is not valid JSON: {exc}") from exc
+        raise ConfigError(f"{where} is not valid JSON: {exc}", where) from exc
 
 
 def _nesting_depth(body: bytes) -> int:
@@ -315,22 +328,39 @@
 
     :raises ConfigError: naming the field, its value and what is allowed.
     """
-    fields = _check_fields(
-        "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
-    )
-    accounts = _parse_named("accounts", fields.get("accounts", {}), parse_account)
+    inspected = inspect_document(raw)
+    if inspected.faults:
+        raise inspected.faults[0]
+    return inspected.view
+
+
+def inspect_document(raw: object) -> InspectedDocument:
+    """Validate a whole document and collect the faults of all its parts."""
+    try:
+        fields = _check_fields(
+            "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
+        )
+    except ConfigError as exc:
+        return InspectedDocument(ConfigView(), (exc,))
+    faults: list[ConfigError] = []
+    raw_accounts = fields.get("accounts", {})
     view = ConfigView(
-        revision=_Integer(0, 2**62).parse("revision", fields.get("revision", 0)),
-        changes=_parse_changes(fields.get("changes", [])),
+        revision=_collect(
+            faults, 0, lambda: _Integer(0, 2**62).parse("revision", fields.get("revision", 0))
+        ),
+        changes=_collect(faults, (), lambda: _parse_changes(fields.get("changes", []))),
         data_centres=_parse_named(
-            "data_centres", fields.get("data_centres", {}), parse_data_centre
+            "data_centres", fields.get("data_centres", {}), parse_data_centre, faults
         ),
-        accounts=accounts,
-        templates=_parse_named("templates", fields.get("templates", {}), parse_template),
+        accounts=_parse_named("accounts", raw_accounts, parse_account, faults),
+        templates=_parse_named("templates", fields.get("templates", {}), parse_template, faults),
     )
     for template in view.templates.values():
-        check_account(template, view)
-    return view
+        # A template of an invalid account is not reported a second time.
+        if not isinstance(raw_accounts, dict) or template.account in raw_accounts:
+            continue
+        _collect(faults, None, lambda template=template: check_account(template, view))
+    return InspectedDocument(view, tuple(faults))
 
 
 def parse_data_centre(name: str, raw: object) -> DataCentre:
@@ -417,7 +447,7 @@
     shown = repr(value)
     if len(shown) > 80:
         shown = shown[:77] + "..."
-    return ConfigError(f"{where}: {shown} is not allowed; allowed: {allowed}")
+    return ConfigError(f"{where}: {shown} is not allowed; allowed: {allowed}", where)
 
 
 def _reject_duplicates(pairs: list[tuple[str, object]]) -> dict[str, object]:
@@ -446,7 +476,7 @@
     fields = _check_fields(where, raw, tuple(attributes))
     for name, field in attributes.items():
         if name not in fields and field.default is attrs.NOTHING:
-            raise ConfigError(f"{where}.{name} is missing")
+            raise ConfigError(f"{where}.{name} is missing", f"{where}.{name}")
     values = {
         name: attributes[name].metadata["rule"].parse(f"{where}.{name}", value)
         for name, value in fields.items()
@@ -454,10 +484,28 @@
     return part_type(**values)
 
 
-def _parse_named(where: str, raw: object, parse: Any) -> Mapping[str, Any]:
+def _parse_named(
+    where: str, raw: object, parse: Callable[[str, object], Any], faults: list[ConfigError]
+) -> Mapping[str, Any]:
     if not isinstance(raw, dict):
-        raise _not_allowed(where, raw, "an object from names to values")
-    return MappingProxyType({name: parse(name, value) for name, value in raw.items()})
+        faults.append(_not_allowed(where, raw, "an object from names to values"))
+        return MappingProxyType({})
+    parts = {}
+    for name, value in raw.items():
+        try:
+            parts[name] = parse(name, value)
+        except ConfigError as exc:
+            faults.append(exc)
+    return MappingProxyType(parts)
+
+
+def _collect(faults: list[ConfigError], default: _T, parse: Callable[[], _T]) -> _T:
+    """Return the parsed value; if it is invalid, add the fault and return the default."""
+    try:
+        return parse()
+    except ConfigError as exc:
+        faults.append(exc)
+        return default
 
 
 def _parse_changes(raw: object) -> tuple[ChangeRecord, ...]:
--- a/packages/core/src/mulberryslip/exceptions.py
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -60,7 +60,21 @@
 
 
 class ConfigError(MulberryslipError):
-    """A configuration document, or a change to it, is invalid."""
+    """A configuration document, or a change to it, is invalid.
+
+    :param message: place, value and what is allowed.
+    :param place: entry or field of the document that is invalid; the message begins with it. Empty
+        when there is no single place.
+    """
+
+    def __init__(self, message: str, place: str = ""):
+        super().__init__(message)
+        self.place = place
+
+    @property
+    def reason(self) -> str:
+        """Return the message without the place."""
+        return str(self).removeprefix(self.place).lstrip(": ")
 
 
 class JournalError(MulberryslipError):
--- a/tests/test_configs.py
+++ b/tests/test_configs.py
@@ -26,6 +26,7 @@
     ConfigView,
     DataCentre,
     DataCentreState,
+    inspect_document,
     parse_json,
     parse_template,
 )
@@ -134,6 +135,31 @@
         assert fragment in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("changed", "places"),
+    [
+        ({}, []),
+        ({"revision": -1, "changes": {}}, ["revision", "changes"]),
+        (
+            {"accounts": {"granite-hollow": {}, "b": {"cpu_millis": 1, "memory_mb": -1}}},
+            ["account granite-hollow.cpu_millis", "account b.memory_mb"],
+        ),
+        ({"accounts": []}, ["accounts"]),
+        (
+            {"templates": {"a": {"class": "cron"}, "b": {"class": "batch", "account": "none"}}},
+            ["template a.class", "template b.account"],
+        ),
+    ],
+)
+def test_every_invalid_part_is_reported_with_its_place(changed, places):
+    """Guards against an operator who learns of one fault at a time, or of faults that follow."""
+    inspected = inspect_document({**DOCUMENT, **changed})
+    assert [fault.place for fault in inspected.faults] == places
+    for fault in inspected.faults:
+        assert fault.reason
+        assert str(fault) in (f"{fault.place}: {fault.reason}", f"{fault.place} {fault.reason}")
+
+
 @pytest.mark.parametrize(
     ("body", "is_too_deep"),
     [
