--- a/packages/core/src/mulberryslip/queues.py
+++ b/packages/core/src/mulberryslip/queues.py
@@ -6,6 +6,7 @@
 import attrs
 
 from . import records
+from .exceptions import ConfigError
 from .transitions import MAX_ID_CHARS
 
 MAX_SLACK_MS = 366 * 24 * 3600 * 1000
@@ -40,6 +41,11 @@
     slack_ms: int = records.number("sl", 0)
     requires_ticket: bool = records.flag("ad", False)
 
+    @property
+    def unsupported_reason(self) -> str:
+        """Return why no pool accepts workflows of this queue; empty when pools accept them."""
+        return "advice is not supported" if self.requires_ticket else ""
+
     @property
     def slack(self) -> timedelta:
         """Return the fixed part of the objective for a workflow's duration."""
@@ -78,3 +84,39 @@
             if queue.host in ("", host) and path.startswith(queue.prefix)
         ]
         return max(candidates, key=lambda queue: len(queue.prefix), default=None)
+
+
+@attrs.frozen
+class QueueEntry:
+    """An entry of the operators' document that defines a queue.
+
+    :param place: where the entry is, in the terms of the document.
+    """
+
+    place: str
+    queue: Queue
+
+
+@attrs.frozen
+class PoolDocument:
+    """The operators' document for pools, decoded by the platform's adapter.
+
+    An entry that is invalid is left out, so that one fault does not take all queues out of use.
+
+    :param revision: revision that the document states.
+    :param entries: valid entries in the order of the document.
+    :param faults: why entries were left out, one for each fault.
+    :param services: names of the services that the document lists; None if it does not list them.
+    """
+
+    revision: int
+    entries: tuple[QueueEntry, ...] = ()
+    faults: tuple[ConfigError, ...] = ()
+    services: frozenset[str] | None = None
+
+    def config(self, out: Iterable[str] = ()) -> PoolConfig:
+        """Return the configuration that the document puts into force.
+
+        :param out: data centres that are taken out of use.
+        """
+        return PoolConfig.from_queues(self.revision, (entry.queue for entry in self.entries), out)
--- a/packages/core/src/mulberryslip/records.py
+++ b/packages/core/src/mulberryslip/records.py
@@ -6,7 +6,7 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import cache
 from typing import Any, TypeVar
 
@@ -86,11 +86,18 @@
 
     :raises InvalidMessageError: when a field is invalid.
     """
+    for name, value in invalid_fields(record):
+        raise InvalidMessageError(
+            f"{type(record).__name__}.{name}: {_abbreviated(value)} is not allowed"
+        )
+
+
+def invalid_fields(record: Any) -> Iterator[tuple[str, object]]:
+    """Return the names and values of the fields that `decode` would not accept."""
     for field in _record_fields(type(record)).values():
         value = getattr(record, field.name)
         if not field.metadata["is_valid"](value):
-            name = type(record).__name__
-            raise InvalidMessageError(f"{name}.{field.name}: {_abbreviated(value)} is not allowed")
+            yield field.name, value
 
 
 def decode(kind: type[_T], raw: object) -> _T:
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -237,9 +237,7 @@
             records.check(accepted_event(req.workflow_id, queue, spec, self._now_ms()))
         except (JobError, InvalidMessageError) as exc:
             return _reply(Outcome.INVALID, str(exc))
-        reason = spec.unsupported_reason() or (
-            "advice is not supported" if queue.requires_ticket else ""
-        )
+        reason = spec.unsupported_reason() or queue.unsupported_reason
         if reason:
             return _reply(Outcome.INVALID, reason)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,6 +38,7 @@
     announcements_application,
     callers_application,
     decode_config,
+    decode_document,
 )
 from mulberryslip_testing.waits import wait_until
 from mulberryslipd.gateways import Accepted, Missing, Rejected, Shown, Unknown
@@ -243,6 +244,26 @@
     assert list(decode_config(documents({**CONFIG, "Routes": routes})).queues) == ["r-1"]
 
 
+@pytest.mark.parametrize(
+    ("route", "places"),
+    [
+        ({}, []),
+        ({"SloMs": "no", "Stretch": 1e999}, ["Stretch", "SloMs"]),
+        ({"Priority": -1, "Host": 5}, ["Host", "Priority"]),
+        ({"Prefix": "x" * 257}, ["Prefix"]),
+        ({"Attempts": [], "Service": None}, ["Attempts"]),
+    ],
+)
+def test_each_fault_of_a_route_has_its_place(route, places):
+    """Guards against a route that is left out without word of which field is wrong."""
+    routes = [*CONFIG["Routes"], {**CONFIG["Routes"][0], **route}, 5, {}]
+    document = decode_document(json.dumps({**CONFIG, "Routes": routes}).encode())
+    expected = [f"Routes[1].{name}" for name in places]
+    expected += ["Routes[2]", "Routes[3].Name", "Routes[3].Prefix"]
+    assert [fault.place for fault in document.faults] == expected
+    assert document.services == {"ledger"}
+
+
 @pytest.mark.parametrize(
     ("change", "is_taken"),
     [
