Judge a configuration document before it is submitted

Operators saw a mistake in a document only after it was stored: entries that never match, quotas that no fleet holds and routes that gateways leave out gave no word or a log line. config_checks judges both kinds of document with the validation of the daemon, names what probably is not meant, and says how the document differs from the one in force and whose work that affects.

--- a/packages/core/src/mulberryslip/changes.py
+++ b/packages/core/src/mulberryslip/changes.py
@@ -198,19 +198,49 @@
     return tuple(lines)
 
 
+@attrs.frozen
+class PartDifference:
+    """A part in which two documents differ.
+
+    :param kind: `data centre`, `account` or `template`.
+    :param name: name of the part.
+    :param text: kind and name, and how it differs.
+    """
+
+    kind: str
+    name: str
+    text: str
+
+
 def differences(old: ConfigView, new: ConfigView) -> tuple[str, ...]:
     """Describe the difference between two documents, one line for each part that differs."""
-    lines = []
-    lines += _describe_parts(
-        "data centre", _parts_to_dicts(old.data_centres), _parts_to_dicts(new.data_centres)
-    )
-    lines += _describe_parts(
-        "account", _parts_to_dicts(old.accounts), _parts_to_dicts(new.accounts)
-    )
-    lines += _describe_parts(
-        "template", _parts_to_dicts(old.templates), _parts_to_dicts(new.templates)
-    )
-    return tuple(lines)
+    return tuple(difference.text for difference in part_differences(old, new))
+
+
+def part_differences(old: ConfigView, new: ConfigView) -> Iterator[PartDifference]:
+    """Return the parts in which two documents differ."""
+    yield from _describe_parts("data centre", old.data_centres, new.data_centres)
+    yield from _describe_parts("account", old.accounts, new.accounts)
+    yield from _describe_parts("template", old.templates, new.templates)
+
+
+def changes_between(old: ConfigView, new: ConfigView) -> Iterator[Change]:
+    """Return the changes that make one document into another.
+
+    Accounts and data centres that are only in the old document are skipped: no change removes them.
+    """
+    for name, account in new.accounts.items():
+        if old.accounts.get(name) != account:
+            yield SetAccount(name, account)
+    for name, data_centre in new.data_centres.items():
+        if old.data_centres.get(name) != data_centre:
+            yield SetDataCentre(name, data_centre)
+    for name in old.templates:
+        if name not in new.templates:
+            yield DeleteTemplate(name)
+    for name, template in new.templates.items():
+        if old.templates.get(name) != template:
+            yield SetTemplate(template)
 
 
 def latest_view(current: ConfigView | None, candidate: ConfigView) -> ConfigView:
@@ -297,15 +327,30 @@
 
 
 def _describe_parts(
-    kind: str, old: dict[str, dict[str, object]], new: dict[str, dict[str, object]]
-) -> Iterator[str]:
+    kind: str, old_parts: Mapping[str, object], new_parts: Mapping[str, object]
+) -> Iterator[PartDifference]:
+    old, new = _parts_to_dicts(old_parts), _parts_to_dicts(new_parts)
     for name in sorted(old.keys() | new.keys()):
-        if name not in new:
-            yield f"{kind} {name} removed"
-        elif name not in old:
-            yield f"{kind} {name} added: " + ", ".join(_format_fields(new[name]))
-        elif old[name] != new[name]:
-            yield f"{kind} {name}: " + ", ".join(_format_changed_fields(old[name], new[name]))
+        text = describe_difference(f"{kind} {name}", old.get(name), new.get(name))
+        if text:
+            yield PartDifference(kind, name, text)
+
+
+def describe_difference(
+    subject: str, old: dict[str, object] | None, new: dict[str, object] | None
+) -> str:
+    """Describe how a part differs; empty if it does not.
+
+    :param subject: kind and name of the part.
+    :param old: fields of the part; None where it does not exist.
+    """
+    if old == new:
+        return ""
+    if new is None:
+        return f"{subject} removed"
+    if old is None:
+        return f"{subject} added: " + ", ".join(_format_fields(new))
+    return f"{subject}: " + ", ".join(_format_changed_fields(old, new))
 
 
 def _format_fields(fields: dict[str, object]) -> Iterator[str]:
--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -28,6 +28,9 @@
 MAX_NESTING_DEPTH = 64
 """Deepest nesting of objects and lists in JSON text; a document has six levels."""
 
+MAX_FAULTS = 1000
+"""Faults of one document that are kept, since a document of 1 MB can hold 90,000 invalid parts."""
+
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
 _DEPTH_CHANGES = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
 _NOT_BRACKETS = bytes(byte for byte in range(256) if byte not in _DEPTH_CHANGES)
@@ -328,21 +331,24 @@
 
     :raises ConfigError: naming the field, its value and what is allowed.
     """
-    inspected = inspect_document(raw)
+    inspected = inspect_document(raw, max_faults=1)
     if inspected.faults:
         raise inspected.faults[0]
     return inspected.view
 
 
-def inspect_document(raw: object) -> InspectedDocument:
-    """Validate a whole document and collect the faults of all its parts."""
+def inspect_document(raw: object, max_faults: int = MAX_FAULTS) -> InspectedDocument:
+    """Validate a whole document and collect the faults of its parts.
+
+    :param max_faults: number of faults after which the other parts are not validated.
+    """
     try:
         fields = _check_fields(
             "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
         )
     except ConfigError as exc:
         return InspectedDocument(ConfigView(), (exc,))
-    faults: list[ConfigError] = []
+    faults = _Faults(max_faults)
     raw_accounts = fields.get("accounts", {})
     view = ConfigView(
         revision=_collect(
@@ -360,7 +366,7 @@
         if not isinstance(raw_accounts, dict) or template.account in raw_accounts:
             continue
         _collect(faults, None, lambda template=template: check_account(template, view))
-    return InspectedDocument(view, tuple(faults))
+    return InspectedDocument(view, tuple(faults.kept))
 
 
 def parse_data_centre(name: str, raw: object) -> DataCentre:
@@ -485,26 +491,48 @@
 
 
 def _parse_named(
-    where: str, raw: object, parse: Callable[[str, object], Any], faults: list[ConfigError]
+    where: str, raw: object, parse: Callable[[str, object], Any], faults: "_Faults"
 ) -> Mapping[str, Any]:
     if not isinstance(raw, dict):
-        faults.append(_not_allowed(where, raw, "an object from names to values"))
+        faults.add(_not_allowed(where, raw, "an object from names to values"))
         return MappingProxyType({})
     parts = {}
     for name, value in raw.items():
+        if faults.is_full:
+            break
         try:
             parts[name] = parse(name, value)
         except ConfigError as exc:
-            faults.append(exc)
+            faults.add(exc)
     return MappingProxyType(parts)
 
 
-def _collect(faults: list[ConfigError], default: _T, parse: Callable[[], _T]) -> _T:
+@attrs.define
+class _Faults:
+    """Faults found in a document.
+
+    :param limit: number of faults that are kept.
+    """
+
+    limit: int
+    kept: list[ConfigError] = attrs.field(factory=list)
+
+    @property
+    def is_full(self) -> bool:
+        return len(self.kept) >= self.limit
+
+    def add(self, fault: ConfigError) -> None:
+        if not self.is_full:
+            # The frames of the traceback would keep the parsed values alive.
+            self.kept.append(fault.with_traceback(None))
+
+
+def _collect(faults: _Faults, default: _T, parse: Callable[[], _T]) -> _T:
     """Return the parsed value; if it is invalid, add the fault and return the default."""
     try:
         return parse()
     except ConfigError as exc:
-        faults.append(exc)
+        faults.add(exc)
         return default
 
 
--- a/packages/core/src/mulberryslip/queues.py
+++ b/packages/core/src/mulberryslip/queues.py
@@ -85,6 +85,21 @@
         ]
         return max(candidates, key=lambda queue: len(queue.prefix), default=None)
 
+    def hidden_queues(self) -> dict[str, Queue]:
+        """Return the queues that `match` never returns, by name, with the queue that hides each.
+
+        Two prefixes of one length that match the same path are equal, and the first queue wins.
+        """
+        hidden: dict[str, Queue] = {}
+        first: dict[tuple[str, str], Queue] = {}
+        for queue in self.queues.values():
+            hiding = first.get(("", queue.prefix)) or first.get((queue.host, queue.prefix))
+            if hiding is None:
+                first[queue.host, queue.prefix] = queue
+            else:
+                hidden[queue.name] = hiding
+        return hidden
+
 
 @attrs.frozen
 class QueueEntry:
@@ -105,7 +120,7 @@
 
     :param revision: revision that the document states.
     :param entries: valid entries in the order of the document.
-    :param faults: why entries were left out, one for each fault.
+    :param faults: why entries were left out, one for each fault; at most `configs.MAX_FAULTS`.
     :param services: names of the services that the document lists; None if it does not list them.
     """
 
