Add the command config check

The operators' document and the workers are read through the entries, the pools' document through the platform's adapter.

--- a/packages/cli/src/mulberryslip_cli/commands.py
+++ b/packages/cli/src/mulberryslip_cli/commands.py
@@ -3,10 +3,12 @@
 import getpass
 import json
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 from typing import Any
 
 import attrs
 
+from .checks import check_file, check_pool_file, load_adapter, open_store
 from .clients import OperatorClient, quote_segment
 from .exceptions import UsageError
 from .tables import format_table
@@ -27,10 +29,32 @@
 
     :param document: JSON document that `--json` prints.
     :param text: text that is printed by default.
+    :param exit_code: exit code of the process.
     """
 
     document: Any
     text: str
+    exit_code: int = 0
+
+
+@attrs.frozen
+class Options:
+    """Flags of the command line that commands read.
+
+    :param if_revision: revision that a change is based on; None for the current one.
+    :param against: `current` to compare a checked document with the one in force, or None.
+    :param strict: whether warnings of a check count as a failure.
+    :param adapter: module of the platform's adapter for a check of the pools' document, or empty.
+    :param store: URL of the platform's store that the adapter reads, or empty.
+    :param timeout: longest wait for one call to the store.
+    """
+
+    if_revision: int | None = None
+    against: str | None = None
+    strict: bool = False
+    adapter: str = ""
+    store: str = ""
+    timeout: timedelta = timedelta(seconds=5)
 
 
 @attrs.frozen
@@ -41,27 +65,40 @@
     :param arguments: placeholders of its arguments in the help text.
     :param summary: one-line description in the help text.
     :param run: function that executes it; its parameters are the client, the arguments and the
-        value of `--if_revision`.
+        flags.
     """
 
     words: tuple[str, ...]
     arguments: str
     summary: str
-    run: Callable[[OperatorClient, Sequence[str], int | None], Output]
+    run: Callable[[OperatorClient, Sequence[str], Options], Output]
 
 
-def config_show(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def config_show(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Show the whole accepted configuration."""
     document = client.config().document
     return Output(document, json.dumps(document, indent=2))
 
 
-def template_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def config_check(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
+    """Check a configuration document before it is submitted."""
+    path = _single_argument(args, "FILE")
+    is_compared = options.against is not None
+    if options.adapter:
+        adapter = load_adapter(options.adapter)
+        store = open_store(adapter, options.store, options.timeout) if is_compared else None
+        report = check_pool_file(path, adapter, store)
+    else:
+        report = check_file(path, client if is_compared else None)
+    return Output(report.to_document(), report.to_text(), report.exit_code(options.strict))
+
+
+def template_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the templates with their parameters."""
     return _list_section(client, "templates", TEMPLATE_COLUMNS)
 
 
-def template_set(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def template_set(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Create a template or update some of its parameters."""
     if len(args) < 2:
         raise UsageError("template set needs a NAME and at least one KEY=VALUE")
@@ -77,11 +114,11 @@
         "PUT",
         f"/v1/templates/{quote_segment(name)}",
         template,
-        revision or current.revision,
+        options.if_revision or current.revision,
     )
 
 
-def template_delete(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def template_delete(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Delete a template."""
     name = _single_argument(args, "NAME")
     return _submit_change(
@@ -89,66 +126,66 @@
         "DELETE",
         f"/v1/templates/{quote_segment(name)}",
         {},
-        revision or client.config().revision,
+        options.if_revision or client.config().revision,
     )
 
 
-def account_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def account_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the client accounts with their quotas."""
     return _list_section(client, "accounts", ACCOUNT_COLUMNS)
 
 
-def account_set(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def account_set(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Create a client account or update its quota."""
     if len(args) < 2:
         raise UsageError("account set needs a NAME and at least one KEY=VALUE")
     current = client.config()
     account = dict(current.document["accounts"].get(args[0], {})) | _parse_pairs(args[1:])
     path = f"/v1/accounts/{quote_segment(args[0])}"
-    return _submit_change(client, "PUT", path, account, revision or current.revision)
+    return _submit_change(client, "PUT", path, account, options.if_revision or current.revision)
 
 
-def data_centre_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def data_centre_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the data centres and whether they are in or out."""
     return _list_section(client, "data_centres", ("name", "state"))
 
 
-def data_centre_out(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def data_centre_out(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Take a data centre out of service."""
-    return _set_data_centre_state(client, args, revision, "out")
+    return _set_data_centre_state(client, args, options, "out")
 
 
-def data_centre_in(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def data_centre_in(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Bring a data centre back into service."""
-    return _set_data_centre_state(client, args, revision, "in")
+    return _set_data_centre_state(client, args, options, "in")
 
 
-def worker_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def worker_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the workers that have announced themselves."""
     rows = client.get("/v1/workers")["workers"]
     return Output(rows, format_table(rows, WORKER_COLUMNS))
 
 
-def job_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def job_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the jobs."""
     rows = client.get("/v1/jobs")["jobs"]
     return Output(rows, format_table(rows, JOB_COLUMNS))
 
 
-def job_show(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def job_show(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Show one job with its tasks."""
     job = client.get(f"/v1/jobs/{quote_segment(_single_argument(args, 'JOB'))}")
     heading = f"{job['job_id']}: {job['state']} {job.get('reason') or ''}".rstrip()
     return Output(job, heading + "\n" + format_table(job["tasks"], TASK_COLUMNS))
 
 
-def shard_list(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def shard_list(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """List the shards and their owners."""
     rows = client.get("/v1/shards")["shards"]
     return Output(rows, format_table(rows, ("shard", "owner", "address")))
 
 
-def metrics_show(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def metrics_show(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Show latency histograms by client account, class and template."""
     document = client.get("/v1/metrics")
     counters = [{"counter": k, "value": v} for k, v in sorted(document["counters"].items())]
@@ -156,23 +193,29 @@
     return Output(document, text + "\n\n" + format_table(counters, ("counter", "value")))
 
 
-def explain_job(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def explain_job(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Explain why a job's tasks wait, run where they do, or were moved."""
     return _explain(client, "job", _single_argument(args, "JOB"))
 
 
-def explain_worker(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def explain_worker(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Explain what a worker runs and why it is or is not assigned work."""
     return _explain(client, "worker", _single_argument(args, "WORKER"))
 
 
-def explain_service(client: OperatorClient, args: Sequence[str], revision: int | None) -> Output:
+def explain_service(client: OperatorClient, args: Sequence[str], options: Options) -> Output:
     """Explain to which workers the entry routed its most recent requests, and why."""
     return _explain(client, "service", _single_argument(args, "TEMPLATE"))
 
 
 COMMANDS = (
     Command(("config", "show"), "", "print the accepted configuration", config_show),
+    Command(
+        ("config", "check"),
+        "FILE",
+        "check a configuration document before it is submitted; - reads standard input",
+        config_check,
+    ),
     Command(("template", "list"), "", "list templates", template_list),
     Command(
         ("template", "set"),
@@ -211,11 +254,11 @@
 
 
 def _set_data_centre_state(
-    client: OperatorClient, args: Sequence[str], revision: int | None, state: str
+    client: OperatorClient, args: Sequence[str], options: Options, state: str
 ) -> Output:
     name = _single_argument(args, "NAME")
     path = f"/v1/data-centres/{quote_segment(name)}"
-    base = revision or client.config().revision
+    base = options.if_revision or client.config().revision
     return _submit_change(client, "PUT", path, {"state": state}, base)
 
 
--- a/packages/cli/src/mulberryslip_cli/main.py
+++ b/packages/cli/src/mulberryslip_cli/main.py
@@ -3,16 +3,19 @@
 import json
 import sys
 from collections.abc import Sequence
+from datetime import timedelta
 
 from absl import flags
 
 from .clients import OperatorClient
-from .commands import COMMANDS, Command
+from .commands import COMMANDS, Command, Options
 from .exceptions import CommandError, UsageError
 
 DEFAULT_ENTRIES = "127.0.0.1:7003"
 
-SHOWN_FLAGS = ("entries", "json", "if_revision", "timeout_s", "help")
+SHOWN_FLAGS = (
+    "entries", "json", "if_revision", "timeout_s", "against", "strict", "adapter", "store", "help",
+)  # fmt: skip
 
 EXAMPLES = """\
 examples:
@@ -20,9 +23,12 @@
   mulberryslip template set reconciliation class=batch account=granite-hollow cpu_millis=1000
   mulberryslip --if_revision=7 template set reconciliation max_attempts=2
   mulberryslip explain job reconciliation-2026-12-04
+  mulberryslip config check next.json --against current --strict
+  mulberryslip config check - --adapter=MODULE < pools.json
 
 exit codes: 0 success, 1 rejected, 2 invalid usage, 3 conflict with a concurrent change (the message
-says what changed), 4 no entry could serve the command (nothing was changed), 5 outcome unknown"""
+says what changed), 4 no entry could serve the command (nothing was changed), 5 outcome unknown;
+config check: 0 valid, 1 warnings with --strict, 2 errors or invalid usage"""
 
 
 def run() -> None:
@@ -33,6 +39,8 @@
 def define_flags() -> flags.FlagValues:
     """Return the flags of the command line, not yet parsed."""
     values = flags.FlagValues()
+    # Flags may follow the command, as in `config check FILE --strict`.
+    values.set_gnu_getopt(True)
     flags.DEFINE_list(
         "entries",
         DEFAULT_ENTRIES,
@@ -51,6 +59,28 @@
     flags.DEFINE_float(
         "timeout_s", 5.0, "Timeout for each entry, in seconds.", 0.1, flag_values=values
     )
+    flags.DEFINE_enum(
+        "against",
+        None,
+        ["current"],
+        "Compare a checked document with the configuration in force.",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean(
+        "strict", False, "Let warnings of a check fail the command.", flag_values=values
+    )
+    flags.DEFINE_string(
+        "adapter",
+        "",
+        "Check the document for pools, which this module of the platform's adapter decodes.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "store",
+        "",
+        "http://IP:PORT of the store with the document for pools in force.",
+        flag_values=values,
+    )
     flags.DEFINE_boolean("help", False, "Print this help.", flag_values=values)
     return values
 
@@ -69,7 +99,15 @@
             return 0 if values.help else UsageError.exit_code
         command, args = find_command(words)
         client = OperatorClient(values.entries, values.timeout_s)
-        output = command.run(client, args, values.if_revision)
+        options = Options(
+            if_revision=values.if_revision,
+            against=values.against,
+            strict=values.strict,
+            adapter=values.adapter,
+            store=values.store,
+            timeout=timedelta(seconds=values.timeout_s),
+        )
+        output = command.run(client, args, options)
     except flags.Error as exc:
         print(f"mulberryslip: {exc}", file=sys.stderr)
         return UsageError.exit_code
@@ -77,7 +115,7 @@
         print(f"mulberryslip: {exc}", file=sys.stderr)
         return exc.exit_code
     print(json.dumps(output.document, indent=2) if values.json else output.text)
-    return 0
+    return output.exit_code
 
 
 def find_command(words: Sequence[str]) -> tuple[Command, Sequence[str]]:
--- a/packages/core/src/mulberryslip/config_checks.py
+++ b/packages/core/src/mulberryslip/config_checks.py
@@ -39,7 +39,7 @@
 EXIT_WARNINGS = 1
 EXIT_ERRORS = 2
 
-NO_COMPARISON = "differences from the configuration in force: --against current is not given"
+NO_COMPARISON = "differences from the configuration in force: it was not compared"
 NO_VALID_DOCUMENT = "differences from the configuration in force: the document has errors"
 NO_FLEET = (
     "whether tasks fit a worker, services have a worker and quotas fit the fleet: the workers are"
@@ -297,9 +297,13 @@
         if name not in occupied:
             yield _warning(f"data centre {name}", "it has no known worker")
     usable = [worker for worker in workers if view.data_centre_in(worker.data_centre)]
+    offer = _Offer(
+        frozenset(worker.capacity for worker in usable),
+        frozenset(name for worker in usable for name in worker.services),
+    )
     for template in view.templates.values():
-        if not any(_can_run(template.parameters, template.name, worker) for worker in usable):
-            reason = _unmet_need(template.parameters)
+        reason = _unmet_need(template.parameters, template.name, offer)
+        if reason:
             yield _warning(f"template {template.name}", reason)
     total = sum((worker.capacity for worker in usable), Resources())
     for name in ("cpu_millis", "memory_mb", "accelerators"):
@@ -312,26 +316,30 @@
             )
 
 
-@functools.singledispatch
-def _can_run(parameters: object, name: str, worker: FleetWorker) -> bool:
-    """Return whether a worker can serve requests or run tasks of a template."""
-    raise TypeError(f"{type(parameters).__name__} are not parameters of a template")
+@attrs.frozen
+class _Offer:
+    """What the workers in service offer, without repetitions: many workers are alike."""
 
+    capacities: frozenset[Resources]
+    services: frozenset[str]
 
-@_can_run.register
-def _(parameters: ServiceParameters, name: str, worker: FleetWorker) -> bool:
-    return name in worker.services
+
+@functools.singledispatch
+def _unmet_need(parameters: object, name: str, offer: _Offer) -> str:
+    """Return what a template needs and no worker in service offers; empty if there is nothing."""
+    raise TypeError(f"{type(parameters).__name__} are not parameters of a template")
 
 
-@_can_run.register
-def _(parameters: TaskParameters, name: str, worker: FleetWorker) -> bool:
-    return parameters.resources().fits(worker.capacity)
+@_unmet_need.register
+def _(parameters: ServiceParameters, name: str, offer: _Offer) -> str:
+    return "" if name in offer.services else "no worker in service answers this service"
 
 
-def _unmet_need(parameters: ServiceParameters | TaskParameters) -> str:
-    """Return what no worker offers."""
-    if isinstance(parameters, ServiceParameters):
-        return "no worker in service answers this service"
+@_unmet_need.register
+def _(parameters: TaskParameters, name: str, offer: _Offer) -> str:
+    size = parameters.resources()
+    if any(size.fits(capacity) for capacity in offer.capacities):
+        return ""
     return "its tasks fit no worker in service"
 
 
--- a/packages/daemon/src/mulberryslipd/reports.py
+++ b/packages/daemon/src/mulberryslipd/reports.py
@@ -120,6 +120,8 @@
             "in_flight": view.load.in_flight,
             "free": part_to_dict(view.load.free),
             "running": len(view.running),
+            "capacity": part_to_dict(view.description.capacity),
+            "services": list(view.description.services),
         }
 
     def _state(self, view: WorkerView) -> str:
