--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 bench: deps
 	$(BIN)/python -m mulberryslip_testing.bench
 	$(BIN)/python -m mulberryslip_testing.paths
+	PYTHONPATH=platform $(BIN)/python -m mulberryslip_testing.config_checks --adapter=mulberryslip_platform
 
 chaos: deps
 	$(BIN)/python -m mulberryslip_testing.chaos --seed=$(SEED)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,9 +1,10 @@
 """Tests of the benchmark: deterministic, equal load for both strategies, fast when small."""
 
 import attrs
+import mulberryslip_platform
 import pytest
 from mulberryslip import Resources
-from mulberryslip_testing import bench, capacity
+from mulberryslip_testing import bench, capacity, config_checks
 from mulberryslip_testing.scenarios import GRANITE_HOLLOW, SCENARIOS, Departure
 from mulberryslip_testing.simulations import Simulation
 from mulberryslip_testing.strategies import NaiveStrategy, PolicyStrategy
@@ -85,3 +86,16 @@
     assert len(set(kinds)) == 4
     assert all(kinds.count(kind) >= 3 for kind in kinds)
     assert all(row[1] > 0 for row in capacity.memory_rows())
+
+
+def test_checks_of_the_bench_compare_every_entry(monkeypatch):
+    """Guards against a bench of checks that find the document invalid or unchanged."""
+    monkeypatch.setattr(config_checks, "ENTRIES", 20)
+    for check in (
+        config_checks.pool_check(mulberryslip_platform),
+        config_checks.document_check(),
+    ):
+        report = check()
+        assert report.exit_code(strict=False) == 0
+        assert len(report.differences) == 20
+    assert [row[1] for row in config_checks.rows(mulberryslip_platform)] == [20, 20]
--- a/tests/test_config_checks.py
+++ b/tests/test_config_checks.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -20,7 +21,7 @@
 from mulberryslip.configs import CONFIG_KEY, MAX_FAULTS, ConfigView
 from mulberryslip.exceptions import ConfigError
 from mulberryslip.queues import PoolConfig, Queue
-from mulberryslip_platform import decode_config, decode_document
+from mulberryslip_platform import decode_config, decode_document, encode_document
 from mulberryslip_testing.fakes import FakeStore
 from mulberryslipd.intents import PoolConfigSource
 from mulberryslipd.sources import ConfigSource
@@ -355,6 +356,17 @@
         assert (matched != queue) == (queue.name in config.hidden_queues())
 
 
+@settings(max_examples=100, deadline=None)
+@given(QUEUES, st.integers(0, 2**40), st.integers(0, 2**40), st.booleans())
+def test_encoded_queues_are_decoded_again(queues, stretch, slack, ticket):
+    """Guards against a bench that measures a document with other queues than it means."""
+    queues = [attrs.evolve(queue, stretch_permille=stretch, slack_ms=slack) for queue in queues]
+    queues += [attrs.evolve(queue, requires_ticket=ticket) for queue in queues[:1]]
+    document = decode_document(encode_document(3, queues))
+    assert [entry.queue for entry in document.entries] == queues
+    assert (document.revision, document.faults) == (3, ())
+
+
 def test_faults_are_bounded_and_valid_routes_are_kept():
     """Guards against a document of faults that fills memory or takes valid queues out of force."""
     routes = [*[5] * (2 * MAX_FAULTS), ROUTE]
