Check three documents in make demo

The demo shows what config check prints for a valid document, one with warnings and an invalid one, against the running cluster. make demo passed.

--- a/packages/testing/src/mulberryslip_testing/demo.py
+++ b/packages/testing/src/mulberryslip_testing/demo.py
@@ -1,5 +1,6 @@
 """Demo of the main use on loopback: configuration, a balance check, a batch, operator commands."""
 
+import json
 import random
 import sys
 import tempfile
@@ -36,16 +37,16 @@
     return [items[index::tasks] for index in range(tasks)]
 
 
-def run_operator_command(cluster: Cluster, *words: str) -> None:
+def run_operator_command(cluster: Cluster, *words: str, expected_code: int = 0) -> None:
     """Run one operator command, and print the command and its output.
 
     :param words: command words and arguments.
-    :raises ClusterError: if the command fails.
+    :raises ClusterError: if the command ends with another exit code than expected.
     """
     addresses = ",".join(cluster.operators_address(name) for name in cluster.entry_names())
     print(f"\n$ mulberryslip {' '.join(words)}")
     code = operator_command(["mulberryslip", f"--entries={addresses}", *words])
-    if code:
+    if code != expected_code:
         raise ClusterError(f"mulberryslip {' '.join(words)}: exit code {code}")
 
 
@@ -66,6 +67,27 @@
     )  # fmt: skip
 
 
+def check_configurations(cluster: Cluster, directory: Path) -> None:
+    """Check documents before they are submitted: a valid one, a doubtful one and an invalid one.
+
+    :param directory: directory for the documents.
+    """
+    _, current = cluster.call_operator_api("GET", "/v1/config")
+    template = current["templates"]["reconciliation"]
+    parameters = template["parameters"]
+    for name, changed, expected_code in (
+        ("next", {"max_attempts": 2}, 0),
+        ("too-large", {"memory_mb": 10_000_000}, 1),
+        ("invalid", {"max_run_s": "1h"}, 2),
+    ):
+        templates = {"reconciliation": {**template, "parameters": {**parameters, **changed}}}
+        document = {**current, "templates": {**current["templates"], **templates}}
+        path = directory / f"{name}.json"
+        path.write_text(json.dumps(document), encoding="utf-8")
+        words = ("config", "check", str(path), "--against", "current", "--strict")
+        run_operator_command(cluster, *words, expected_code=expected_code)
+
+
 def check_balance(cluster: Cluster) -> None:
     """Send a balance check through an entry, as a caller would."""
     started = time.monotonic()
@@ -137,6 +159,7 @@
         count = len(cluster.processes)
         print(f"{count} processes on loopback: store, runtime, targets, 2 entries, 3 workers")
         configure(cluster)
+        check_configurations(cluster, directory)
         check_balance(cluster)
         run_batch(cluster, groups)
         run_operator_command(cluster, "job", "list")
