Warn of names that occur twice in a pool document

A second list of routes replaced the first one without a word, since JSON parsers keep the last of two values. The decoder still does, so the same documents are in force; the check warns. tests/test_config_checks.py (54), tests/test_platform.py (73) and tests/test_robustness.py (142) pass.

--- a/packages/core/src/mulberryslip/config_checks.py
+++ b/packages/core/src/mulberryslip/config_checks.py
@@ -388,6 +388,9 @@
 def _pool_warnings(document: PoolDocument, config: PoolConfig) -> Iterator[Finding]:
     if not config.queues:
         yield _warning(DOCUMENT, "it has no queue, so every request is rejected")
+    if document.repeated_names:
+        names = ", ".join(_shown(name) for name in sorted(document.repeated_names)[:10])
+        yield _warning(DOCUMENT, f"one object has several values of {names}; only the last counts")
     hidden = config.hidden_queues()
     last_entries = {entry.queue.name: entry for entry in document.entries}
     for entry in document.entries:
--- a/packages/core/src/mulberryslip/queues.py
+++ b/packages/core/src/mulberryslip/queues.py
@@ -122,12 +122,14 @@
     :param entries: valid entries in the order of the document.
     :param faults: why entries were left out, one for each fault; at most `configs.MAX_FAULTS`.
     :param services: names of the services that the document lists; None if it does not list them.
+    :param repeated_names: names that occur more than once in one object, of which the last counts.
     """
 
     revision: int
     entries: tuple[QueueEntry, ...] = ()
     faults: tuple[ConfigError, ...] = ()
     services: frozenset[str] | None = None
+    repeated_names: frozenset[str] = frozenset()
 
     def config(self, out: Iterable[str] = ()) -> PoolConfig:
         """Return the configuration that the document puts into force.
--- a/tests/test_config_checks.py
+++ b/tests/test_config_checks.py
@@ -257,6 +257,14 @@
     assert report.exit_code(strict=True) == exit_code
 
 
+def test_repeated_names_are_reported():
+    """Guards against a second list of routes that silently replaces the first."""
+    body = json.dumps(POOL).encode().removesuffix(b"}") + b', "Routes": [], "Version": 7}'
+    warnings = check_pool_document(body, decode_document).of(Severity.WARNING)
+    assert [finding.place for finding in warnings] == ["document", "document"]
+    assert "Routes, Version" in warnings[1].reason
+
+
 def test_report_is_bounded_and_safe_to_print():
     """Guards against a report that floods the terminal, or that a document writes itself."""
     routes = [ROUTE | {"Name": f"\x1b[2J{i}", "Service": ""} for i in range(MAX_FINDINGS + 10)]
