Test that entries accept the changes of a compared document

The check applies the changes between two documents as an entry would; the property test compares its verdict with changes.decide. tests/test_config_checks.py: 56 passed.

--- a/tests/test_config_checks.py
+++ b/tests/test_config_checks.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from json_strategies import JSON, with_other_value
 from mulberryslip import ManualClock, Resources
+from mulberryslip.changes import changes_between, decide
 from mulberryslip.config_checks import (
     MAX_FINDINGS,
     MAX_INPUT_BYTES,
@@ -328,6 +329,41 @@
     assert (report.exit_code(strict=False) == 0) == is_in_force
 
 
+NAMED_PARTS = {
+    "data_centres": st.sampled_from([{"state": "in"}, {"state": "out"}]),
+    "accounts": st.sampled_from([ACCOUNT, {**ACCOUNT, "weight": 2}]),
+    "templates": st.builds(
+        lambda kind, account: {"class": kind, "account": account},
+        st.sampled_from(["batch", "watch", "service"]),
+        st.sampled_from("ab"),
+    ),
+}
+DOCUMENTS = st.fixed_dictionaries(
+    {section: st.dictionaries(st.sampled_from("ab"), part) for section, part in NAMED_PARTS.items()}
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(DOCUMENTS, DOCUMENTS)
+def test_compared_document_is_accepted_if_entries_accept_its_changes(old, new):
+    """Guards against a valid document that entries refuse to change to, or the reverse."""
+    new["accounts"] |= {"a": ACCOUNT, "b": ACCOUNT}
+    old["accounts"] |= {"a": ACCOUNT, "b": ACCOUNT}
+    current, wanted = view(old), view(new)
+    changed = current
+    try:
+        for change in changes_between(current, wanted):
+            changed = decide(changed, change, changed.revision).view
+    except ConfigError:
+        changed = None
+    report = check(new, current=current)
+    assert (report.exit_code(strict=False) == 0) == (changed is not None)
+    if changed is not None:
+        assert changed.templates == wanted.templates
+        assert changed.data_centres == {**current.data_centres, **wanted.data_centres}
+        assert bool(report.differences) == (old != new)
+
+
 def _with_distinct_names(routes):
     return [
         {**route, "Name": f"{number}{route['Name']}"} if isinstance(route["Name"], str) else route
