--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -8,7 +8,7 @@
 import itertools
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, TypeVar
 
@@ -28,7 +28,13 @@
 MAX_NESTING_DEPTH = 64
 """Deepest nesting of objects and lists in JSON text; a document has six levels."""
 
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+MAX_FAULTS = 1000
+"""Faults of one document that are kept, since a document of 1 MB can hold 90,000 invalid parts."""
+
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"', re.DOTALL)
+# Ends before the quote of a string without an end. Searched for strings, the text after it would
+# take quadratic time, since each quote in it would be tried as the beginning of a string.
+_CLOSED_TEXT = re.compile(rb'(?:[^"]++|"(?:[^"\\]++|\\.)*+")*+', re.DOTALL)
 _DEPTH_CHANGES = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
 _NOT_BRACKETS = bytes(byte for byte in range(256) if byte not in _DEPTH_CHANGES)
 
@@ -231,6 +237,18 @@
     digest: str = _field(_Text(64), "")
 
 
+@attrs.frozen
+class InspectedDocument:
+    """Result of the validation of a whole document.
+
+    :param view: the valid parts of the document.
+    :param faults: why parts were left out, one for each of them; empty for a valid document.
+    """
+
+    view: "ConfigView"
+    faults: tuple[ConfigError, ...] = ()
+
+
 @attrs.frozen
 class ConfigView:
     """Immutable view of one revision of the document.
@@ -295,18 +313,21 @@
     :raises ConfigError: when it is not JSON, repeats a name in an object, or nests too deeply.
     """
     if _nesting_depth(body) > MAX_NESTING_DEPTH:
-        raise ConfigError(f"{where} is not valid JSON: nested deeper than {MAX_NESTING_DEPTH}")
+        message = f"{where} is not valid JSON: nested deeper than {MAX_NESTING_DEPTH}"
+        raise ConfigError(message, where)
     try:
         return json.loads(
             body, object_pairs_hook=_reject_duplicates, parse_constant=_reject_constant
         )
     except (ValueError, RecursionError) as exc:
-        raise ConfigError(f"{where} is not valid JSON: {exc}") from exc
+        raise ConfigError(f"{where} is not valid JSON: {exc}", where) from exc
 
 
 def _nesting_depth(body: bytes) -> int:
     """Return how deeply objects and lists are nested in JSON text, without parsing it."""
-    brackets = _STRING.sub(b"", body).translate(None, delete=_NOT_BRACKETS)
+    end = _CLOSED_TEXT.match(body).end()
+    unquoted = _STRING.sub(b"", body[:end]) + body[end:]
+    brackets = unquoted.translate(None, delete=_NOT_BRACKETS)
     return max(itertools.accumulate(_DEPTH_CHANGES[bracket] for bracket in brackets), default=0)
 
 
@@ -315,22 +336,44 @@
 
     :raises ConfigError: naming the field, its value and what is allowed.
     """
-    fields = _check_fields(
-        "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
-    )
-    accounts = _parse_named("accounts", fields.get("accounts", {}), parse_account)
+    inspected = inspect_document(raw, max_faults=1)
+    if inspected.faults:
+        raise inspected.faults[0]
+    return inspected.view
+
+
+def inspect_document(raw: object, max_faults: int = MAX_FAULTS) -> InspectedDocument:
+    """Validate a whole document and collect the faults of its parts.
+
+    :param max_faults: number of faults after which the other parts are not validated.
+    """
+    try:
+        fields = _check_fields(
+            "document", raw, ("revision", "changes", "data_centres", "accounts", "templates")
+        )
+    except ConfigError as exc:
+        return InspectedDocument(ConfigView(), (exc,))
+    faults = _Faults(max_faults)
+    raw_accounts = fields.get("accounts", {})
     view = ConfigView(
-        revision=_Integer(0, 2**62).parse("revision", fields.get("revision", 0)),
-        changes=_parse_changes(fields.get("changes", [])),
+        revision=_collect(
+            faults, 0, lambda: _Integer(0, 2**62).parse("revision", fields.get("revision", 0))
+        ),
+        changes=_collect(faults, (), lambda: _parse_changes(fields.get("changes", []))),
         data_centres=_parse_named(
-            "data_centres", fields.get("data_centres", {}), parse_data_centre
+            "data_centres", fields.get("data_centres", {}), parse_data_centre, faults
         ),
-        accounts=accounts,
-        templates=_parse_named("templates", fields.get("templates", {}), parse_template),
+        accounts=_parse_named("accounts", raw_accounts, parse_account, faults),
+        templates=_parse_named("templates", fields.get("templates", {}), parse_template, faults),
     )
     for template in view.templates.values():
-        check_account(template, view)
-    return view
+        # A template of an invalid account is not reported a second time.
+        if faults.is_full:
+            break
+        if not isinstance(raw_accounts, dict) or template.account in raw_accounts:
+            continue
+        _collect(faults, None, lambda template=template: check_account(template, view))
+    return InspectedDocument(view, tuple(faults.kept))
 
 
 def parse_data_centre(name: str, raw: object) -> DataCentre:
@@ -417,7 +460,7 @@
     shown = repr(value)
     if len(shown) > 80:
         shown = shown[:77] + "..."
-    return ConfigError(f"{where}: {shown} is not allowed; allowed: {allowed}")
+    return ConfigError(f"{where}: {shown} is not allowed; allowed: {allowed}", where)
 
 
 def _reject_duplicates(pairs: list[tuple[str, object]]) -> dict[str, object]:
@@ -446,7 +489,7 @@
     fields = _check_fields(where, raw, tuple(attributes))
     for name, field in attributes.items():
         if name not in fields and field.default is attrs.NOTHING:
-            raise ConfigError(f"{where}.{name} is missing")
+            raise ConfigError(f"{where}.{name} is missing", f"{where}.{name}")
     values = {
         name: attributes[name].metadata["rule"].parse(f"{where}.{name}", value)
         for name, value in fields.items()
@@ -454,10 +497,50 @@
     return part_type(**values)
 
 
-def _parse_named(where: str, raw: object, parse: Any) -> Mapping[str, Any]:
+def _parse_named(
+    where: str, raw: object, parse: Callable[[str, object], Any], faults: "_Faults"
+) -> Mapping[str, Any]:
     if not isinstance(raw, dict):
-        raise _not_allowed(where, raw, "an object from names to values")
-    return MappingProxyType({name: parse(name, value) for name, value in raw.items()})
+        faults.add(_not_allowed(where, raw, "an object from names to values"))
+        return MappingProxyType({})
+    parts = {}
+    for name, value in raw.items():
+        if faults.is_full:
+            break
+        try:
+            parts[name] = parse(name, value)
+        except ConfigError as exc:
+            faults.add(exc)
+    return MappingProxyType(parts)
+
+
+@attrs.define
+class _Faults:
+    """Faults found in a document.
+
+    :param limit: number of faults that are kept.
+    """
+
+    limit: int
+    kept: list[ConfigError] = attrs.field(factory=list)
+
+    @property
+    def is_full(self) -> bool:
+        return len(self.kept) >= self.limit
+
+    def add(self, fault: ConfigError) -> None:
+        if not self.is_full:
+            # The frames of the traceback would keep the parsed values alive.
+            self.kept.append(fault.with_traceback(None))
+
+
+def _collect(faults: _Faults, default: _T, parse: Callable[[], _T]) -> _T:
+    """Return the parsed value; if it is invalid, add the fault and return the default."""
+    try:
+        return parse()
+    except ConfigError as exc:
+        faults.add(exc)
+        return default
 
 
 def _parse_changes(raw: object) -> tuple[ChangeRecord, ...]:
--- a/tests/test_configs.py
+++ b/tests/test_configs.py
@@ -26,6 +26,7 @@
     ConfigView,
     DataCentre,
     DataCentreState,
+    inspect_document,
     parse_json,
     parse_template,
 )
@@ -134,6 +135,31 @@
         assert fragment in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("changed", "places"),
+    [
+        ({}, []),
+        ({"revision": -1, "changes": {}}, ["revision", "changes"]),
+        (
+            {"accounts": {"granite-hollow": {}, "b": {"cpu_millis": 1, "memory_mb": -1}}},
+            ["account granite-hollow.cpu_millis", "account b.memory_mb"],
+        ),
+        ({"accounts": []}, ["accounts"]),
+        (
+            {"templates": {"a": {"class": "cron"}, "b": {"class": "batch", "account": "none"}}},
+            ["template a.class", "template b.account"],
+        ),
+    ],
+)
+def test_every_invalid_part_is_reported_with_its_place(changed, places):
+    """Guards against an operator who learns of one fault at a time, or of faults that follow."""
+    inspected = inspect_document({**DOCUMENT, **changed})
+    assert [fault.place for fault in inspected.faults] == places
+    for fault in inspected.faults:
+        assert fault.reason
+        assert str(fault) in (f"{fault.place}: {fault.reason}", f"{fault.place} {fault.reason}")
+
+
 @pytest.mark.parametrize(
     ("body", "is_too_deep"),
     [
@@ -144,6 +170,10 @@
         (b'["\\"' + b"[" * 500 + b'"]', False),
         (b"[],{}," * 500, False),
         (b'"' + b"[" * 65, True),
+        (b'"\\"' + b"[" * 65, True),
+        # Takes hours where each quote of a string without an end is tried as its beginning.
+        (b'"' + b'\\"' * 400_000, False),
+        (b'"' + b'\\"' * 400_000 + b"\\", False),
     ],
 )
 def test_deeply_nested_text_is_refused_before_it_is_parsed(body, is_too_deep):
