--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -56,8 +56,8 @@
 from 5 to 16, and share of the second one."""
 
 MAX_NEGLIGIBLE_MEAN = 0.95
-"""Bound of the estimate of a pair of the first group, below `headrooms.NEGLIGIBLE_INTERFERENCE`: its
-runs are not slowed down for a service that is within its objective."""
+"""Bound of the estimate of a pair of the first group, below `headrooms.NEGLIGIBLE_INTERFERENCE`, so
+that its runs are not slowed down for a service that is within its objective."""
 
 MIN_OBSERVED_PRECISION = 0.02
 """Precision below which observations do not tell the group of a pair."""
@@ -345,7 +345,8 @@
 def _classified(mean: float, deviation: float) -> tuple[float, float, bool]:
     """Return mean and standard deviation of an estimate, given that pairs form two groups.
 
-    Also tells whether the pair counts as one of the group that interferes strongly. The estimate is split into the prior of the filter and what the observations say.
+    Also tells whether the pair counts as one of the group that interferes strongly. The estimate is
+    split into the prior of the filter and what the observations say.
     """
     precision = 1 / max(0.01, deviation) ** 2
     observed_precision = precision - 1 / PRIOR_DEVIATION**2
