Compute duty cycles from filtered headrooms when a controller is stable

Duty cycles that are computed anew from each noisy listing oscillate. A Kalman filter per service tracks its headroom without best-effort runs, the trend of it and the ratio of the actual interference to the estimate; changes have a dead band. Off by default.

--- a/packages/core/src/mulberryslip/duty_cycles.py
+++ b/packages/core/src/mulberryslip/duty_cycles.py
@@ -19,15 +19,20 @@
     NEGLIGIBLE_INTERFERENCE,
     Budget,
     ColocatedRun,
-    Demand,
     InterferenceModel,
     LaggedShares,
     allocate_headroom,
     used_shares,
 )
 from .runners import RunProfile
+from .stable_duty_cycles import (
+    FULL_PERCENT,
+    VIOLATION_BACKOFF,
+    RunKey,
+    StableDutyCycles,
+    demand_of,
+)
 
-FULL_PERCENT = 100
 UNKNOWN_PERCENT = -1
 """Duty cycle of a run that an earlier process may have set, or whose last call had no reply."""
 
@@ -44,11 +49,6 @@
 """Smallest change of a duty cycle that justifies a call, in percentage points. Lower duty cycles
 are rounded to 0."""
 
-VIOLATION_BACKOFF = 0.5
-"""Maximum share of the current interference that is kept while a service violates its objective.
-The tail latency then grows with the duration of the violation and no longer indicates by how much
-to reduce the interference."""
-
 INITIAL_PERCENT_TTL_MS = 2000
 """Time for which the initial duty cycle of a run is remembered until the run is listed; longer than
 a start may be pending."""
@@ -60,10 +60,6 @@
 takes effect, this is below the 4 s for which a service may violate its objective."""
 
 
-RunKey = tuple[str, int]
-"""Task name and run number."""
-
-
 @attrs.frozen
 class DutyCycleChange:
     """A new duty cycle for a run.
@@ -80,10 +76,12 @@
     """Controls the duty cycles of the best-effort runs of one worker.
 
     :param model: model of the interference between images.
+    :param is_stable: whether duty cycles follow filtered headrooms instead of each listing.
     """
 
-    def __init__(self, model: InterferenceModel):
+    def __init__(self, model: InterferenceModel, is_stable: bool = False):
         self._model = model
+        self._stable = StableDutyCycles(model) if is_stable else None
         self._percents: dict[RunKey, int] = {}
         self._requested: dict[RunKey, int] = {}
         self._initial_set_at: dict[RunKey, int] = {}
@@ -110,12 +108,15 @@
             colocated_run for colocated_run in colocated_runs if colocated_run.headroom is not None
         ]
         self._now_ms = now_ms
-        allowed = self._allowed_percents(best_effort, latency_critical, cpu_millis)
+        if self._stable is not None:
+            allowed = self._stable_percents(best_effort, latency_critical, cpu_millis)
+        else:
+            allowed = self._allowed_percents(best_effort, latency_critical, cpu_millis)
         halted = self._images_to_halt(
             {item.profile.image for item in best_effort}, latency_critical, now_ms
         )
         self._percents = {
-            key: _next_percent(self._previous_percent(key), 0 if image in halted else percent)
+            key: self._next_percent(key, 0 if image in halted else percent)
             for key, image, percent in allowed
         }
         return self._changes({key for key, image, _ in allowed if image in halted})
@@ -134,9 +135,12 @@
             return FULL_PERCENT
         if (profile.task, run) in self._percents:
             return self._percents[profile.task, run]
-        demand = _demand(profile, cpu_millis)
-        (share,), _ = allocate_headroom([demand], self._remaining_budgets, self._model)
-        percent = _rounded_percent(share, demand.share)
+        if self._stable is not None:
+            percent = self._stable.initial_percent(profile, cpu_millis)
+        else:
+            demand = demand_of(profile, cpu_millis)
+            (share,), _ = allocate_headroom([demand], self._remaining_budgets, self._model)
+            percent = _rounded_percent(share, demand.share)
         self._requested[profile.task, run] = percent
         self._initial_set_at[profile.task, run] = self._now_ms
         return percent
@@ -160,6 +164,30 @@
         percent = self._percents.get(key, self._requested.get(key, UNKNOWN_PERCENT))
         return FULL_PERCENT if percent == UNKNOWN_PERCENT else percent
 
+    def _next_percent(self, key: RunKey, allowed: int) -> int:
+        if self._stable is not None:
+            return allowed
+        return _next_percent(self._previous_percent(key), allowed)
+
+    def _stable_percents(
+        self,
+        best_effort: Sequence[ColocatedRun],
+        latency_critical: Sequence[ColocatedRun],
+        cpu_millis: int,
+    ) -> list[tuple[RunKey, str, int]]:
+        keys = [(item.listed_run.task, item.listed_run.run) for item in best_effort]
+        percents = self._stable.update(
+            best_effort,
+            latency_critical,
+            [self._previous_percent(key) for key in keys],
+            cpu_millis,
+            self._now_ms * timedelta(milliseconds=1),
+        )
+        return [
+            (key, item.profile.image, percent)
+            for key, item, percent in zip(keys, best_effort, percents, strict=True)
+        ]
+
     def _images_to_halt(
         self, images: Collection[str], latency_critical: Sequence[ColocatedRun], now_ms: int
     ) -> set[str]:
@@ -194,7 +222,7 @@
         """
         used = used_shares(best_effort, cpu_millis)
         shares = self._lagged_shares.update(used, self._now_ms * timedelta(milliseconds=1))
-        demands = [_demand(item.profile, cpu_millis) for item in best_effort]
+        demands = [demand_of(item.profile, cpu_millis) for item in best_effort]
         budgets = [
             (service.profile.image, self._budget(service, shares)) for service in latency_critical
         ]
@@ -242,14 +270,6 @@
         return changes
 
 
-def _demand(profile: RunProfile, cpu_millis: int) -> Demand:
-    """Return the processor demand of a run on a worker.
-
-    :param cpu_millis: processors of the worker, in thousandths of a core.
-    """
-    return Demand(profile.image, profile.cpu_millis / max(1, cpu_millis))
-
-
 def _rounded_percent(share: float, wanted: float) -> int:
     """Return a share as a percentage of the wanted share, with small values rounded to 0."""
     percent = int(FULL_PERCENT * share / wanted) if wanted > 0 else FULL_PERCENT
