--- a/packages/core/src/mulberryslip/duty_cycles.py
+++ b/packages/core/src/mulberryslip/duty_cycles.py
@@ -60,6 +60,12 @@
 takes effect, this is below the 4 s for which a service may violate its objective."""
 
 
+HALT_RECOVERY_MS = 5000
+MAX_RECOVERY_PERCENT = 10
+"""Time after a halt during which stable duty cycles increase by at most `MAX_RECOVERY_PERCENT` per
+update. A halt shows that an interference estimate was far too low."""
+
+
 @attrs.frozen
 class DutyCycleChange:
     """A new duty cycle for a run.
@@ -89,6 +95,7 @@
         self._lagged_shares = LaggedShares()
         self._now_ms = 0
         self._violated_since: dict[str, int] = {}
+        self._halted_at_ms: int | None = None
 
     def update(
         self, colocated_runs: Sequence[ColocatedRun], cpu_millis: int, now_ms: int
@@ -115,6 +122,8 @@
         halted = self._images_to_halt(
             {item.profile.image for item in best_effort}, latency_critical, now_ms
         )
+        if halted:
+            self._halted_at_ms = now_ms
         self._percents = {
             key: self._next_percent(key, 0 if image in halted else percent)
             for key, image, percent in allowed
@@ -164,10 +173,24 @@
         percent = self._percents.get(key, self._requested.get(key, UNKNOWN_PERCENT))
         return FULL_PERCENT if percent == UNKNOWN_PERCENT else percent
 
+    def _known_percent(self, key: RunKey, colocated_run: ColocatedRun) -> int:
+        """Return the current duty cycle of a run, in percent; from its use if unknown."""
+        percent = self._percents.get(key, self._requested.get(key, UNKNOWN_PERCENT))
+        if percent != UNKNOWN_PERCENT:
+            return percent
+        used = colocated_run.listed_run.gauge / max(1, colocated_run.profile.cpu_millis)
+        return min(FULL_PERCENT, round(FULL_PERCENT * used))
+
     def _next_percent(self, key: RunKey, allowed: int) -> int:
-        if self._stable is not None:
-            return allowed
-        return _next_percent(self._previous_percent(key), allowed)
+        """Return the next duty cycle of a run, in percent."""
+        previous = self._previous_percent(key)
+        if self._stable is None:
+            return _next_percent(previous, allowed)
+        if self._halted_at_ms is not None and (
+            self._now_ms - self._halted_at_ms < HALT_RECOVERY_MS
+        ):
+            return min(allowed, previous + MAX_RECOVERY_PERCENT)
+        return allowed
 
     def _stable_percents(
         self,
@@ -175,11 +198,12 @@
         latency_critical: Sequence[ColocatedRun],
         cpu_millis: int,
     ) -> list[tuple[RunKey, str, int]]:
+        """Return the same as `_allowed_percents`, according to filtered headrooms."""
         keys = [(item.listed_run.task, item.listed_run.run) for item in best_effort]
         percents = self._stable.update(
             best_effort,
             latency_critical,
-            [self._previous_percent(key) for key in keys],
+            [self._known_percent(key, item) for key, item in zip(keys, best_effort, strict=True)],
             cpu_millis,
             self._now_ms * timedelta(milliseconds=1),
         )
