Limit images with negligible interference in stable duty cycles

They were limited only by halts, so that a service at 0.9 of its objective was over it for up to 3.7 s. They may use 0.2 of headroom more than the budgets.

--- a/packages/core/src/mulberryslip/stable_duty_cycles.py
+++ b/packages/core/src/mulberryslip/stable_duty_cycles.py
@@ -13,23 +13,26 @@
 
 from .headroom_filters import HeadroomFilter
 from .headrooms import (
+    NEGLIGIBLE_INTERFERENCE,
     Budget,
     ColocatedRun,
     Demand,
     InterferenceModel,
     LaggedShares,
-    allocate_headroom,
     used_shares,
 )
 from .runners import RunProfile
 
 FULL_PERCENT = 100
 
+HARMLESS_SLACK = 0.2
+"""Headroom below the margin that images with negligible interference may use."""
+
 REACTION_TIME = timedelta(milliseconds=600)
 """Time after which a change of duty cycles shows in the tail latency: the call, most of the lag of
 the tail latency, and a part of the time until the next listing."""
 
-MARGIN_DEVIATIONS = 0.7
+MARGIN_DEVIATIONS = 0.8
 """Standard deviations of the predicted headroom that are left to a service above its objective. In
 simulations, services are over their objective for less time than with a fixed margin of 0.25."""
 
@@ -53,7 +56,7 @@
 MIN_PERCENT = 5
 """Lower duty cycles are rounded to 0."""
 
-MAX_CUT_FACTOR = 0.3
+MAX_CUT_FACTOR = 0.2
 MIN_CUT_PERCENT = 20
 """Share of its duty cycle that a run of at least `MIN_CUT_PERCENT` keeps while no service violates
 its objective. A halt is a response to a violation, not to a prediction."""
@@ -180,9 +183,7 @@
         Several runs that start between two listings share the headroom that was left.
         """
         demand = demand_of(profile, cpu_millis)
-        (share,), self._remaining_budgets = allocate_headroom(
-            [demand], self._remaining_budgets, self._model
-        )
+        (share,), self._remaining_budgets = self._allocate([demand], self._remaining_budgets)
         return _percent_of(share, demand)
 
     def _update_demands(
@@ -249,8 +250,8 @@
 
         A share is decreased to its target, so that the next listing does not decrease it again.
         """
-        highest, _ = allocate_headroom(demands, limits, self._model)
-        wanted, _ = allocate_headroom(demands, targets, self._model)
+        highest, _ = self._allocate(demands, limits)
+        wanted, _ = self._allocate(demands, targets)
         decreased = []
         for demand, share, limit, target in zip(demands, shares, highest, wanted, strict=True):
             if share - limit < demand.share * MIN_DECREASE_PERCENT / FULL_PERCENT:
@@ -269,7 +270,7 @@
         now: timedelta,
     ) -> list[float]:
         """Return the shares after the increases that the unallocated headroom permits."""
-        wanted, _ = allocate_headroom(demands, targets, self._model)
+        wanted, _ = self._allocate(demands, targets)
         increases = [
             Demand(demand.image, max(0.0, target - share))
             for demand, share, target in zip(demands, shares, wanted, strict=True)
@@ -277,19 +278,42 @@
         interval = MAX_STEP_TIME if self._updated_at is None else now - self._updated_at
         fraction = min(1.0, max(0.0, interval / MAX_STEP_TIME))
         steps = [
-            (image, fraction * budget)
+            (image, min(budget, fraction * budget))
             for image, budget in self._unallocated(targets, demands, shares)
         ]
-        granted, _ = allocate_headroom(increases, steps, self._model)
+        granted, _ = self._allocate(increases, steps)
         return [share + increase for share, increase in zip(shares, granted, strict=True)]
 
+    def _allocate(
+        self, demands: Sequence[Demand], budgets: Sequence[Budget]
+    ) -> tuple[list[float], list[Budget]]:
+        """Allocate headroom like `allocate_headroom`, and limit harmless images, too.
+
+        They may use `HARMLESS_SLACK` more than the budgets.
+        """
+        remaining = list(budgets)
+        shares = []
+        for demand in demands:
+            interferences = [self._model.interference(demand.image, image) for image, _ in budgets]
+            share = demand.share
+            for interference, (_, budget) in zip(interferences, remaining, strict=True):
+                slack = HARMLESS_SLACK if interference <= NEGLIGIBLE_INTERFERENCE else 0.0
+                if interference > 0:
+                    share = min(share, max(0.0, budget + slack) / interference)
+            shares.append(share)
+            remaining = [
+                (image, budget - interference * share)
+                for interference, (image, budget) in zip(interferences, remaining, strict=True)
+            ]
+        return shares, remaining
+
     def _unallocated(
         self, budgets: Sequence[Budget], demands: Sequence[Demand], shares: Sequence[float]
     ) -> list[Budget]:
         """Return what the given shares leave of the budgets."""
         by_image = _by_image(demands, shares)
         return [
-            (image, max(0.0, budget - self._model.total_interference(by_image, image)))
+            (image, budget - self._model.total_interference(by_image, image))
             for image, budget in budgets
         ]
 
