Test stable duty cycles on a double of a worker with lag, noise and swinging load

The present controller is the baseline of each load; the agent's tests of overlapping and lost calls run with both controllers. One of them lists five times before a second run starts: the filter knows only then that headroom for another run is left. Its assertions are unchanged.

The margin is 0.65 standard deviations instead of 0.8, which gives up a part of the time that services gained for duty cycle.

--- a/packages/core/src/mulberryslip/stable_duty_cycles.py
+++ b/packages/core/src/mulberryslip/stable_duty_cycles.py
@@ -32,7 +32,7 @@
 """Time after which a change of duty cycles shows in the tail latency: the call, most of the lag of
 the tail latency, and a part of the time until the next listing."""
 
-MARGIN_DEVIATIONS = 0.8
+MARGIN_DEVIATIONS = 0.65
 """Standard deviations of the predicted headroom that are left to a service above its objective. In
 simulations, services are over their objective for less time than with a fixed margin of 0.25."""
 
--- a/tests/test_duty_cycles.py
+++ b/tests/test_duty_cycles.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from mulberryslip.duty_cycles import FULL_PERCENT, HALT_ALL_AFTER_MS
+from mulberryslip.duty_cycles import FULL_PERCENT, HALT_ALL_AFTER_MS, DutyCycleController
 from mulberryslip.models import Resources
 from mulberryslip.runners import RunnerUnavailableError
 from mulberryslip.steps import StepSpec, WorkflowSpec
@@ -84,9 +84,10 @@
         return self.worker.duty_cycles.get(key, FULL_PERCENT)
 
 
-@pytest.fixture
-def play():
+@pytest.fixture(params=[False, True], ids=["present", "stable"])
+def play(request):
     play = AgentPlay()
+    play.agent._duty_cycles = DutyCycleController(play.agent._interferences, request.param)
     play.start(SERVICE_RUN, SERVICE)
     play.list_runs()
     return play
@@ -145,7 +146,8 @@
     if run == 2:
         play.set_tail(IDLE_MS)
         play.start(BATCH_RUN, BATCH)
-        play.list_runs()
+        # Until the headroom that is left for another run is known.
+        play.list_runs(times=5)
         play.worker.stop("w0", *BATCH_RUN, play.agent._grant.fence)
         play.world.clock.advance(LISTING_PAUSE)
     extend_lease = play.worker.extend_lease
