--- a/packages/core/src/mulberryslip/duty_cycles.py
+++ b/packages/core/src/mulberryslip/duty_cycles.py
@@ -97,6 +97,11 @@
         self._violated_since: dict[str, int] = {}
         self._halted_at_ms: int | None = None
 
+    def use_filters(self, is_stable: bool) -> None:
+        """Set whether duty cycles follow filtered headrooms; the filters start without history."""
+        if is_stable != (self._stable is not None):
+            self._stable = StableDutyCycles(self._model) if is_stable else None
+
     def update(
         self, colocated_runs: Sequence[ColocatedRun], cpu_millis: int, now_ms: int
     ) -> list[DutyCycleChange]:
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -509,6 +509,9 @@
             # The reply to a report with ended runs waits for the commit.
             self._report_interval.observe(self._clock.monotonic() - self._reported_at)
         self._update_grant(worker, reply)
+        if reply.epoch >= self._grant.epoch:
+            with self._duty_cycles_lock:
+                self._duty_cycles.use_filters(bool(reply.stable_duty_cycles))
         if reply.newest_incarnation:
             with self._lock:
                 self._names.record_known(worker.worker_id, reply.newest_incarnation)
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -890,6 +890,7 @@
             interference,
             take_over,
             newest_incarnation,
+            self._dispatcher.is_wide,
         )
 
     def _wait_for_commit(self, term: PoolTerm, queued: QueuedCall) -> None:
