--- a/packages/core/src/mulberryslip/stable_duty_cycles.py
+++ b/packages/core/src/mulberryslip/stable_duty_cycles.py
@@ -37,7 +37,7 @@
 MARGIN_DEVIATIONS = 0.65
 """Standard deviations of the predicted headroom that are left to a service above its objective. In
 simulations with 0.45, services were over their objective for as long as with the fixed margin of
-0.25 that unfiltered listings need; 0.8 cost 4 % of the duty cycle."""
+0.25 that unfiltered listings need; 0.8 cost 3 % of the duty cycle."""
 
 MIN_MARGIN = 0.1
 """Least headroom left to a service above its objective. A filter that has seen a steady load for
