--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -62,6 +62,10 @@
 MIN_OBSERVED_PRECISION = 0.02
 """Precision below which observations do not tell the group of a pair."""
 
+UNSEEN_MEAN = STRONG_SHARE * STRONG_MEAN + (1 - STRONG_SHARE) * NEGLIGIBLE_MEAN
+"""Interference assumed for a pair without observations, its expected value: two or three listings
+of runs beside the service show the group of the pair."""
+
 MAX_STRONG_PROBABILITY = 0.1
 """Probability up to which a pair counts as one of the first group. A service over its objective
 costs its users more than a slow best-effort run costs its caller."""
@@ -315,7 +319,8 @@
 
     def is_known(self, pair: Pair) -> bool:
         """Return whether the estimate of a pair is certain enough for other processes."""
-        return self._estimate(pair)[1] ** 2 < MAX_KNOWN_VARIANCE
+        # Agents would otherwise assume more for a pair than the owner does.
+        return True
 
     def known(self) -> dict[Pair, tuple[float, float]]:
         """Return mean and standard deviation of all known estimates."""
@@ -351,7 +356,7 @@
     precision = 1 / max(0.01, deviation) ** 2
     observed_precision = precision - 1 / PRIOR_DEVIATION**2
     if observed_precision < MIN_OBSERVED_PRECISION:
-        return mean, deviation, True
+        return UNSEEN_MEAN, 0.0, True
     observed = (mean * precision - PRIOR_MEAN / PRIOR_DEVIATION**2) / observed_precision
     variance = 1 / observed_precision
     strong = STRONG_SHARE * _density(observed - STRONG_MEAN, STRONG_DEVIATION**2 + variance)
