Pack services by what best-effort work loses, when switched on

Services reserve most processors and interfere with a quarter of the best-effort images, and the present rule leaves 4 of 54 workers without services. Dispatcher.packs_services (off by default) scores workers by the expected loss of harmless capacity and starts steps with a spread limit first.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -47,6 +47,7 @@
 from .health import EXCLUSION_PENALTY, UNSTARTED_PENALTY
 from .models import Resources
 from .refusals import Preference, Requirement
+from .service_packing import placement_cost
 from .workflows import Phase, StepTask, Workflow
 
 SHORT_TASK_RESERVE = 0.1
@@ -66,6 +67,10 @@
 """Waiting time after which a long-running task gets a worker reserved. Trials of other tasks and
 short runs would otherwise take the worker again and again, since they need less room."""
 
+SPREAD_FIRST_MS = 1000
+"""Period within which the waits of services count as equally long when services are packed. Then
+those with a spread limit go first, as after an outage, because they need room on many workers."""
+
 MAX_RESERVATIONS = 16
 MAX_COMPARED_SERVICES = 48
 """Maximum number of tasks that get a worker reserved in one round, those with the longest wait, and
@@ -136,6 +141,10 @@
 each other latency-critical image on the worker, the same image on the worker, and the presence of
 any service on the worker."""
 
+SERVICE_PACKING_WEIGHT = 5.0
+"""Score weight of `service_packing.placement_cost`. Times the maximum cost it is less than the
+penalties of a worker where the task failed, crashed a worker or a start was lost."""
+
 MAX_MOVES = 4
 """Maximum number of runs moved in one round, which limits the cost of a wrong decision."""
 
@@ -252,11 +261,19 @@
 
     :param run_time: returns the expected run time of a task.
     :param model: model of the interference between images.
+    :param packs_services: whether long-running tasks are placed by `service_packing`, which keeps
+        more of the fleet harmless to best-effort work. It may change between two rounds.
     """
 
-    def __init__(self, run_time: Callable[[StepTask], timedelta], model: InterferenceModel):
+    def __init__(
+        self,
+        run_time: Callable[[StepTask], timedelta],
+        model: InterferenceModel,
+        packs_services: bool = False,
+    ):
         self._run_time = run_time
         self.model = model
+        self.packs_services = packs_services
         self._throughputs: dict[str, float] = {}
         self._marginal_throughputs: dict[str, dict[tuple[str, int], float]] = {}
 
@@ -778,7 +795,8 @@
         their tasks. The steps of a workflow go by their number, and the tasks of a step by their
         wait; of those that began to wait together the one with fewest runs goes first. A wait
         begins when the step is ready or the last run of the task has ended, so a service that got
-        no worker before an outage precedes those that lost theirs.
+        no worker before an outage precedes those that lost theirs. With `packs_services`, a
+        difference within `SPREAD_FIRST_MS` does not count, and spread limits decide.
 
         Suspected short tasks of a step go last and by their index: trials in turn would crash more
         workers before one of the tasks is found guilty. Suspected services start together.
@@ -795,7 +813,14 @@
                 *key, due_ms = self.urgency(task.workflow, now_ms).key()
                 is_long_running = any(step.lasting for step in task.workflow.spec.steps)
                 first_ms = first_waits[workflow_id] if is_long_running else 0
-                urgencies[workflow_id] = (*key, first_ms, due_ms)
+                if self.packs_services and is_long_running:
+                    steps = task.workflow.spec.steps
+                    is_unlimited = not any(step.max_per_worker for step in steps)
+                    # With the id, the tasks of a step follow each other and share a ranking.
+                    rest = (first_ms // SPREAD_FIRST_MS, is_unlimited, due_ms, workflow_id)
+                else:
+                    rest = (first_ms, due_ms)
+                urgencies[workflow_id] = (*key, *rest)
 
         def rank(task: StepTask) -> tuple:
             is_short_suspect = task.is_suspected and not task.spec.lasting
@@ -954,6 +979,13 @@
                 score -= 10.0 * UNSTARTED_PENALTY * worker.has_lost_starts
                 if not task.is_suspected:
                     score -= PENDING_START_PENALTY * worker.pending_starts
+            if self.packs_services:
+                score -= SERVICE_PACKING_WEIGHT * placement_cost(task, worker)
+                if worker.best_effort_millis:
+                    score -= INTERFERENCE_WEIGHT * self.model.total_interference(
+                        worker.best_effort_shares(), spec.image
+                    )
+                return score
             # Pack services onto few workers, grouped by image. This leaves the other workers to
             # best-effort tasks, which interfere with most services.
             others = len(worker.latency_critical_runs) - (
