--- a/packages/core/src/mulberryslip/service_packing.py
+++ b/packages/core/src/mulberryslip/service_packing.py
@@ -20,7 +20,7 @@
 """Share of the best-effort images with which a service's image does not interfere strongly.
 Listings of a deployment show strong interference in about a quarter of the pairs."""
 
-IDLE_WEIGHT = 0.5
+IDLE_WEIGHT = 0.25
 """Value of processors that services reserve but do not use, relative to free ones: best-effort
 work can use them, but less of them when the load of the services rises."""
 
