Reject hopeless work at peak load and share capacity among queues

A burst of one queue kept workflows of other queues of its priority waiting, and callers of workflows that can have no value any more were never told. In pools that count as wide, the owner now rejects best-effort workflows that certainly end too late, and a queue that holds more cores than the mean goes after those that hold less.

--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -37,6 +37,7 @@
     SUSPICION_WINDOW_MS,
 )
 from .duty_cycles import RESERVED_HEADROOM
+from .fair_shares import order_by_share
 from .headrooms import (
     NEGLIGIBLE_INTERFERENCE,
     Demand,
@@ -127,6 +128,9 @@
 LATE_FACTOR = 3
 """Multiple of its completion objective after which a workflow has no value to its caller."""
 
+HOPELESS_TIER = 3
+"""Tier of workflows that are too late to have any value."""
+
 THROUGHPUT_WEIGHT = 3.0
 INTERFERENCE_WEIGHT = 0.5
 OTHER_IMAGE_WEIGHT = 0.5
@@ -266,6 +270,7 @@
         workers: Sequence[WorkerCapacity],
         now_ms: int,
         passed_over: MutableMapping[str, Preference] | None = None,
+        held_millis: Mapping[str, int] | None = None,
     ) -> list[PlacementDecision]:
         """Return the runs to start now.
 
@@ -287,6 +292,7 @@
         :param now_ms: current time, in milliseconds since 1970.
         :param passed_over: updated with the tasks that a limit keeps from workers with room, with
             the limit.
+        :param held_millis: see `order`.
         """
         passed_over = {} if passed_over is None else passed_over
         self._clear_caches()
@@ -296,7 +302,7 @@
         used_millis = capacity_millis - sum(max(0, worker.free.cpu_millis) for worker in workers)
         long_running_millis = sum(worker.long_running_millis for worker in workers)
         ranking: _Ranking | None = None
-        ordered = self.order(waiting, now_ms)
+        ordered = self.order(waiting, now_ms, held_millis)
         deferred: list[StepTask] = []
         for position, task in enumerate(itertools.chain(ordered, deferred)):
             spec = task.spec
@@ -771,7 +777,12 @@
         """
         return Counter(_refusal(task, worker, wait_ms) or limit for worker in workers)
 
-    def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
+    def order(
+        self,
+        waiting: Iterable[StepTask],
+        now_ms: int,
+        held_millis: Mapping[str, int] | None = None,
+    ) -> list[StepTask]:
         """Return waiting tasks in scheduling order.
 
         Workflows go by `urgency`, but long-running ones of equal priority by the longest wait of
@@ -782,6 +793,9 @@
 
         Suspected short tasks of a step go last and by their index: trials in turn would crash more
         workers before one of the tasks is found guilty. Suspected services start together.
+
+        :param held_millis: thousandths of a core that the running best-effort tasks of each queue
+            hold. If given, queues of one tier and priority get fair shares, see `fair_shares`.
         """
         first_waits: dict[str, int] = {}
         for task in (waiting := list(waiting)):
@@ -803,7 +817,11 @@
             urgency = urgencies[task.workflow.workflow_id]
             return (urgency, task.step, is_short_suspect, wait, task.index)
 
-        return sorted(waiting, key=rank)
+        ordered = sorted(waiting, key=rank)
+        if held_millis is None:
+            return ordered
+        classes = {workflow_id: key[:2] for workflow_id, key in urgencies.items()}
+        return order_by_share(ordered, classes, held_millis)
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the scheduling priority of a workflow."""
@@ -813,7 +831,7 @@
         ready_ms = now_ms + _ms(self.critical_path(workflow, include_done=False))
         last_ms = workflow.accepted_ms + LATE_FACTOR * (due_ms - workflow.accepted_ms)
         is_unstarted = not any(task.run for task in workflow.tasks())
-        tier = 1 if ready_ms <= due_ms else 2 if ready_ms <= last_ms else 3
+        tier = 1 if ready_ms <= due_ms else 2 if ready_ms <= last_ms else HOPELESS_TIER
         if not any(step.fills for step in workflow.spec.steps):
             tier = min(tier, 1)
         return Urgency(tier, workflow.queue.priority, is_unstarted, due_ms)
--- a/packages/core/src/mulberryslip/exceptions.py
+++ b/packages/core/src/mulberryslip/exceptions.py
@@ -1,5 +1,7 @@
 """Exception hierarchy. Each layer raises its own subclasses and translates lower-level errors."""
 
+from datetime import timedelta
+
 
 class MulberryslipError(Exception):
     """Base class of all exceptions that mulberryslip raises."""
@@ -87,6 +89,17 @@
     """The pool accepts no more workflows until others have ended."""
 
 
+class PoolOverloadedError(MulberryslipError):
+    """The workflow certainly ends too late to have any value.
+
+    :param retry_after: delay after which the caller should retry.
+    """
+
+    def __init__(self, message: str, retry_after: timedelta):
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
 class JobError(MulberryslipError):
     """A job submission is invalid or violates a constraint of the job."""
 
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -34,6 +34,7 @@
 from mulberryslip.signals import SignalQueue
 from mulberryslip.stores import HTTPStore
 from mulberryslip.vms import VMInventory
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import PoolService as PoolWire
 from mulberryslip.wire import WorkerService as WorkerWire
 
@@ -445,6 +446,7 @@
         random.Random(),
         times,
         build_inventory(cfg, parts, clock),
+        WideStepGate(cfg.pool["wide_step_tasks"]),
     )
 
 
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -21,6 +21,7 @@
 
 from .claims import OwnerClaim
 from .members import Member
+from .peaks import PeakControl
 from .sessions import Session
 from .silences import SilenceRecord
 from .sources import OutageLog
@@ -94,6 +95,7 @@
     :param silences: tells the next owner which workers are silent.
     :param granted_until: by worker, when any earlier owner can have granted a lease last, as far as
         that is known to be earlier than `previous_owner_granted_until`.
+    :param peaks: admission control at peak load.
     """
 
     def __init__(
@@ -108,7 +110,9 @@
         times: PoolLeaseTimes,
         silences: SilenceRecord,
         granted_until: dict[str, timedelta],
+        peaks: PeakControl,
     ):
+        self.peaks = peaks
         self.silences = silences
         self._granted_until = granted_until
         self.epoch = epoch
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -22,6 +22,7 @@
     JobError,
     JournalError,
     PoolFullError,
+    PoolOverloadedError,
     SnapshotTooLargeError,
     StoreError,
 )
@@ -32,6 +33,7 @@
 from mulberryslip.steps import WorkflowSpec
 from mulberryslip.stores import Store
 from mulberryslip.vms import VMInventory
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.wire.ttypes import Outcome
 from mulberryslip.workflows import (
@@ -50,6 +52,7 @@
 from .directories import KnownOwner, PoolOwnerDirectory, owner_key
 from .members import Member, check_report
 from .ownerships import RETRY_AFTER, PoolLeaseTimes, PoolTerm, QueuedCall
+from .peaks import PeakControl
 from .schedulers import ConfigSource, PoolScheduler
 from .sessions import Session
 from .silences import SilenceRecord
@@ -110,6 +113,7 @@
     :param identity: what the owner key says about this process.
     :param times: lease times of workers and of the owner.
     :param inventory: the platform's list of VMs; None if there is none.
+    :param wide_steps: tells whether the decisions for wide best-effort steps apply; None for never.
     """
 
     def __init__(
@@ -126,6 +130,7 @@
         rng: random.Random,
         times: PoolLeaseTimes | None = None,
         inventory: VMInventory | None = None,
+        wide_steps: WideStepGate | None = None,
     ):
         self._number = number
         self._key = owner_key(number)
@@ -140,7 +145,10 @@
         self._rng = rng
         self._times = times or PoolLeaseTimes()
         self._inventory = inventory
-        self._scheduler = PoolScheduler(source, dispatcher, self._times, metrics, clock)
+        self._wide_steps = wide_steps or WideStepGate()
+        self._scheduler = PoolScheduler(
+            source, dispatcher, self._times, metrics, clock, self._wide_steps
+        )
         self._term: PoolTerm | None = None
         self._takeover_epoch = 0
         self._isolation = IsolationPolicy()
@@ -247,6 +255,7 @@
             if req.workflow_id in term.pool.workflows:
                 return []
             accepted = accepted_event(req.workflow_id, queue, spec, self._now_ms())
+            term.peaks.check(accepted)
             if not term.budget.admit(acceptance_cost(accepted, spec)):
                 raise PoolFullError(f"pool {self._number} is full")
             return [accepted]
@@ -401,6 +410,9 @@
             self._times,
             silences,
             {worker_id: read_at - age for worker_id, age in ages.items()},
+            PeakControl(
+                self._wide_steps, pool, self._dispatcher, self._metrics, self._clock, self._rng
+            ),
         )
         self._scheduler.restore_interference(term)
         self._isolation.record_claim(self._clock.monotonic())
@@ -559,6 +571,7 @@
                 self._scheduler.learned_interference,
             ):
                 events += self._apply(term, self._run_part(part, term))
+            self._run_part(self._observe_peak, term)
             decided_at = self._clock.monotonic()
             placed = self._run_part(self._scheduler.place, term)
             self._run_part(self._scheduler.move_runs, term)
@@ -623,6 +636,10 @@
             queued.outcome, queued.reason = Outcome.NOT_RUN, str(exc)
             queued.retry_after = FULL_RETRY_AFTER
             return []
+        except PoolOverloadedError as exc:
+            queued.outcome, queued.reason = Outcome.NOT_RUN, str(exc)
+            queued.retry_after = exc.retry_after
+            return []
         except Exception as exc:
             # One call that cannot be decided must not end the ownership: its caller would repeat
             # it to each next owner.
@@ -630,6 +647,9 @@
             queued.outcome, queued.reason = Outcome.NOT_RUN, "internal error"
             return []
 
+    def _observe_peak(self, term: PoolTerm) -> None:
+        term.peaks.observe(self._scheduler.cores_up(term))
+
     def _run_part(self, part: Callable[[PoolTerm], Any], term: PoolTerm) -> Any:
         """Return the result of a part of a round; if it fails, the round continues without it."""
         try:
@@ -641,7 +661,13 @@
 
     def _apply(self, term: PoolTerm, events: list[Any]) -> list[Any]:
         """Apply events to the state and return those that changed it."""
-        return [event for event in events if _is_storable(event) and term.pool.apply(event)]
+        applied = []
+        for event in filter(_is_storable, events):
+            # Before the event, since the tasks of a workflow are dropped with its last one.
+            term.peaks.record(event)
+            if term.pool.apply(event):
+                applied.append(event)
+        return applied
 
     def _commit(self, term: PoolTerm, events: list[Any]) -> None:
         """Append events to the journal, retrying until the outcome is known.
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -51,6 +51,7 @@
 from mulberryslip.refusals import Preference, Requirement
 from mulberryslip.runners import RunningRun
 from mulberryslip.vms import Silence
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import (
     OUTCOME_BY_END_KIND,
@@ -213,6 +214,7 @@
     :param source: the operators' configuration.
     :param dispatcher: chooses workers for tasks.
     :param times: lease times that decide when a run has certainly ended.
+    :param wide_steps: tells whether the decisions for wide best-effort steps apply to the pool.
     """
 
     def __init__(
@@ -222,7 +224,9 @@
         times: PoolLeaseTimes,
         metrics: Metrics,
         clock: Clock,
+        wide_steps: WideStepGate,
     ):
+        self._wide_steps = wide_steps
         self._source = source
         self._dispatcher = dispatcher
         self._times = times
@@ -899,9 +903,28 @@
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
             candidates = self._candidates(term, config) if candidates is None else candidates
-            decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
+            decisions += self._dispatcher.schedule(
+                best_effort, candidates, now_ms, None, self._held_millis(term)
+            )
         return decisions
 
+    def _held_millis(self, term: PoolTerm) -> dict[str, int] | None:
+        """Return what the best-effort runs of each queue hold; None if queues get no shares."""
+        if not self._wide_steps.applies_to(term.pool):
+            return None
+        held: Counter[str] = Counter()
+        for worker_id in term.pool.workers_with_runs():
+            for task in term.pool.active_tasks(worker_id):
+                if task.spec.fills:
+                    held[task.workflow.queue.name] += task.spec.cpu_millis
+        return held
+
+    def cores_up(self, term: PoolTerm) -> float:
+        """Return the cores of the workers that report."""
+        oldest = self._clock.monotonic() - MAX_REPORT_AGE
+        up = (member for member in term.members.values() if member.received_at >= oldest)
+        return sum(member.capacity.cpu_millis for member in up) / 1000
+
     def _trial_workers(self, term: PoolTerm, config: PoolConfig) -> list[WorkerCapacity]:
         """Return the workers that would be candidates if they ran no suspected task."""
         return [
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -33,6 +33,7 @@
     WorkerAnnouncement,
 )
 from mulberryslip.steps import StepSpec, WorkflowSpec
+from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
 from mulberryslip.workflows import Phase
 from mulberryslip_testing.fakes import FakeStore
@@ -476,10 +477,12 @@
 
     :param workers: number of workers.
     :param seed: seed of all random choices.
+    :param wide_step_tasks: mean width of best-effort steps from which on the pool counts as wide.
     :param worker_options: further arguments of `SimWorker`.
     """
 
-    def __init__(self, workers=3, seed=0, **worker_options):
+    def __init__(self, workers=3, seed=0, wide_step_tasks=0, **worker_options):
+        self.wide_steps = WideStepGate(wide_step_tasks)
         self.clock = SimClock()
         self.rng = random.Random(seed)
         self.store = FakeStore(self.clock)
@@ -541,6 +544,7 @@
             self.rng,
             PoolLeaseTimes(lease=6 * SECOND),
             self.inventory,
+            self.wide_steps,
         )
         channels = DirectChannels(self, worker.id)
         agent = Agent(
