--- a/packages/core/src/mulberryslip/drain_rates.py
+++ b/packages/core/src/mulberryslip/drain_rates.py
@@ -11,6 +11,7 @@
 time.
 """
 
+from collections.abc import Collection
 from datetime import timedelta
 
 import attrs
@@ -20,13 +21,17 @@
 
 BUCKET = timedelta(seconds=1)
 
-WINDOW_BUCKETS = 5
-"""Buckets over which a rate is measured. A run takes 3 to 5 s, so shorter windows vary by half with
-the ends of single steps."""
+WINDOW_BUCKETS = 10
+"""Buckets over which a rate is measured. A run takes 3 to 5 s, so with shorter ones the rate varies
+with the ends of single steps."""
 
-HISTORY_BUCKETS = 20
-"""Buckets that are remembered; the highest rate of any window among them counts. It outlasts the
-4 to 6 s of a burst of services or checks, which lowers the rate for as long."""
+MAX_RUN_TIME = timedelta(seconds=6)
+"""Longest mean run time with which a rate is known. Of longer runs too few end within a window: in
+replays with runs of 20 s, the rate was far too low until the first of them had ended."""
+
+HISTORY_BUCKETS = 30
+"""Buckets that are remembered; the highest rate of any window among them counts. It outlasts a loss
+of half of the fleet for some seconds."""
 
 
 def core_seconds(task: StepTask) -> float:
@@ -40,6 +45,7 @@
     observations: int = 0
     is_short: bool = True
     cores: float = 0.0
+    run_time: timedelta = timedelta()
 
 
 class DrainRate:
@@ -58,17 +64,23 @@
         """
         self._bucket(now).done += core_seconds(task)
 
-    def observe(self, now: timedelta, is_short: bool, cores: float) -> None:
+    def observe(
+        self, now: timedelta, is_short: bool, cores: float, running: Collection[StepTask]
+    ) -> None:
         """Record the state of the pool; called several times per second.
 
         :param now: time on the process's clock.
         :param is_short: whether best-effort work waits for capacity.
         :param cores: cores of the workers that are up.
+        :param running: the best-effort tasks that run.
         """
         bucket = self._bucket(now)
         bucket.observations += 1
         bucket.is_short &= is_short
         bucket.cores = max(bucket.cores, cores)
+        if running:
+            total = sum((estimated_run_time(task) for task in running), timedelta())
+            bucket.run_time = max(bucket.run_time, total / len(running))
 
     def recent(self, now: timedelta) -> float:
         """Return the core-seconds finished per second over the last window, whatever waited."""
@@ -101,9 +113,15 @@
         return sum(bucket.done for bucket in window) / core_time if core_time else 0.0
 
     def _is_short_window(self, end: int) -> bool:
-        """Return whether work waited at each observation of the window before a bucket."""
+        """Return whether work waited, and runs were short, in the window before a bucket."""
         window = (self._buckets.get(n) for n in range(end - WINDOW_BUCKETS, end))
-        return all(bucket and bucket.observations and bucket.is_short for bucket in window)
+        return all(
+            bucket is not None
+            and bucket.observations > 0
+            and bucket.is_short
+            and bucket.run_time <= MAX_RUN_TIME
+            for bucket in window
+        )
 
     def _bucket(self, now: timedelta) -> _Bucket:
         number = now // BUCKET
--- a/packages/core/src/mulberryslip/peak_admissions.py
+++ b/packages/core/src/mulberryslip/peak_admissions.py
@@ -6,8 +6,9 @@
 and its caller learns at once that it was not run.
 
 The decision is a lower bound of the wait: what precedes the new workflow in scheduling order is
-served at the measured drain rate, without anything that arrives later. Work that becomes late or
-hopeless during this wait no longer precedes it. Without a measured rate everything is accepted.
+served at the measured drain rate, without anything that arrives later and without the steps that
+are not ready. Work that becomes late or hopeless during this wait no longer precedes it. Without a
+measured rate everything is accepted.
 """
 
 from collections.abc import Iterable
@@ -20,8 +21,9 @@
 from .workflows import Phase, Pool, Workflow
 
 ESTIMATE_ERROR = 2
-"""Factor by which a caller's estimate may be too low. The new workflow's objective grows with its
-true run time, so a workflow whose estimate was too low may end later than it seems."""
+"""Factor by which estimates may be off. That of the new workflow may be too low, and its objective
+grows with its true run time; those of the backlog may be too high, compared with those of the work
+that the drain rate was measured with."""
 
 MIN_RETRY_AFTER = timedelta(seconds=1)
 MAX_RETRY_AFTER = timedelta(seconds=3)
@@ -41,7 +43,8 @@
     :param due_ms: deadline, in milliseconds since 1970.
     :param last_ms: time after which the workflow has no value, in milliseconds since 1970.
     :param path_ms: expected run time of what is left of the critical path.
-    :param waiting_work: core-seconds of the tasks that have neither started nor ended.
+    :param waiting_work: core-seconds of the tasks that are ready and wait. Later steps count
+        nothing: while they wait for the last task of a step, other workflows get the capacity.
     """
 
     queue: str
@@ -61,18 +64,19 @@
     """Return what the decision needs to know about a workflow."""
     due_ms = dispatcher.due_ms(workflow)
     path = dispatcher.critical_path(workflow, include_done=False)
-    tasks = list(workflow.tasks())
+    ready = [number for number in range(len(workflow.steps)) if workflow.is_ready(number)]
     return PendingWorkflow(
         workflow.queue.name,
         workflow.queue.priority,
-        any(task.run for task in tasks),
+        any(task.run for task in workflow.tasks()),
         due_ms,
         workflow.accepted_ms + LATE_FACTOR * (due_ms - workflow.accepted_ms),
         path // timedelta(milliseconds=1),
         # Tasks without an estimate count nothing: too small a backlog rejects nothing.
         sum(
             core_seconds(task)
-            for task in tasks
+            for number in ready
+            for task in workflow.steps[number]
             if task.phase is Phase.WAITING and task.spec.fills and task.spec.estimate_ms
         ),
     )
@@ -112,17 +116,17 @@
     longest_path = ESTIMATE_ERROR * dispatcher.critical_path(workflow, include_done=True)
     objective = workflow.queue.stretched(longest_path) + workflow.queue.slack
     last_start_ms = (LATE_FACTOR * objective - longest_path) // timedelta(milliseconds=1)
-    pending = sorted(
-        (other for other in pending if other.waiting_work and other.key() <= own.key()),
+    # Other queues of its priority may get no more than their share, so they do not count.
+    ahead = sorted(
+        (
+            other
+            for other in pending
+            if other.priority < own.priority
+            or (other.queue == own.queue and other.key() <= own.key())
+        ),
         key=PendingWorkflow.key,
     )
-    queues = {other.queue for other in pending} | {own.queue}
-    start_ms = _earliest_start_ms(own, pending, rate, now_ms)
-    if len(queues) > 1 and start_ms > last_start_ms:
-        # The queue gets at least its share, whatever waits in the others.
-        same_queue = [other for other in pending if other.queue == own.queue]
-        share_start_ms = _earliest_start_ms(own, same_queue, rate / len(queues), now_ms)
-        start_ms = min(start_ms, share_start_ms)
+    start_ms = _earliest_start_ms(own, ahead, rate * ESTIMATE_ERROR, now_ms)
     return timedelta(milliseconds=max(0.0, start_ms - last_start_ms))
 
 
--- a/packages/daemon/src/mulberryslipd/peaks.py
+++ b/packages/daemon/src/mulberryslipd/peaks.py
@@ -108,7 +108,13 @@
         if now < self._observe_at or not self._gate.applies_to(self._pool):
             return
         self._observe_at = now + OBSERVATION_INTERVAL
-        self._drain.observe(now, self._is_short(), cores)
+        running = [
+            task
+            for worker_id in self._pool.workers_with_runs()
+            for task in self._pool.active_tasks(worker_id)
+            if task.spec.fills
+        ]
+        self._drain.observe(now, self._is_short(), cores, running)
         if now >= self._report_at:
             self._report_at = now + REPORT_INTERVAL
             self._report(now)
