Describe admission at peak load, and look up the cores only when due

The cores of all workers were summed in each round of every pool, although only wide pools use them four times a second.

--- a/packages/daemon/src/mulberryslipd/peaks.py
+++ b/packages/daemon/src/mulberryslipd/peaks.py
@@ -5,6 +5,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -99,10 +100,10 @@
         if is_done and task is not None and task.spec.fills and task.has_active_run(event.run):
             self._drain.record_done(task, self._clock.monotonic())
 
-    def observe(self, cores: float) -> None:
+    def observe(self, cores_up: Callable[[], float]) -> None:
         """Record whether capacity is short, and report the backlog when it is due.
 
-        :param cores: cores of the workers that are up.
+        :param cores_up: returns the cores of the workers that are up; called when it is due.
         """
         now = self._clock.monotonic()
         if now < self._observe_at or not self._gate.applies_to(self._pool):
@@ -114,7 +115,7 @@
             for task in self._pool.active_tasks(worker_id)
             if task.spec.fills
         ]
-        self._drain.observe(now, self._is_short(), cores, running)
+        self._drain.observe(now, self._is_short(), cores_up(), running)
         if now >= self._report_at:
             self._report_at = now + REPORT_INTERVAL
             self._report(now)
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -648,7 +648,7 @@
             return []
 
     def _observe_peak(self, term: PoolTerm) -> None:
-        term.peaks.observe(self._scheduler.cores_up(term))
+        term.peaks.observe(lambda: self._scheduler.cores_up(term))
 
     def _run_part(self, part: Callable[[PoolTerm], Any], term: PoolTerm) -> Any:
         """Return the result of a part of a round; if it fails, the round continues without it."""
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -95,6 +95,19 @@
     assert isinstance(outcome, kind)
 
 
+def test_retry_time_of_an_overloaded_pool_reaches_the_caller_unchanged():
+    """Guards against longer retry times while the owner accepts other workflows."""
+    overloaded = reply(Outcome.NOT_RUN, retry_after_ms=1700)
+    gateway, _, clock, _ = make(overloaded, OK, overloaded)
+    outcomes = []
+    for _ in range(3):
+        deadline = Deadline(clock, timedelta(seconds=3))
+        outcomes.append(gateway.submit(QUEUE, "a" * 16, SPEC, deadline))
+        clock.advance(timedelta(seconds=5))
+    assert [type(outcome) for outcome in outcomes] == [Rejected, Accepted, Rejected]
+    assert {outcomes[0].retry_after, outcomes[2].retry_after} == {timedelta(milliseconds=1700)}
+
+
 @pytest.mark.parametrize(
     ("method", "limit_ms"), [("submit", 100), ("status", 1100), ("cancel", 1100)]
 )
--- a/tests/test_peak_loads.py
+++ b/tests/test_peak_loads.py
@@ -135,6 +135,23 @@
         assert not any(item.is_rejected for item in submissions if item.at_ms >= recovered_ms)
 
 
+def test_workflows_behind_a_flood_of_better_priority_are_rejected():
+    """Guards against a rule that rejects nothing, or more than what ends without value anyway."""
+    load = Load(
+        {"a": 1, "first": 14},
+        error=2,
+        cores=((0, 600),),
+        task_ms=(1000,),
+        slack_ms={"first": 200_000},
+        duration_ms=25_000,
+        drain_ms=60_000,
+    )
+    present = {item.name: item for item in Replay(load).run()}
+    rejected = [item for item in Replay(load, admits=True).run() if item.is_rejected]
+    assert {item.queue for item in rejected} == {"a"}
+    assert not any(present[item.name].is_in_time for item in rejected)
+
+
 def mean_wait_of_others(load, seeds, shares):
     """Return the mean wait of the queues without a burst around the burst, in milliseconds."""
     waits = [
