--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -39,6 +39,7 @@
 )
 from .critical_paths import CriticalPaths
 from .duty_cycles import RESERVED_HEADROOM
+from .fair_shares import order_by_share
 from .headrooms import (
     NEGLIGIBLE_INTERFERENCE,
     Demand,
@@ -140,6 +141,9 @@
 LATE_FACTOR = 3
 """Multiple of its completion objective after which a workflow has no value to its caller."""
 
+HOPELESS_TIER = 3
+"""Tier of workflows that are too late to have any value."""
+
 THROUGHPUT_WEIGHT = 3.0
 HEADROOM_WEIGHT = 2.0
 INTERFERENCE_WEIGHT = 0.5
@@ -322,6 +326,7 @@
         workers: Sequence[WorkerCapacity],
         now_ms: int,
         passed_over: MutableMapping[str, Preference] | None = None,
+        held_millis: Mapping[str, int] | None = None,
     ) -> list[PlacementDecision]:
         """Return the runs to start now.
 
@@ -343,6 +348,7 @@
         :param now_ms: current time, in milliseconds since 1970.
         :param passed_over: updated with the tasks that a limit keeps from workers with room, with
             the limit.
+        :param held_millis: see `order`.
         """
         passed_over = {} if passed_over is None else passed_over
         self._clear_caches()
@@ -352,7 +358,7 @@
         used_millis = capacity_millis - sum(max(0, worker.free.cpu_millis) for worker in workers)
         long_running_millis = sum(worker.long_running_millis for worker in workers)
         ranking: _Ranking | None = None
-        ordered = self.order(waiting, now_ms)
+        ordered = self.order(waiting, now_ms, held_millis)
         deferred: list[StepTask] = []
         for position, task in enumerate(itertools.chain(ordered, deferred)):
             spec = task.spec
@@ -827,7 +833,12 @@
         """
         return Counter(_refusal(task, worker, wait_ms) or limit for worker in workers)
 
-    def order(self, waiting: Iterable[StepTask], now_ms: int) -> list[StepTask]:
+    def order(
+        self,
+        waiting: Iterable[StepTask],
+        now_ms: int,
+        held_millis: Mapping[str, int] | None = None,
+    ) -> list[StepTask]:
         """Return waiting tasks in scheduling order.
 
         Workflows go by `urgency`, but long-running ones of equal priority by the longest wait of
@@ -839,6 +850,9 @@
 
         Suspected short tasks of a step go last and by their index: trials in turn would crash more
         workers before one of the tasks is found guilty. Suspected services start together.
+
+        :param held_millis: thousandths of a core that the running best-effort tasks of each queue
+            hold. If given, queues of one tier and priority get fair shares, see `fair_shares`.
         """
         first_waits: dict[str, int] = {}
         for task in (waiting := list(waiting)):
@@ -867,7 +881,11 @@
             urgency = urgencies[task.workflow.workflow_id]
             return (urgency, task.step, is_short_suspect, wait, task.index)
 
-        return sorted(waiting, key=rank)
+        ordered = sorted(waiting, key=rank)
+        if held_millis is None:
+            return ordered
+        classes = {workflow_id: key[:2] for workflow_id, key in urgencies.items()}
+        return order_by_share(ordered, classes, held_millis)
 
     def urgency(self, workflow: Workflow, now_ms: int) -> Urgency:
         """Return the scheduling priority of a workflow."""
@@ -879,7 +897,7 @@
         ready_ms = now_ms + _ms(self.critical_path(workflow, include_done=False))
         last_ms = workflow.accepted_ms + LATE_FACTOR * (due_ms - workflow.accepted_ms)
         is_unstarted = not any(task.run for task in workflow.tasks())
-        tier = 1 if ready_ms <= due_ms else 2 if ready_ms <= last_ms else 3
+        tier = 1 if ready_ms <= due_ms else 2 if ready_ms <= last_ms else HOPELESS_TIER
         if not any(step.fills for step in workflow.spec.steps):
             tier = min(tier, 1)
         return Urgency(tier, workflow.queue.priority, is_unstarted, due_ms)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -217,7 +217,7 @@
     :param source: the operators' configuration.
     :param dispatcher: chooses workers for tasks.
     :param times: lease times that decide when a run has certainly ended.
-    :param gate: tells whether the decisions for wide best-effort steps apply.
+    :param wide_steps: tells whether the decisions for wide best-effort steps apply to the pool.
     """
 
     def __init__(
@@ -227,9 +227,9 @@
         times: PoolLeaseTimes,
         metrics: Metrics,
         clock: Clock,
-        gate: WideStepGate | None = None,
+        wide_steps: WideStepGate,
     ):
-        self._gate = WideStepGate() if gate is None else gate
+        self._wide_steps = wide_steps
         self._source = source
         self._dispatcher = dispatcher
         self._times = times
@@ -846,7 +846,7 @@
 
     def _apply_gate(self, term: PoolTerm) -> None:
         """Switch the decisions for wide best-effort steps on or off."""
-        is_wide = self._gate.applies_to(term.pool)
+        is_wide = self._wide_steps.applies_to(term.pool)
         if is_wide != self._dispatcher.is_wide:
             self._dispatcher.set_wide(is_wide, self._clock.monotonic())
             widths = term.pool.best_effort_widths
@@ -923,9 +923,28 @@
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
             candidates = self._candidates(term, config) if candidates is None else candidates
-            decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
+            decisions += self._dispatcher.schedule(
+                best_effort, candidates, now_ms, None, self._held_millis(term)
+            )
         return decisions
 
+    def _held_millis(self, term: PoolTerm) -> dict[str, int] | None:
+        """Return what the best-effort runs of each queue hold; None if queues get no shares."""
+        if not self._wide_steps.applies_to(term.pool):
+            return None
+        held: Counter[str] = Counter()
+        for worker_id in term.pool.workers_with_runs():
+            for task in term.pool.active_tasks(worker_id):
+                if task.spec.fills:
+                    held[task.workflow.queue.name] += task.spec.cpu_millis
+        return held
+
+    def cores_up(self, term: PoolTerm) -> float:
+        """Return the cores of the workers that report."""
+        oldest = self._clock.monotonic() - MAX_REPORT_AGE
+        up = (member for member in term.members.values() if member.received_at >= oldest)
+        return sum(member.capacity.cpu_millis for member in up) / 1000
+
     def _trial_workers(self, term: PoolTerm, config: PoolConfig) -> list[WorkerCapacity]:
         """Return the workers that would be candidates if they ran no suspected task."""
         return [
