--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -482,7 +482,7 @@
     """
 
     def __init__(self, workers=3, seed=0, wide_step_tasks=0, **worker_options):
-        self.wide_steps = WideStepGate(wide_step_tasks)
+        self.wide_steps = WideStepGate(wide_step_tasks, min_steps=1)
         self.clock = SimClock()
         self.rng = random.Random(seed)
         self.store = FakeStore(self.clock)
--- a/tests/test_peak_loads.py
+++ b/tests/test_peak_loads.py
@@ -277,5 +277,5 @@
     """Guards against decisions for wide steps in other pools."""
     set_drain_rate(busy_world, 0.1)
     assert busy_world.submit("small", SMALL).outcome == Outcome.NOT_RUN
-    busy_world.owner()._term.peaks._gate = WideStepGate(BIG.count + 1)
+    busy_world.owner()._term.peaks._gate = WideStepGate(BIG.count + 1, min_steps=1)
     assert busy_world.submit("small", SMALL).outcome == Outcome.OK
