--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -300,7 +300,7 @@
         :param now: monotonic time.
         """
         if is_wide != self.is_wide:
-            self.is_wide = is_wide
+            self.is_wide = self.packs_services = is_wide
             self.model.use(JointEstimates() if is_wide else IndependentEstimates(), now)
 
     def observe_progress(
