Read HTTP requests before they get a thread, and bound what clients hold

Cause: a thread was occupied from the first byte of a request, with 5 s for each read, so clients that trickle a body blocked all threads of a port; documents of many short values took up to 150 MB beside four threads; connections had no limit but that of idle ones.

The selector's thread now receives whole requests and sends unread responses without blocking; cheroot parses the head once, there, and serves the request in a thread as before. A memory budget per process, a deadline for each whole transfer, limits on connections per port and address, on header fields and on the values of a JSON document, all in [http]. What exceeds them is closed or rejected with 503 and Retry-After and counted (clients_rejected_*, event 506). The listener decodes chunked bodies, so the application no longer does.

--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -28,7 +28,9 @@
 MAX_NESTING_DEPTH = 64
 """Deepest nesting of objects and lists in JSON text; a document has six levels."""
 
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+# Possessive, as a backtracking match takes 140 bytes for each character. It matches a text without
+# an end, too; otherwise 900 KB of escaped quotes without an end take minutes to search.
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
 _DEPTH_CHANGES = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
 _NOT_BRACKETS = bytes(byte for byte in range(256) if byte not in _DEPTH_CHANGES)
 
--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -196,21 +196,40 @@
     "count": _integer(0, MAX_POOLS, 0),
     "lease_ms": _integer(500, 600_000, 6000),
 }
+
+
+def _http_keys(memory_mb: int, max_marks: int) -> dict[str, Key]:
+    """Return the limits for clients of HTTP ports; `docs/CAPACITY.md` derives the defaults."""
+    return {
+        "memory_mb": _integer(16, 65_536, memory_mb),
+        "max_marks": _integer(10_000, 1_000_000, max_marks),
+        "transfer_timeout_ms": _integer(1000, 600_000, 20_000),
+        "connections": _integer(16, 65_536, 2048),
+        "connections_per_address": _integer(8, 65_536, 1536),
+    }
+
+
 VMS_KEYS = {"url": _url("")}
 ADAPTER_KEYS = {"module": Key(str, "a Python module name", str.isidentifier, REQUIRED)}
 TABLES = {"process": PROCESS_KEYS, "cluster": CLUSTER_KEYS, "timing": TIMING_KEYS}
 ROLE_TABLES = {
-    "entry": {"store": STORE_KEYS, "entry": ENTRY_KEYS},
+    "entry": {
+        "store": STORE_KEYS,
+        "entry": ENTRY_KEYS,
+        "http": _http_keys(memory_mb=192, max_marks=900_000),
+    },
     "worker": {"worker": WORKER_KEYS},
     "gateway": {
         "store": STORE_KEYS,
         "gateway": GATEWAY_KEYS,
+        "http": _http_keys(memory_mb=64, max_marks=20_000),
         "pool": POOL_KEYS,
         "adapter": ADAPTER_KEYS,
     },
     "agent": {
         "store": STORE_KEYS,
         "agent": AGENT_KEYS,
+        "http": _http_keys(memory_mb=64, max_marks=100_000),
         "pool": POOL_KEYS,
         "vms": VMS_KEYS,
         "adapter": ADAPTER_KEYS,
@@ -230,6 +249,7 @@
     :param pool: number of pools and lease of workers; empty for roles without pools.
     :param adapter: module of the platform's adapter; empty for roles without one.
     :param vms: address of the platform's list of VMs; empty for roles that do not read it.
+    :param http: limits for clients of HTTP ports; empty for roles without such ports.
     """
 
     process: Mapping[str, Any]
@@ -240,6 +260,7 @@
     pool: Mapping[str, Any] = attrs.field(factory=dict)
     adapter: Mapping[str, Any] = attrs.field(factory=dict)
     vms: Mapping[str, Any] = attrs.field(factory=dict)
+    http: Mapping[str, Any] = attrs.field(factory=dict)
 
     def listen_host(self) -> str:
         """Return the IP address to listen on; `process.host` is the address announced to peers."""
@@ -323,6 +344,7 @@
         values.get("pool", {}),
         values.get("adapter", {}),
         values.get("vms", {}),
+        values.get("http", {}),
     )
 
 
@@ -376,7 +398,17 @@
             f"timing.stop_grace_ms = {timing['stop_grace_ms']}: must be less than"
             f" timing.stop_timeout_ms ({timing['stop_timeout_ms']})"
         )
-    return errors + _check_role_consistency(role, values[role])
+    return errors + _check_http_limits(values) + _check_role_consistency(role, values[role])
+
+
+def _check_http_limits(values: Mapping[str, Mapping[str, Any]]) -> list[str]:
+    http = values.get("http")
+    if http is None or http["connections_per_address"] <= http["connections"]:
+        return []
+    return [
+        f"http.connections_per_address = {http['connections_per_address']}: must be at most"
+        f" http.connections ({http['connections']})"
+    ]
 
 
 def _check_role_consistency(role: str, table: Mapping[str, Any]) -> list[str]:
--- a/packages/daemon/src/mulberryslipd/callers.py
+++ b/packages/daemon/src/mulberryslipd/callers.py
@@ -149,6 +149,8 @@
         if not ID_PATTERN.fullmatch(job_id):
             raise invalid("job id", job_id, ID_FORMAT)
         body = http_request.body if http_request.method == "PUT" else b""
+        if body:
+            http_request.check_document()
         deadline = Deadline(self._clock, JOB_DEADLINE)
         reply = self._jobs.call_job_owner(method, job_id, body, http_request.request_id, deadline)
         if reply.outcome != Outcome.OK:
--- a/packages/daemon/src/mulberryslipd/entries.py
+++ b/packages/daemon/src/mulberryslipd/entries.py
@@ -25,6 +25,7 @@
 from mulberryslip.wire import WorkerService as WorkerWire
 
 from .callers import CallerInterface
+from .client_limits import ClientLimits, Clients
 from .listeners import HTTPListener
 from .operators import OperatorInterface
 from .reports import EntryReports
@@ -38,6 +39,7 @@
 DIRECTORY_INTERVAL = timedelta(seconds=2)
 FLEET_INTERVAL = timedelta(seconds=1)
 OPERATOR_THREADS = 4
+OPERATOR_CONNECTIONS = 128
 CALLER_THREADS = 64
 """With 40 callers of a service that takes 300 ms, 16 threads refused 5 of 6 of its requests. 64
 threads refused none, at the same latency of other services and with 2 MB more memory."""
@@ -96,6 +98,7 @@
     :param links: one-way latencies in milliseconds by `"data-centre/data-centre"`.
     :param stop_grace: time during which health checks fail before requests are refused.
     :param stop_timeout: longest time of a planned stop.
+    :param client_limits: limits for callers and operators.
     """
 
     entry_id: str
@@ -111,6 +114,7 @@
     links: Mapping[str, float] = attrs.field(factory=dict)
     stop_grace: timedelta = timedelta(seconds=1)
     stop_timeout: timedelta = timedelta(seconds=10)
+    client_limits: ClientLimits = ClientLimits()
 
     def identity(self) -> SenderIdentity:
         """Return the identity of the entry in messages."""
@@ -281,11 +285,21 @@
             options.wire_connections,
             self._clock,
         )
+        clients = Clients(options.client_limits, self.metrics, self._clock)
         self._callers = HTTPListener(
-            options.listen_host, options.callers_port, callers.application(), options.threads
+            options.listen_host,
+            options.callers_port,
+            callers.application(),
+            options.threads,
+            clients,
         )
         self._operators = HTTPListener(
-            options.listen_host, options.operators_port, operators.application(), OPERATOR_THREADS
+            options.listen_host,
+            options.operators_port,
+            operators.application(),
+            OPERATOR_THREADS,
+            clients,
+            OPERATOR_CONNECTIONS,
         )
 
     def wire_address(self) -> Address:
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -38,6 +38,7 @@
 from mulberryslip.wire import WorkerService as WorkerWire
 
 from .agents import Agent, PoolService
+from .client_limits import ClientLimits, Clients
 from .daemons import AgentDaemon, GatewayDaemon, metrics_application
 from .directories import PoolOwnerDirectory, owner_key
 from .entries import EntryDaemon, EntryOptions
@@ -60,6 +61,12 @@
 AUXILIARY_THREADS = 2
 """Threads of each listener that serves about one short request per second."""
 
+AUXILIARY_CONNECTIONS = 128
+"""Connections of each such listener; its clients open less than ten."""
+
+AUXILIARY_BODY_BYTES = 16 * 1024
+"""Limit on bodies sent to health checks and metrics, which have no use for one."""
+
 MAX_POOL_CONNECTIONS = 1024
 """Limit for connections to a pool owner: two from each agent and several from each gateway."""
 
@@ -277,6 +284,18 @@
         links=role_settings["links"],
         stop_grace=cfg.duration("stop_grace"),
         stop_timeout=cfg.duration("stop_timeout"),
+        client_limits=client_limits(cfg),
+    )
+
+
+def client_limits(cfg: Settings) -> ClientLimits:
+    """Return the limits for clients from the settings."""
+    return ClientLimits(
+        memory_mb=cfg.http["memory_mb"],
+        max_marks=cfg.http["max_marks"],
+        transfer_timeout=timedelta(milliseconds=cfg.http["transfer_timeout_ms"]),
+        connections=cfg.http["connections"],
+        connections_per_address=cfg.http["connections_per_address"],
     )
 
 
@@ -320,6 +339,7 @@
     """Components that gateways and agents have in common.
 
     :param adapter: module that implements the platform's protocols.
+    :param clients: limits and memory of the clients of all HTTP ports.
     """
 
     adapter: ModuleType
@@ -327,6 +347,7 @@
     source: PoolConfigSource
     channels: ChannelPool
     metrics: Metrics
+    clients: Clients
 
 
 def build_pool_parts(cfg: Settings, clock: Clock) -> PoolParts:
@@ -334,6 +355,7 @@
     adapter = importlib.import_module(cfg.adapter["module"])
     max_watches = cfg.pools() + SPARE_WATCHES
     store = adapter.PlatformStore(cfg.store["url"], cfg.store_timeout(), clock, max_watches)
+    metrics = Metrics()
     return PoolParts(
         adapter=adapter,
         store=store,
@@ -341,7 +363,8 @@
             store, adapter.OPERATOR_PREFIX, adapter.decode_config, clock, random.Random()
         ),
         channels=ChannelPool(PoolWire.Client, clock),
-        metrics=Metrics(),
+        metrics=metrics,
+        clients=Clients(client_limits(cfg), metrics, clock),
     )
 
 
@@ -376,8 +399,8 @@
         source=parts.source,
         channels=parts.channels,
         drain=drain,
-        callers=_listener(cfg.role["callers"], callers, cfg.role["threads"]),
-        health=_listener(cfg.role["health"], health, AUXILIARY_THREADS),
+        callers=_callers_listener(cfg, callers, parts.clients),
+        health=_auxiliary_listener(cfg.role["health"], health, parts.clients),
         metrics=_metrics_listener(cfg, parts),
         clock=clock,
         stop_grace=cfg.duration("stop_grace"),
@@ -410,7 +433,12 @@
         directory=directory,
         server=server,
         channels=parts.channels,
-        announcements=_listener(cfg.role["announcements"], announcements, AUXILIARY_THREADS),
+        announcements=_auxiliary_listener(
+            cfg.role["announcements"],
+            announcements,
+            parts.clients,
+            parts.adapter.MAX_ANNOUNCEMENT_BYTES,
+        ),
         metrics=_metrics_listener(cfg, parts),
         clock=clock,
     )
@@ -458,13 +486,29 @@
     return address.host, address.port
 
 
-def _listener(address: str, application: Any, threads: int) -> HTTPListener:
-    return HTTPListener(*_host_and_port(Address.parse(address)), application, threads)
+def _callers_listener(cfg: Settings, application: Any, clients: Clients) -> HTTPListener:
+    host, port = _host_and_port(Address.parse(cfg.role["callers"]))
+    return HTTPListener(host, port, application, cfg.role["threads"], clients)
+
+
+def _auxiliary_listener(
+    address: str, application: Any, clients: Clients, max_body_bytes: int = AUXILIARY_BODY_BYTES
+) -> HTTPListener:
+    host, port = _host_and_port(Address.parse(address))
+    return HTTPListener(
+        host,
+        port,
+        application,
+        AUXILIARY_THREADS,
+        clients,
+        AUXILIARY_CONNECTIONS,
+        max_body_bytes,
+    )
 
 
 def _metrics_listener(cfg: Settings, parts: PoolParts) -> HTTPListener:
     application = metrics_application(parts.metrics, parts.store.call_counts)
-    return _listener(cfg.role["metrics"], application, AUXILIARY_THREADS)
+    return _auxiliary_listener(cfg.role["metrics"], application, parts.clients)
 
 
 def _usage_error(message: str) -> int:
--- a/packages/daemon/src/mulberryslipd/responses.py
+++ b/packages/daemon/src/mulberryslipd/responses.py
@@ -10,13 +10,14 @@
 from typing import Any
 
 import attrs
-from cheroot.errors import MaxSizeExceeded
 from mulberryslip.clocks import Clock
 from mulberryslip.configs import parse_json
 from mulberryslip.events import Event, log
 from mulberryslip.exceptions import ConfigError
 from mulberryslip.wire.ttypes import Outcome
 
+from .client_limits import count_marks, parsed_size
+
 MAX_BODY_BYTES = 900_000
 """A job's body must fit into the shard's snapshot, and a request's body into a frame of 4 MB."""
 
@@ -32,7 +33,12 @@
 QUEUE_TIME_KEY = "mulberryslip.waited"
 """Key of the WSGI environment for the time that a request waited for a thread."""
 
-_CHEROOT_TOO_LARGE_MESSAGE = "Request Entity Too Large"
+MEMORY_KEY = "mulberryslip.memory"
+"""Key of the WSGI environment for the `ConnectionMemory` of the request."""
+
+RETRY_AFTER_S = 2
+"""When an overloaded process is to be asked again: stalled transfers give way sooner than that."""
+
 _POLL_INTERVAL = timedelta(milliseconds=20)
 _HOP_BY_HOP = frozenset(
     (
@@ -112,11 +118,22 @@
 
         :raises HTTPError: 400 when it is not JSON.
         """
+        self.check_document()
         try:
             return parse_json("body", self.body)
         except ConfigError as exc:
             raise HTTPError(400, "invalid", str(exc)) from exc
 
+    def check_document(self) -> None:
+        """Reserve memory for parsing the body as JSON; it is released after the response.
+
+        :raises HTTPError: 400 when it has too many values, 503 when the memory is exhausted.
+        """
+        reason = document_rejection(self.environ, self.body)
+        if reason:
+            headers = {"Retry-After": str(RETRY_AFTER_S)}
+            raise rejection_error(self.method, self.caller_chosen, reason, headers)
+
     def forwarded_headers(self) -> dict[str, str]:
         """Return the request headers that are forwarded to the target."""
         headers = {
@@ -192,9 +209,7 @@
         """Serve one WSGI request."""
         response = self._respond(environ)
         headers = list(response.headers.items())
-        # cheroot does not read the trailer of a chunked body and would parse it as a new request.
-        closes = self._drain.leaving or environ.get("wsgi.input_terminated", False)
-        if closes and CONNECTION_CLOSE.items().isdisjoint(headers):
+        if self._drain.leaving and CONNECTION_CLOSE.items().isdisjoint(headers):
             headers.extend(CONNECTION_CLOSE.items())
         is_head = environ["REQUEST_METHOD"] == "HEAD"
         has_no_body = response.status in (204, 304)
@@ -309,6 +324,22 @@
     return HTTPError(503, "not_claimed" if may_be_resend else "not_run", message, headers=headers)
 
 
+def document_rejection(environ: Mapping[str, Any], body: bytes) -> str:
+    """Reserve memory for parsing a body as JSON; return why there is none, or an empty string.
+
+    :raises HTTPError: 400 when the body has too many values.
+    """
+    memory = environ.get(MEMORY_KEY)
+    if memory is None:
+        return ""
+    marks = count_marks(body, memory.max_marks)
+    if marks > memory.max_marks:
+        message = f"body: allowed: at most {memory.max_marks} brackets, commas and colons"
+        raise HTTPError(400, "invalid", message)
+    is_reserved = memory.reserve_serving(parsed_size(body, marks))
+    return "" if is_reserved else "the memory for requests is exhausted; nothing was done"
+
+
 def _parse_request(environ: Mapping[str, Any]) -> HTTPRequest:
     body = _read_body(environ)
     request_id = environ.get("HTTP_REQUEST_ID")
@@ -334,27 +365,16 @@
         close the connection.
     """
     length = environ.get("CONTENT_LENGTH", "")
-    chunked = environ.get("wsgi.input_terminated", False)
-    if not length and not chunked:
+    if not length:
         return b""
-    if not chunked and not (length.isascii() and length.isdigit()):
+    if not (length.isascii() and length.isdigit()):
         raise _invalid_body(f"Content-Length: {_truncated_repr(length)} is not a whole number")
     # The number of digits is checked first, as Python refuses to convert a very long number.
-    if not chunked and (len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES):
-        raise too_large()
-    limit = MAX_BODY_BYTES + 1 if chunked else int(length)
-    try:
-        body = environ["wsgi.input"].read(limit)
-    except MaxSizeExceeded as exc:
-        raise too_large() from exc
-    except (ValueError, OSError) as exc:
-        if str(exc) == _CHEROOT_TOO_LARGE_MESSAGE:
-            raise too_large() from exc
-        raise _invalid_body(f"the body could not be read: {exc}") from exc
-    if len(body) > MAX_BODY_BYTES:
+    if len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
         raise too_large()
-    if not chunked and len(body) < limit:
-        raise _invalid_body(f"the body ended after {len(body)} of {limit} bytes")
+    body = environ["wsgi.input"].read(int(length))
+    if len(body) < int(length):
+        raise _invalid_body(f"the body ended after {len(body)} of {length} bytes")
     return body
 
 
