--- a/packages/daemon/src/mulberryslipd/client_limits.py
+++ b/packages/daemon/src/mulberryslipd/client_limits.py
@@ -22,7 +22,7 @@
 from mulberryslip.events import Event, log
 from mulberryslip.metrics import Metrics
 
-FREE_BYTES = 4096
+FREE_BYTES = 8192
 """Bytes that a connection may hold outside the budget. Ordinary short requests stay below it, so
 they neither wait for the budget's lock nor are rejected when it is exhausted."""
 
--- a/packages/daemon/src/mulberryslipd/listeners.py
+++ b/packages/daemon/src/mulberryslipd/listeners.py
@@ -44,7 +44,10 @@
 
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADER_LINES = 200
-"""Limit on header fields. 32 KiB hold 8,000 short ones, which take 3 MB when they are parsed."""
+"""Limit on header fields. 32 KiB hold 8,000 short ones, which take 1.6 MB when they are parsed."""
+
+FIELD_BYTES = 200
+"""Memory of a parsed header field beside its text: two objects and an entry of a dictionary."""
 
 IDLE_TIMEOUT = timedelta(seconds=30)
 IDLE_WHILE_STOPPING = timedelta(milliseconds=200)
@@ -150,6 +153,7 @@
         self._received = bytearray()
         self._searched = 0
         self._request: _Request | None = None
+        self._head_bytes = 0
         self._chunks: ChunkedBody | None = None
         self._is_finishing = False
         self._transfer_began: float | None = None
@@ -233,7 +237,7 @@
                 self.wfile.write(response)
         self._is_finishing = True
         self._received.clear()
-        self._request = self._chunks = None
+        self._drop_request()
         self.wfile.unsent.clear()
         self.memory.take_transfer(0)
         with contextlib.suppress(OSError):
@@ -245,7 +249,7 @@
         cheroot's connections are parts of reference cycles, so the buffers are released here.
         """
         self._received = bytearray()
-        self._request = self._chunks = None
+        self._drop_request()
         self.wfile.unsent = bytearray()
         self.memory.take_transfer(0)
         self.memory.release_serving()
@@ -274,7 +278,7 @@
 
     def _held_bytes(self) -> int:
         chunked = len(self._chunks.body) if self._chunks else 0
-        return len(self._received) + chunked + len(self.wfile.unsent)
+        return len(self._received) + self._head_bytes + chunked + len(self.wfile.unsent)
 
     def _may_be_complete(self) -> bool:
         """Return whether received bytes have not been searched for the end of a request."""
@@ -307,6 +311,7 @@
         del self._received[:size]
         self._searched = 0
         req = self._request = _Request(self.server, self)
+        self._head_bytes = size + head.count(b"\n") * FIELD_BYTES
         self.rfile = _ReceivedFile(head)
         if head.count(b"\n") > MAX_HEADER_LINES:
             self._fail("431 Request Header Fields Too Large", "Too many header fields")
@@ -351,21 +356,27 @@
         self.rfile = _ReceivedFile(body)
         self._transfer_began = None
         self.ready_at = time.monotonic()
+        served_bytes = SERVED_COPIES * len(body) + self._head_bytes
+        self._head_bytes = 0
         self.memory.take_transfer(len(self._received))
-        if self.memory.reserve_serving(SERVED_COPIES * len(body)):
+        if self.memory.reserve_serving(served_bytes):
             return _Progress.COMPLETE
         self.server.record_rejection(self, "memory")
         self._refuse(_OVERLOADED)
         return _Progress.FINISHED
 
-    def _refuse(self, response: bytes) -> None:
+    def _drop_request(self) -> None:
         self._request = self._chunks = None
+        self._head_bytes = 0
+
+    def _refuse(self, response: bytes) -> None:
+        self._drop_request()
         self._is_finishing = True
         self.wfile.write(response)
 
     def _fail(self, status: str, message: str = "") -> None:
         self._request.simple_response(status, message)
-        self._request = self._chunks = None
+        self._drop_request()
         self._received.clear()
         self._is_finishing = True
 
@@ -419,6 +430,10 @@
             progress = conn.advance()
         except OSError:
             progress = _Progress.FINISHED
+        except Exception as exc:
+            # The connection is no longer in the selector, so nothing else would close it.
+            self.error_log(repr(exc))
+            progress = _Progress.FINISHED
         if progress is _Progress.FINISHED:
             conn.close()
         elif progress is _Progress.WAITING:
