--- a/packages/core/src/mulberryslip/configs.py
+++ b/packages/core/src/mulberryslip/configs.py
@@ -31,10 +31,10 @@
 MAX_FAULTS = 1000
 """Faults of one document that are kept, since a document of 1 MB can hold 90,000 invalid parts."""
 
-JSON_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
-"""A string in JSON text. Possessive, as a backtracking match takes 140 bytes for each character. It
-matches a string without an end, too: otherwise 900 KB of escaped quotes take minutes to search."""
-
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"', re.DOTALL)
+# Ends before the quote of a string without an end. Searched for strings, the text after it would
+# take quadratic time, since each quote in it would be tried as the beginning of a string.
+_CLOSED_TEXT = re.compile(rb'(?:[^"]++|"(?:[^"\\]++|\\.)*+")*+', re.DOTALL)
 _DEPTH_CHANGES = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
 _NOT_BRACKETS = bytes(byte for byte in range(256) if byte not in _DEPTH_CHANGES)
 
@@ -325,7 +325,9 @@
 
 def _nesting_depth(body: bytes) -> int:
     """Return how deeply objects and lists are nested in JSON text, without parsing it."""
-    brackets = JSON_STRING.sub(b"", body).translate(None, delete=_NOT_BRACKETS)
+    end = _CLOSED_TEXT.match(body).end()
+    unquoted = _STRING.sub(b"", body[:end]) + body[end:]
+    brackets = unquoted.translate(None, delete=_NOT_BRACKETS)
     return max(itertools.accumulate(_DEPTH_CHANGES[bracket] for bracket in brackets), default=0)
 
 
--- a/packages/daemon/src/mulberryslipd/client_limits.py
+++ b/packages/daemon/src/mulberryslipd/client_limits.py
@@ -10,6 +10,7 @@
 holds most; a connection that does not fit replaces one of the address with the most connections.
 """
 
+import re
 import threading
 from collections import Counter
 from collections.abc import Iterable, Sequence
@@ -18,7 +19,6 @@
 
 import attrs
 from mulberryslip.clocks import Clock, SystemClock
-from mulberryslip.configs import JSON_STRING
 from mulberryslip.events import Event, log
 from mulberryslip.metrics import Metrics
 
@@ -44,6 +44,9 @@
 LOG_INTERVAL = timedelta(seconds=1)
 
 MARKS = b"[{,:"
+# Possessive, as a backtracking match takes 140 bytes for each character of the text. It matches a
+# text without an end, too; otherwise the search would begin anew at each of its escaped quotes.
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
 _NOT_MARKS = bytes(byte for byte in range(256) if byte not in MARKS)
 
 _BYTES_PER_MB = 1024 * 1024
@@ -166,7 +169,7 @@
     if bound <= UNREFINED_MARKS:
         return bound
     marks = position = 0
-    for texts, text in enumerate(JSON_STRING.finditer(document), start=1):
+    for texts, text in enumerate(_STRING.finditer(document), start=1):
         marks += _marks_between(document, position, text.start())
         position = text.end()
         # A valid document has at most one text more than it has marks.
