--- a/packages/core/src/mulberryslip/stable_duty_cycles.py
+++ b/packages/core/src/mulberryslip/stable_duty_cycles.py
@@ -25,7 +25,7 @@
 
 FULL_PERCENT = 100
 
-HARMLESS_SLACK = 0.35
+HARMLESS_SLACK = 0.2
 """Headroom that images with negligible interference may use beyond the budgets. Without a limit,
 they took a service at 0.9 of its objective over it for up to 3.7 s in simulations; with 0.1, runs
 beside such a service hardly worked."""
