Reserve capacity for large tasks that wait for long in pools with wide steps

Small tasks filled every gap, so that large checks and large best-effort tasks fitted nowhere. The owner reserves the worker where a task is expected to fit soonest, with a bound in time and in the number of workers; others start there if they end before or fit beside it. Services' reservations precede. Off unless Dispatcher.is_wide.

--- a/packages/core/src/mulberryslip/capacities.py
+++ b/packages/core/src/mulberryslip/capacities.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from .holds import Hold
 from .models import Resources
 from .refusals import Requirement
 from .workflows import StepTask
@@ -33,6 +34,7 @@
         long-running ones.
     :param has_lost_starts: whether the worker has carried out no start since the last one that it
         refused or did not carry out in time.
+    :param hold: reservation for a large task; None if there is none.
     """
 
     worker_id: str
@@ -55,6 +57,7 @@
     penalty: float = 0.0
     is_probed: bool = False
     has_lost_starts: bool = False
+    hold: Hold | None = None
 
     @property
     def runs(self) -> int:
@@ -116,6 +119,8 @@
         elif spec.fills:
             _add(self.best_effort_millis, spec.image, spec.cpu_millis)
         self.pending_starts += 1
+        if self.hold is not None and not self.hold.record(task):
+            self.hold = None
 
     def withhold(self, demand: Resources) -> None:
         """Keep other runs from the free part of what a task gets once enough runs have ended."""
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -30,6 +30,7 @@
 
 import attrs
 
+from .backfills import ActiveRuns, Backfills, Change
 from .capacities import WorkerCapacity
 from .crashes import (
     CRASHES_BEFORE_GUILT,
@@ -50,6 +51,7 @@
 from .models import Resources
 from .pair_estimates import IndependentEstimates, JointEstimates
 from .refusals import Preference, Requirement
+from .run_times import RunTimes
 from .work_estimates import WorkEstimates
 from .workflows import Phase, StepTask, Workflow
 
@@ -274,6 +276,8 @@
         self.is_wide = False
         self.estimates = WorkEstimates()
         self._paths = CriticalPaths(run_time, self.estimates)
+        self.run_times = RunTimes(run_time)
+        self.backfills = Backfills(self.run_times)
         self._throughputs: dict[str, float] = {}
         self._marginal_throughputs: dict[str, dict[tuple[str, int], float]] = {}
 
@@ -284,6 +288,7 @@
         """
         if is_wide != self.is_wide:
             self.is_wide = is_wide
+            self.backfills.clear()
             self.model.use(JointEstimates() if is_wide else IndependentEstimates(), now)
 
     def observe_progress(
@@ -299,6 +304,37 @@
             speed = gauge / max(1, task.spec.cpu_millis)
             self.estimates.observe(task.name, run, percent, speed, self._run_time(task), at)
 
+    def observe_end(self, task: StepTask, run_time: timedelta) -> None:
+        """Learn the run time of a task from its run that is done.
+
+        :param run_time: time since the run was assigned to its worker.
+        """
+        if self.is_wide and not task.spec.lasting and not task.checkpoint:
+            self.run_times.observe(task, run_time)
+
+    def reserve_capacity(
+        self,
+        waiting: Sequence[StepTask],
+        workers: Sequence[WorkerCapacity],
+        active_runs: ActiveRuns,
+        reservations: Reservations,
+        now_ms: int,
+    ) -> list[Change]:
+        """Reserve capacity for large tasks that have waited for long, in a pool with wide steps.
+
+        :param waiting: tasks that are ready to start, without long-running and suspected ones.
+        :param workers: candidate workers; updated with what they leave to other tasks.
+        :param active_runs: returns the active runs of a worker.
+        :param reservations: workers that are reserved for long-running tasks; these precede.
+        :param now_ms: current time, in milliseconds since 1970.
+        """
+        if not self.is_wide:
+            return []
+        taken = (
+            reservations.without_trials | reservations.service_trials | reservations.withheld.keys()
+        )
+        return self.backfills.update(waiting, workers, active_runs, taken, now_ms)
+
     def retain(self, workflow_ids: Container[str]) -> None:
         """Discard what was learned of all workflows but the given ones."""
         self._paths.retain(workflow_ids)
@@ -353,6 +389,7 @@
                 task.is_suspected,
                 _is_long_wait(wait_ms),
                 _needs_last_resort(task, wait_ms),
+                task.name if self.backfills.holds(task.name) else "",
             )
             if spec.lasting:
                 is_last_resort = _needs_last_resort(task, wait_ms)
@@ -1148,6 +1185,8 @@
         return Preference.PENDING_STARTS
     if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
         return Preference.EXCLUDED
+    if worker.hold is not None and not worker.hold.admits(task):
+        return worker.refusal(task) or Preference.LARGE_TASK
     return worker.refusal(task)
 
 
--- a/packages/core/src/mulberryslip/refusals.py
+++ b/packages/core/src/mulberryslip/refusals.py
@@ -30,6 +30,7 @@
     TRIALS_OF_WORKFLOW = "trials of the workflow"
     KEEPS_WORKER = "waits for an idle worker"
     OTHER_VM = "waits for another VM"
+    LARGE_TASK = "reserved for a large task"
     SHORT_TASKS = "reserved for short tasks"
     PENDING_STARTS = "too many starts at once"
     EXCLUDED = "excluded"
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -136,6 +136,8 @@
 WAIT_LOG_INTERVAL = timedelta(seconds=1)
 
 SERVICE_WAIT_GAUGE = "service_wait_with_room_ms"
+LARGE_TASKS_GAUGE = "reserved_for_large_tasks"
+OVERDUE_COUNTER = "large_task_reservations_overdue"
 
 MIN_TIME_BEFORE_MOVE = timedelta(seconds=2)
 """Shortest time that a run must have spent on a worker before it may be moved; before that, its
@@ -248,7 +250,11 @@
         self._proof_timer = _Timer(PROOF_INTERVAL, now)
 
     def restore_interference(self, term: PoolTerm) -> None:
-        """Restore the interference estimates that earlier owners recorded."""
+        """Restore the interference estimates that earlier owners recorded.
+
+        Reservations for large tasks of an earlier term of this process are discarded.
+        """
+        self._dispatcher.backfills.clear()
         self._dispatcher.model.restore(
             [
                 InterferenceEstimate(
@@ -293,6 +299,9 @@
                 self._health.record_start(member.worker_id, member.first_listed_at[key])
             if key in ended:
                 end = ended[key]
+                if OUTCOME_BY_END_KIND[end.kind] is RunOutcome.DONE:
+                    run_time = _time_since_assignment(task, member, member.received_at)
+                    self._dispatcher.observe_end(task, run_time)
                 events.append(
                     self._run_ended_event(
                         term, task, OUTCOME_BY_END_KIND[end.kind], now_ms, "", end.checkpoint
@@ -852,12 +861,15 @@
             widths = term.pool.best_effort_widths
             log(Event.WIDE_STEPS, is_wide=is_wide, steps=widths.steps, tasks=widths.tasks)
             self._metrics.set_gauge("wide_steps", int(is_wide))
+            self._metrics.set_gauge(LARGE_TASKS_GAUGE, 0)
 
     def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
         waiting = term.pool.ready()
         config = self._source.config()
         if not waiting:
             self._metrics.set_gauge(SERVICE_WAIT_GAUGE, 0)
+            if self._dispatcher.backfills.count:
+                self._reserve_capacity(term, [], [], Reservations())
         if not waiting or config is None or self._source.age() > CONFIG_MAX_AGE:
             return []
         if not term.is_live():
@@ -902,6 +914,10 @@
             )
             decisions += trials
             candidates = [worker for worker in candidates if worker.worker_id not in kept]
+        if self._dispatcher.is_wide and others:
+            candidates = self._candidates(term, config) if candidates is None else candidates
+            short = [task for task in others if not task.spec.lasting]
+            self._reserve_capacity(term, short, candidates, reservations)
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
             decisions += self._dispatcher.schedule(urgent, candidates, now_ms, passed_over)
@@ -996,6 +1012,41 @@
                 candidate.withhold(reservations.withheld[candidate.worker_id])
         return reservations
 
+    def _reserve_capacity(
+        self,
+        term: PoolTerm,
+        waiting: list[StepTask],
+        candidates: list[WorkerCapacity],
+        reservations: Reservations,
+    ) -> None:
+        """Reserve capacity of the candidates for large tasks that have waited for long."""
+        now = self._clock.monotonic()
+        now_ms = self._now_ms()
+
+        def active_runs(worker_id: str) -> list[tuple[StepTask, timedelta]]:
+            member = term.members[worker_id]
+            return [
+                (task, _time_since_assignment(task, member, now))
+                for task in term.pool.active_tasks(worker_id)
+            ]
+
+        changes = self._dispatcher.reserve_capacity(
+            waiting, candidates, active_runs, reservations, now_ms
+        )
+        for change in changes:
+            reservation = change.reservation
+            if change.outcome == "overdue":
+                self._metrics.count(OVERDUE_COUNTER)
+            log(
+                Event.CAPACITY_RESERVED,
+                task=reservation.task,
+                worker=reservation.worker_id,
+                outcome=change.outcome,
+                expected_ms=reservation.expected_ms - reservation.made_ms,
+                held_ms=now_ms - reservation.made_ms,
+            )
+        self._metrics.set_gauge(LARGE_TASKS_GAUGE, self._dispatcher.backfills.count)
+
     def _place_trials(
         self,
         term: PoolTerm,
