--- a/packages/core/src/mulberryslip/backfills.py
+++ b/packages/core/src/mulberryslip/backfills.py
@@ -5,7 +5,6 @@
 made by `Dispatcher.reserve_workers` and precede those made here.
 """
 
-import math
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
@@ -16,7 +15,7 @@
 from .holds import Hold
 from .models import Resources
 from .run_times import RunTimes
-from .workflows import StepTask
+from .workflows import StepTask, Workflow
 
 HOLD_WAIT_MS = 1000
 """Waiting time after which a large task gets capacity reserved. The checks' objective is 2.4 times
@@ -34,8 +33,8 @@
 MAX_HOLDS = 8
 """Maximum number of reservations: of the tasks with the longest wait."""
 
-MAX_COMPARED_STEPS = 24
-"""Maximum number of steps that are compared with all workers in one round."""
+MAX_COMPARED_SHAPES = 32
+"""Maximum number of different demands that are compared with all workers in one round."""
 
 MAX_AWAITED = timedelta(seconds=8)
 """Longest time after which capacity is expected to be free at the worker that is chosen. It is
@@ -54,8 +53,8 @@
 """Time between two comparisons with all workers, which take longer than the rest of a round."""
 
 _MS = timedelta(milliseconds=1)
-ActiveRuns = Callable[[str], Iterable[tuple[StepTask, timedelta]]]
-"""Returns the active tasks of a worker by its id, each with the time since its assignment."""
+ActiveRuns = Callable[[str], Iterable[tuple[StepTask, int]]]
+"""Returns the active tasks of a worker by its id, with the milliseconds since their assignment."""
 
 
 @attrs.frozen
@@ -159,7 +158,7 @@
         tasks = {task.name: task for task in waiting if task.name in self._reservations}
         for name, reservation in list(self._reservations.items()):
             task, worker = tasks.get(name), workers.get(reservation.worker_id)
-            outcome, until_start = "", None
+            outcome, until_start_ms = "", None
             if task is None:
                 outcome = "started"
             elif worker is None or not worker.may_run(task):
@@ -167,16 +166,16 @@
             elif now_ms >= reservation.give_up_ms or now_ms < reservation.made_ms:
                 outcome = "overdue"
             else:
-                runs = list(active_runs(worker.worker_id))
-                until_start = self._until_fit(task, worker, runs)
-                outcome = "overdue" if until_start is None else ""
+                ends = self._ends(active_runs(worker.worker_id), {})
+                until_start_ms = _until_fit(task.spec.demand, worker.free, ends)
+                outcome = "overdue" if until_start_ms is None else ""
             if outcome:
                 del self._reservations[name]
                 changes.append(Change(reservation, outcome))
                 if outcome == "overdue":
                     self._retry_ms[name] = now_ms + RETRY_MS
             else:
-                worker.hold = self._hold(task, worker, runs, until_start)
+                worker.hold = self._hold(task, worker, ends, until_start_ms)
         return changes
 
     def _reserve(
@@ -193,118 +192,165 @@
         if len(self._reservations) >= limit:
             return []
         changes: list[Change] = []
-        runs: dict[str, list[tuple[StepTask, timedelta]]] = {}
-        for tasks in self._candidate_steps(waiting, workers, now_ms):
-            if any(worker.admits(tasks[0]) for worker in workers if worker.hold is None):
-                continue
-            for task in tasks:
-                if len(self._reservations) >= limit:
-                    return changes
-                best: tuple[timedelta, str] | None = None
-                for worker in usable.values():
-                    if worker.hold is not None or not _is_suitable(task, worker):
-                        continue
-                    if worker.worker_id not in runs:
-                        runs[worker.worker_id] = list(active_runs(worker.worker_id))
-                    until = self._until_fit(task, worker, runs[worker.worker_id])
-                    if until is not None and until <= MAX_AWAITED:
-                        best = min(best or (until, worker.worker_id), (until, worker.worker_id))
-                if best is None:
+        ends: dict[str, Ends] = {}
+        expected_by_step: dict[tuple[Workflow, int], int] = {}
+        hosts: dict[tuple, list[tuple[int, str]]] = {}
+        for tasks in self._waiting_steps(waiting, now_ms):
+            shape = _shape(tasks[0])
+            if shape not in hosts:
+                if len(hosts) == MAX_COMPARED_SHAPES:
+                    continue
+                is_needed = _needs_hold(tasks[0], workers)
+                hosts[shape] = (
+                    self._hosts(tasks[0], usable, active_runs, ends, expected_by_step)
+                    if is_needed
+                    else []
+                )
+            for task in sorted(tasks, key=_wait_rank) if hosts[shape] else ():
+                until_start_ms, worker = next(
+                    (
+                        (until_start_ms, usable[worker_id])
+                        for until_start_ms, worker_id in hosts[shape]
+                        if usable[worker_id].hold is None and worker_id not in task.failed_on
+                    ),
+                    (0, None),
+                )
+                if worker is None:
                     break
-                until_start, worker_id = best
-                worker = usable[worker_id]
                 reservation = Reservation(
-                    task.name, worker_id, now_ms, now_ms + math.ceil(until_start / _MS)
+                    task.name, worker.worker_id, now_ms, now_ms + until_start_ms
                 )
                 self._reservations[task.name] = reservation
-                worker.hold = self._hold(task, worker, runs[worker_id], until_start)
+                worker.hold = self._hold(task, worker, ends[worker.worker_id], until_start_ms)
                 changes.append(Change(reservation, "reserved"))
+                if len(self._reservations) >= limit:
+                    return changes
         return changes
 
-    def _candidate_steps(
-        self, waiting: Sequence[StepTask], workers: Sequence[WorkerCapacity], now_ms: int
-    ) -> list[list[StepTask]]:
+    def _hosts(
+        self,
+        task: StepTask,
+        workers: Mapping[str, WorkerCapacity],
+        active_runs: ActiveRuns,
+        ends: dict[str, "Ends"],
+        expected_by_step: dict[tuple[Workflow, int], int],
+    ) -> list[tuple[int, str]]:
+        """Return the workers where a task is expected to fit, with the milliseconds until then.
+
+        :param ends: expected ends of runs by worker id; updated.
+        :param expected_by_step: expected run times in milliseconds; updated.
+        """
+        found = []
+        for worker in workers.values():
+            if worker.hold is not None or not _is_suitable(task, worker):
+                continue
+            if worker.worker_id not in ends:
+                ends[worker.worker_id] = self._ends(active_runs(worker.worker_id), expected_by_step)
+            until_ms = _until_fit(task.spec.demand, worker.free, ends[worker.worker_id])
+            if until_ms is not None and until_ms <= MAX_AWAITED // _MS:
+                found.append((until_ms, worker.worker_id))
+        return sorted(found)
+
+    def _waiting_steps(self, waiting: Sequence[StepTask], now_ms: int) -> list[list[StepTask]]:
         """Return the tasks that may get capacity reserved by step, the longest wait first."""
         steps: dict[tuple[str, int], list[StepTask]] = {}
         for task in waiting:
-            if now_ms - task.waiting_since_ms >= HOLD_WAIT_MS:
+            if (
+                now_ms - task.waiting_since_ms >= HOLD_WAIT_MS
+                and task.name not in self._reservations
+                and task.name not in self._retry_ms
+            ):
                 steps.setdefault((task.workflow.workflow_id, task.step), []).append(task)
-        kinds = {
-            (worker.service, worker.capacity, worker.labels): worker for worker in workers
-        }.values()
-        candidates = []
-        for tasks in steps.values():
-            spec, service = tasks[0].spec, tasks[0].workflow.queue.service
-            # A task that fits on no idle worker must not keep others from a reservation.
-            hosts = [
-                worker
-                for worker in kinds
-                if worker.service == service
-                and spec.demand.fits(worker.capacity)
-                and (not spec.required_label or spec.required_label in worker.labels)
-            ]
-            if not any(_is_large(spec.demand, worker.capacity) for worker in hosts):
-                continue
-            tasks = [
-                task
-                for task in tasks
-                if task.name not in self._reservations and task.name not in self._retry_ms
-            ]
-            if tasks:
-                candidates.append(sorted(tasks, key=lambda t: (t.waiting_since_ms, t.name)))
-        candidates.sort(key=lambda tasks: (tasks[0].waiting_since_ms, tasks[0].name))
-        return candidates[:MAX_COMPARED_STEPS]
-
-    def _until_fit(
-        self,
-        task: StepTask,
-        worker: WorkerCapacity,
-        runs: Iterable[tuple[StepTask, timedelta]],
-    ) -> timedelta | None:
-        """Return the time until a task is expected to fit; None if it will not."""
-        demand, free = task.spec.demand, worker.free
-        if demand.fits(free):
-            return timedelta()
-        ends = sorted(
-            (
-                (remaining, run.name, run.spec.demand)
-                for run, age in runs
-                if (remaining := self._remaining(run, age)) is not None
-            ),
-            key=lambda end: end[:2],
+        return sorted(
+            steps.values(),
+            key=lambda tasks: (min(task.waiting_since_ms for task in tasks), tasks[0].name),
         )
-        for remaining, _, freed in ends:
-            free += freed
-            if demand.fits(free):
-                return remaining
-        return None
 
-    def _remaining(self, run: StepTask, age: timedelta) -> timedelta | None:
-        """Return the expected time until a run ends; None if it cannot be awaited.
+    def _ends(
+        self,
+        runs: Iterable[tuple[StepTask, int]],
+        expected_by_step: dict[tuple[Workflow, int], int],
+    ) -> "Ends":
+        """Return the milliseconds until each run is expected to end, with its demand, in order.
 
-        A run that overruns is expected to last for as long again as it has overrun.
+        Runs that cannot be awaited are left out. A run that overruns is expected to last for as
+        long again as it has overrun.
+
+        :param expected_by_step: expected run times in milliseconds; updated.
         """
-        if run.spec.lasting:
-            return None
-        expected = self._run_times.expected(run)
-        if age > MAX_OVERDUE_FACTOR * expected:
-            return None
-        return abs(expected - age)
+        ends: Ends = []
+        for run, age_ms in runs:
+            spec = run.spec
+            if spec.lasting:
+                continue
+            step = (run.workflow, run.step)
+            expected = expected_by_step.get(step)
+            if expected is None:
+                expected = expected_by_step[step] = self._run_times.expected(run) // _MS
+            if age_ms <= MAX_OVERDUE_FACTOR * expected:
+                ends.append((abs(expected - age_ms), spec.demand))
+        ends.sort(key=lambda end: end[0])
+        return ends
 
     def _hold(
-        self,
-        task: StepTask,
-        worker: WorkerCapacity,
-        runs: Iterable[tuple[StepTask, timedelta]],
-        until_start: timedelta,
+        self, task: StepTask, worker: WorkerCapacity, ends: "Ends", until_start_ms: int
     ) -> Hold:
         """Return the hold for a task that is expected to fit after a time."""
         at_start = worker.free
-        for run, age in runs:
-            remaining = self._remaining(run, age)
-            if remaining is not None and remaining <= until_start:
-                at_start += run.spec.demand
-        return Hold(task, until_start, at_start - task.spec.demand, self._run_times)
+        for remaining_ms, demand in ends:
+            if remaining_ms <= until_start_ms:
+                at_start += demand
+        return Hold(task, until_start_ms * _MS, at_start - task.spec.demand, self._run_times)
+
+
+Ends = list[tuple[int, Resources]]
+
+
+def _until_fit(demand: Resources, free: Resources, ends: Ends) -> int | None:
+    """Return the milliseconds until a task is expected to fit; None if it will not."""
+    # Amounts one by one: a sum of `Resources` for each run takes several times as long.
+    lacks_cpu = demand.cpu_millis - free.cpu_millis
+    lacks_memory = demand.memory_mb - free.memory_mb
+    lacks_accelerators = demand.accelerators - free.accelerators
+    lacks_slots = demand.slots - free.slots
+    until_ms = 0
+    for remaining_ms, freed in ends:
+        if max(lacks_cpu, lacks_memory, lacks_accelerators, lacks_slots) <= 0:
+            break
+        lacks_cpu -= freed.cpu_millis
+        lacks_memory -= freed.memory_mb
+        lacks_accelerators -= freed.accelerators
+        lacks_slots -= freed.slots
+        until_ms = remaining_ms
+    return until_ms if max(lacks_cpu, lacks_memory, lacks_accelerators, lacks_slots) <= 0 else None
+
+
+def _wait_rank(task: StepTask) -> tuple[int, str]:
+    return (task.waiting_since_ms, task.name)
+
+
+def _shape(task: StepTask) -> tuple:
+    """Return what decides where a task fits; steps with a spread limit are distinct."""
+    spec = task.spec
+    step = (task.workflow.workflow_id, task.step) if spec.max_per_worker else ()
+    return (task.workflow.queue.service, spec.demand, spec.required_label, step)
+
+
+def _needs_hold(task: StepTask, workers: Iterable[WorkerCapacity]) -> bool:
+    """Return whether a task is large and fits on no worker now, but on an idle one."""
+    is_large = False
+    for worker in workers:
+        if worker.penalty >= EXCLUSION_PENALTY:
+            continue
+        if worker.hold is None and worker.admits(task):
+            return False
+        demand = task.spec.demand
+        is_large |= (
+            demand.fits(worker.capacity)
+            and _is_large(demand, worker.capacity)
+            and worker.may_run(task)
+        )
+    return is_large
 
 
 def _is_large(demand: Resources, capacity: Resources) -> bool:
@@ -318,7 +364,7 @@
     return (
         worker.penalty < EXCLUSION_PENALTY
         and not worker.is_probed
-        and worker.worker_id not in task.failed_on
+        and task.spec.demand.cpu_millis <= worker.capacity.cpu_millis - worker.long_running_millis
         and task.spec.demand.fits(worker.capacity)
         and worker.may_run(task)
     )
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -1185,9 +1185,10 @@
         return Preference.PENDING_STARTS
     if worker.penalty >= EXCLUSION_PENALTY and not _needs_last_resort(task, wait_ms):
         return Preference.EXCLUDED
-    if worker.hold is not None and not worker.hold.admits(task):
-        return worker.refusal(task) or Preference.LARGE_TASK
-    return worker.refusal(task)
+    refusal = worker.refusal(task)
+    if refusal is None and worker.hold is not None and not worker.hold.admits(task):
+        return Preference.LARGE_TASK
+    return refusal
 
 
 def _needs_last_resort(task: StepTask, wait_ms: int) -> bool:
--- a/packages/core/src/mulberryslip/holds.py
+++ b/packages/core/src/mulberryslip/holds.py
@@ -31,7 +31,7 @@
         """
         if task is self.task or self._precedes(task):
             return True
-        return self._ends_in_time(task) or task.spec.demand.fits(self.beside)
+        return task.spec.demand.fits(self.beside) or self._ends_in_time(task)
 
     def record(self, task: StepTask) -> bool:
         """Take account of a run that starts on the worker.
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -1023,11 +1023,12 @@
         now = self._clock.monotonic()
         now_ms = self._now_ms()
 
-        def active_runs(worker_id: str) -> list[tuple[StepTask, timedelta]]:
-            member = term.members[worker_id]
+        def active_runs(worker_id: str) -> list[tuple[StepTask, int]]:
+            clock_ms = term.members[worker_id].clock_at(now) + START_WINDOW // timedelta(
+                milliseconds=1
+            )
             return [
-                (task, _time_since_assignment(task, member, now))
-                for task in term.pool.active_tasks(worker_id)
+                (task, clock_ms - task.start_by_ms) for task in term.pool.active_tasks(worker_id)
             ]
 
         changes = self._dispatcher.reserve_capacity(
