Start reserved tasks on their worker without a ranking of their own

It is now scored on its worker only, before the ranking of its step. Best-effort tasks alone no longer cause the candidates of each round to be computed.

--- a/packages/core/src/mulberryslip/backfills.py
+++ b/packages/core/src/mulberryslip/backfills.py
@@ -109,9 +109,10 @@
         """Return the number of reservations."""
         return len(self._reservations)
 
-    def holds(self, task: str) -> bool:
-        """Return whether capacity is reserved for a task."""
-        return task in self._reservations
+    def worker_of(self, task: str) -> str:
+        """Return the id of the worker that is reserved for a task; empty if there is none."""
+        reservation = self._reservations.get(task)
+        return "" if reservation is None else reservation.worker_id
 
     def clear(self) -> None:
         """Discard all reservations."""
--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -389,7 +389,6 @@
                 task.is_suspected,
                 _is_long_wait(wait_ms),
                 _needs_last_resort(task, wait_ms),
-                task.name if self.backfills.holds(task.name) else "",
             )
             if spec.lasting:
                 is_last_resort = _needs_last_resort(task, wait_ms)
@@ -401,6 +400,14 @@
                     if position < len(ordered):
                         deferred.append(task)  # Waiting short tasks use the reserve first.
                         continue
+            held_id = self.backfills.worker_of(task.name)
+            held = next((w for w in workers if w.worker_id == held_id), None) if held_id else None
+            if held is not None and self._score(task, held, wait_ms=wait_ms) is not None:
+                self._reserve(task, held)
+                used_millis += spec.demand.cpu_millis
+                decisions.append(PlacementDecision(task, held))
+                ranking = None  # The worker's score for the other tasks of the step has changed.
+                continue
             if ranking is None or ranking.key != key:
                 score = functools.partial(self._score, task, wait_ms=wait_ms)
                 ranking = _Ranking(key, score, workers)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -914,12 +914,11 @@
             )
             decisions += trials
             candidates = [worker for worker in candidates if worker.worker_id not in kept]
-        if self._dispatcher.is_wide and others:
-            candidates = self._candidates(term, config) if candidates is None else candidates
-            short = [task for task in others if not task.spec.lasting]
-            self._reserve_capacity(term, short, candidates, reservations)
+        short = [task for task in others if not task.spec.lasting]
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
+            if self._dispatcher.is_wide:
+                self._reserve_capacity(term, short, candidates, reservations)
             decisions += self._dispatcher.schedule(urgent, candidates, now_ms, passed_over)
         if left_to_short_tasks:
             decisions += self._place_in_reserve(
@@ -939,6 +938,8 @@
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
             candidates = self._candidates(term, config) if candidates is None else candidates
+            if self._dispatcher.is_wide and not urgent:
+                self._reserve_capacity(term, short, candidates, reservations)
             decisions += self._dispatcher.schedule(best_effort, candidates, now_ms)
         return decisions
 
