--- a/tests/test_backfills.py
+++ b/tests/test_backfills.py
@@ -11,7 +11,6 @@
 from mulberryslip.models import Resources
 from mulberryslip.run_times import RunTimes
 from mulberryslip.steps import StepSpec
-from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.workflows import Pool, RunAssigned, RunEnded, RunOutcome
 from pool_doubles import PoolWorld
 from test_dispatches import BATCH, CHECKS, add, dispatcher
@@ -287,9 +286,9 @@
 
 def make_world():
     """Return a pool with wide steps whose workers are kept full by a stream of small checks."""
-    world = PoolWorld(workers=4, run_ms=lambda name: LONG_MS if name < "b" else 1600)
-    for owner in world.owners.values():
-        owner._scheduler._gate = WideStepGate(8, 1)
+    world = PoolWorld(
+        workers=4, wide_step_tasks=8, run_ms=lambda name: LONG_MS if name < "b" else 1600
+    )
     world.elect()
     world.run(3)
     world.submit("active", attrs.evolve(SMALL_FILLS, count=20, memory_mb=10, estimate_ms=LONG_MS))
