--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -288,6 +288,9 @@
 
     def __init__(self) -> None:
         self._filters: dict[str, _JointFilter] = {}
+        # By latency-critical and best-effort image, until the next observation of the former:
+        # a placement round asks for each pair hundreds of times.
+        self._conservative: dict[str, dict[str, float]] = {}
 
     def observe(self, changes: Iterable[HeadroomChange]) -> None:
         """Update the estimates from the changes on one worker between two listings."""
@@ -312,10 +315,16 @@
 
     def conservative(self, pair: Pair) -> float:
         """Return an estimate that allows for fluctuations and uncertainty."""
-        mean, deviation, is_strong = _classified(*self._estimate(pair))
-        if not is_strong:
-            return min(mean, MAX_NEGLIGIBLE_MEAN)
-        return JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
+        best_effort, latency_critical = pair
+        cached = self._conservative.setdefault(latency_critical, {})
+        if best_effort not in cached:
+            mean, deviation, is_strong = _classified(*self._estimate(pair))
+            cached[best_effort] = (
+                JOINT_PEAK_FACTOR * mean + JOINT_UNCERTAINTY_DEVIATIONS * deviation
+                if is_strong
+                else min(mean, MAX_NEGLIGIBLE_MEAN)
+            )
+        return cached[best_effort]
 
     def is_known(self, pair: Pair) -> bool:
         """Return whether the estimate of a pair is certain enough for other processes."""
@@ -337,6 +346,8 @@
         self._filter(pair[1], now).set(pair[0], mean, min(PRIOR_DEVIATION, deviation) ** 2)
 
     def _filter(self, latency_critical: str, now: timedelta) -> _JointFilter:
+        """Return the filter of an image that is about to change."""
+        self._conservative.pop(latency_critical, None)
         return self._filters.setdefault(latency_critical, _JointFilter(now))
 
     def _estimate(self, pair: Pair) -> tuple[float, float]:
