--- a/packages/core/src/mulberryslip/dispatches.py
+++ b/packages/core/src/mulberryslip/dispatches.py
@@ -279,6 +279,8 @@
     :param model: model of the interference between images.
     :param packs_services: whether long-running tasks are placed by `service_packing`, which keeps
         more of the fleet harmless to best-effort work. It may change between two rounds.
+    :param reserves_for_large_tasks: whether large tasks that have waited for long get capacity
+        reserved while the decisions for wide steps apply, see `backfills`.
     """
 
     def __init__(
@@ -286,7 +288,9 @@
         run_time: Callable[[StepTask], timedelta],
         model: InterferenceModel,
         packs_services: bool = False,
+        reserves_for_large_tasks: bool = False,
     ):
+        self.reserves_for_large_tasks = reserves_for_large_tasks
         self._run_time = run_time
         self.model = model
         self.is_wide = False
@@ -298,6 +302,11 @@
         self._throughputs: dict[str, float] = {}
         self._marginal_throughputs: dict[str, dict[tuple[str, int], float]] = {}
 
+    @property
+    def awaits_large_tasks(self) -> bool:
+        """Return whether large tasks get capacity reserved now."""
+        return self.is_wide and self.reserves_for_large_tasks
+
     def set_wide(self, is_wide: bool, now: timedelta) -> None:
         """Switch the decisions for wide best-effort steps on or off, see `WideStepGate`.
 
--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -48,6 +48,10 @@
     return Key((int, float), f"a number from {low} to {high}", lambda v: low <= v <= high, default)
 
 
+def _boolean(default: Any = REQUIRED) -> Key:
+    return Key(bool, "true or false", lambda v: True, default)
+
+
 def _name(default: Any = REQUIRED) -> Key:
     return Key(
         str,
@@ -197,6 +201,7 @@
     "count": _integer(0, MAX_POOLS, 0),
     "lease_ms": _integer(500, 600_000, 6000),
     "wide_step_tasks": _integer(0, MAX_STEP_TASKS, 0),
+    "reserve_for_large_tasks": _boolean(False),
 }
 
 
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -467,7 +467,11 @@
         directory,
         parts.source,
         lambda: Session(parts.store, times.store_lease, clock),
-        Dispatcher(estimated_run_time, InterferenceModel()),
+        Dispatcher(
+            estimated_run_time,
+            InterferenceModel(),
+            reserves_for_large_tasks=cfg.pool["reserve_for_large_tasks"],
+        ),
         identity,
         parts.metrics,
         clock,
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -917,7 +917,7 @@
         short = [task for task in others if not task.spec.lasting]
         if urgent:
             candidates = self._candidates(term, config) if candidates is None else candidates
-            if self._dispatcher.is_wide:
+            if self._dispatcher.awaits_large_tasks:
                 self._reserve_capacity(term, short, candidates, reservations)
             decisions += self._dispatcher.schedule(urgent, candidates, now_ms, passed_over)
         if left_to_short_tasks:
@@ -938,7 +938,7 @@
             return decisions
         if self._best_effort_timer.is_due(self._clock.monotonic()):
             candidates = self._candidates(term, config) if candidates is None else candidates
-            if self._dispatcher.is_wide and not urgent:
+            if self._dispatcher.awaits_large_tasks and not urgent:
                 self._reserve_capacity(term, short, candidates, reservations)
             decisions += self._dispatcher.schedule(
                 best_effort, candidates, now_ms, None, self._held_millis(term)
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -537,7 +537,7 @@
             directory,
             source,
             make_session,
-            Dispatcher(estimated_run_time, InterferenceModel()),
+            Dispatcher(estimated_run_time, InterferenceModel(), reserves_for_large_tasks=True),
             OwnerIdentity(worker.id, incarnation, address.host, address.port),
             Metrics(),
             self.clock,
