--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -62,6 +62,7 @@
     :param has_commands: set while commands wait for the agent.
     :param sent_latest_starts: latest start of best-effort runs that the agent was told last, by
         task, in milliseconds since 1970.
+    :param resent_at: when it was told all of them last.
     :param unassigned: tasks of listed runs that are not active; None for an unknown task.
     :param unassigned_version: what `unassigned` was computed from.
     :param allocation: capacity of the worker without the assigned runs; None before it is computed.
@@ -97,6 +98,7 @@
     stop_reasons: dict[tuple[str, int], str] = attrs.field(factory=dict)
     has_commands: threading.Event = attrs.field(factory=threading.Event)
     sent_latest_starts: dict[str, int] = attrs.field(factory=dict)
+    resent_at: timedelta = timedelta()
     unassigned: tuple[StepTask | None, ...] = ()
     unassigned_version: tuple = ()
     allocation: WorkerCapacity | None = None
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -110,6 +110,10 @@
 MIN_LATEST_START_CHANGE_MS = 400
 """Smallest change of a run's latest start that its agent is told: the time between two listings."""
 
+RESEND_INTERVAL = timedelta(seconds=2)
+"""Time after which an agent is told all latest starts again; it lists its runs five times as
+often."""
+
 MOVE_INTERVAL = timedelta(milliseconds=500)
 
 SURVIVAL_INTERVAL = timedelta(milliseconds=100)
@@ -1441,24 +1445,27 @@
     def changed_profiles(self, term: PoolTerm, member: Member) -> list[wire.RunProfile]:
         """Return the profiles of listed best-effort runs whose place in the order has changed.
 
-        A reply that is lost is made up for by the next change; until then the order is stale, which
-        delays runs but breaks no limit.
+        All are sent again after `RESEND_INTERVAL`, as a reply may be lost. Until then the order is
+        stale, which delays runs but breaks no limit.
         """
         if not self._dispatcher.is_wide:
             return []
-        now_ms = self._now_ms()
+        now, now_ms = self._clock.monotonic(), self._now_ms()
+        sent = member.sent_latest_starts
+        if now - member.resent_at >= RESEND_INTERVAL:
+            sent, member.resent_at = {}, now
         changed = []
-        sent: dict[str, int] = {}
+        member.sent_latest_starts = {}
         for name, status in member.running.items():
             task = term.pool.task(name)
             if task is None or not task.spec.fills or not task.has_active_run(status.run):
                 continue
             start_ms = self._dispatcher.latest_start_ms(task, now_ms)
-            sent[name] = member.sent_latest_starts.get(name, 0)
-            if abs(start_ms - sent[name]) >= MIN_LATEST_START_CHANGE_MS:
-                sent[name] = start_ms
+            sent_ms = sent.get(name)
+            if sent_ms is None or abs(start_ms - sent_ms) >= MIN_LATEST_START_CHANGE_MS:
+                sent_ms = start_ms
                 changed.append(self.profile(task))
-        member.sent_latest_starts = sent
+            member.sent_latest_starts[name] = sent_ms
         return changed
 
     def profile(self, task: StepTask) -> wire.RunProfile:
