Test replies to reports between the builds with each of the last two fields

The test took the reply without its last field for the build without newest_incarnation; stable_duty_cycles is the last one now. Two more cases.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -172,25 +172,33 @@
 
 
 class EarlierReply(wire.WorkerReportReply):
-    """Reply to a report as the build before knows it."""
+    """Reply to a report as the build before knows it, without `stable_duty_cycles`."""
 
     thrift_spec = wire.WorkerReportReply.thrift_spec[:-1]
 
 
+class FirstReply(wire.WorkerReportReply):
+    """The same without `newest_incarnation`, too."""
+
+    thrift_spec = wire.WorkerReportReply.thrift_spec[:-2]
+
+
 @pytest.mark.parametrize(
     ("sent", "received", "expected"),
     [
-        (wire.WorkerReportReply, wire.WorkerReportReply, "5@w"),
-        (wire.WorkerReportReply, EarlierReply, None),
-        (EarlierReply, wire.WorkerReportReply, None),
+        (wire.WorkerReportReply, wire.WorkerReportReply, ("5@w", True)),
+        (wire.WorkerReportReply, EarlierReply, ("5@w", None)),
+        (EarlierReply, wire.WorkerReportReply, ("5@w", None)),
+        (wire.WorkerReportReply, FirstReply, (None, None)),
+        (FirstReply, wire.WorkerReportReply, (None, None)),
     ],
 )
 def test_builds_read_the_replies_of_each_other(sent, received, expected):
     """Guards against agents that cannot report while builds are mixed."""
-    reply = sent(wire.Outcome.OK, 1, 2, 3, 4, [], [], False, "5@w")
+    reply = sent(wire.Outcome.OK, 1, 2, 3, 4, [], [], False, "5@w", True)
     decoded = deserialize(received(), serialize(reply, FACTORY), FACTORY)
     assert (decoded.epoch, decoded.fence, decoded.take_over) == (1, 3, False)
-    assert decoded.newest_incarnation == expected
+    assert (decoded.newest_incarnation, decoded.stable_duty_cycles) == expected
 
 
 @pytest.mark.parametrize("is_listing", [False, True])
