--- a/packages/core/src/mulberryslip/pair_estimates.py
+++ b/packages/core/src/mulberryslip/pair_estimates.py
@@ -37,8 +37,7 @@
 
 JOINT_TAIL_NOISE = 0.06
 JOINT_DRIFT_PER_S = 0.2
-"""The same for joint estimates. The residuals of a fit of 27,000 pairs of listings, in which the
-effects of several images are told apart, are half of those above."""
+"""The same for joint estimates, in which the effects of other images do not count as noise."""
 
 JOINT_PEAK_FACTOR = 1.3
 JOINT_UNCERTAINTY_DEVIATIONS = 1.0
@@ -52,8 +51,8 @@
 STRONG_MEAN = 9.0
 STRONG_DEVIATION = 4.0
 STRONG_SHARE = 0.25
-"""Distributions of the interference of both groups of pairs in the same fit, from 0.3 to 1.5 and
-from 5 to 16, and share of the second one."""
+"""Distributions of the interference of the two groups of pairs, from 0.3 to 1.5 and from 5 to 16,
+and share of the second group."""
 
 MAX_NEGLIGIBLE_MEAN = 0.95
 """Bound of the estimate of a pair of the first group, below `headrooms.NEGLIGIBLE_INTERFERENCE`, so
