--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -561,6 +561,8 @@
                 f'[timing]\nstop_grace_ms = 3000\n\n[gateway]\ncallers = "{LOOPBACK}:{front}"\n'
                 f'health = "{LOOPBACK}:{ready}"\nmetrics = "{LOOPBACK}:{metrics}"\n',
             )
+        # Without a handler, the processes would outlive a case that is ended.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         timer = threading.Timer(GUARD_S, self._give_up)
         timer.daemon = True
         timer.start()
