Use an announced worker only once it has replied under its id

The worker got no further runs until it restarted.

Cause: the agent used each announcement whose incarnation sorts after the known one without asking the worker. Its next report, which lists no runs, named the foreign worker on the same VM, and the owner ended the runs of the true one: "a newer worker runs on its machine". The agent refused later announcements of the true worker as older.

Change: an announcement under another id is kept aside, at most four of them, and used once a worker has replied under that id; the agent asks only while the worker that it knows does not reply, and the call extends no lease. Same cause on a related path: a worker under a new id was never used after its VM's clock had been set back; it gets a name that sorts last.

The test doubles of the worker now refuse a lease call for another id, as the platform's worker does.

--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -26,6 +26,10 @@
     """The worker has seen a higher fencing token and ignored the call."""
 
 
+class RunnerReplacedError(RunnerError):
+    """Another worker than the one called has replied, and has done nothing."""
+
+
 class RunnerExitedError(RunnerUnavailableError):
     """The worker refuses connections, so its process has ended and runs nothing."""
 
@@ -184,7 +188,8 @@
     """The worker that an agent controls on the same VM.
 
     Every method raises `RunnerUnavailableError` when the worker does not reply, and `RunnerError`
-    for a reply that the protocol does not allow.
+    for a reply that the protocol does not allow. `extend_lease` raises `RunnerReplacedError` when
+    a worker with another id replies, and `RunnerFencedError` when the token is outdated.
     """
 
     def start(self, worker_id: str, command: StartCommand, fence: int) -> StartRefusal | None:
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -23,6 +23,7 @@
     RunnerError,
     RunnerExitedError,
     RunnerFencedError,
+    RunnerReplacedError,
     RunProfile,
     StartCommand,
     StartRefusal,
@@ -61,6 +62,10 @@
 MAX_LOGGED_TASKS = 64
 """Maximum number of running tasks that such a log line names."""
 
+MAX_SUCCESSORS = 4
+"""Maximum number of announced workers that an agent keeps until it knows which of them replies. A
+worker repeats its announcement, so one that was dropped is announced again."""
+
 OWNER_WAIT_TIMEOUT = timedelta(milliseconds=500)
 RETRY_PAUSE = timedelta(milliseconds=100)
 COMMAND_THREADS = 4
@@ -176,6 +181,8 @@
         # Incarnations in announcements, grants, reports and commands have the names of this table.
         self._names = IncarnationNames()
         self._announcement: WorkerAnnouncement | None = None
+        # Announcements of other workers by id, the newest last. Each may come from another writer.
+        self._successors: dict[str, WorkerAnnouncement] = {}
         self._announced = threading.Event()
         self._grant = Grant()
         self._is_incarnation_confirmed = False
@@ -201,33 +208,55 @@
     # Calls from the worker
 
     def announce(self, announcement: WorkerAnnouncement) -> None:
-        """Store a worker's announcement, unless it is older than the known one."""
+        """Store a worker's announcement, unless it is older than the known one.
+
+        Anyone may send an announcement, so one under another id does not replace the known worker
+        before a worker has replied under that id.
+        """
         with self._lock:
             announcement = attrs.evolve(
                 announcement, incarnation=self._names.name_of(announcement.incarnation)
             )
             known = self._announcement
+            if known is not None and known.worker_id != announcement.worker_id:
+                self._add_successor(announcement)
+                return
             if known is not None and _is_older(announcement, known):
                 return
-            self._announcement = announcement
-            is_new = known is None or known.incarnation != announcement.incarnation
-            is_leaving = announcement.leaving and (is_new or not known.leaving)
-            if is_new:
-                self._owner_capacity = None
-        self._announced.set()
+            self._use_announcement(announcement)
+
+    def _add_successor(self, announcement: WorkerAnnouncement) -> None:
+        """Keep the announcement of another worker, unless it is older than the known one."""
+        earlier = self._successors.get(announcement.worker_id)
+        if earlier is not None and _is_older(announcement, earlier):
+            return
+        self._successors.pop(announcement.worker_id, None)
+        while len(self._successors) >= MAX_SUCCESSORS:
+            del self._successors[next(iter(self._successors))]
+        self._successors[announcement.worker_id] = announcement
+
+    def _use_announcement(self, announcement: WorkerAnnouncement) -> None:
+        """Replace the known announcement; the caller holds the lock."""
+        known = self._announcement
+        self._announcement = announcement
+        is_new = known is None or known.incarnation != announcement.incarnation
         if is_new:
+            self._owner_capacity = None
             log(
                 Event.WORKER_ANNOUNCED,
                 worker=announcement.worker_id,
                 incarnation=announcement.incarnation,
+                earlier="" if known is None else known.incarnation,
             )
-        if is_leaving:
+        if announcement.leaving and (is_new or not known.leaving):
             # Starts are refused from now on; the next report tells the owner.
             log(Event.WORKER_LEAVING, worker=announcement.worker_id)
+        self._announced.set()
 
     def mark_leaving(self, worker_id: str) -> None:
         """Mark the worker as leaving, since it said that it is exiting."""
         with self._lock:
+            self._successors.pop(worker_id, None)
             known = self._announcement
             if known is None or known.worker_id != worker_id or known.leaving:
                 return
@@ -270,6 +299,8 @@
         :returns: whether to continue at once; False when the worker or the owner could not be
             reached.
         """
+        if not self._is_incarnation_confirmed:
+            self._find_successor()
         worker = self._announcement
         grant = self._grant
         if grant.incarnation != worker.incarnation:
@@ -331,6 +362,51 @@
             owner, worker, listing
         )
 
+    def _find_successor(self) -> None:
+        """Use the announcement of another worker if a worker replies under its id.
+
+        The call has no effect: its fencing token is the lowest, and it extends no lease.
+        """
+        with self._lock:
+            successors = list(self._successors.values())
+        for successor in reversed(successors):
+            reported = successor.incarnation
+            try:
+                listing = self._runner.extend_lease(successor.worker_id, 0, 0, 0, timedelta())
+                reported = listing.incarnation
+            except RunnerFencedError:
+                # It has replied under that id, and another agent has called it before.
+                pass
+            except RunnerReplacedError as exc:
+                self._drop_successor(successor, str(exc))
+                continue
+            except RunnerError:
+                # No worker replies now, under whichever id.
+                return
+            with self._lock:
+                reported = self._names.name_of(reported)
+                if reported != successor.incarnation:
+                    reason = f"the worker that replies is {reported}"
+                else:
+                    # Its name must sort last, also if the VM's clock was set back.
+                    name = self._names.confirm(reported, self._announcement.incarnation)
+                    self._successors.clear()
+                    self._use_announcement(attrs.evolve(successor, incarnation=name))
+                    return
+            self._drop_successor(successor, reason)
+
+    def _drop_successor(self, successor: WorkerAnnouncement, reason: str) -> None:
+        log(
+            Event.ANNOUNCEMENT_REFUSED,
+            worker=successor.worker_id,
+            incarnation=successor.incarnation,
+            service=successor.service,
+            reason=reason,
+        )
+        with self._lock:
+            if self._successors.get(successor.worker_id) is successor:
+                del self._successors[successor.worker_id]
+
     def _confirmed_incarnation(self, listing: RunListing, newest: str) -> str:
         """Return the name of the incarnation that has listed its runs.
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -5,7 +5,7 @@
 
 import threading
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -386,13 +386,13 @@
     def lost_runs(self, term: PoolTerm) -> list[Any]:
         """Return events for runs that have certainly ended because their worker is lost.
 
-        The lease of such a worker has expired, a newer worker runs on its machine, or the list of
-        VMs shows that it has ended.
+        The lease of such a worker has expired, a newer worker has listed its runs on its machine,
+        or the list of VMs shows that it has ended.
         """
         now = self._clock.monotonic()
         if not self._lost_runs_timer.is_due(now):
             return []
-        newest = _newest_incarnations(term.members.values())
+        newest = _newest_members(term.members.values())
         events: list[Any] = []
         silences: list[Silence] = []
         for worker_id in term.pool.workers_with_runs():
@@ -411,13 +411,7 @@
             elif term.absences.has_ended(silence):
                 reason = "its VM does not run the worker any more"
             else:
-                # A later incarnation under the same id reports the runs that it has started itself.
-                known_incarnation = "" if member is None else member.incarnation
-                worker_tasks = [
-                    task
-                    for task in worker_tasks
-                    if newest.get(task.machine, "") > max(task.incarnation, known_incarnation)
-                ]
+                worker_tasks = [task for task in worker_tasks if _is_replaced(task, member, newest)]
                 reason = "a newer worker runs on its machine"
             if not worker_tasks:
                 continue
@@ -1199,7 +1193,7 @@
     ) -> Iterator[tuple[Member, Requirement | Preference | None]]:
         """Yield each worker with the reason why it does not get runs; None if it may."""
         now = self._clock.monotonic()
-        newest = _newest_incarnations(term.members.values())
+        newest = _newest_members(term.members.values())
         trial_workers = {task.worker_id for task in term.pool.trials()}
         for member in term.members.values():
             if not member.clock_ms:
@@ -1208,7 +1202,7 @@
                 reason = Requirement.LEAVING
             elif member.is_absent:
                 reason = Requirement.PROCESS_ENDED
-            elif newest.get(member.machine, "") > member.incarnation:
+            elif _is_newer(newest.get(member.machine), member):
                 reason = Requirement.REPLACED
             elif member.data_centre in config.data_centres_out:
                 reason = Requirement.DATA_CENTRE_OUT
@@ -1578,10 +1572,40 @@
     return status.progress_percent < limit
 
 
-def _newest_incarnations(members: Iterable[Member]) -> dict[str, str]:
-    """Return the newest worker incarnation by VM; a VM runs one worker at a time."""
-    newest: dict[str, str] = {}
+def _newest_members(members: Iterable[Member]) -> dict[str, Member]:
+    """Return the newest worker by VM; a VM runs one worker at a time.
+
+    A worker counts once it has listed its runs. Until then only its announcement says that it is
+    there, and that may come from another writer.
+    """
+    newest: dict[str, Member] = {}
     for member in members:
-        if member.machine:
-            newest[member.machine] = max(newest.get(member.machine, ""), member.incarnation)
+        if member.machine and member.listed_at is not None:
+            known = newest.get(member.machine)
+            if known is None or member.incarnation > known.incarnation:
+                newest[member.machine] = member
     return newest
+
+
+def _is_newer(newest: Member | None, member: Member) -> bool:
+    """Return whether a worker runs on the VM of an earlier one.
+
+    It has listed its runs since the earlier one did: if the VM's clock was set back, the name of
+    the earlier one sorts last.
+    """
+    if newest is None or newest.incarnation <= member.incarnation:
+        return False
+    return member.listed_at is None or newest.listed_at > member.listed_at
+
+
+def _is_replaced(task: StepTask, member: Member | None, newest: Mapping[str, Member]) -> bool:
+    """Return whether a newer worker runs on the VM of a task's run.
+
+    A later incarnation under the same id reports the runs that it has started itself.
+
+    :param member: the worker of the run; None if it has not reported.
+    """
+    found = newest.get(task.machine)
+    if found is None or found.incarnation <= task.incarnation:
+        return False
+    return member is None or _is_newer(found, member)
--- a/tests/platform_doubles.py
+++ b/tests/platform_doubles.py
@@ -187,7 +187,7 @@
         if body["Fence"] < self.worker.fence:
             return 409, {"Reason": "fence"}
         listing = self.worker.extend_lease(
-            "", body["Fence"], body.get("DeadlineMs", 0), body["LastSeen"], 0 * MS
+            self.worker.id, body["Fence"], body.get("DeadlineMs", 0), body["LastSeen"], 0 * MS
         )
         running = [[r.task.replace("/", "."), r.run, "", 50, 7] for r in listing.running]
         ended = [
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -27,6 +27,7 @@
     RunListing,
     RunnerExitedError,
     RunnerFencedError,
+    RunnerReplacedError,
     RunnerUnavailableError,
     RunningRun,
     StartRefusal,
@@ -300,6 +301,8 @@
 
     def extend_lease(self, worker_id, fence, lease_until_ms, ended_through, wait):
         self._require_reachable()
+        if worker_id != self.id:
+            raise RunnerReplacedError(f"{worker_id} does not run here")
         self.end_due_runs()
         if fence < self.fence:
             raise RunnerFencedError("fenced")
