Log what a run that counts as over was judged by

The log named a reason, but not what the owner compared.

Event 432 of a run whose end the worker has not listed now has the epoch, the incarnation, VM and latest start of the run, and the incarnation, fencing token, clock and age of the worker's last listing. 431 has the token, 434 of a start without an answer the token, the latest start and the worker's clock at the last listing.

tests/test_unanswered_starts.py checks that the three lines of one start can be compared; it fails before (KeyError: 'fence').

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -749,6 +749,9 @@
                 run=command.run,
                 reason=str(exc),
                 certain=False,
+                fence=fence,
+                start_by_ms=command.start_by_ms,
+                listed_ms=self._listed[0],
             )
             return
         if refusal is None:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -481,9 +481,29 @@
             worker=task.worker_id,
             outcome=outcome.value,
             reason=reason,
+            **(self._evidence(term, task) if reason else {}),
         )
         return RunEnded(task.name, task.run, outcome.value, now_ms, checkpoint)
 
+    def _evidence(self, term: PoolTerm, task: StepTask) -> dict[str, Any]:
+        """Return the log fields that show why a run counts as over although no end was listed."""
+        evidence = {
+            "epoch": term.epoch,
+            "incarnation": task.incarnation,
+            "machine": task.machine,
+            "start_by_ms": task.start_by_ms,
+        }
+        member = term.members.get(task.worker_id)
+        if member is not None:
+            age = self._clock.monotonic() - member.received_at
+            evidence |= {
+                "fence": member.fence(term.epoch),
+                "reported": member.incarnation,
+                "report_age_ms": age // timedelta(milliseconds=1),
+                "listed_ms": member.clock_ms,
+            }
+        return evidence
+
     def _suitable_workers(self, term: PoolTerm, task: StepTask, now: timedelta) -> list[str]:
         """Return the ids of the workers that report, do not leave and may run a task at all."""
         config = self._source.config()
@@ -1388,6 +1408,7 @@
                 task=task.name,
                 run=task.run,
                 worker=task.worker_id,
+                fence=member.fence(term.epoch),
                 report_age_ms=(now - member.received_at) // timedelta(milliseconds=1),
                 start_by_ms=task.start_by_ms,
                 resumed=bool(task.checkpoint),
