Judge unanswered starts by a listing requested after their deadline

Cause: a listing whose clock shows a time after the deadline of a start was taken for one that was made after it. The protocol says only that a response has the worker's clock. A worker that carries out a start in time between making the lists of a response and reading its clock (many threads, a busy machine) lists it in the next response only, and the owner had ended the run as never started and placed it again.

Change: the owner judges by the clock of the listing before the reported one, which the agent had got when it requested this one. Reports that are reconciled late keep their own time. The agent keeps an unanswered start, and its profile, by the same rule, and requests and reports a further listing at once when such a start is overdue.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -203,6 +203,9 @@
         self._owner_capacity: Resources | None = None
         # The worker's clock when it last listed its runs, and when that listing arrived.
         self._listed = (0, clock.monotonic())
+        self._listed_incarnation = ""
+        # Whether an unanswered start is past its deadline, but the last listing may be older.
+        self._is_start_overdue = False
         self._logged_listing: _LoggedListing | None = None
 
     # Calls from the worker
@@ -312,10 +315,11 @@
         is_confirmed = self._is_incarnation_confirmed
         with self._lock:
             newest = self._names.newest(worker.worker_id, worker.incarnation)
+            requested_ms = self._listed_ms_of(worker)
             started_profiles = {
                 task: profile
                 for task, profile in self._profiles.items()
-                if task not in self._starting_tasks and task not in self._unanswered_starts
+                if task not in self._starting_tasks and not self._may_start(task, requested_ms)
             }
         try:
             listing = self._runner.extend_lease(
@@ -349,18 +353,19 @@
             self._grant = Grant(epoch=grant.epoch)
             return False
         self._listed = (listing.clock_ms, self._clock.monotonic())
+        self._listed_incarnation = worker.incarnation
         worker = self._newest_announcement(worker)
         self._log_listing(worker, listing)
-        self._drop_profiles(worker, listing, started_profiles)
+        was_start_overdue = self._is_start_overdue
+        self._drop_profiles(worker, listing, requested_ms, started_profiles)
         self._adjust_duty_cycles(worker, listing)
         if self._is_outdated(worker):
             # Without capacity, the worker keeps its runs and gets no new ones.
             worker = attrs.evolve(worker, capacity=Resources())
         if owner is None:
             return False
-        return not self._is_report_due(owner, worker, listing) or self._report(
-            owner, worker, listing
-        )
+        is_due = was_start_overdue or self._is_report_due(owner, worker, listing)
+        return not is_due or self._report(owner, worker, listing)
 
     def _find_successor(self) -> None:
         """Use the announcement of another worker if a worker replies under its id.
@@ -450,6 +455,23 @@
             total=len(tasks),
         )
 
+    def _listed_ms_of(self, worker: WorkerAnnouncement) -> int:
+        """Return the worker's clock in the last listing of this incarnation; 0 before the first."""
+        return self._listed[0] if self._listed_incarnation == worker.incarnation else 0
+
+    def _may_start(self, task: str, requested_ms: int) -> bool:
+        """Return whether an unanswered start of a task may take place after a listing.
+
+        The worker may have read its clock after it made the lists, so a start in time can be
+        missing in a listing of a later time. It is listed if the listing was requested after its
+        deadline.
+
+        :param requested_ms: a value that the worker's clock had reached when the listing was
+            requested.
+        """
+        start = self._unanswered_starts.get(task)
+        return start is not None and requested_ms <= start.start_by_ms
+
     def _is_outdated(self, worker: WorkerAnnouncement) -> bool:
         """Return whether an announcement of the listed incarnation is too old for starts.
 
@@ -466,6 +488,8 @@
         """Return whether a listing says something new or the last report is old enough."""
         if listing.ended or self._pending_refusals or self._reported_at is None:
             return True
+        if self._is_start_overdue:
+            return True
         if owner.epoch != self._grant.epoch or worker.leaving != self._reported_leaving:
             return True
         if worker.capacity != self._owner_capacity or self._unprofiled(listing):
@@ -486,6 +510,9 @@
         return self._clock.monotonic() - self._reported_at >= REPORT_INTERVAL
 
     def _listing_interval(self) -> timedelta:
+        if self._is_start_overdue:
+            # The owner relies on a listing requested after the deadline, and the task waits for it.
+            return timedelta()
         return COLOCATED_REPORT_INTERVAL if self._is_colocated() else REPORT_INTERVAL
 
     def _is_colocated(self) -> bool:
@@ -497,11 +524,14 @@
         self,
         worker: WorkerAnnouncement,
         listing: RunListing,
+        requested_ms: int,
         started_profiles: Mapping[str, RunProfile],
     ) -> None:
-        """Drop the profiles of runs that have ended.
+        """Drop the profiles of runs that have ended, and the unanswered starts that are settled.
 
-        :param started_profiles: profiles whose starts were answered before the listing was
+        :param requested_ms: a value that the worker's clock had reached when the listing was
+            requested.
+        :param started_profiles: profiles whose starts were answered or settled when the listing was
             requested. An older listing may lack a run that has started since.
         """
         listed = {row.task for row in listing.running}
@@ -513,8 +543,12 @@
             self._unanswered_starts = {
                 task: start
                 for task, start in self._unanswered_starts.items()
-                if start.incarnation == worker.incarnation and listing.clock_ms <= start.start_by_ms
+                if start.incarnation == worker.incarnation and self._may_start(task, requested_ms)
             }
+            self._is_start_overdue = any(
+                task not in listed and listing.clock_ms > start.start_by_ms
+                for task, start in self._unanswered_starts.items()
+            )
 
     def _adjust_duty_cycles(self, worker: WorkerAnnouncement, listing: RunListing) -> None:
         with self._lock:
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -41,6 +41,8 @@
     :param incarnation: current incarnation; later ones sort after earlier ones as text, as named by
         the agent (`incarnations`).
     :param clock_ms: the worker's clock when it last listed its runs.
+    :param requested_ms: a value that its clock had reached when that listing was requested: that of
+        the listing before, or 0.
     :param received_at: when that listing arrived, on the owner's clock; before the first listing,
         until when the previous owner may have extended the worker's lease.
     :param listed_at: when the current incarnation last listed its runs; None before the first time.
@@ -80,6 +82,7 @@
     remaining: timedelta = timedelta()
     agent: str = ""
     clock_ms: int = 0
+    requested_ms: int = 0
     received_at: timedelta = timedelta()
     listed_at: timedelta | None = None
     previous_listed_at: timedelta | None = None
@@ -137,7 +140,9 @@
             self.running = {}
             self._withdraw_starts(PROCESS_ENDED)
             return True
-        self.clock_ms = report.clock_ms
+        if report.clock_ms > self.clock_ms:
+            # An agent requests a listing after it has got the one before.
+            self.requested_ms, self.clock_ms = self.clock_ms, report.clock_ms
         self.listed_at = now
         self.running = {row.task: running_of(row) for row in report.running}
         self.first_listed_at = {
@@ -177,7 +182,7 @@
         self.incarnation = incarnation
         self.incarnations += 1
         self.leaving = False
-        self.clock_ms = 0
+        self.clock_ms = self.requested_ms = 0
         self.reconciled_through = self.ended_through = 0
         self.running = {}
         self.first_listed_at, self.first_listed_ms = {}, {}
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -180,8 +180,10 @@
                 term.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, received_at)
+            # A later report may be observed before this one is reconciled.
+            requested_ms = member.requested_ms
             queued = QueuedCall(
-                lambda: self._scheduler.reconcile(term, member, req) if is_new else []
+                lambda: self._scheduler.reconcile(term, member, req, requested_ms) if is_new else []
             )
             term.inbox.append(queued)
             gets_no_lease = term.silences.lists(member.worker_id)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -274,8 +274,14 @@
 
     # Runs that have ended
 
-    def reconcile(self, term: PoolTerm, member: Member, report: wire.WorkerReport) -> list[Any]:
-        """Return events for the runs that have ended according to a report."""
+    def reconcile(
+        self, term: PoolTerm, member: Member, report: wire.WorkerReport, requested_ms: int
+    ) -> list[Any]:
+        """Return events for the runs that have ended according to a report.
+
+        :param requested_ms: a value that the worker's clock had reached when the reported listing
+            was requested. The worker may have read its clock after it made the lists.
+        """
         if report.worker.incarnation != member.incarnation:
             return []
         now_ms = self._now_ms()
@@ -333,7 +339,7 @@
             elif task.incarnation != member.incarnation or report.unreachable:
                 reason = "the worker's process has ended or restarted"
                 events += self._end_crashed_run(term, task, now_ms, reason, member.received_at)
-            elif report.clock_ms > task.start_by_ms:
+            elif requested_ms > task.start_by_ms:
                 reason = "the worker did not start the run by its deadline"
                 term.pool.record_lost_start(task)
                 events.append(
@@ -501,6 +507,7 @@
                 "reported": member.incarnation,
                 "report_age_ms": age // timedelta(milliseconds=1),
                 "listed_ms": member.clock_ms,
+                "requested_ms": member.requested_ms,
             }
         return evidence
 
--- a/tests/platform_doubles.py
+++ b/tests/platform_doubles.py
@@ -41,6 +41,10 @@
     def respond(self, method, path, query, body):
         raise NotImplementedError
 
+    def is_addressed(self, headers):
+        """Return whether a request is meant for this server."""
+        return True
+
     def _handler(self):
         double = self
 
@@ -52,7 +56,9 @@
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else {}
                 query = dict(parse_qsl(parts.query))
-                status, document = double.respond(self.command, parts.path, query, body)
+                status, document = 421, {}
+                if double.is_addressed(self.headers):
+                    status, document = double.respond(self.command, parts.path, query, body)
                 data = json.dumps(document).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
@@ -159,6 +165,9 @@
         self.lock = threading.Lock()
         super().__init__()
 
+    def is_addressed(self, headers):
+        return headers.get("X-Expect-Instance", self.worker.id) == self.worker.id
+
     def respond(self, method, path, query, body):
         with self.lock:
             status, document = getattr(self, path.removeprefix("/-/").replace("-", "_"))(body)
