Use the newest announcement of a worker that was asked for its id

Found when the change was read again: while an agent asks whether a worker replies under an announced id, that worker may announce that it leaves, or leave. The agent answered that announcement and then used the earlier one, so a start could follow the acknowledgement (DRAIN).

Change: after the reply the agent uses what is announced by then, and nothing if the worker has left meanwhile. Both cases of test_worker_that_leaves_while_it_is_asked_gets_no_start failed before. The tests of agents, incarnations, announcements and starts pass.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -388,17 +388,18 @@
             except RunnerError:
                 # No worker replies now, under whichever id.
                 return
+            if reported != successor.incarnation:
+                self._drop_successor(successor, f"the worker that replies is {reported}")
+                continue
             with self._lock:
-                reported = self._names.name_of(reported)
-                if reported != successor.incarnation:
-                    reason = f"the worker that replies is {reported}"
-                else:
+                # It may have announced meanwhile that it leaves, or have left.
+                newest = self._successors.get(successor.worker_id)
+                if newest is not None and newest.incarnation == reported:
                     # Its name must sort last, also if the VM's clock was set back.
                     name = self._names.confirm(reported, self._announcement.incarnation)
                     self._successors.clear()
-                    self._use_announcement(attrs.evolve(successor, incarnation=name))
-                    return
-            self._drop_successor(successor, reason)
+                    self._use_announcement(attrs.evolve(newest, incarnation=name))
+            return
 
     def _drop_successor(self, successor: WorkerAnnouncement, reason: str) -> None:
         log(
--- a/tests/test_foreign_announcements.py
+++ b/tests/test_foreign_announcements.py
@@ -174,3 +174,30 @@
     worker.is_down = False
     agent.renew_and_report(directory.owner())
     assert agent._announcement.worker_id == "w0-2"
+
+
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_worker_that_leaves_while_it_is_asked_gets_no_start(world, is_gone):
+    """Guards against a start after the agent acknowledged that the worker is leaving."""
+    worker = world.workers[0]
+    agent, directory = world.agents["w0"]
+    worker.is_down = True
+    agent.renew_and_report(directory.owner())
+    worker.restart()
+    worker.id = "w0-2"
+    worker.is_down = False
+    agent.announce(worker.announcement())
+    extend_lease = worker.extend_lease
+
+    def leave_during_call(*args):
+        worker.extend_lease = extend_lease
+        if is_gone:
+            agent.mark_leaving(worker.id)
+        else:
+            worker.leaving = True
+            agent.announce(worker.announcement())
+        return extend_lease(*args)
+
+    worker.extend_lease = leave_during_call
+    agent.renew_and_report(directory.owner())
+    assert agent._announcement.leaving or agent._announcement.worker_id == "w0"
