Log what a renewal without an answer had, and by what a worker counts as lost

The logs could not distinguish the hypotheses of the incident: no line showed which calls the earlier incarnation of a worker had left behind, when a worker had got the fencing token of its incarnation, or what the owner knew when it gave up a worker.

No decision changes.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -321,12 +321,19 @@
                 for task, profile in self._profiles.items()
                 if task not in self._starting_tasks and not self._may_start(task, requested_ms)
             }
+        lease_until_ms = grant.lease_until_ms if is_confirmed else 0
+        ended_through = grant.ended_through if is_confirmed else 0
+        call = {
+            "fence": grant.fence,
+            "lease_until_ms": lease_until_ms,
+            "ended_through": ended_through,
+        }
         try:
             listing = self._runner.extend_lease(
                 worker.worker_id,
                 grant.fence,
-                grant.lease_until_ms if is_confirmed else 0,
-                grant.ended_through if is_confirmed else 0,
+                lease_until_ms,
+                ended_through,
                 self._listing_interval(),
             )
         except RunnerExitedError as exc:
@@ -340,7 +347,13 @@
             return False
         except RunnerError as exc:
             self._is_incarnation_confirmed = False
-            log(Event.RUNTIME_UNAVAILABLE, call="hold", reason=str(exc))
+            log(
+                Event.RUNTIME_UNAVAILABLE,
+                call="hold",
+                reason=str(exc),
+                incarnation=worker.incarnation,
+                **call,
+            )
             if isinstance(exc, RunnerFencedError):
                 self._grant = Grant(epoch=grant.epoch)
             return False
@@ -350,6 +363,14 @@
         if not self._is_incarnation_confirmed:
             # The worker has restarted and will announce its new incarnation, or that has got
             # another name under which the owner does not know it yet.
+            log(
+                Event.INCARNATION_CHANGED,
+                worker=worker.worker_id,
+                expected=worker.incarnation,
+                reported=listing.incarnation,
+                clock_ms=listing.clock_ms,
+                **call,
+            )
             self._grant = Grant(epoch=grant.epoch)
             return False
         self._listed = (listing.clock_ms, self._clock.monotonic())
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -47,6 +47,9 @@
         until when the previous owner may have extended the worker's lease.
     :param listed_at: when the current incarnation last listed its runs; None before the first time.
     :param previous_listed_at: the same for the incarnation before it.
+    :param fenced_at: when this owner got the first listing that was requested with its own fencing
+        token for the current incarnation; None before. From then on, the worker does nothing for
+        calls that were meant for an earlier incarnation.
     :param running: the worker's active runs by task.
     :param first_listed_at: when each active run was listed first, by task and run.
     :param first_listed_ms: the same on the worker's clock, in milliseconds.
@@ -86,6 +89,7 @@
     received_at: timedelta = timedelta()
     listed_at: timedelta | None = None
     previous_listed_at: timedelta | None = None
+    fenced_at: timedelta | None = None
     running: dict[str, RunningRun] = attrs.field(factory=dict)
     first_listed_at: dict[tuple[str, int], timedelta] = attrs.field(factory=dict)
     first_listed_ms: dict[tuple[str, int], int] = attrs.field(factory=dict)
@@ -107,9 +111,10 @@
     allocation: WorkerCapacity | None = None
     allocation_version: tuple = ()
 
-    def observe(self, report: wire.WorkerReport, now: timedelta) -> bool:
+    def observe(self, report: wire.WorkerReport, now: timedelta, epoch: int) -> bool:
         """Update this worker from a report.
 
+        :param epoch: epoch of the owner.
         :returns: False for a report without a list of runs, or older than the last one.
         """
         worker = report.worker
@@ -144,6 +149,8 @@
             # An agent requests a listing after it has got the one before.
             self.requested_ms, self.clock_ms = self.clock_ms, report.clock_ms
         self.listed_at = now
+        if self.fenced_at is None and report.epoch == epoch:
+            self.fenced_at = now
         self.running = {row.task: running_of(row) for row in report.running}
         self.first_listed_at = {
             (row.task, row.run): self.first_listed_at.get((row.task, row.run), now)
@@ -179,6 +186,7 @@
 
     def _begin_incarnation(self, incarnation: str) -> None:
         self.previous_listed_at, self.listed_at = self.listed_at, None
+        self.fenced_at = None
         self.incarnation = incarnation
         self.incarnations += 1
         self.leaving = False
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -179,7 +179,7 @@
                 member = Member(req.worker.worker_id, received_at=granted_until)
                 term.members[req.worker.worker_id] = member
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
-            is_new = member.observe(req, received_at)
+            is_new = member.observe(req, received_at, term.epoch)
             # A later report may be observed before this one is reconciled.
             requested_ms = member.requested_ms
             queued = QueuedCall(
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -428,7 +428,15 @@
                     continue
                 # Silence has many causes, so it tells nothing about the tasks.
                 events.append(self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason))
-            log(Event.WORKER_LOST, worker=worker_id, reason=reason)
+            log(
+                Event.WORKER_LOST,
+                worker=worker_id,
+                reason=reason,
+                epoch=term.epoch,
+                incarnation=worker_tasks[0].incarnation,
+                machine=worker_tasks[0].machine,
+                **self._listing_evidence(term, worker_id),
+            )
         term.absences.set_silent(silences)
         return events
 
@@ -493,22 +501,29 @@
 
     def _evidence(self, term: PoolTerm, task: StepTask) -> dict[str, Any]:
         """Return the log fields that show why a run counts as over although no end was listed."""
-        evidence = {
+        return {
             "epoch": term.epoch,
             "incarnation": task.incarnation,
             "machine": task.machine,
             "start_by_ms": task.start_by_ms,
+            **self._listing_evidence(term, task.worker_id),
         }
-        member = term.members.get(task.worker_id)
-        if member is not None:
-            age = self._clock.monotonic() - member.received_at
-            evidence |= {
-                "fence": member.fence(term.epoch),
-                "reported": member.incarnation,
-                "report_age_ms": age // timedelta(milliseconds=1),
-                "listed_ms": member.clock_ms,
-                "requested_ms": member.requested_ms,
-            }
+
+    def _listing_evidence(self, term: PoolTerm, worker_id: str) -> dict[str, Any]:
+        """Return the log fields that show what this owner knows of a worker's last listing."""
+        member = term.members.get(worker_id)
+        if member is None:
+            return {}
+        now = self._clock.monotonic()
+        evidence = {
+            "fence": member.fence(term.epoch),
+            "reported": member.incarnation,
+            "report_age_ms": (now - member.received_at) // timedelta(milliseconds=1),
+            "listed_ms": member.clock_ms,
+            "requested_ms": member.requested_ms,
+        }
+        if member.fenced_at is not None:
+            evidence["fenced_age_ms"] = (now - member.fenced_at) // timedelta(milliseconds=1)
         return evidence
 
     def _suitable_workers(self, term: PoolTerm, task: StepTask, now: timedelta) -> list[str]:
