--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -48,6 +48,7 @@
 SECOND = timedelta(seconds=1)
 MS = timedelta(milliseconds=1)
 QUEUE = Queue("checks", prefix="/checks/", service="ledger", max_attempts=2, slack_ms=300)
+TIMES = PoolLeaseTimes(lease=6 * SECOND)
 CAPACITY = Resources(8000, 16000, 0)
 CONTACT = timedelta(seconds=3)
 """Time that the rule LIMIT allows, besides one announcement, before a lower capacity counts."""
@@ -124,6 +125,7 @@
 
     :param announcement_interval: time between two announcements.
     :param max_listed_ends: number of ends at which a listing is cut off.
+    :param max_lease: longest lease; one that ends later is shortened to it.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         data_centre="east",
         announcement_interval=200 * MS,
         max_listed_ends=500,
+        max_lease=6 * SECOND,
     ):
         self.id = f"w{number}"
         self.machine = f"m{number}"
@@ -144,6 +147,7 @@
         self.data_centre = data_centre
         self.announcement_interval = announcement_interval
         self.max_listed_ends = max_listed_ends
+        self.max_lease = max_lease
         self.capacity = CAPACITY
         self.end_kind_of = lambda name: EndKind.DONE
         self.gauge_of = lambda name: 0
@@ -242,7 +246,7 @@
         now = self.clock_ms()
         if now > command.start_by_ms:
             return StartRefusal.LATE
-        self.lease_until = max(self.lease_until, command.start_by_ms)
+        self._extend_lease(command.start_by_ms)
         if command.task in self.runs and self.runs[command.task].run == command.run:
             return None
         if command.run <= self.highest_runs.get(command.task, 0):
@@ -307,7 +311,7 @@
         if fence < self.fence:
             raise RunnerFencedError("fenced")
         self.fence = fence
-        self.lease_until = max(self.lease_until, lease_until_ms)
+        self._extend_lease(lease_until_ms)
         for end in self.ended:
             # Ends before the lease lapsed do not count as acknowledged.
             if self.lapsed_through_number < end.number <= ended_through:
@@ -327,6 +331,10 @@
         is_complete = len(ended) < self.max_listed_ends
         return RunListing(self.clock_ms(), self.incarnation, running, ended, is_complete)
 
+    def _extend_lease(self, until_ms):
+        longest_ms = self.clock_ms() + self.max_lease // MS
+        self.lease_until = max(self.lease_until, min(until_ms, longest_ms))
+
     def _checkpoint(self, run):
         if not run.spec.checkpoints:
             return ""
@@ -481,10 +489,12 @@
     :param workers: number of workers.
     :param seed: seed of all random choices.
     :param wide_step_tasks: mean width of best-effort steps from which on the pool counts as wide.
+    :param times: lease times of the owners.
     :param worker_options: further arguments of `SimWorker`.
     """
 
-    def __init__(self, workers=3, seed=0, wide_step_tasks=0, **worker_options):
+    def __init__(self, workers=3, seed=0, wide_step_tasks=0, times=TIMES, **worker_options):
+        self.times = times
         self.wide_steps = WideStepGate(wide_step_tasks, min_steps=1)
         self.clock = SimClock()
         self.rng = random.Random(seed)
@@ -545,7 +555,7 @@
             Metrics(),
             self.clock,
             self.rng,
-            PoolLeaseTimes(lease=6 * SECOND),
+            self.times,
             self.inventory,
             self.wide_steps,
         )
