Wait for the longest lease of a worker that has just got its fencing token

Callers saw one task run on two workers at the same time: the first run went on for up to 4 s after its worker, which had restarted and was cut off, had been given up.

Cause: a worker that is back under its id executes calls that were meant for its earlier incarnation, until it knows the fencing token of its own. DeadlineMs of such a renewal or start is a time on the earlier clock, far ahead on the new one, which starts anew. The worker shortens it to HoldMaxMs from now, and a lease never shortens again.

Fix: the time at which the owner gets the first listing that was requested with its own token for an incarnation bounds such calls. Until the longest lease that the worker accepts has passed since then, the worker is not given up for its silence. The setting pool.max_worker_lease_ms has that lease; where it does not exceed pool.lease_ms, nothing changes. What is recorded for the next owner of silent workers is computed from the same time.

Why it suffices: the worker refuses a lower token, so none of these calls has an effect after that listing, and each one before it gave at most the longest lease from then on.

Ruled out: the renewal that is sent after a failed one; it carries no lease until the worker has named its incarnation again.

--- a/packages/core/src/mulberryslip/settings.py
+++ b/packages/core/src/mulberryslip/settings.py
@@ -200,6 +200,7 @@
 POOL_KEYS = {
     "count": _integer(0, MAX_POOLS, 0),
     "lease_ms": _integer(500, 600_000, 6000),
+    "max_worker_lease_ms": _number(0, 600_000, 0),
     "wide_step_tasks": _integer(0, MAX_STEP_TASKS, 0),
     "reserve_for_large_tasks": _boolean(False),
 }
--- a/packages/daemon/src/mulberryslipd/main.py
+++ b/packages/daemon/src/mulberryslipd/main.py
@@ -459,7 +459,9 @@
     :param directory: tracks the owner of this pool.
     """
     times = PoolLeaseTimes(
-        lease=timedelta(milliseconds=cfg.pool["lease_ms"]), store_lease=cfg.store_lease_ttl()
+        lease=timedelta(milliseconds=cfg.pool["lease_ms"]),
+        store_lease=cfg.store_lease_ttl(),
+        max_lease=timedelta(milliseconds=cfg.pool["max_worker_lease_ms"]),
     )
     return PoolOwner(
         pool,
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -51,16 +51,28 @@
 
     :param lease: lease of a worker, measured on its own clock.
     :param store_lease: store lease of the owner.
+    :param max_lease: longest lease that a worker accepts, if that is longer.
     """
 
     lease: timedelta = timedelta(seconds=6)
     store_lease: timedelta = timedelta(seconds=3)
+    max_lease: timedelta = timedelta()
 
     @property
     def max_silence(self) -> timedelta:
         """Return how long a worker can be silent before all its runs have certainly ended."""
         return self.lease * CLOCK_RATE_FACTOR + LEASE_MARGIN
 
+    @property
+    def unfenced_excess(self) -> timedelta:
+        """Return how much longer a lease can be than `lease` before the worker knows its token.
+
+        Until then, it executes calls that were meant for its earlier incarnation. The time in such
+        a call is on an earlier clock, so it can be far ahead, and the worker takes the longest
+        lease that it accepts.
+        """
+        return max(timedelta(), self.max_lease - self.lease) * CLOCK_RATE_FACTOR
+
 
 @attrs.define(eq=False)
 class QueuedCall:
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -403,17 +403,15 @@
         silences: list[Silence] = []
         for worker_id in term.pool.workers_with_runs():
             member = term.members.get(worker_id)
-            last_report_at = (
-                term.earlier_grants_until(worker_id) if member is None else member.received_at
-            )
+            last_grant_at = self._last_grant_at(term, worker_id)
             worker_tasks = term.pool.active_tasks(worker_id)
             last_heard_at = term.started_at if member is None else member.received_at
             silence = Silence(worker_id, worker_tasks[0].machine, last_heard_at)
             if now - last_heard_at > MAX_REPORT_AGE and silence.vm:
                 silences.append(silence)
-            is_silent = now - last_report_at > self._times.max_silence
+            is_silent = now - last_grant_at > self._times.max_silence
             if is_silent:
-                reason = f"no report from the worker for {now - last_report_at}"
+                reason = f"no report from the worker for {now - last_heard_at}"
             elif term.absences.has_ended(silence):
                 reason = "its VM does not run the worker any more"
             else:
@@ -440,6 +438,18 @@
         term.absences.set_silent(silences)
         return events
 
+    def _last_grant_at(self, term: PoolTerm, worker_id: str) -> timedelta:
+        """Return when a worker can have got its last lease, if all its leases were equally long.
+
+        That can be in the future: the lease from a call that was meant for its earlier incarnation
+        ends as late as one that is granted then.
+        """
+        member = term.members.get(worker_id)
+        if member is None:
+            return term.earlier_grants_until(worker_id)
+        fenced_at = member.received_at if member.fenced_at is None else member.fenced_at
+        return max(member.received_at, fenced_at + self._times.unfenced_excess)
+
     def grant_ages(self, term: PoolTerm) -> dict[str, timedelta]:
         """Return, by worker with runs, the time since any owner can have granted it a lease last.
 
@@ -448,12 +458,9 @@
         now = self._clock.monotonic()
         ages: dict[str, timedelta] = {}
         for worker_id in term.pool.workers_with_runs():
-            member = term.members.get(worker_id)
-            granted_until = (
-                term.earlier_grants_until(worker_id) if member is None else member.received_at
-            )
-            if granted_until < now:
-                ages[worker_id] = now - granted_until
+            last_grant_at = self._last_grant_at(term, worker_id)
+            if last_grant_at < now:
+                ages[worker_id] = now - last_grant_at
         return ages
 
     def silent_workers(self, term: PoolTerm) -> dict[str, timedelta]:
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -49,6 +49,7 @@
 MS = timedelta(milliseconds=1)
 QUEUE = Queue("checks", prefix="/checks/", service="ledger", max_attempts=2, slack_ms=300)
 TIMES = PoolLeaseTimes(lease=6 * SECOND)
+MAX_LEASE_TIMES = PoolLeaseTimes(lease=6 * SECOND, max_lease=10 * SECOND)
 CAPACITY = Resources(8000, 16000, 0)
 CONTACT = timedelta(seconds=3)
 """Time that the rule LIMIT allows, besides one announcement, before a lower capacity counts."""
--- a/tests/test_calls_to_earlier_incarnations.py
+++ b/tests/test_calls_to_earlier_incarnations.py
@@ -2,17 +2,21 @@
 
 import pytest
 from mulberryslip.steps import StepSpec
-from pool_doubles import MS, SECOND, PoolWorld
+from pool_doubles import MAX_LEASE_TIMES, MS, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 ROUNDS_PER_SECOND = 5
 RUN_MS = 60_000
-MAX_LEASE = 10 * SECOND
 
 
 def new_world():
     """Return a world whose owner is beside the last worker, and its first worker with a run."""
-    world = PoolWorld(3, run_ms=lambda name: RUN_MS, max_lease=MAX_LEASE)
+    world = PoolWorld(
+        3,
+        times=MAX_LEASE_TIMES,
+        run_ms=lambda name: RUN_MS,
+        max_lease=MAX_LEASE_TIMES.max_lease,
+    )
     world.elect(world.workers[2])
     world.run(12 * ROUNDS_PER_SECOND)
     return world
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -404,6 +404,7 @@
     "Listen.Ready": "10.0.0.5:82",
     "Listen.Control": "10.0.0.5:83",
     "app": "10.0.0.5:84",
+    "Bounds.HoldMaxMs": "10000",
 }
 
 
@@ -432,6 +433,7 @@
     cfg = parse(tomllib.loads(fill(template, fields)))
     assert cfg.process["role"] == role
     assert cfg.pool["lease_ms"] == 6000
+    assert cfg.pool["max_worker_lease_ms"] == (10_000 if role == "agent" else 0)
     assert cfg.pools() == pools
 
 
@@ -441,6 +443,7 @@
         ({"agent": {"wire": "nowhere"}}, "agent.wire"),
         ({"agent": {"worker_url": "10.0.0.1"}}, "agent.worker_url"),
         ({"pool": {"lease_ms": 0}}, "pool.lease_ms"),
+        ({"pool": {"max_worker_lease_ms": -1}}, "pool.max_worker_lease_ms"),
         ({"pool": {"count": 65}}, "pool.count"),
         ({"store": {"writes_per_s": True}}, "store.writes_per_s"),
         ({"adapter": {"module": "a b"}}, "adapter.module"),
