Let the next owner wait for the longest lease of workers it has not heard

A worker restarts, gets a renewal that was meant for its earlier incarnation, starts a run and is cut off; then the pool changes its owner. The next owner has not heard the worker. It counted on the lease that its predecessor granted, from the end of the predecessor's permission, or from the recorded time of a planned end.

Fix: for such a worker the next owner adds the part by which the longest lease exceeds that of the pool. It need not for settled incarnations, whose leases can all come from owners only; owners record these in the store (pools/N/settled). Once settled, an incarnation stays so, so a late or old record is harmless: it can only lack incarnations. The record is kept only where the longest lease exceeds the pool's.

Weighed: a field in the event that assigns a run (builds before reject events with unknown fields), and the time of day of the assignment (clocks may jump).

Workers with a settled incarnation are given up as early as before, after planned and other changes of the owner (test_settled_incarnation_is_given_up_after_an_ordinary_lease_by_the_next_owner).

--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -23,6 +23,7 @@
 from .members import Member
 from .peaks import PeakControl
 from .sessions import Session
+from .settlements import SettlementRecord
 from .silences import SilenceRecord
 from .sources import OutageLog
 
@@ -105,6 +106,7 @@
     :param claimed_at: time before the owner key was written, on the process's clock.
     :param times: lease times of workers and of the owner.
     :param silences: tells the next owner which workers are silent.
+    :param settlements: tells the next owner which workers hold no lease of an unknown length.
     :param granted_until: by worker, when any earlier owner can have granted a lease last, as far as
         that is known to be earlier than `previous_owner_granted_until`.
     :param peaks: admission control at peak load.
@@ -121,11 +123,13 @@
         clock: Clock,
         times: PoolLeaseTimes,
         silences: SilenceRecord,
+        settlements: SettlementRecord,
         granted_until: dict[str, timedelta],
         peaks: PeakControl,
     ):
         self.peaks = peaks
         self.silences = silences
+        self.settlements = settlements
         self._granted_until = granted_until
         self.epoch = epoch
         self.pool = pool
@@ -163,6 +167,10 @@
         """Return when any earlier owner can have granted a worker a lease last."""
         return self._granted_until.get(worker_id, self.previous_owner_granted_until)
 
+    def has_recorded_grant(self, worker_id: str) -> bool:
+        """Return whether an earlier owner has recorded when the worker's lease began."""
+        return worker_id in self._granted_until
+
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
         return self.remaining() > timedelta()
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -55,6 +55,7 @@
 from .peaks import PeakControl
 from .schedulers import ConfigSource, PoolScheduler
 from .sessions import Session
+from .settlements import SettlementRecord
 from .silences import SilenceRecord
 from .terms import OwnerIdentity
 
@@ -389,6 +390,9 @@
         try:
             pool = _recover(journal, self._number)
             silences, ages = SilenceRecord(self._number, self._store), {}
+            settlements = SettlementRecord(self._number, self._store)
+            if self._times.unfenced_excess:
+                settlements.read()
             if journal.free_slots < MIN_FREE_SLOTS:
                 silences.close()
             if journal.free_slots > 0:
@@ -409,6 +413,7 @@
             self._clock,
             self._times,
             silences,
+            settlements,
             {worker_id: read_at - age for worker_id, age in ages.items()},
             PeakControl(
                 self._wide_steps, pool, self._dispatcher, self._metrics, self._clock, self._rng
@@ -551,6 +556,7 @@
             self.resign("no other agent calls")
             return
         self._record_silences(term)
+        self._record_settlements(term)
         if not self._can_append(term):
             self._reject_queued(term, JOURNAL_FULL)
             return
@@ -741,6 +747,17 @@
         if planned is not None:
             term.silences.write(planned, now)
 
+    def _record_settlements(self, term: PoolTerm) -> None:
+        """Write which incarnations are settled, so that the next owner does not wait for them."""
+        now = self._clock.monotonic()
+        if not self._times.unfenced_excess or not term.settlements.is_check_due(now):
+            return
+        if term.session.failing_since is not None:
+            return
+        with term.lock:
+            settled = dict(self._run_part(self._scheduler.settled_incarnations, term))
+        term.settlements.update(settled, now)
+
     def _record_last_grants(self, term: PoolTerm) -> None:
         """Write how long ago each worker can have got its last lease, after the term has ended.
 
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -445,10 +445,40 @@
         ends as late as one that is granted then.
         """
         member = term.members.get(worker_id)
-        if member is None:
-            return term.earlier_grants_until(worker_id)
-        fenced_at = member.received_at if member.fenced_at is None else member.fenced_at
-        return max(member.received_at, fenced_at + self._times.unfenced_excess)
+        if member is not None and member.fenced_at is not None:
+            return max(member.received_at, member.fenced_at + self._times.unfenced_excess)
+        if member is not None:
+            granted_until, incarnation = member.received_at, member.incarnation
+        else:
+            granted_until = term.earlier_grants_until(worker_id)
+            incarnation = max(task.incarnation for task in term.pool.active_tasks(worker_id))
+            if term.has_recorded_grant(worker_id):
+                return granted_until
+        if term.settlements.is_settled(worker_id, incarnation):
+            return granted_until
+        return granted_until + self._times.unfenced_excess
+
+    def settled_incarnations(self, term: PoolTerm) -> dict[str, str]:
+        """Return, by worker, the newest incarnation whose leases all come from an owner.
+
+        The others may hold a longer lease from a call that was meant for an earlier incarnation.
+        """
+        fenced_before = self._clock.monotonic() - self._times.unfenced_excess
+        settled = {
+            worker_id: max(task.incarnation for task in term.pool.active_tasks(worker_id))
+            for worker_id in term.pool.workers_with_runs()
+            if worker_id not in term.members
+        }
+        settled = {
+            worker_id: incarnation
+            for worker_id, incarnation in settled.items()
+            if term.settlements.is_settled(worker_id, incarnation)
+        }
+        for worker_id, member in term.members.items():
+            is_fenced = member.fenced_at is not None and member.fenced_at <= fenced_before
+            if is_fenced or term.settlements.is_settled(worker_id, member.incarnation):
+                settled[worker_id] = member.incarnation
+        return settled
 
     def grant_ages(self, term: PoolTerm) -> dict[str, timedelta]:
         """Return, by worker with runs, the time since any owner can have granted it a lease last.
--- a/tests/test_calls_to_earlier_incarnations.py
+++ b/tests/test_calls_to_earlier_incarnations.py
@@ -1,8 +1,14 @@
 """Calls that were meant for a worker's earlier incarnation and reach the next one."""
 
+from datetime import timedelta
+
+import attrs
 import pytest
+from mulberryslip import ManualClock
 from mulberryslip.steps import StepSpec
-from pool_doubles import MAX_LEASE_TIMES, MS, PoolWorld
+from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.settlements import SettlementRecord, settlements_key
+from pool_doubles import MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 ROUNDS_PER_SECOND = 5
@@ -67,3 +73,68 @@
         world.round()
     assert world.history.violations == []
     assert world.history.starts == 2
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+def test_settled_incarnation_is_given_up_after_an_ordinary_lease_by_the_next_owner(is_planned):
+    """Guards against services that wait for the longest lease after each change of the owner."""
+    world = new_world()
+    world.submit("a", attrs.evolve(TASK, lasting=True))
+    while not world.history.starts:
+        world.round()
+    world.run(5 * ROUNDS_PER_SECOND)
+    previous = world.owner()
+    isolate(world, next(worker for worker in world.workers if worker.runs))
+    if is_planned:
+        previous.resign("planned stop")
+    else:
+        world.frozen.add(world.workers[2].id)
+    waited = timedelta()
+    while world.history.starts < 2:
+        if world.owner() is None:
+            world.claim_if_free()
+        world.round()
+        waited += 200 * MS
+        assert waited <= 2 * TIMES.store_lease + TIMES.max_silence + 4 * SECOND / ROUNDS_PER_SECOND
+    assert world.history.violations == []
+
+
+@pytest.mark.parametrize(
+    ("stored", "expected"),
+    [
+        (None, {}),
+        (b"", {}),
+        (b"[]", {}),
+        (b"{}", {}),
+        (b'{"incarnations":[]}', {}),
+        (b'{"incarnations":{"w0":1}}', {}),
+        (b'{"incarnations":{"w0":"2@w0"},"later":1}', {"w0": "2@w0"}),
+    ],
+)
+def test_unreadable_settlements_count_as_none(stored, expected):
+    """Guards against an owner that cannot claim its pool, or relies on what it cannot read."""
+    store = FakeStore(ManualClock())
+    if stored is not None:
+        store.put(settlements_key(0), stored, 0)
+    record = SettlementRecord(0, store)
+    record.read()
+    found = {name: "2@w0" for name in ("w0", "w1") if record.is_settled(name, "2@w0")}
+    assert found == expected
+
+
+def test_settlements_of_another_owner_are_replaced_only_after_they_were_read():
+    """Guards against owners that lose what the others have recorded, or write all the time."""
+    store = FakeStore(ManualClock())
+    first, second = SettlementRecord(0, store), SettlementRecord(0, store)
+    first.update({"w0": "1@w0"}, SECOND)
+    second.update({"w1": "1@w1"}, SECOND)
+    assert second.is_settled("w0", "1@w0")
+    assert not second.is_check_due(SECOND)
+    second.update({"w0": "1@w0", "w1": "1@w1"}, 2 * SECOND)
+    first.read()
+    assert first.is_settled("w1", "1@w1")
+    assert not first.is_settled("w1", "2@w1")
+    assert not first.is_settled("w1", "")
+    version = store.get(settlements_key(0)).version
+    first.update({"w0": "1@w0", "w1": "1@w1"}, 3 * SECOND)
+    assert store.get(settlements_key(0)).version == version
