Keep a task from starting elsewhere while its worker may execute a late start

Callers would see one task run on two workers: a worker's process ends while a start is on its way to it, the owner ends the run and starts the task elsewhere, and the worker, back under its id, executes the start.

Cause: the owner took the end of the process for the end of all its runs. That holds for a run that has begun, not for a start without an answer. The next incarnation executes it until it knows its own fencing token, and its deadline, a time on the earlier clock, is far ahead.

Fix: the agent reports which starts have no answer when it reports that its worker refuses connections (rows of RunRefusal that are not certain, which builds before ignore). The run ends as before, so crashes are judged as before. Its task starts again once a later incarnation has listed its runs with its own token, once the worker is replaced, or 6 s after the last listing (pending_starts, without I/O). The same holds for starts that were never listed when the list of VMs shows the end. If a silent worker had a start on its way, the longest lease counts for it, too. A run that was done although it had been given up counts as done, since its end is acknowledged.

A connection that the worker's process has closed takes its start along, so those do not wait: otherwise deadly tasks would be tried in waves.

--- a/packages/core/src/mulberryslip/runners.py
+++ b/packages/core/src/mulberryslip/runners.py
@@ -22,6 +22,13 @@
     """The worker did not reply; a start or stop may still take effect later."""
 
 
+class RunnerDisconnectedError(RunnerUnavailableError):
+    """The worker's process closed the connection before it replied.
+
+    It may have executed the call. No later process gets it, since it was sent on that connection.
+    """
+
+
 class RunnerFencedError(RunnerError):
     """The worker has seen a higher fencing token and ignored the call."""
 
--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -273,6 +273,10 @@
         """Return the spec of the task's step."""
         return self.workflow.spec.steps[self.step]
 
+    def awaits_run_after(self, run: int) -> bool:
+        """Return whether the given run is the latest one, and the task waits for the next."""
+        return self.phase is Phase.WAITING and self.run == run > 0
+
     def has_active_run(self, run: int) -> bool:
         """Return whether the given run is the latest one and has not ended."""
         return self.phase is Phase.HELD and self.run == run
@@ -473,9 +477,13 @@
     @apply.register
     def _(self, event: RunEnded) -> bool:
         task = self._tasks.get(event.task)
-        if task is None or not task.has_active_run(event.run):
+        if task is None:
             return False
         outcome = RunOutcome(event.outcome)
+        if outcome is RunOutcome.DONE and task.awaits_run_after(event.run):
+            return self._finish_late(task, event.at_ms)
+        if not task.has_active_run(event.run):
+            return False
         if outcome in _OUTCOMES_OF_STARTED_RUNS:
             self.record_start(task)
         is_given_up = self._record_crash_evidence(task, outcome)
@@ -576,6 +584,17 @@
                     task.waiting_since_ms = at_ms
                     self._ready[task.name] = task
 
+    def _finish_late(self, task: StepTask, at_ms: int) -> bool:
+        """Mark a task as done whose latest run had been given up, but was executed late."""
+        if task.spec.lasting or task.workflow.is_ended:
+            return False
+        self.record_start(task)
+        self._last_forgotten = None
+        del self._ready[task.name]
+        self._mark_done(task, at_ms)
+        self._forget_tasks(task.workflow)
+        return True
+
     def _mark_done(self, task: StepTask, at_ms: int) -> None:
         workflow = task.workflow
         task.phase = Phase.DONE
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -20,6 +20,7 @@
 from mulberryslip.runners import (
     RunListing,
     Runner,
+    RunnerDisconnectedError,
     RunnerError,
     RunnerExitedError,
     RunnerFencedError,
@@ -128,12 +129,16 @@
 class _UnansweredStart:
     """A start command that the worker may still execute.
 
+    :param run: number of the run.
     :param incarnation: incarnation of the worker that got it.
     :param start_by_ms: latest start on the worker's clock, in milliseconds.
+    :param is_in_flight: whether a later incarnation may get it.
     """
 
+    run: int
     incarnation: str
     start_by_ms: int
+    is_in_flight: bool
 
 
 @attrs.frozen
@@ -192,7 +197,8 @@
         self._duty_cycles = DutyCycleController(self._interferences)
         self._duty_cycles_lock = threading.Lock()
         self._profiles: dict[str, RunProfile] = {}
-        self._starting_tasks: set[str] = set()
+        # Runs whose start commands are queued or on their way, by task.
+        self._starting_runs: dict[str, int] = {}
         self._unanswered_starts: dict[str, _UnansweredStart] = {}
         self._report_interval = ReportInterval()
         self._reported_at: timedelta | None = None
@@ -319,7 +325,7 @@
             started_profiles = {
                 task: profile
                 for task, profile in self._profiles.items()
-                if task not in self._starting_tasks and not self._may_start(task, requested_ms)
+                if task not in self._starting_runs and not self._may_start(task, requested_ms)
             }
         lease_until_ms = grant.lease_until_ms if is_confirmed else 0
         ended_through = grant.ended_through if is_confirmed else 0
@@ -618,7 +624,8 @@
             if listing is not None and self._owner_capacity is not None:
                 # The owner may accept a report whose reply is lost.
                 self._owner_capacity = _highest(self._owner_capacity, worker.capacity)
-        req = self._report_request(worker, listing, refused, unreachable)
+            rows = refused + self._starts_in_flight(worker) if unreachable else refused
+        req = self._report_request(worker, listing, rows, unreachable)
         self._reported_at = self._clock.monotonic()
         try:
             reply = self._channels.call(owner.address, "report", req, REPORT_TIMEOUT)
@@ -651,6 +658,21 @@
             self._take_over(reply.epoch)
         return True
 
+    def _starts_in_flight(self, worker: WorkerAnnouncement) -> list[wire.RunRefusal]:
+        """Return the starts that a later incarnation of a worker may execute.
+
+        The caller holds the lock.
+        """
+        runs = dict(self._starting_runs)
+        runs |= {
+            task: start.run
+            for task, start in self._unanswered_starts.items()
+            if start.incarnation == worker.incarnation and start.is_in_flight
+        }
+        return [
+            wire.RunRefusal(task, run, "no answer yet", certain=False) for task, run in runs.items()
+        ]
+
     def _update_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
         with self._lock:
             self._profiles.update((row.task, _profile_from_wire(row)) for row in reply.profiles)
@@ -739,7 +761,7 @@
         if reply.outcome != Outcome.OK or reply.epoch < self._grant.epoch:
             return False
         with self._lock:
-            self._starting_tasks.update(start.task for start in reply.starts)
+            self._starting_runs.update((start.task, start.run) for start in reply.starts)
             self._profiles.update(
                 (start.task, _profile_from_wire(start.profile)) for start in reply.starts
             )
@@ -755,7 +777,8 @@
         if isinstance(command, wire.RunStart):
             self._start_run(worker, command, fence)
             with self._lock:
-                self._starting_tasks.discard(command.task)
+                if self._starting_runs.get(command.task) == command.run:
+                    del self._starting_runs[command.task]
         else:
             self._stop_run(worker, command, fence)
 
@@ -797,7 +820,10 @@
             # The owner learns from the next listings whether the run was started.
             with self._lock:
                 self._unanswered_starts[command.task] = _UnansweredStart(
-                    worker.incarnation, command.start_by_ms
+                    command.run,
+                    worker.incarnation,
+                    command.start_by_ms,
+                    not isinstance(exc, RunnerDisconnectedError),
                 )
             log(
                 Event.RUN_REFUSED,
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -58,6 +58,8 @@
     :param incarnations: number of incarnations seen in this ownership term.
     :param left: the last incarnation that announced that it leaves.
     :param is_absent: whether the worker's process has ended.
+    :param starts_in_flight: runs of which the agent did not know whether they had started, by task
+        and run, when it reported that.
     :param starts: start commands that the agent has not fetched yet.
     :param stops: stop commands that the agent has not fetched yet.
     :param withdrawn: why start commands were withdrawn before the agent fetched them, by task and
@@ -98,6 +100,7 @@
     incarnations: int = 0
     left: str = ""
     is_absent: bool = False
+    starts_in_flight: frozenset[tuple[str, int]] = frozenset()
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
     withdrawn: dict[tuple[str, int], str] = attrs.field(factory=dict)
@@ -143,6 +146,9 @@
         self.received_at = now
         if report.unreachable:
             self.running = {}
+            self.starts_in_flight = frozenset(
+                (row.task, row.run) for row in report.refused if not row.certain
+            )
             self._withdraw_starts(PROCESS_ENDED)
             return True
         if report.clock_ms > self.clock_ms:
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -22,6 +22,7 @@
 from .claims import OwnerClaim
 from .members import Member
 from .peaks import PeakControl
+from .pending_starts import PendingStarts
 from .sessions import Session
 from .settlements import SettlementRecord
 from .silences import SilenceRecord
@@ -155,6 +156,7 @@
         self.crashes = WorkerCrashes()
         self.breakdowns = TimeBreakdowns()
         self.members: dict[str, Member] = {}
+        self.pending_starts = PendingStarts()
         self.unchecked_workers: set[str] = set()
         """Workers that have listed their runs since it was last checked which runs to stop."""
         self.inbox: deque[QueuedCall] = deque()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -49,7 +49,7 @@
 from mulberryslip.outages import Survivor, WorkerCrash
 from mulberryslip.queues import PoolConfig
 from mulberryslip.refusals import Preference, Requirement
-from mulberryslip.runners import RunningRun
+from mulberryslip.runners import EndedRun, RunningRun
 from mulberryslip.vms import Silence
 from mulberryslip.wide_steps import WideStepGate
 from mulberryslip.wire import ttypes as wire
@@ -68,6 +68,7 @@
 
 from .members import CAPACITY_SHRANK, Member, ended_of
 from .ownerships import PoolLeaseTimes, PoolTerm
+from .pending_starts import LATE_CALL_TIMEOUT
 
 START_WINDOW = timedelta(milliseconds=1500)
 """Time within which a start command must reach the worker. It bounds how long a start without a
@@ -345,12 +346,41 @@
                 events.append(
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
+        events += self._late_ends(term, member, ended, now_ms)
         self._observe_report(term, member)
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
             member.reconciled_through = max(run_end.number for run_end in report.ended)
         return events
 
+    def _late_ends(
+        self,
+        term: PoolTerm,
+        member: Member,
+        ended: Mapping[tuple[str, int], EndedRun],
+        now_ms: int,
+    ) -> list[RunEnded]:
+        """Return events for runs that are done although they counted as lost or not started.
+
+        Their tasks must not run again once these ends are acknowledged.
+        """
+        events = []
+        for (name, run), end in ended.items():
+            task = term.pool.task(name)
+            if (
+                task is not None
+                and task.worker_id == member.worker_id
+                and task.awaits_run_after(run)
+                and OUTCOME_BY_END_KIND[end.kind] is RunOutcome.DONE
+            ):
+                reason = "it was done although it counted as lost"
+                events.append(
+                    self._run_ended_event(
+                        term, task, RunOutcome.DONE, now_ms, reason, end.checkpoint
+                    )
+                )
+        return events
+
     def _observe_report(self, term: PoolTerm, member: Member) -> None:
         colocated_runs = []
         for name, status in member.running.items():
@@ -412,6 +442,9 @@
             is_silent = now - last_grant_at > self._times.max_silence
             if is_silent:
                 reason = f"no report from the worker for {now - last_heard_at}"
+                worker_tasks = [
+                    task for task in worker_tasks if not self._may_run_later(term, task, now)
+                ]
             elif term.absences.has_ended(silence):
                 reason = "its VM does not run the worker any more"
             else:
@@ -603,7 +636,7 @@
         """
         member = term.members.get(task.worker_id)
         if member is not None and member.left == task.incarnation:
-            return [self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, reason)]
+            return [self._crashed_run_event(term, task, RunOutcome.LAPSED, now_ms, reason)]
         crash = self._record_crash(term, task.worker_id, task.incarnation, task.machine, at, reason)
         crash.lost_runs[task.name, task.run] = task
         return []
@@ -681,11 +714,11 @@
                 if task not in excused:
                     events += self._survived_probation(term, task, on_trial)
                     events.append(
-                        self._run_ended_event(term, task, RunOutcome.LOST, now_ms, crash.reason)
+                        self._crashed_run_event(term, task, RunOutcome.LOST, now_ms, crash.reason)
                     )
             for task in excused:
                 events.append(
-                    self._run_ended_event(term, task, RunOutcome.LAPSED, now_ms, crash.reason)
+                    self._crashed_run_event(term, task, RunOutcome.LAPSED, now_ms, crash.reason)
                 )
             if lost:
                 log(
@@ -701,6 +734,27 @@
                 )
         return events
 
+    def _crashed_run_event(
+        self, term: PoolTerm, task: StepTask, outcome: RunOutcome, now_ms: int, reason: str
+    ) -> RunEnded:
+        """Return the event of a run whose worker has ended."""
+        member = term.members.get(task.worker_id)
+        if member is not None:
+            term.pending_starts.record(task, member, term.started_at)
+        return self._run_ended_event(term, task, outcome, now_ms, reason)
+
+    def _may_run_later(self, term: PoolTerm, task: StepTask, now: timedelta) -> bool:
+        """Return whether a later incarnation of a silent worker may run a task.
+
+        If its start was on its way when the worker was heard last, the next incarnation may execute
+        it, and then takes the longest lease for it.
+        """
+        member = term.members.get(task.worker_id)
+        if member is None or task.delivered_run != task.run or member.lists(task):
+            return False
+        wait = LATE_CALL_TIMEOUT + self._times.max_silence + self._times.unfenced_excess
+        return now - member.received_at <= wait
+
     def _is_listed_since(self, term: PoolTerm, task: StepTask, at: timedelta) -> bool:
         """Return whether the worker of a task has listed its run since a time."""
         member = term.members.get(task.worker_id)
@@ -941,7 +995,8 @@
             self._metrics.set_gauge(LARGE_TASKS_GAUGE, 0)
 
     def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
-        waiting = term.pool.ready()
+        pending = term.pending_starts.update(term.members, _newest_members, self._clock.monotonic())
+        waiting = [task for task in term.pool.ready() if task.name not in pending]
         config = self._source.config()
         if not waiting:
             self._metrics.set_gauge(SERVICE_WAIT_GAUGE, 0)
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -25,6 +25,7 @@
     EndedRun,
     EndKind,
     RunListing,
+    RunnerDisconnectedError,
     RunnerExitedError,
     RunnerFencedError,
     RunnerReplacedError,
@@ -127,6 +128,8 @@
     :param announcement_interval: time between two announcements.
     :param max_listed_ends: number of ends at which a listing is cut off.
     :param max_lease: longest lease; one that ends later is shortened to it.
+    :param max_call_delay: time for which a start without a response may reach a later incarnation;
+        0 if it is lost with the incarnation that it was meant for.
     """
 
     def __init__(
@@ -139,6 +142,7 @@
         announcement_interval=200 * MS,
         max_listed_ends=500,
         max_lease=6 * SECOND,
+        max_call_delay=timedelta(),
     ):
         self.id = f"w{number}"
         self.machine = f"m{number}"
@@ -149,6 +153,7 @@
         self.announcement_interval = announcement_interval
         self.max_listed_ends = max_listed_ends
         self.max_lease = max_lease
+        self.max_call_delay = max_call_delay
         self.capacity = CAPACITY
         self.end_kind_of = lambda name: EndKind.DONE
         self.gauge_of = lambda name: 0
@@ -165,9 +170,8 @@
         self.restart()
 
     def restart(self):
-        """Restart as a new incarnation; its runs and the delayed start commands are lost."""
-        self._record_losses()
-        self.delayed_starts = []
+        """Restart as a new incarnation; its runs are lost."""
+        self._lose_runs()
         self.crashes_at = None
         self.incarnation_number += 1
         self.incarnation_began_at = self._clock.monotonic()
@@ -236,7 +240,7 @@
         if self.is_unhealthy:
             return StartRefusal.UNHEALTHY
         if self.loses_reply():
-            self.delayed_starts.append((command, fence))
+            self.delayed_starts.append((command, fence, self._clock.monotonic()))
             raise RunnerUnavailableError("no reply")
         return self._start(command, fence)
 
@@ -262,7 +266,7 @@
             self.crashes_at = min(now + crash_ms, self.crashes_at or now + crash_ms)
         if crash_ms == 0:
             self.crash_if_due()
-            raise RunnerUnavailableError("connection reset")
+            raise RunnerDisconnectedError("connection reset")
         return None
 
     def crash_if_due(self):
@@ -277,16 +281,18 @@
 
     def crash(self):
         """Crash, and return after the outage."""
-        self._record_losses()
+        self._lose_runs()
         self.is_down, self.back_at = True, self._clock.monotonic() + self.outage
-        self.runs, self.delayed_starts, self.crashes_at = {}, [], None
+        self.runs, self.crashes_at = {}, None
 
     def run_delayed_starts(self):
         """Execute the start commands whose replies were lost."""
         self.crash_if_due()
         while self.delayed_starts:
-            # A crash loses the commands that are left.
-            command, fence = self.delayed_starts.pop(0)
+            command, fence, sent_at = self.delayed_starts.pop(0)
+            is_for_earlier = sent_at < self.incarnation_began_at
+            if is_for_earlier and self._clock.monotonic() - sent_at > self.max_call_delay:
+                continue
             with contextlib.suppress(RunnerUnavailableError):
                 self._start(command, fence)
 
@@ -347,10 +353,12 @@
         duration = max(1, run.ends_at - run.started_at)
         return min(99, (self.clock_ms() - run.started_at) * 100 // duration)
 
-    def _record_losses(self):
+    def _lose_runs(self):
         # The owner cannot know whether a start without a reply took place.
         self._history.losses_by_task.update(self.runs.keys())
-        self._history.losses_by_task.update(command.task for command, _ in self.delayed_starts)
+        self._history.losses_by_task.update(command.task for command, *_ in self.delayed_starts)
+        if not self.max_call_delay:
+            self.delayed_starts = []
 
     def end_due_runs(self):
         """End the runs that are due, or all runs if the lease has expired."""
@@ -634,6 +642,7 @@
     def switch_off(self, worker):
         """Switch a VM off for good: its worker and its agent are gone."""
         worker.restart()
+        worker.delayed_starts = []
         worker.is_vm_off = worker.is_unreachable = True
         self.frozen.add(worker.id)
         self.cut |= {worker.id, self.address(worker)}
--- a/tests/test_calls_to_earlier_incarnations.py
+++ b/tests/test_calls_to_earlier_incarnations.py
@@ -7,6 +7,7 @@
 from mulberryslip import ManualClock
 from mulberryslip.steps import StepSpec
 from mulberryslip_testing.fakes import FakeStore
+from mulberryslipd.pending_starts import LATE_CALL_TIMEOUT
 from mulberryslipd.settlements import SettlementRecord, settlements_key
 from pool_doubles import MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
 
@@ -22,6 +23,7 @@
         times=MAX_LEASE_TIMES,
         run_ms=lambda name: RUN_MS,
         max_lease=MAX_LEASE_TIMES.max_lease,
+        max_call_delay=LATE_CALL_TIMEOUT,
     )
     world.elect(world.workers[2])
     world.run(12 * ROUNDS_PER_SECOND)
@@ -138,3 +140,50 @@
     version = store.get(settlements_key(0)).version
     first.update({"w0": "1@w0", "w1": "1@w1"}, 3 * SECOND)
     assert store.get(settlements_key(0)).version == version
+
+
+def crash_with_late_start(world, outage):
+    """Let the worker that gets the next start crash before it answers; return it."""
+    for worker in world.workers:
+        worker.outage = outage
+        worker.loses_reply = lambda: True
+    world.submit("a", TASK)
+    while not any(worker.delayed_starts for worker in world.workers):
+        world.round()
+    for worker in world.workers:
+        worker.loses_reply = lambda: False
+    crashed = next(worker for worker in world.workers if worker.delayed_starts)
+    crashed.crash()
+    return crashed
+
+
+@pytest.mark.parametrize("back_after_ms", [200, 1000, 3000, 5000])
+def test_late_start_for_the_earlier_incarnation_is_not_repeated_elsewhere(back_after_ms):
+    """Guards against a second run while the next incarnation may still execute the first start."""
+    world = new_world()
+    worker = crash_with_late_start(world, back_after_ms * MS)
+    while worker.is_down:
+        world.round()
+        worker.crash_if_due()
+    worker.run_delayed_starts()
+    world.run(8 * ROUNDS_PER_SECOND)
+    assert world.history.violations == []
+    assert len([worker for worker in world.workers if worker.runs]) == 1
+
+
+@pytest.mark.parametrize("rounds_until_start", [1, 5, 20])
+def test_late_start_of_a_worker_that_is_cut_off_is_not_repeated_elsewhere(rounds_until_start):
+    """Guards against the same if the owner hears neither of the crash nor of the next incarnation.
+
+    The worker must not be the owner's, whose agent would list its runs.
+    """
+    world = new_world()
+    world.owner()._term.members["w2"].leaving = True
+    worker = crash_with_late_start(world, 200 * MS)
+    isolate(world, worker)
+    world.run(rounds_until_start)
+    worker.run_delayed_starts()
+    assert worker.runs
+    world.run(20 * ROUNDS_PER_SECOND)
+    assert world.history.violations == []
+    assert world.history.starts == 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import platform
 import re
 import socket
+import struct
 import threading
 import tomllib
 from datetime import timedelta
@@ -19,6 +20,7 @@
 from mulberryslip.runners import (
     EndedRun,
     EndKind,
+    RunnerDisconnectedError,
     RunnerExitedError,
     RunnerFencedError,
     RunnerReplacedError,
@@ -218,7 +220,24 @@
         runner = PlatformRunner(url, CLOCK, timeout=timedelta(milliseconds=100))
         with pytest.raises(RunnerUnavailableError) as raised:
             runner.extend_lease("w0", 1, 0, 0, timedelta(0))
-        assert not isinstance(raised.value, RunnerExitedError)
+        assert not isinstance(raised.value, (RunnerExitedError, RunnerDisconnectedError))
+
+
+@pytest.mark.parametrize("linger", [struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)])
+def test_closed_connection_means_that_no_later_process_gets_the_call(linger):
+    """Guards against tasks that wait for their worker's return although it was reset or closed."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def close_after_request():
+            conn, _ = server.accept()
+            conn.recv(65536)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            conn.close()
+
+        threading.Thread(target=close_after_request, daemon=True).start()
+        runner = PlatformRunner(f"http://127.0.0.1:{server.getsockname()[1]}", CLOCK)
+        with pytest.raises(RunnerDisconnectedError):
+            runner.start("w0", StartCommand("a/0/0/0", 1, "", "", 1000), 1)
 
 
 def documents(config=CONFIG, *out):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -18,13 +18,22 @@
 from mulberryslip.workflows import accepted_event
 from mulberryslipd.members import FENCES_PER_EPOCH
 from mulberryslipd.ownerships import PoolLeaseTimes
+from mulberryslipd.pending_starts import LATE_CALL_TIMEOUT
 from mulberryslipd.schedulers import (
     MAX_REPORT_AGE,
     START_WINDOW,
     URGENT_BURST,
     is_cheap_to_stop,
 )
-from pool_doubles import CAPACITY, MS, QUEUE, SECOND, DirectChannels, PoolWorld
+from pool_doubles import (
+    CAPACITY,
+    MAX_LEASE_TIMES,
+    MS,
+    QUEUE,
+    SECOND,
+    DirectChannels,
+    PoolWorld,
+)
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 CAPACITIES = [CAPACITY, Resources(4000, 16000), Resources(8000, 4000), Resources(3000, 500)]
@@ -1172,7 +1181,25 @@
 
     Some tasks crash the workers that start them, and must not start too often.
     """
-    world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms, max_listed_ends=max_listed_ends)
+    _play_random_faults(seed, deadly_share, max_listed_ends=max_listed_ends)
+
+
+@pytest.mark.parametrize(
+    ("seed", "deadly_share"), [(seed, 0.0) for seed in range(30)] + [(1, 0.03), (2, 0.03)]
+)
+def test_guarantees_hold_under_random_faults_and_calls_to_earlier_incarnations(seed, deadly_share):
+    """Guards against the same where a start without a response reaches the next incarnation."""
+    _play_random_faults(
+        seed,
+        deadly_share,
+        times=MAX_LEASE_TIMES,
+        max_lease=MAX_LEASE_TIMES.max_lease,
+        max_call_delay=LATE_CALL_TIMEOUT,
+    )
+
+
+def _play_random_faults(seed, deadly_share, **options):
+    world = PoolWorld(workers=4, seed=seed, run_ms=_run_ms, **options)
     rng = world.rng
     crash_ms = {}
     for worker in world.workers:
