--- /dev/null
+++ b/tests/test_later_incarnations_paths.py
@@ -0,0 +1,338 @@
+"""Paths on which something of one incarnation of a worker could count for another.
+
+A worker that is back under its id has seen no fencing token, so it executes calls that were meant
+for its earlier incarnation; see `docs/incidents`.
+"""
+
+import json
+
+import attrs
+import pytest
+from mulberryslip.models import Resources
+from mulberryslip.runners import RunnerFencedError, StartCommand
+from mulberryslip.steps import StepSpec
+from mulberryslipd.members import Member
+from mulberryslipd.schedulers import EXPIRY_INTERVAL, MEMBER_EXPIRY, START_WINDOW
+from mulberryslipd.silences import silences_key
+from pool_doubles import MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
+
+TASK = StepSpec(cpu_millis=1000, memory_mb=100)
+ROUNDS_PER_SECOND = 5
+RUN_MS = 30_000
+
+
+def new_world(workers=3, run_ms=RUN_MS, times=MAX_LEASE_TIMES, seed=0):
+    """Return a world whose owner is beside the last worker."""
+    world = PoolWorld(
+        workers,
+        seed=seed,
+        times=times,
+        run_ms=lambda name: run_ms,
+        max_lease=MAX_LEASE_TIMES.max_lease,
+    )
+    # Only the other workers get runs.
+    world.workers[-1].capacity = Resources(0, 0, 0)
+    world.elect(world.workers[-1])
+    world.run(12 * ROUNDS_PER_SECOND)
+    return world
+
+
+def isolate(world, worker):
+    """Cut a worker and its agent off from all other VMs, and from the store."""
+    world.cut |= {worker.id, world.address(worker)}
+    world.store_cut.add(worker.id)
+
+
+def reconnect(world, worker):
+    world.cut -= {worker.id, world.address(worker)}
+    world.store_cut.discard(worker.id)
+
+
+def restart(world, worker):
+    """Restart a worker under its id, and list its new incarnation."""
+    worker.restart()
+    world.run(2 * ROUNDS_PER_SECOND)
+
+
+def outlast_expiry(world):
+    """Let the time pass after which a silent worker without runs is removed."""
+    for _ in range((MEMBER_EXPIRY + EXPIRY_INTERVAL) // SECOND + 2):
+        world.run(ROUNDS_PER_SECOND)
+
+
+def grant_of(world, worker):
+    return world.agents[worker.id][0]._grant
+
+
+def late_renewal(worker, grant):
+    """Execute a renewal that was sent with an earlier grant."""
+    worker.extend_lease(worker.id, grant.fence, grant.lease_until_ms, grant.ended_through, 0 * MS)
+
+
+def run_until(world, is_reached, limit=30 * SECOND):
+    """Run the world, with claims by any process, until a condition holds."""
+    for _ in range(limit // SECOND * ROUNDS_PER_SECOND):
+        if is_reached():
+            return
+        if world.owner() is None:
+            world.claim_if_free()
+        world.round()
+    raise AssertionError(f"not reached in {limit}")
+
+
+class LateStart:
+    """Keeps the first start of a task from its worker until the test executes it."""
+
+    def __init__(self, world):
+        self.worker = None
+        for worker in world.workers:
+            worker.loses_reply = lambda: self.worker is None
+        self._world = world
+
+    def wait(self):
+        """Run the world until the start was sent; return its worker."""
+        run_until(self._world, self._take)
+        return self.worker
+
+    def _take(self):
+        for worker in self._world.workers:
+            if worker.delayed_starts:
+                self.worker, self._call = worker, worker.delayed_starts.pop()
+        return self.worker is not None
+
+    def execute(self):
+        """Execute the start; return why the worker refuses it."""
+        return self.worker._start(*self._call)
+
+
+# Fencing tokens
+
+
+@pytest.mark.parametrize("is_agent_restarted", [False, True])
+def test_worker_that_was_forgotten_gets_runs_again(is_agent_restarted):
+    """Guards against a token below the one that the worker knows: it then refuses every call."""
+    world = new_world(run_ms=1000)
+    worker, other, _ = world.workers
+    other.capacity = Resources(0, 0, 0)
+    restart(world, worker)
+    isolate(world, worker)
+    outlast_expiry(world)
+    if is_agent_restarted:
+        world.start_process(worker)
+    reconnect(world, worker)
+    world.run(3 * ROUNDS_PER_SECOND)
+    world.submit("a", TASK)
+    world.run(10 * ROUNDS_PER_SECOND)
+    assert world.shown("a") == "completed"
+
+
+def test_forgotten_worker_refuses_calls_to_its_earlier_incarnation():
+    """Guards against a token that an earlier incarnation has had in the same term."""
+    world = new_world()
+    worker = world.workers[0]
+    restart(world, worker)
+    earlier = attrs.evolve(grant_of(world, worker))
+    isolate(world, worker)
+    outlast_expiry(world)
+    worker.restart()
+    reconnect(world, worker)
+    world.run(3 * ROUNDS_PER_SECOND)
+    assert grant_of(world, worker).incarnation == worker.incarnation
+    with pytest.raises(RunnerFencedError):
+        late_renewal(worker, earlier)
+
+
+@pytest.mark.parametrize("restarts", [3, 1025])
+def test_tokens_rise_with_each_incarnation_and_epoch(restarts):
+    """Guards against an incarnation whose token is lower than that of one before it."""
+    member = Member("w0")
+    tokens = [0]
+    for number in range(restarts):
+        member._begin_incarnation(f"{number:04d}@w0")
+        tokens.append(member.fence(7))
+    tokens.append(Member("w0", incarnations=1).fence(8))
+    assert all(earlier < later for earlier, later in zip(tokens, tokens[1:], strict=False))
+
+
+# Ends
+
+
+@pytest.mark.parametrize("acknowledged", [0, 3])
+def test_end_that_a_late_renewal_acknowledges_is_not_repeated(acknowledged):
+    """Guards against ends of the next incarnation that are acknowledged before they are heard.
+
+    A worker executes a late start, the run ends, and a late renewal carries the number of ends that
+    its earlier incarnation had listed.
+    """
+    world = new_world(2, run_ms=400)
+    for number in range(acknowledged):
+        world.submit(f"before-{number}", TASK)
+        world.run(2 * ROUNDS_PER_SECOND)
+    late = LateStart(world)
+    world.submit("a", TASK)
+    worker = late.wait()
+    grant = grant_of(world, worker)
+    assert grant.ended_through == acknowledged
+    isolate(world, worker)
+    worker.restart()
+    assert late.execute() is None
+    world.clock.advance(500 * MS)
+    late_renewal(worker, grant)
+    reconnect(world, worker)
+    world.run(10 * ROUNDS_PER_SECOND)
+    assert world.shown("a") == "completed"
+    assert world.history.violations == []
+
+
+# Starts that are executed late by a later incarnation
+
+
+def end_at_deadline(world, worker):
+    """Let the owner hear that the worker has not started the run by its deadline."""
+    wait_for_next_run(world)
+    worker.restart()
+
+
+def end_at_second_restart(world, worker):
+    """Let the owner hear of one restart, and restart the worker again."""
+    worker.restart()
+    wait_for_next_run(world)
+    worker.restart()
+
+
+def end_by_list_of_vms(world, worker):
+    """Let the list of VMs show twice that the VM runs no worker, before it is back."""
+    isolate(world, worker)
+    worker.is_unreachable = worker.is_vm_off = True
+    wait_for_next_run(world)
+    worker.is_unreachable = worker.is_vm_off = False
+    worker.restart()
+
+
+def end_by_silence(world, worker):
+    """Pause the agent with the start in hand, until its worker is given up."""
+    world.frozen.add(worker.id)
+    wait_for_next_run(world)
+    worker.restart()
+
+
+def wait_for_next_run(world):
+    """Run the world until the task runs elsewhere."""
+    run_until(world, lambda: world.history.starts)
+
+
+@pytest.mark.parametrize(
+    "end_run", [end_at_deadline, end_at_second_restart, end_by_list_of_vms, end_by_silence]
+)
+def test_start_that_the_next_incarnation_executes_late_runs_beside_no_other(end_run):
+    """Guards against a start without a reply that takes effect after its run has been ended."""
+    world = new_world()
+    late = LateStart(world)
+    world.submit("a", TASK)
+    worker = late.wait()
+    end_run(world, worker)
+    late.execute()
+    for other in world.workers:
+        other.end_due_runs()
+    running = [other.id for other in world.workers if "a/0/0/0" in other.runs]
+    assert len(running) <= 1
+
+
+@pytest.mark.parametrize("delay_ms", [0, 400, 1000, 2000])
+@pytest.mark.parametrize("with_renewal", [False, True])
+def test_run_of_an_unheard_incarnation_is_not_repeated(delay_ms, with_renewal):
+    """Guards against an owner that counts from the last listing of an earlier incarnation.
+
+    The worker is cut off with its agent when it gets a start. It restarts, and its new incarnation
+    executes the start, which gives it the longest lease from then on.
+    """
+    world = new_world()
+    late = LateStart(world)
+    world.submit("a", TASK)
+    worker = late.wait()
+    isolate(world, worker)
+    grant = grant_of(world, worker)
+    worker.restart()
+    world.clock.advance(delay_ms * MS)
+    if with_renewal:
+        late_renewal(worker, grant)
+    assert late.execute() is None
+    world.run(20 * ROUNDS_PER_SECOND)
+    assert world.history.starts == 2
+    assert world.history.violations == []
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+def test_run_of_an_unheard_incarnation_is_not_repeated_by_the_next_owner(is_planned):
+    """Guards against the same across a change of the owner."""
+    world = new_world(4)
+    late = LateStart(world)
+    world.submit("a", TASK)
+    worker = late.wait()
+    isolate(world, worker)
+    if is_planned:
+        world.owner().resign("planned stop")
+    else:
+        world.frozen.add(world.workers[-1].id)
+    worker.restart()
+    world.clock.advance(SECOND)
+    assert late.execute() is None
+    for _ in range(25 * ROUNDS_PER_SECOND):
+        if world.owner() is None:
+            world.claim_if_free()
+        world.round()
+    assert world.history.starts == 2
+    assert world.history.violations == []
+
+
+# Records of earlier owners
+
+
+def test_record_of_an_owner_without_the_longest_lease_is_not_relied_on():
+    """Guards against ages that a build before, or its settings, counted by the pool's lease."""
+    world = new_world(times=TIMES)
+    world.times = MAX_LEASE_TIMES
+    for worker in world.workers[:2]:
+        world.start_process(worker)
+    world.run(2 * ROUNDS_PER_SECOND)
+    for worker in world.workers[:2]:
+        grant = grant_of(world, worker)
+        worker.restart()
+        late_renewal(worker, grant)
+    world.submit("a", TASK)
+    run_until(world, lambda: world.history.starts)
+    world.owner().resign("planned stop")
+    assert json.loads(world.store.get(silences_key(0)).value)["ended_ms"]
+    world.frozen.add(world.workers[-1].id)
+    isolate(world, next(worker for worker in world.workers if worker.runs))
+    for _ in range(25 * ROUNDS_PER_SECOND):
+        if world.owner() is None:
+            world.claim_if_free()
+        world.round()
+    assert world.history.violations == []
+    assert world.history.starts == 2
+
+
+@pytest.mark.parametrize("early_changes", [0, 1, 2])
+def test_settled_incarnation_stays_settled_while_owners_change(early_changes):
+    """Guards against owners that drop from the record whom they have not heard yet."""
+    world = new_world(5)
+    *_, first, second = world.workers
+    first.capacity = Resources(0, 0, 0)
+    world.run(ROUNDS_PER_SECOND)
+    for number in range(early_changes):
+        world.owner().resign("planned stop")
+        world.elect((first, second)[number % 2])
+        world.run(ROUNDS_PER_SECOND)
+    world.submit("a", attrs.evolve(TASK, lasting=True))
+    run_until(world, lambda: world.history.starts)
+    world.run(ROUNDS_PER_SECOND)
+    worker = next(worker for worker in world.workers if worker.runs)
+    isolate(world, worker)
+    waited_from = world.clock.monotonic()
+    world.owner().resign("planned stop")
+    world.elect((first, second)[early_changes % 2])
+    run_until(world, lambda: world.history.starts == 2)
+    waited = world.clock.monotonic() - waited_from
+    assert waited <= 2 * TIMES.store_lease + TIMES.max_silence + 4 * SECOND / ROUNDS_PER_SECOND
+    assert world.history.violations == []
