--- a/tests/test_later_incarnations_paths.py
+++ b/tests/test_later_incarnations_paths.py
@@ -5,14 +5,17 @@
 """
 
 import json
+import random
+from datetime import timedelta
 
 import attrs
 import pytest
 from mulberryslip.models import Resources
-from mulberryslip.runners import RunnerFencedError, StartCommand
+from mulberryslip.runners import RunnerFencedError
 from mulberryslip.steps import StepSpec
+from mulberryslip.wire.ttypes import Outcome
 from mulberryslipd.members import Member
-from mulberryslipd.schedulers import EXPIRY_INTERVAL, MEMBER_EXPIRY, START_WINDOW
+from mulberryslipd.schedulers import EXPIRY_INTERVAL, MEMBER_EXPIRY
 from mulberryslipd.silences import silences_key
 from pool_doubles import MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
 
@@ -336,3 +339,126 @@
     waited = world.clock.monotonic() - waited_from
     assert waited <= 2 * TIMES.store_lease + TIMES.max_silence + 4 * SECOND / ROUNDS_PER_SECOND
     assert world.history.violations == []
+
+
+# Random plays
+
+WORKFLOWS = 10
+FAULTS_FOR = 45 * SECOND
+CALM_FOR = 90 * SECOND
+MAX_RESTARTS = 6
+
+
+class Play:
+    """Random restarts, cuts and changes of the owner; earlier renewals are executed late."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.world = PoolWorld(
+            4,
+            seed=seed,
+            times=MAX_LEASE_TIMES,
+            run_ms=lambda name: 3000 + 4000 * int(name.split("/")[0]) % 17_000,
+            max_lease=MAX_LEASE_TIMES.max_lease,
+        )
+        self.world.elect(self.rng.choice(self.world.workers))
+        self.world.run(12 * ROUNDS_PER_SECOND)
+        self.restarts, self.submitted = 0, 0
+        self.late_grants, self.reconnect_at = {}, {}
+        self.trace = []
+
+    def note(self, *what):
+        self.trace.append((f"{self.world.clock.monotonic().total_seconds():.1f}", *what))
+
+    def round(self):
+        """Run one round, with renewals that arrive late between its parts."""
+        if self.world.owner() is None:
+            self.world.claim_if_free()
+        self.world.round()
+
+    def submit(self):
+        if self.world.owner() is not None and self.submitted < WORKFLOWS:
+            reply = self.world.submit(str(self.submitted), TASK)
+            self.submitted += reply.outcome == Outcome.OK
+
+    def restart(self):
+        worker = self.rng.choice(self.world.workers)
+        grant = grant_of(self.world, worker)
+        if self.restarts == MAX_RESTARTS or grant.incarnation != worker.incarnation:
+            return
+        self.restarts += 1
+        self.note("restart", worker.id)
+        self.late_grants[worker.id] = attrs.evolve(grant)
+        worker.restart()
+
+    def renew_late(self):
+        for worker in self.world.workers:
+            grant = self.late_grants.get(worker.id)
+            if grant is None or self.rng.random() < 0.5:
+                continue
+            try:
+                late_renewal(worker, attrs.evolve(grant, ended_through=0))
+                self.note("late renewal", worker.id)
+            except RunnerFencedError:
+                del self.late_grants[worker.id]
+
+    def cut(self):
+        worker = self.rng.choice(self.world.workers)
+        owner = self.world.owner()
+        # An owner without the store waits for it, which this world cannot play.
+        if worker.id in self.reconnect_at or self.world.owners[worker.id] is owner:
+            return
+        self.note("cut", worker.id)
+        isolate(self.world, worker)
+        duration = self.rng.uniform(2, 14) * SECOND
+        self.reconnect_at[worker.id] = self.world.clock.monotonic() + duration
+
+    def change_owner(self):
+        name = next((name for name, o in self.world.owners.items() if o.is_owner()), None)
+        if name is None or name in self.reconnect_at:
+            return
+        is_planned = self.rng.random() < 0.5
+        self.note("owner leaves", name, "planned" if is_planned else "paused")
+        if is_planned:
+            self.world.owners[name].resign("planned stop")
+            return
+        self.world.frozen.add(name)
+        pause = self.rng.uniform(4, 9) * SECOND
+        self.reconnect_at[name] = self.world.clock.monotonic() + pause
+
+    def reconnect(self, is_over=False):
+        for worker in self.world.workers:
+            if is_over or self.world.clock.monotonic() >= self.reconnect_at.get(
+                worker.id, timedelta.max
+            ):
+                self.reconnect_at.pop(worker.id, None)
+                reconnect(self.world, worker)
+                self.world.frozen.discard(worker.id)
+
+    def run(self):
+        for _ in range(FAULTS_FOR // SECOND * ROUNDS_PER_SECOND):
+            for chance, action in (
+                (0.1, self.submit),
+                (0.05, self.restart),
+                (0.04, self.cut),
+                (0.02, self.change_owner),
+            ):
+                if self.rng.random() < chance:
+                    action()
+            self.renew_late()
+            self.reconnect()
+            self.round()
+        self.reconnect(is_over=True)
+        for _ in range(CALM_FOR // SECOND * ROUNDS_PER_SECOND):
+            self.submit()
+            self.round()
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_run_is_repeated_and_all_work_ends_after_random_restarts(seed):
+    """Guards against combinations of restarts, late renewals, cuts and owners not thought of."""
+    play = Play(seed)
+    play.run()
+    assert play.world.history.violations == [], play.trace
+    shown = {str(number): play.world.shown(str(number)) for number in range(WORKFLOWS)}
+    assert set(shown.values()) == {"completed"}, (shown, play.trace)
