--- a/tests/test_later_incarnations_paths.py
+++ b/tests/test_later_incarnations_paths.py
@@ -85,6 +85,18 @@
     raise AssertionError(f"not reached in {limit}")
 
 
+def record_renewals(worker):
+    """Return the list that receives the arguments of all later renewals of a worker's lease."""
+    calls, extend_lease = [], worker.extend_lease
+
+    def record(*args):
+        calls.append(args)
+        return extend_lease(*args)
+
+    worker.extend_lease = record
+    return calls
+
+
 class LateStart:
     """Keeps the first start of a task from its worker until the test executes it."""
 
@@ -173,16 +185,16 @@
     for number in range(acknowledged):
         world.submit(f"before-{number}", TASK)
         world.run(2 * ROUNDS_PER_SECOND)
+    renewals = {worker.id: record_renewals(worker) for worker in world.workers}
     late = LateStart(world)
     world.submit("a", TASK)
     worker = late.wait()
-    grant = grant_of(world, worker)
-    assert grant.ended_through == acknowledged
+    assert grant_of(world, worker).ended_through == acknowledged
     isolate(world, worker)
     worker.restart()
     assert late.execute() is None
     world.clock.advance(500 * MS)
-    late_renewal(worker, grant)
+    worker.extend_lease(*renewals[worker.id][-1])
     reconnect(world, worker)
     world.run(10 * ROUNDS_PER_SECOND)
     assert world.shown("a") == "completed"
