Test that an incarnation whose name sorts first does not count as settled

Passes today. Trial: if owners kept recorded incarnations of workers that they have not heard, it would fail, as the record also covers names that sort before the recorded one.

--- a/tests/test_later_incarnations_paths.py
+++ b/tests/test_later_incarnations_paths.py
@@ -355,6 +355,36 @@
     assert world.history.violations == []
 
 
+@pytest.mark.parametrize("is_resigned_early", [False, True])
+def test_incarnation_whose_name_sorts_first_does_not_count_as_settled(is_resigned_early):
+    """Guards against a clock that is set back while the agent and the owner change."""
+    world = new_world(5)
+    worker, *others, first, _ = world.workers
+    for other in (*others, first):
+        other.capacity = Resources(0, 0, 0)
+    worker.incarnation_number = 8
+    restart(world, worker)
+    world.run(12 * ROUNDS_PER_SECOND)
+    grant = grant_of(world, worker)
+    if is_resigned_early:
+        world.owner().resign("planned stop")
+    worker.incarnation_number = 2
+    worker.restart()
+    late_renewal(worker, grant)
+    world.start_process(worker)
+    if not is_resigned_early:
+        world.owner().resign("planned stop")
+    world.elect(first)
+    world.submit("a", TASK)
+    run_until(world, lambda: world.history.starts)
+    assert worker.runs
+    for other in others:
+        other.capacity = worker.capacity
+    isolate(world, worker)
+    run_until(world, lambda: world.history.starts == 2)
+    assert world.history.violations == []
+
+
 # Calls, announcements and grants of earlier incarnations that do no harm
 
 
