Acknowledge run ends only while a worker lists some

A renewal without an answer carried the number of the last acknowledged end for as long as the incarnation lived. If it reaches the worker's next incarnation, which has executed a late start, that drops its own ends up to that number: the run is in neither list, counts as lost and runs again after its end was noted (TWICE).

Fix: the number is sent only if the last listing contained ends. Otherwise there is nothing to drop.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -210,6 +210,7 @@
         # The worker's clock when it last listed its runs, and when that listing arrived.
         self._listed = (0, clock.monotonic())
         self._listed_incarnation = ""
+        self._has_listed_ends = False
         # Whether an unanswered start is past its deadline, but the last listing may be older.
         self._is_start_overdue = False
         self._logged_listing: _LoggedListing | None = None
@@ -328,7 +329,8 @@
                 if task not in self._starting_runs and not self._may_start(task, requested_ms)
             }
         lease_until_ms = grant.lease_until_ms if is_confirmed else 0
-        ended_through = grant.ended_through if is_confirmed else 0
+        # The next incarnation would drop its own ends up to this number.
+        ended_through = grant.ended_through if is_confirmed and self._has_listed_ends else 0
         call = {
             "fence": grant.fence,
             "lease_until_ms": lease_until_ms,
@@ -380,6 +382,7 @@
             self._grant = Grant(epoch=grant.epoch)
             return False
         self._listed = (listing.clock_ms, self._clock.monotonic())
+        self._has_listed_ends = bool(listing.ended)
         self._listed_incarnation = worker.incarnation
         worker = self._newest_announcement(worker)
         self._log_listing(worker, listing)
