Keep the fencing tokens of workers that were removed from memory

A worker that has restarted and then been silent for a minute without runs was removed, and got a lower token when it reported again, or one that its earlier incarnation had had. With a lower one it refuses every call of the owner for good; with an equal one it executes late calls for its earlier incarnation.

Fix: the term remembers how many incarnations a removed worker has had, for at most 10,000 workers.

--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -182,7 +182,8 @@
 
     def fence(self, epoch: int) -> int:
         """Return the fencing token for calls to this incarnation of the worker."""
-        return epoch * FENCES_PER_EPOCH + self.incarnations % FENCES_PER_EPOCH
+        # Further incarnations share the last token: the worker would refuse a lower one for good.
+        return epoch * FENCES_PER_EPOCH + min(self.incarnations, FENCES_PER_EPOCH - 1)
 
     def _set_capacity(self, capacity: Resources) -> None:
         if not self.capacity.fits(capacity):
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -33,6 +33,9 @@
 
 LEASE_MARGIN = timedelta(milliseconds=200)
 
+MAX_FORGOTTEN_WORKERS = 10_000
+"""Maximum number of removed workers whose fencing tokens are remembered."""
+
 CONFIRMATIONS_PER_LEASE = 3
 """Confirmations of the owner key per store lease; two in a row may fail."""
 
@@ -156,6 +159,7 @@
         self.crashes = WorkerCrashes()
         self.breakdowns = TimeBreakdowns()
         self.members: dict[str, Member] = {}
+        self._forgotten: dict[str, int] = {}
         self.pending_starts = PendingStarts()
         self.unchecked_workers: set[str] = set()
         """Workers that have listed their runs since it was last checked which runs to stop."""
@@ -173,6 +177,25 @@
         """Return whether an earlier owner has recorded when the worker's lease began."""
         return worker_id in self._granted_until
 
+    def add_member(self, worker_id: str) -> Member:
+        """Add a worker that reports for the first time, or again after it was removed.
+
+        Its fencing tokens go on from those that it had before.
+        """
+        member = Member(
+            worker_id,
+            received_at=self.earlier_grants_until(worker_id),
+            incarnations=self._forgotten.pop(worker_id, 0),
+        )
+        self.members[worker_id] = member
+        return member
+
+    def remove_member(self, worker_id: str) -> None:
+        """Remove a worker that has not reported for long."""
+        self._forgotten[worker_id] = self.members.pop(worker_id).incarnations
+        if len(self._forgotten) > MAX_FORGOTTEN_WORKERS:
+            del self._forgotten[next(iter(self._forgotten))]
+
     def is_live(self) -> bool:
         """Return whether this process may act as the owner now."""
         return self.remaining() > timedelta()
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -176,9 +176,7 @@
             self._record_contact(req.agent)
             member = term.members.get(req.worker.worker_id)
             if member is None:
-                granted_until = term.earlier_grants_until(req.worker.worker_id)
-                member = Member(req.worker.worker_id, received_at=granted_until)
-                term.members[req.worker.worker_id] = member
+                member = term.add_member(req.worker.worker_id)
                 log(Event.WORKER_ANNOUNCED, worker=req.worker.worker_id, agent=req.agent)
             is_new = member.observe(req, received_at, term.epoch)
             # A later report may be observed before this one is reconciled.
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -868,7 +868,7 @@
         holders = set(term.pool.workers_with_runs())
         for worker_id, member in list(term.members.items()):
             if now - member.received_at > MEMBER_EXPIRY and worker_id not in holders:
-                del term.members[worker_id]
+                term.remove_member(worker_id)
                 self._dispatcher.model.forget(worker_id)
         incarnations = {name: member.incarnation for name, member in term.members.items()}
         term.crashes.forget(incarnations, now)
