Count what earlier owners recorded by the longest lease, and keep settled workers

- A record of silent workers from a build or settings without the longest lease states times that are too long.
It now carries by how much its writer took leases to be longer, and times of a record with less are shortened.
- A worker with a start on its way is left out of the record, since its next incarnation may execute the start.
- A new owner removed from the settled incarnations the workers that it had not heard yet, so that the owner after it waited 13.8 s instead of 6.4 s.
They now stay for a minute, and an incarnation counts as settled only if it is the recorded one.

--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -387,7 +387,10 @@
         journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools", SNAPSHOT_PARTS)
         try:
             pool = _recover(journal, self._number)
-            silences, ages = SilenceRecord(self._number, self._store), {}
+            silences, ages = (
+                SilenceRecord(self._number, self._store, self._times.unfenced_excess),
+                {},
+            )
             settlements = SettlementRecord(self._number, self._store)
             if self._times.unfenced_excess:
                 settlements.read()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -496,17 +496,16 @@
 
         The others may hold a longer lease from a call that was meant for an earlier incarnation.
         """
-        fenced_before = self._clock.monotonic() - self._times.unfenced_excess
-        settled = {
-            worker_id: max(task.incarnation for task in term.pool.active_tasks(worker_id))
-            for worker_id in term.pool.workers_with_runs()
-            if worker_id not in term.members
-        }
+        now = self._clock.monotonic()
+        holders = term.pool.workers_with_runs()
+        # A worker that this owner has not heard yet may be back, or needed by the next owner.
+        keeps_all = now - term.started_at <= MEMBER_EXPIRY
         settled = {
             worker_id: incarnation
-            for worker_id, incarnation in settled.items()
-            if term.settlements.is_settled(worker_id, incarnation)
+            for worker_id, incarnation in term.settlements.incarnations().items()
+            if worker_id not in term.members and (keeps_all or worker_id in holders)
         }
+        fenced_before = now - self._times.unfenced_excess
         for worker_id, member in term.members.items():
             is_fenced = member.fenced_at is not None and member.fenced_at <= fenced_before
             if is_fenced or term.settlements.is_settled(worker_id, member.incarnation):
@@ -516,13 +515,17 @@
     def grant_ages(self, term: PoolTerm) -> dict[str, timedelta]:
         """Return, by worker with runs, the time since any owner can have granted it a lease last.
 
-        Workers that an earlier owner may still grant leases are left out.
+        Workers that an earlier owner may still grant leases, and those with a start on its way, are
+        left out.
         """
         now = self._clock.monotonic()
         ages: dict[str, timedelta] = {}
         for worker_id in term.pool.workers_with_runs():
             last_grant_at = self._last_grant_at(term, worker_id)
-            if last_grant_at < now:
+            has_pending_start = any(
+                self._may_run_later(term, task, now) for task in term.pool.active_tasks(worker_id)
+            )
+            if last_grant_at < now and not has_pending_start:
                 ages[worker_id] = now - last_grant_at
         return ages
 
--- a/packages/daemon/src/mulberryslipd/settlements.py
+++ b/packages/daemon/src/mulberryslipd/settlements.py
@@ -59,8 +59,12 @@
             log(Event.MESSAGE_INVALID, what=self._key, reason=str(exc))
 
     def is_settled(self, worker_id: str, incarnation: str) -> bool:
-        """Return whether an incarnation is recorded, or an earlier one than the recorded."""
-        return bool(incarnation) and incarnation <= self._incarnations.get(worker_id, "")
+        """Return whether an incarnation is recorded."""
+        return bool(incarnation) and incarnation == self._incarnations.get(worker_id)
+
+    def incarnations(self) -> dict[str, str]:
+        """Return the recorded incarnation of each worker."""
+        return dict(self._incarnations)
 
     def is_check_due(self, now: timedelta) -> bool:
         """Return whether to call `update`, whose argument compares all workers."""
--- a/packages/daemon/src/mulberryslipd/silences.py
+++ b/packages/daemon/src/mulberryslipd/silences.py
@@ -47,11 +47,13 @@
     :param epoch: epoch of the journal under the owner that wrote it.
     :param silent: by listed worker, the time since its last lease.
     :param ended: the same for all workers with runs, if the writer had ended its term before.
+    :param excess: by how much the writer took leases to be longer than it grants them.
     """
 
     epoch: int = 0
     silent: dict[str, timedelta] = attrs.field(factory=dict)
     ended: dict[str, timedelta] = attrs.field(factory=dict)
+    excess: timedelta = timedelta()
 
 
 class SilenceRecord:
@@ -64,10 +66,13 @@
     finds a record of that epoch that stays empty.
 
     :param pool: number of the pool.
+    :param excess: see `PoolLeaseTimes.unfenced_excess`. Times that were recorded with a shorter one
+        are shortened by the difference.
     """
 
-    def __init__(self, pool: int, store: Store):
+    def __init__(self, pool: int, store: Store, excess: timedelta = timedelta()):
         self._key = silences_key(pool)
+        self._excess = excess
         self._store = store
         self._epoch = 0
         self._version = 0
@@ -106,12 +111,17 @@
             found = self._decode(stored)
             if self._is_closed or found.epoch != previous_epoch:
                 return {}
-            is_taken_over = bool(found.silent) and self._write(found.silent)
-            return found.silent | found.ended if is_taken_over else found.ended
+            silent, ended = self._counted(found.silent, found), self._counted(found.ended, found)
+            is_taken_over = bool(silent) and self._write(silent)
+            return silent | ended if is_taken_over else ended
         except StoreError as exc:
             log(Event.STORE_UNAVAILABLE, call="take over silent workers", reason=str(exc))
             return {}
 
+    def _counted(self, ages: Mapping[str, timedelta], found: _Content) -> dict[str, timedelta]:
+        lacking = max(timedelta(), self._excess - found.excess)
+        return {name: age - lacking for name, age in ages.items() if age >= lacking}
+
     def request_check(self) -> None:
         """Check at once, since a listed worker has reported."""
         self._is_check_requested = True
@@ -193,7 +203,9 @@
     def _encode(
         self, silent: Mapping[str, timedelta], ended: Mapping[str, timedelta] | None = None
     ) -> bytes:
-        raw = {"epoch": self._epoch, "silent_ms": _to_ms(silent)}
+        raw: dict[str, Any] = {"epoch": self._epoch, "silent_ms": _to_ms(silent)}
+        if self._excess:
+            raw["excess_ms"] = self._excess // MS
         if ended:
             raw["ended_ms"] = _to_ms(ended)
         return json.dumps(raw, separators=(",", ":")).encode()
@@ -207,9 +219,12 @@
             epoch = raw.get("epoch")
             if not records.is_number(epoch):
                 raise InvalidMessageError("the epoch is missing or invalid")
-            # The build before writes no `ended_ms`.
+            # Builds before write no `ended_ms` or no `excess_ms`.
             return _Content(
-                epoch, _from_ms(raw.get("silent_ms")), _from_ms(raw.get("ended_ms", {}))
+                epoch,
+                _from_ms(raw.get("silent_ms")),
+                _from_ms(raw.get("ended_ms", {})),
+                _from_ms({"": raw.get("excess_ms", 0)})[""],
             )
         except InvalidMessageError as exc:
             log(Event.MESSAGE_INVALID, what=self._key, reason=str(exc))
--- a/tests/test_later_incarnations_paths.py
+++ b/tests/test_later_incarnations_paths.py
@@ -318,6 +318,7 @@
         late_renewal(worker, grant)
     world.submit("a", TASK)
     run_until(world, lambda: world.history.starts)
+    world.run(2)
     world.owner().resign("planned stop")
     assert json.loads(world.store.get(silences_key(0)).value)["ended_ms"]
     world.frozen.add(world.workers[-1].id)
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -447,9 +447,9 @@
     """
     taken_over = []
 
-    def new_record(pool, store):
+    def new_record(pool, store, excess):
         kind = record_of_build()
-        record = kind(pool, store) if issubclass(kind, SilenceRecord) else kind()
+        record = kind(pool, store, excess) if issubclass(kind, SilenceRecord) else kind()
         take_over = record.take_over
 
         def count(*epochs):
