--- a/packages/core/src/mulberryslip/workflows.py
+++ b/packages/core/src/mulberryslip/workflows.py
@@ -589,6 +589,7 @@
         if task.spec.lasting or task.workflow.is_ended:
             return False
         self.record_start(task)
+        self._record_crash_evidence(task, RunOutcome.DONE)
         self._last_forgotten = None
         del self._ready[task.name]
         self._mark_done(task, at_ms)
--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -666,14 +666,14 @@
 
         The caller holds the lock.
         """
-        runs = dict(self._starting_runs)
+        runs = set(self._starting_runs.items())
         runs |= {
-            task: start.run
+            (task, start.run)
             for task, start in self._unanswered_starts.items()
             if start.incarnation == worker.incarnation and start.is_in_flight
         }
         return [
-            wire.RunRefusal(task, run, "no answer yet", certain=False) for task, run in runs.items()
+            wire.RunRefusal(task, run, "no answer yet", certain=False) for task, run in sorted(runs)
         ]
 
     def _update_grant(self, worker: WorkerAnnouncement, reply: wire.WorkerReportReply) -> None:
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -59,7 +59,10 @@
     :param left: the last incarnation that announced that it leaves.
     :param is_absent: whether the worker's process has ended.
     :param starts_in_flight: runs of which the agent did not know whether they had started, by task
-        and run, when it reported that.
+        and run, when it reported that; None if it does not know of all starts.
+    :param fetched_by: incarnation of the agent's process that has fetched start commands last.
+    :param reconciled_incarnation: the last incarnation of which a listing that was requested with
+        this owner's fencing token has been reconciled.
     :param starts: start commands that the agent has not fetched yet.
     :param stops: stop commands that the agent has not fetched yet.
     :param withdrawn: why start commands were withdrawn before the agent fetched them, by task and
@@ -100,7 +103,9 @@
     incarnations: int = 0
     left: str = ""
     is_absent: bool = False
-    starts_in_flight: frozenset[tuple[str, int]] = frozenset()
+    starts_in_flight: frozenset[tuple[str, int]] | None = frozenset()
+    fetched_by: str = ""
+    reconciled_incarnation: str = ""
     starts: deque = attrs.field(factory=deque)
     stops: deque = attrs.field(factory=deque)
     withdrawn: dict[tuple[str, int], str] = attrs.field(factory=dict)
@@ -146,9 +151,11 @@
         self.received_at = now
         if report.unreachable:
             self.running = {}
-            self.starts_in_flight = frozenset(
-                (row.task, row.run) for row in report.refused if not row.certain
-            )
+            self.starts_in_flight = None
+            if report.header.incarnation == self.fetched_by:
+                self.starts_in_flight = frozenset(
+                    (row.task, row.run) for row in report.refused if not row.certain
+                )
             self._withdraw_starts(PROCESS_ENDED)
             return True
         if report.clock_ms > self.clock_ms:
--- a/packages/daemon/src/mulberryslipd/ownerships.py
+++ b/packages/daemon/src/mulberryslipd/ownerships.py
@@ -160,7 +160,7 @@
         self.breakdowns = TimeBreakdowns()
         self.members: dict[str, Member] = {}
         self._forgotten: dict[str, int] = {}
-        self.pending_starts = PendingStarts()
+        self.pending_starts = PendingStarts(times.max_silence + times.unfenced_excess)
         self.unchecked_workers: set[str] = set()
         """Workers that have listed their runs since it was last checked which runs to stop."""
         self.inbox: deque[QueuedCall] = deque()
--- a/packages/daemon/src/mulberryslipd/pending_starts.py
+++ b/packages/daemon/src/mulberryslipd/pending_starts.py
@@ -37,9 +37,14 @@
 
 
 class PendingStarts:
-    """The pending starts of one ownership term, by task. Not thread-safe."""
+    """The pending starts of one ownership term, by task. Not thread-safe.
 
-    def __init__(self) -> None:
+    :param max_lease_time: time after a worker's last listing after which its runs have ended,
+        whichever call has extended its lease.
+    """
+
+    def __init__(self, max_lease_time: timedelta) -> None:
+        self._max_lease_time = max_lease_time
         self._starts: dict[str, PendingStart] = {}
 
     def record(self, task: StepTask, member: Member, since: timedelta) -> None:
@@ -56,7 +61,7 @@
             task.worker_id,
             task.incarnation,
             task.machine,
-            since if last_listed_at is None else last_listed_at,
+            max(since, member.received_at) if last_listed_at is None else last_listed_at,
         )
 
     def update(
@@ -75,40 +80,40 @@
                 name: start
                 for name, start in self._starts.items()
                 if start.task.awaits_run_after(start.run)
-                and _is_pending(start, members.get(start.worker_id), newest, now)
+                and self._is_pending(start, members.get(start.worker_id), newest, now)
             }
         return frozenset(self._starts)
 
+    def _is_pending(
+        self,
+        start: PendingStart,
+        member: Member | None,
+        newest: Mapping[str, Member],
+        now: timedelta,
+    ) -> bool:
+        if member is not None and member.incarnation > start.incarnation:
+            status = member.running.get(start.task.name)
+            if status is not None and status.run == start.run:
+                # The next incarnation has executed it, and is told to stop it.
+                return now - member.received_at <= self._max_lease_time
+            if member.reconciled_incarnation > start.incarnation:
+                return False
+        latest = newest.get(start.machine)
+        if (
+            latest is not None
+            and latest.worker_id != start.worker_id
+            and latest.incarnation > start.incarnation
+        ):
+            # It refuses calls that name another worker.
+            return False
+        return now - start.last_listed_at <= LATE_CALL_TIMEOUT
+
 
 def _is_in_flight(task: StepTask, member: Member) -> bool:
     key = (task.name, task.run)
-    if key in member.first_listed_at:
+    if task.delivered_run != task.run or key in member.first_listed_at:
         return False
-    if member.is_absent:
-        # The agent has said which starts it has no answer to.
+    knows_starts = member.is_absent and member.starts_in_flight is not None
+    if knows_starts and member.incarnation == task.incarnation:
         return key in member.starts_in_flight
     return True
-
-
-def _is_pending(
-    start: PendingStart,
-    member: Member | None,
-    newest: Mapping[str, Member],
-    now: timedelta,
-) -> bool:
-    if member is not None and member.incarnation > start.incarnation:
-        status = member.running.get(start.task.name)
-        if status is not None and status.run == start.run:
-            # The next incarnation has executed it, and is told to stop it.
-            return True
-        if member.fenced_at is not None:
-            return False
-    latest = newest.get(start.machine)
-    if (
-        latest is not None
-        and latest.worker_id != start.worker_id
-        and latest.incarnation > start.incarnation
-    ):
-        # It refuses calls that name another worker.
-        return False
-    return now - start.last_listed_at <= LATE_CALL_TIMEOUT
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -210,6 +210,8 @@
         with term.lock:
             member.has_commands.clear()
             starts, stops = list(member.starts), list(member.stops)
+            if starts:
+                member.fetched_by = req.header.incarnation
             member.starts.clear()
             member.stops.clear()
             fence = member.fence(term.epoch)
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -347,6 +347,8 @@
                     self._run_ended_event(term, task, RunOutcome.UNSTARTED, now_ms, reason)
                 )
         events += self._late_ends(term, member, ended, now_ms)
+        if report.listed and report.epoch == term.epoch:
+            member.reconciled_incarnation = member.incarnation
         self._observe_report(term, member)
         term.unchecked_workers.add(member.worker_id)
         if report.ended:
@@ -440,12 +442,15 @@
             if now - last_heard_at > MAX_REPORT_AGE and silence.vm:
                 silences.append(silence)
             is_silent = now - last_grant_at > self._times.max_silence
+            has_ended = term.absences.has_ended(silence)
             if is_silent:
                 reason = f"no report from the worker for {now - last_heard_at}"
                 worker_tasks = [
-                    task for task in worker_tasks if not self._may_run_later(term, task, now)
+                    task
+                    for task in worker_tasks
+                    if has_ended or not self._may_run_later(term, task, now)
                 ]
-            elif term.absences.has_ended(silence):
+            elif has_ended:
                 reason = "its VM does not run the worker any more"
             else:
                 worker_tasks = [task for task in worker_tasks if _is_replaced(task, member, newest)]
