Let the soak test execute calls of earlier incarnations of workers

No test with real processes showed the incident: workers of the soak had no longer lease than the owner grants, no call was executed after a restart, and no task took long.

Draws without the argument are those of before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,12 +2,14 @@
 
 `python tests/soak.py --seed=N --seconds=S [--workers=W] [--gateways=G] [--pools=P]` prints the
 faults and every violated guarantee. The processes are those of a deployment; test doubles replace
-the platform.
+the platform. `--late_calls=hold --late_calls=run-start` adds workers that restart under their
+ids and then execute such calls for their earlier incarnations.
 Links to the store and from callers go through proxies. Only processes that the soak test has
 started are signalled, by their process ids.
 """
 
 import collections
+import contextlib
 import itertools
 import json
 import os
@@ -17,6 +19,7 @@
 import tempfile
 import threading
 import time
+import zlib
 from datetime import timedelta
 from pathlib import Path
 
@@ -24,6 +27,7 @@
 import urllib3
 from absl import app, flags
 from mulberryslip.models import Resources
+from mulberryslip.runners import RunnerError
 from mulberryslip.steps import StepSpec, WorkflowSpec
 from mulberryslip_testing.clusters import PORT_RANGE, Process, free_port
 from mulberryslip_testing.proxies import Direction, Proxy
@@ -54,6 +58,24 @@
 MAX_RESPONSE_DELAY_S = 0.1
 """Longest time between the lists of a worker's response and the clock in it."""
 
+MAX_WORKER_LEASE_MS = 5000
+"""Longest lease of the workers in soaks with late calls; it exceeds that of the pool."""
+
+CALLS_TO_KEEP = ("hold", "run-start")
+KEPT_PART = 0.8
+KEPT_FOR_S = (1.0, 2.5)
+UNANSWERED_FOR_S = (0.0, 2.0)
+"""Times after which the connection of a kept call is closed; agents wait less than 2 s."""
+
+WORKER_DOWN_S = (0.2, 0.8)
+LATE_BY_S = (0.0, 1.5)
+"""Time between a restart and a kept call; the first listing is about 0.5 s after the restart."""
+
+ISOLATED_AFTER_S = (0.5, 3.0)
+ISOLATED_FOR_S = (8.0, 10.0)
+LONG_RUN_MS = (10_000, 13_000)
+LONG_WORKFLOW_INTERVAL_S = (0.5, 1.5)
+
 LOWER_CAPACITIES = (Resources(1500, 16000), Resources(8000, 1000), Resources())
 READY_TIMEOUT_S = 20.0
 
@@ -67,13 +89,76 @@
     return list(ports)
 
 
+class SoakHistory(History):
+    """A history that also logs what is known of each violation when it occurs.
+
+    :param log_line: called with a line of text.
+    """
+
+    def __init__(self, log_line):
+        super().__init__()
+        self._log_line = log_line
+        self.late_runs = set()
+
+    def record_start(self, worker, command):
+        """Check a start; log the runs of its task if it violates a guarantee."""
+        known = len(self.violations)
+        spec = super().record_start(worker, command)
+        for violation in self.violations[known:]:
+            runs = [
+                f"run {run.run}{self._lateness(other, run)} on {other.incarnation} from"
+                f" {run.started_at} ms, clock {other.clock_ms()}, lease until {other.lease_until}"
+                for other in self.workers
+                if (run := other.runs.get(command.task)) is not None
+            ]
+            start = f"run {command.run}{self._lateness(worker, command)}"
+            self._log_line(f"violation {violation}: {start} starts beside {runs}")
+        return spec
+
+    def _lateness(self, worker, run):
+        is_late = (worker.incarnation, run.task, run.run) in self.late_runs
+        return " (started by a late call)" if is_late else ""
+
+
 class SoakWorker(PlatformWorkerServer):
     """A worker that delays its response to a hold call until a run has ended or the wait expires.
 
-    The platform's workers do the same.
+    The platform's workers do the same. It may keep calls without a response and execute them later.
     """
 
+    def __init__(self, number, history, **options):
+        self.kept_calls = []
+        self.keeps_call = lambda path, body: False
+        super().__init__(number, history, **options)
+
+    def execute_late(self, path, body):
+        """Execute a kept call; return a text about its effect, with the worker's clock."""
+        worker = self.worker
+        with self.lock:
+            if path.endswith("run-start"):
+                task = body["Task"].replace(".", "/")
+                self.history.late_runs.add((worker.incarnation, task, body["Run"]))
+            try:
+                status, document = super().respond("POST", path, {}, body)
+            except RunnerError as exc:
+                return f"{path} {body}: {exc}"
+            effect = document.get("Reason", f"lease until {worker.lease_until}")
+            return f"{path} {body}: {worker.incarnation} at {worker.clock_ms()}: {status}, {effect}"
+
+    def hold(self, body):
+        status, document = super().hold(body)
+        for row in document.get("Running", ()):
+            run = self.worker.runs[row[0].replace(".", "/")]
+            if run.ends_at - run.started_at >= LONG_RUN_MS[0]:
+                # The owner stops a run whose progress stands still.
+                row[3] = self.worker._percent(run)
+        return status, document
+
     def respond(self, method, path, query, body):
+        if self.keeps_call(path, body):
+            self.kept_calls.append((path, body))
+            time.sleep(random.choice(UNANSWERED_FOR_S))
+            raise ConnectionAbortedError("kept without a response")
         expires = time.monotonic() + body.get("WaitMs", 0) / 1000
         while True:
             status, document = super().respond(method, path, query, body)
@@ -116,9 +201,21 @@
     :param workers: number of workers, each with an agent.
     :param gateways: number of gateways.
     :param pools: number of pools that the workers are divided into.
+    :param late_calls: those of `CALLS_TO_KEEP` that workers execute after a restart.
+    :param max_worker_lease_ms: longest lease of a worker that the agents are told; 0 for none.
     """
 
-    def __init__(self, directory, seed, seconds, workers=3, gateways=2, pools=1):
+    def __init__(
+        self,
+        directory,
+        seed,
+        seconds,
+        workers=3,
+        gateways=2,
+        pools=1,
+        late_calls=(),
+        max_worker_lease_ms=0,
+    ):
         self.rng = random.Random(seed)
         self.directory = directory
         self.seconds = seconds
@@ -126,27 +223,49 @@
         if pools > 1:
             # Earlier builds, which `mixed-builds` also starts, do not know this key.
             self.pool_settings["count"] = pools
+        if max_worker_lease_ms:
+            self.pool_settings["max_worker_lease_ms"] = max_worker_lease_ms
+        self.late_calls = tuple(late_calls)
+        self.fault_kinds = FAULTS + (LATE_CALL_FAULTS if late_calls else [])
+        self.long_workflows, self.background_faults = set(), {}
         self.faults = []
         self.workflows = {}
         self.stop = threading.Event()
         self.lock = threading.Lock()
-        self.history = History()
+        self.history = SoakHistory(self._log)
         self.store = PlatformStoreServer(page=100)
         self.store.operate("op/config", CONFIG)
         shared = threading.RLock()
-        self.workers = [SoakWorker(n, self.history) for n in range(workers)]
+        max_lease = timedelta(milliseconds=MAX_WORKER_LEASE_MS)
+        options = {"max_lease": max_lease} if late_calls else {}
+        self.workers = [SoakWorker(n, self.history, **options) for n in range(workers)]
         for worker in self.workers:
             # The guarantees involve several workers, so all their state changes under one lock.
             worker.lock = shared
-            worker.worker.run_ms = lambda name: 300 + hash(name) % 700
+            worker.worker.run_ms = self._run_ms
             worker.worker.announcement_interval = timedelta(seconds=ANNOUNCEMENT_INTERVAL_S)
         ports = free_ports(self.rng, 3 * (workers + gateways))
         self.processes, self.proxies, self.entries, self.announcers = {}, {}, [], []
+        self.worker_links = {}
         for number, worker in enumerate(self.workers):
             self._add_agent(number, worker, ports)
         for number in range(gateways):
             self._add_gateway(number, ports)
 
+    def _run_ms(self, name):
+        if name.split("/")[0] in self.long_workflows:
+            shortest, longest = LONG_RUN_MS
+            return shortest + zlib.crc32(name.encode()) % (longest - shortest)
+        return 300 + hash(name) % 700
+
+    def _worker_url(self, worker):
+        if not self.late_calls:
+            return worker.url
+        # Connections are refused while the worker's process is gone.
+        proxy = Proxy("127.0.0.1", int(worker.url.rpartition(":")[2]))
+        self.worker_links[worker] = proxy
+        return f"http://127.0.0.1:{proxy.port}"
+
     def _store_url(self, name):
         proxy = Proxy("127.0.0.1", int(self.store.url.rpartition(":")[2]))
         self.proxies[f"{name} to the store"] = proxy
@@ -155,7 +274,8 @@
     def _add_agent(self, number, worker, ports):
         addresses = [f"127.0.0.1:{ports.pop()}" for _ in range(3)]
         role_settings = dict(zip(("wire", "announcements", "metrics"), addresses, strict=True))
-        self._add("agent", f"agent-{number}", {**role_settings, "worker_url": worker.url})
+        worker_url = self._worker_url(worker)
+        self._add("agent", f"agent-{number}", {**role_settings, "worker_url": worker_url})
         self.announcers.append((role_settings["announcements"], worker))
 
     def _add_gateway(self, number, ports):
@@ -208,6 +328,9 @@
                 threading.Thread(target=self._run_caller, args=(self.rng.random(),))
                 for _ in range(4)
             ]
+            if self.late_calls:
+                args = (self.rng.random(),)
+                callers.append(threading.Thread(target=self._submit_long_workflows, args=args))
             for caller in callers:
                 caller.start()
             self._inject_faults()
@@ -221,7 +344,7 @@
             for process in self.processes.values():
                 process.signal(signal.SIGCONT)
                 process.kill()
-            for proxy in self.proxies.values():
+            for proxy in (*self.proxies.values(), *self.worker_links.values()):
                 proxy.stop()
             for worker in self.workers:
                 worker.stop()
@@ -236,6 +359,8 @@
         http = urllib3.PoolManager(retries=False, timeout=1)
         for number in itertools.count():
             try:
+                if worker.worker.is_down:
+                    continue
                 beat = worker.beat()
                 if number % FOREIGN_ANNOUNCEMENT_PERIOD == 0:
                     foreign = {**beat, "born": beat["born"] + 1000, "Service": "not-named"}
@@ -243,7 +368,8 @@
                 http.request("PUT", f"http://{address}/-/instances/{worker.worker.id}", json=beat)
             except urllib3.exceptions.HTTPError:
                 pass  # The worker's agent is down; the next announcement follows.
-            time.sleep(ANNOUNCEMENT_INTERVAL_S)
+            finally:
+                time.sleep(ANNOUNCEMENT_INTERVAL_S)
 
     def _is_ready(self):
         deadline = time.monotonic() + READY_TIMEOUT_S
@@ -307,6 +433,21 @@
                 workflow.is_cancelled = workflow.is_cancelled or status in (0, 200, 504)
             self._read(http, rng)
 
+    def _submit_long_workflows(self, seed):
+        """Submit workflows whose tasks outlast every lease."""
+        rng = random.Random(seed)
+        http = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S, headers={"Host": HOST})
+        while not self.stop.wait(rng.uniform(*LONG_WORKFLOW_INTERVAL_S)):
+            name = f"{rng.getrandbits(64):016x}"
+            workflow = SubmittedWorkflow(
+                name, WorkflowSpec("text", (StepSpec(rng.randint(1, 3), 500, 500),))
+            )
+            self.long_workflows.add(name)
+            with self.lock:
+                self.workflows[name] = workflow
+                self.history.specs[name] = workflow.spec
+            self._submit(http, workflow, rng.choice(self.entries))
+
     def _read(self, http, rng):
         with self.lock:
             workflow = rng.choice(list(self.workflows.values()))
@@ -340,7 +481,7 @@
         ends = time.monotonic() + self.seconds
         active_faults = []
         while time.monotonic() < ends:
-            fault = self.rng.choice(FAULTS)
+            fault = self.rng.choice(self.fault_kinds)
             recover, text = fault(self)
             self._log(f"begin {text}")
             active_faults.append((recover, text))
@@ -348,6 +489,8 @@
             # Some faults overlap with the next one.
             if self.rng.random() < 0.7 or len(active_faults) > 2:
                 self._end_faults(active_faults)
+        for thread in list(self.background_faults.values()):
+            thread.join()
         self._end_faults(active_faults)
 
     def _end_faults(self, active_faults):
@@ -415,7 +558,9 @@
     process.signal(signal.SIGTERM)
 
     def recover():
-        process.popen.wait(10)
+        # `restart_with_late_calls` may have paused the process.
+        process.signal(signal.SIGCONT)
+        process.popen.wait(2 * max(ISOLATED_FOR_S))
         process.start()
 
     return recover, f"stop {process.name}"
@@ -522,6 +667,72 @@
     return lambda: None, f"configuration {CONFIG['Version']}"
 
 
+def restart_with_late_calls(soak, isolates=False):
+    """Restart a worker under its id and execute calls for its earlier incarnation in the next one.
+
+    Runs beside the faults that follow, on at most half of the workers at a time.
+    """
+    # On the next clock, the times in calls for such an incarnation are beyond the longest lease.
+    candidates = [
+        worker
+        for worker in soak.workers
+        if worker not in soak.background_faults
+        and worker.worker.clock_ms() > 2 * MAX_WORKER_LEASE_MS
+    ]
+    rng = random.Random(soak.rng.random())
+    if not candidates or 2 * len(soak.background_faults) + 2 > len(soak.workers):
+        return lambda: None, "no restart with late calls, as too few workers are left"
+    worker = rng.choice(candidates)
+    thread = threading.Thread(target=_run_late_calls, args=(soak, worker, rng, isolates))
+    soak.background_faults[worker] = thread
+    thread.start()
+    text = f"restart {worker.worker.id} with late calls"
+    return lambda: None, text + (", then isolate it" if isolates else "")
+
+
+def restart_and_isolate(soak):
+    return restart_with_late_calls(soak, isolates=True)
+
+
+def _run_late_calls(soak, worker, rng, isolates):
+    number = soak.workers.index(worker)
+    process, link = soak.processes[f"agent-{number}"], soak.worker_links[worker]
+    # Agents send no lease after a call without a response, until the worker has responded again.
+    worker.keeps_call = lambda path, body: (
+        path.removeprefix("/-/") in soak.late_calls
+        and "DeadlineMs" in body
+        and rng.random() < KEPT_PART
+    )
+    time.sleep(rng.uniform(*KEPT_FOR_S))
+    worker.keeps_call = lambda path, body: False
+    link.disconnect()
+    with worker.lock:
+        worker.worker.crash()
+        worker.worker.back_at = None
+    time.sleep(rng.uniform(*WORKER_DOWN_S))
+    with worker.lock:
+        worker.worker.restart()
+        worker.worker.is_down = False
+    link.restore()
+    restarted_at = time.monotonic()
+    soak._log(f"restarted {worker.worker.incarnation}, {len(worker.kept_calls)} late calls")
+    calls, worker.kept_calls = worker.kept_calls, []
+    actions = [(rng.uniform(*LATE_BY_S), "call", call) for call in calls]
+    if isolates:
+        isolated_after = rng.triangular(*ISOLATED_AFTER_S)
+        actions.append((isolated_after, "pause", None))
+        actions.append((isolated_after + rng.uniform(*ISOLATED_FOR_S), "continue", None))
+    for after, action, call in sorted(actions, key=lambda action: action[0]):
+        time.sleep(max(0, restarted_at + after - time.monotonic()))
+        if action == "call":
+            soak._log(f"late {worker.execute_late(*call)}")
+        else:
+            # The worker's agent is silent, to the store and to other agents, while it is paused.
+            process.signal(signal.SIGSTOP if action == "pause" else signal.SIGCONT)
+            soak._log(f"{action} {process.name}")
+    del soak.background_faults[worker]
+
+
 FAULTS = [
     kill,
     kill_all_agents,
@@ -540,16 +751,20 @@
     lower_capacity,
     change_config,
 ]
+LATE_CALL_FAULTS = [restart_with_late_calls] * 3 + [restart_and_isolate] * 12
+
 
+def soak(seed, seconds, workers=3, gateways=2, pools=1, directory=None, **options):
+    """Run a soak test; return the violated guarantees.
 
-def soak(seed, seconds, workers=3, gateways=2, pools=1, directory=None):
-    """Run a soak test; return the violated guarantees."""
+    :param options: further arguments of `Soak`.
+    """
     os.environ["PYTHONPATH"] = str(ROOT / "platform")
     CONFIG["Version"] = 1
-    if directory is not None:
-        return Soak(Path(directory), seed, seconds, workers, gateways, pools).run()
-    with tempfile.TemporaryDirectory() as temporary:
-        return Soak(Path(temporary), seed, seconds, workers, gateways, pools).run()
+    with contextlib.ExitStack() as stack:
+        if directory is None:
+            directory = stack.enter_context(tempfile.TemporaryDirectory())
+        return Soak(Path(directory), seed, seconds, workers, gateways, pools, **options).run()
 
 
 def main(argv):
@@ -561,6 +776,8 @@
         flags.FLAGS.gateways,
         flags.FLAGS.pools,
         flags.FLAGS.logs or None,
+        late_calls=flags.FLAGS.late_calls,
+        max_worker_lease_ms=flags.FLAGS.max_worker_lease_ms,
     )
     for line in violations:
         print(f"BROKEN {line}")
@@ -574,6 +791,16 @@
     flags.DEFINE_integer("workers", 3, "Workers, each with an agent.", 1)
     flags.DEFINE_integer("gateways", 2, "Gateways.", 1)
     flags.DEFINE_integer("pools", 1, "Pools that the workers are divided into.", 1)
+    flags.DEFINE_multi_enum(
+        "late_calls", [], CALLS_TO_KEEP, "Calls that workers execute late, after a restart."
+    )
+    flags.DEFINE_integer(
+        "max_worker_lease_ms",
+        0,
+        f"Longest lease of a worker that the agents are told; {MAX_WORKER_LEASE_MS} is true with"
+        " late calls. 0 for builds that do not know the setting.",
+        0,
+    )
     flags.DEFINE_string(
         "logs", "", "Folder that keeps settings and logs; a temporary one if empty."
     )
