--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 from mulberryslip_testing.clusters import Process
-from soak import free_ports, soak
+from soak import MAX_WORKER_LEASE_MS, free_ports, soak
 
 REGRESSIONS = {
     1: "run ends of a worker incarnation were acknowledged with end numbers of the earlier one",
@@ -30,6 +30,19 @@
     assert soak(5, 10, workers=4, pools=pools, directory=tmp_path) == []
 
 
+def test_short_soak_with_late_renewals(tmp_path):
+    """Guards against second runs while a call for an earlier incarnation keeps the first alive."""
+    violations = soak(
+        11,
+        25,
+        workers=6,
+        directory=tmp_path,
+        late_calls=("hold",),
+        max_worker_lease_ms=MAX_WORKER_LEASE_MS,
+    )
+    assert violations == []
+
+
 def test_two_soaks_of_one_seed_use_different_ports():
     """Guards against processes that end because another run of the tests listens on their ports."""
     assert set(free_ports(random.Random(1), 15)) != set(free_ports(random.Random(1), 15))
