Remove second copies and unclear names found in reading the change again

- The test of whether a start is on its way stands once (is_in_flight), for workers that have ended and for silent ones; newest_members moved to members, so that it is no argument any more.
- Tests of late calls share their steps in PoolWorld, and the time that calls are late is that of the doubles, not the constant of the product.
Two files are named after what they test.
- A note on a measured time in the soak is gone.

--- a/packages/daemon/src/mulberryslipd/agents.py
+++ b/packages/daemon/src/mulberryslipd/agents.py
@@ -329,9 +329,9 @@
                 if task not in self._starting_runs and not self._may_start(task, requested_ms)
             }
         lease_until_ms = grant.lease_until_ms if is_confirmed else 0
-        # The next incarnation would drop its own ends up to this number.
+        # If the next incarnation executes the call, it drops its own ends up to this number.
         ended_through = grant.ended_through if is_confirmed and self._has_listed_ends else 0
-        call = {
+        sent = {
             "fence": grant.fence,
             "lease_until_ms": lease_until_ms,
             "ended_through": ended_through,
@@ -360,7 +360,7 @@
                 call="hold",
                 reason=str(exc),
                 incarnation=worker.incarnation,
-                **call,
+                **sent,
             )
             if isinstance(exc, RunnerFencedError):
                 self._grant = Grant(epoch=grant.epoch)
@@ -377,7 +377,7 @@
                 expected=worker.incarnation,
                 reported=listing.incarnation,
                 clock_ms=listing.clock_ms,
-                **call,
+                **sent,
             )
             self._grant = Grant(epoch=grant.epoch)
             return False
--- a/packages/daemon/src/mulberryslipd/members.py
+++ b/packages/daemon/src/mulberryslipd/members.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Iterable
 from datetime import timedelta
 
 import attrs
@@ -218,6 +219,21 @@
         self.starts.clear()
 
 
+def newest_members(members: Iterable[Member]) -> dict[str, Member]:
+    """Return the newest worker by VM; a VM runs one worker at a time.
+
+    A worker counts once it has listed its runs. Until then only its announcement says that it is
+    there, and that may come from another writer.
+    """
+    newest: dict[str, Member] = {}
+    for member in members:
+        if member.machine and member.listed_at is not None:
+            known = newest.get(member.machine)
+            if known is None or member.incarnation > known.incarnation:
+                newest[member.machine] = member
+    return newest
+
+
 def check_report(report: wire.WorkerReport) -> None:
     """Check the values of a report before anything is derived from them.
 
--- a/packages/daemon/src/mulberryslipd/pending_starts.py
+++ b/packages/daemon/src/mulberryslipd/pending_starts.py
@@ -7,17 +7,18 @@
 twice.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 
 import attrs
 from mulberryslip.workflows import StepTask
 
-from .members import Member
+from .members import Member, newest_members
 
 LATE_CALL_TIMEOUT = timedelta(seconds=6)
-"""Longest time after a worker's last listing in which its next incarnation gets a start that was
-meant for this one. Services must run again 9 s after their last run."""
+"""Time after a worker's last listing after which its next incarnation is taken not to get a start
+that was meant for this one. The platform states no limit, and services must run again 9 s after
+their last run."""
 
 
 @attrs.frozen
@@ -52,7 +53,7 @@
 
         :param since: the latest time of the worker's last listing if this owner knows none.
         """
-        if not _is_in_flight(task, member):
+        if not is_in_flight(task, member):
             return
         last_listed_at = member.last_alive_at(task.incarnation)
         self._starts[task.name] = PendingStart(
@@ -64,16 +65,8 @@
             max(since, member.received_at) if last_listed_at is None else last_listed_at,
         )
 
-    def update(
-        self,
-        members: Mapping[str, Member],
-        newest_members: Callable[[Iterable[Member]], Mapping[str, Member]],
-        now: timedelta,
-    ) -> frozenset[str]:
-        """Drop the starts that can no longer be executed; return the tasks of the others.
-
-        :param newest_members: returns, by VM, the worker whose listing is the newest.
-        """
+    def update(self, members: Mapping[str, Member], now: timedelta) -> frozenset[str]:
+        """Drop the starts that can no longer be executed; return the tasks of the others."""
         if self._starts:
             newest = newest_members(members.values())
             self._starts = {
@@ -109,7 +102,8 @@
         return now - start.last_listed_at <= LATE_CALL_TIMEOUT
 
 
-def _is_in_flight(task: StepTask, member: Member) -> bool:
+def is_in_flight(task: StepTask, member: Member) -> bool:
+    """Return whether a later incarnation of a worker may execute the start of an active run."""
     key = (task.name, task.run)
     if task.delivered_run != task.run or key in member.first_listed_at:
         return False
--- a/packages/daemon/src/mulberryslipd/pools.py
+++ b/packages/daemon/src/mulberryslipd/pools.py
@@ -389,12 +389,10 @@
         journal = Journal(self._store, self._number, JOURNAL_SLOTS, "pools", SNAPSHOT_PARTS)
         try:
             pool = _recover(journal, self._number)
-            silences, ages = (
-                SilenceRecord(self._number, self._store, self._times.unfenced_excess),
-                {},
-            )
+            excess, ages = self._times.unfenced_excess, {}
+            silences = SilenceRecord(self._number, self._store, excess)
             settlements = SettlementRecord(self._number, self._store)
-            if self._times.unfenced_excess:
+            if excess:
                 settlements.read()
             if journal.free_slots < MIN_FREE_SLOTS:
                 silences.close()
--- a/packages/daemon/src/mulberryslipd/schedulers.py
+++ b/packages/daemon/src/mulberryslipd/schedulers.py
@@ -66,9 +66,9 @@
     run_profile,
 )
 
-from .members import CAPACITY_SHRANK, Member, ended_of
+from .members import CAPACITY_SHRANK, Member, ended_of, newest_members
 from .ownerships import PoolLeaseTimes, PoolTerm
-from .pending_starts import LATE_CALL_TIMEOUT
+from .pending_starts import LATE_CALL_TIMEOUT, is_in_flight
 
 START_WINDOW = timedelta(milliseconds=1500)
 """Time within which a start command must reach the worker. It bounds how long a start without a
@@ -430,7 +430,7 @@
         now = self._clock.monotonic()
         if not self._lost_runs_timer.is_due(now):
             return []
-        newest = _newest_members(term.members.values())
+        newest = newest_members(term.members.values())
         events: list[Any] = []
         silences: list[Silence] = []
         for worker_id in term.pool.workers_with_runs():
@@ -758,7 +758,7 @@
         it, and then takes the longest lease for it.
         """
         member = term.members.get(task.worker_id)
-        if member is None or task.delivered_run != task.run or member.lists(task):
+        if member is None or not is_in_flight(task, member):
             return False
         wait = LATE_CALL_TIMEOUT + self._times.max_silence + self._times.unfenced_excess
         return now - member.received_at <= wait
@@ -1003,7 +1003,7 @@
             self._metrics.set_gauge(LARGE_TASKS_GAUGE, 0)
 
     def _choose_workers(self, term: PoolTerm) -> list[PlacementDecision]:
-        pending = term.pending_starts.update(term.members, _newest_members, self._clock.monotonic())
+        pending = term.pending_starts.update(term.members, self._clock.monotonic())
         waiting = [task for task in term.pool.ready() if task.name not in pending]
         config = self._source.config()
         if not waiting:
@@ -1335,7 +1335,7 @@
     ) -> Iterator[tuple[Member, Requirement | Preference | None]]:
         """Yield each worker with the reason why it does not get runs; None if it may."""
         now = self._clock.monotonic()
-        newest = _newest_members(term.members.values())
+        newest = newest_members(term.members.values())
         trial_workers = {task.worker_id for task in term.pool.trials()}
         for member in term.members.values():
             if not member.clock_ms:
@@ -1715,21 +1715,6 @@
     return status.progress_percent < limit
 
 
-def _newest_members(members: Iterable[Member]) -> dict[str, Member]:
-    """Return the newest worker by VM; a VM runs one worker at a time.
-
-    A worker counts once it has listed its runs. Until then only its announcement says that it is
-    there, and that may come from another writer.
-    """
-    newest: dict[str, Member] = {}
-    for member in members:
-        if member.machine and member.listed_at is not None:
-            known = newest.get(member.machine)
-            if known is None or member.incarnation > known.incarnation:
-                newest[member.machine] = member
-    return newest
-
-
 def _is_newer(newest: Member | None, member: Member) -> bool:
     """Return whether a worker runs on the VM of an earlier one.
 
--- a/packages/daemon/src/mulberryslipd/silences.py
+++ b/packages/daemon/src/mulberryslipd/silences.py
@@ -224,7 +224,7 @@
                 epoch,
                 _from_ms(raw.get("silent_ms")),
                 _from_ms(raw.get("ended_ms", {})),
-                _from_ms({"": raw.get("excess_ms", 0)})[""],
+                _time_from_ms(raw.get("excess_ms", 0)),
             )
         except InvalidMessageError as exc:
             log(Event.MESSAGE_INVALID, what=self._key, reason=str(exc))
@@ -238,6 +238,10 @@
 def _from_ms(raw: Any) -> dict[str, timedelta]:
     if not isinstance(raw, dict):
         raise InvalidMessageError("a field is missing or invalid")
-    if not all(records.is_number(age) and age <= MAX_AGE_MS for age in raw.values()):
+    return {name: _time_from_ms(age) for name, age in raw.items()}
+
+
+def _time_from_ms(raw: Any) -> timedelta:
+    if not records.is_number(raw) or raw > MAX_AGE_MS:
         raise InvalidMessageError("a time is invalid")
-    return {name: MS * age for name, age in raw.items()}
+    return MS * raw
--- a/tests/pool_doubles.py
+++ b/tests/pool_doubles.py
@@ -51,6 +51,9 @@
 QUEUE = Queue("checks", prefix="/checks/", service="ledger", max_attempts=2, slack_ms=300)
 TIMES = PoolLeaseTimes(lease=6 * SECOND)
 MAX_LEASE_TIMES = PoolLeaseTimes(lease=6 * SECOND, max_lease=10 * SECOND)
+MAX_CALL_DELAY = 6 * SECOND
+"""Time for which a call may be on its way where the platform says "seconds"."""
+
 CAPACITY = Resources(8000, 16000, 0)
 CONTACT = timedelta(seconds=3)
 """Time that the rule LIMIT allows, besides one announcement, before a lower capacity counts."""
@@ -648,6 +651,16 @@
         self.cut |= {worker.id, self.address(worker)}
         self.store_cut.add(worker.id)
 
+    def isolate(self, worker):
+        """Cut a worker and its agent off from all other VMs, and from the store."""
+        self.cut |= {worker.id, self.address(worker)}
+        self.store_cut.add(worker.id)
+
+    def reconnect(self, worker):
+        """End the isolation of a worker."""
+        self.cut -= {worker.id, self.address(worker)}
+        self.store_cut.discard(worker.id)
+
     def announce_workers(self):
         """Announce all reachable workers to their agents."""
         for worker in self.workers:
@@ -692,6 +705,37 @@
         for _ in range(rounds):
             self.round()
 
+    def run_with_claims(self, rounds):
+        """Run rounds in which a process claims the pool whenever it is free."""
+        for _ in range(rounds):
+            if self.owner() is None:
+                self.claim_if_free()
+            self.round()
+
+    def submit_without_answer(self, step):
+        """Submit a task whose start gets no answer and is on its way; return its worker."""
+        for worker in self.workers:
+            worker.loses_reply = lambda: True
+        self.submit("a", step)
+        while not any(worker.delayed_starts for worker in self.workers):
+            self.round()
+        for worker in self.workers:
+            worker.loses_reply = lambda: False
+        return next(worker for worker in self.workers if worker.delayed_starts)
+
+    def crash_and_start_late(self, worker, outage):
+        """Let a worker crash; its next incarnation executes the starts that had no answer."""
+        worker.outage = outage
+        worker.crash()
+        self.run_until_back(worker)
+        worker.run_delayed_starts()
+
+    def run_until_back(self, worker):
+        """Run rounds until a crashed worker is back."""
+        while worker.is_down:
+            self.round()
+            worker.crash_if_due()
+
     def submit(self, workflow_id, *steps, queue="checks"):
         """Submit a workflow to the current owner; return its reply."""
         spec = WorkflowSpec("payload", steps or (StepSpec(cpu_millis=1000, memory_mb=100),))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -69,7 +69,7 @@
 
 WORKER_DOWN_S = (0.2, 0.8)
 LATE_BY_S = (0.0, 1.5)
-"""Time between a restart and a kept call; the first listing is about 0.5 s after the restart."""
+"""Time between a restart and a kept call, which comes before or after the first listing."""
 
 ISOLATED_AFTER_S = (0.5, 3.0)
 ISOLATED_FOR_S = (8.0, 10.0)
@@ -78,6 +78,7 @@
 
 LOWER_CAPACITIES = (Resources(1500, 16000), Resources(8000, 1000), Resources())
 READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
 
 
 def free_ports(rng, count):
@@ -558,9 +559,12 @@
     process.signal(signal.SIGTERM)
 
     def recover():
-        # `restart_with_late_calls` may have paused the process.
-        process.signal(signal.SIGCONT)
-        process.popen.wait(2 * max(ISOLATED_FOR_S))
+        timeout = STOP_TIMEOUT_S
+        if soak.late_calls:
+            # `restart_with_late_calls` may have paused the process, or may do so now.
+            process.signal(signal.SIGCONT)
+            timeout += max(ISOLATED_FOR_S)
+        process.popen.wait(timeout)
         process.start()
 
     return recover, f"stop {process.name}"
--- a/tests/test_calls_to_earlier_incarnations.py
+++ b/tests/test_calls_to_earlier_incarnations.py
@@ -7,9 +7,8 @@
 from mulberryslip import ManualClock
 from mulberryslip.steps import StepSpec
 from mulberryslip_testing.fakes import FakeStore
-from mulberryslipd.pending_starts import LATE_CALL_TIMEOUT
 from mulberryslipd.settlements import SettlementRecord, settlements_key
-from pool_doubles import MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
+from pool_doubles import MAX_CALL_DELAY, MAX_LEASE_TIMES, MS, SECOND, TIMES, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 ROUNDS_PER_SECOND = 5
@@ -23,7 +22,7 @@
         times=MAX_LEASE_TIMES,
         run_ms=lambda name: RUN_MS,
         max_lease=MAX_LEASE_TIMES.max_lease,
-        max_call_delay=LATE_CALL_TIMEOUT,
+        max_call_delay=MAX_CALL_DELAY,
     )
     world.elect(world.workers[2])
     world.run(12 * ROUNDS_PER_SECOND)
@@ -37,23 +36,22 @@
     worker.extend_lease(worker.id, grant.fence, grant.lease_until_ms, 0, 0 * MS)
 
 
-def isolate(world, worker):
-    """Cut a worker and its agent off from all other VMs, and from the store."""
-    world.cut |= {worker.id, world.address(worker)}
-    world.store_cut.add(worker.id)
+def start_after_late_renewals(world):
+    """Restart all workers but the owner's, with late renewals, and start a task."""
+    for worker in world.workers[:2]:
+        restart_with_late_renewal(world, worker)
+    world.submit("a", TASK)
+    while not world.history.starts:
+        world.round()
 
 
 @pytest.mark.parametrize("rounds_until_cut", [0, 5, 10, 20])
 def test_run_is_not_repeated_while_a_late_renewal_keeps_it_alive(rounds_until_cut):
     """Guards against a second run while the first has a lease that no owner granted."""
     world = new_world()
-    for worker in world.workers[:2]:
-        restart_with_late_renewal(world, worker)
-    world.submit("a", TASK)
-    while not world.history.starts:
-        world.round()
+    start_after_late_renewals(world)
     world.run(rounds_until_cut)
-    isolate(world, next(worker for worker in world.workers if worker.runs))
+    world.isolate(next(worker for worker in world.workers if worker.runs))
     world.run(20 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
@@ -62,17 +60,10 @@
 def test_run_is_not_repeated_by_the_next_owner_while_a_late_renewal_keeps_it_alive():
     """Guards against an owner that takes the lease its predecessor granted for the longest."""
     world = new_world()
-    for worker in world.workers[:2]:
-        restart_with_late_renewal(world, worker)
-    world.submit("a", TASK)
-    while not world.history.starts:
-        world.round()
+    start_after_late_renewals(world)
     world.owner().resign("planned stop")
-    isolate(world, next(worker for worker in world.workers if worker.runs))
-    for _ in range(25 * ROUNDS_PER_SECOND):
-        if world.owner() is None:
-            world.claim_if_free()
-        world.round()
+    world.isolate(next(worker for worker in world.workers if worker.runs))
+    world.run_with_claims(25 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
 
@@ -86,7 +77,7 @@
         world.round()
     world.run(5 * ROUNDS_PER_SECOND)
     previous = world.owner()
-    isolate(world, next(worker for worker in world.workers if worker.runs))
+    world.isolate(next(worker for worker in world.workers if worker.runs))
     if is_planned:
         previous.resign("planned stop")
     else:
@@ -142,30 +133,12 @@
     assert store.get(settlements_key(0)).version == version
 
 
-def crash_with_late_start(world, outage):
-    """Let the worker that gets the next start crash before it answers; return it."""
-    for worker in world.workers:
-        worker.outage = outage
-        worker.loses_reply = lambda: True
-    world.submit("a", TASK)
-    while not any(worker.delayed_starts for worker in world.workers):
-        world.round()
-    for worker in world.workers:
-        worker.loses_reply = lambda: False
-    crashed = next(worker for worker in world.workers if worker.delayed_starts)
-    crashed.crash()
-    return crashed
-
-
 @pytest.mark.parametrize("back_after_ms", [200, 1000, 3000, 5000])
 def test_late_start_for_the_earlier_incarnation_is_not_repeated_elsewhere(back_after_ms):
     """Guards against a second run while the next incarnation may still execute the first start."""
     world = new_world()
-    worker = crash_with_late_start(world, back_after_ms * MS)
-    while worker.is_down:
-        world.round()
-        worker.crash_if_due()
-    worker.run_delayed_starts()
+    worker = world.submit_without_answer(TASK)
+    world.crash_and_start_late(worker, back_after_ms * MS)
     world.run(8 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert len([worker for worker in world.workers if worker.runs]) == 1
@@ -179,8 +152,10 @@
     """
     world = new_world()
     world.owner()._term.members["w2"].leaving = True
-    worker = crash_with_late_start(world, 200 * MS)
-    isolate(world, worker)
+    worker = world.submit_without_answer(TASK)
+    worker.outage = 200 * MS
+    worker.crash()
+    world.isolate(worker)
     world.run(rounds_until_start)
     worker.run_delayed_starts()
     assert worker.runs
--- a/tests/test_review_of_late_calls.py
+++ b/tests/test_late_starts.py
@@ -1,12 +1,11 @@
-"""Review of the repairs of calls that were meant for a worker's earlier incarnation."""
+"""Starts without an answer that are executed late, by a later incarnation of their worker."""
 
 import pytest
 from mulberryslip.runners import EndKind, RunnerUnavailableError
 from mulberryslip.steps import StepSpec
 from mulberryslip.workflows import Phase
 from mulberryslipd.ownerships import QueuedCall
-from mulberryslipd.pending_starts import LATE_CALL_TIMEOUT
-from pool_doubles import MAX_LEASE_TIMES, MS, QUEUE, TIMES, PoolWorld
+from pool_doubles import MAX_CALL_DELAY, MAX_LEASE_TIMES, MS, QUEUE, TIMES, PoolWorld
 
 TASK = StepSpec(cpu_millis=1000, memory_mb=100)
 SERVICE = StepSpec(cpu_millis=1000, memory_mb=100, lasting=True)
@@ -21,7 +20,7 @@
         times=times,
         run_ms=lambda name: run_ms,
         max_lease=max(times.lease, times.max_lease),
-        max_call_delay=LATE_CALL_TIMEOUT,
+        max_call_delay=MAX_CALL_DELAY,
     )
     world.elect(world.workers[3])
     world.run(12 * ROUNDS_PER_SECOND)
@@ -29,49 +28,15 @@
     return world
 
 
-def isolate(world, worker):
-    """Cut a worker and its agent off from all other VMs, and from the store."""
-    world.cut |= {worker.id, world.address(worker)}
-    world.store_cut.add(worker.id)
-
-
-def start_without_answer(world, spec=TASK):
-    """Submit a task whose start gets no answer and is still on its way; return its worker."""
-    for worker in world.workers:
-        worker.loses_reply = lambda: True
-    world.submit("a", spec)
-    while not any(worker.delayed_starts for worker in world.workers):
-        world.round()
-    for worker in world.workers:
-        worker.loses_reply = lambda: False
-    return next(worker for worker in world.workers if worker.delayed_starts)
-
-
-def run_until_back(world, worker):
-    while worker.is_down:
-        world.round()
-        worker.crash_if_due()
-
-
-def run_with_owners(world, rounds):
-    for _ in range(rounds):
-        if world.owner() is None:
-            world.claim_if_free()
-        world.round()
-
-
 def test_task_is_not_kept_for_long_by_a_late_run_of_a_worker_that_is_cut_off():
     """Guards against a last listing that names the late run and is taken for true for a minute."""
     world = new_world()
-    worker = start_without_answer(world)
-    worker.outage = 1000 * MS
-    worker.crash()
-    run_until_back(world, worker)
-    worker.run_delayed_starts()
+    worker = world.submit_without_answer(TASK)
+    world.crash_and_start_late(worker, 1000 * MS)
     assert worker.runs
     while "a/0/0/0" not in world.owner()._term.members[worker.id].running:
         world.round()
-    isolate(world, worker)
+    world.isolate(worker)
     world.run(20 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
@@ -80,15 +45,12 @@
 def test_start_is_not_repeated_if_the_next_incarnation_ends_before_it_lists_its_runs():
     """Guards against an absence report of the second incarnation, which lacks the first's start."""
     world = new_world()
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     agent, directory = world.agents[worker.id]
     worker.restart()
     agent.announce(worker.announcement())
     assert agent.renew_and_report(directory.owner())
-    worker.outage = 2000 * MS
-    worker.crash()
-    run_until_back(world, worker)
-    worker.run_delayed_starts()
+    world.crash_and_start_late(worker, 2000 * MS)
     world.run(8 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert len([worker for worker in world.workers if worker.runs]) == 1
@@ -97,16 +59,13 @@
 def test_start_is_not_repeated_if_the_agent_that_sent_it_has_restarted():
     """Guards against an absence report by an agent that does not know of the start."""
     world = new_world()
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     world.start_process(worker)
     world.announce_workers()
     agent, directory = world.agents[worker.id]
     directory.refresh()
     agent.renew_and_report(directory.owner())
-    worker.outage = 2000 * MS
-    worker.crash()
-    run_until_back(world, worker)
-    worker.run_delayed_starts()
+    world.crash_and_start_late(worker, 2000 * MS)
     world.run(8 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert len([worker for worker in world.workers if worker.runs]) == 1
@@ -116,7 +75,7 @@
 def test_pending_start_is_not_repeated_by_the_next_owner(times):
     """Guards against an owner that does not know which starts its predecessor waited for."""
     world = new_world(times)
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     worker.outage = 4000 * MS
     worker.crash()
     task = world.owner()._term.pool.task("a/0/0/0")
@@ -125,10 +84,10 @@
     assert worker.is_down
     world.owner().resign("planned stop")
     while worker.is_down:
-        run_with_owners(world, 1)
+        world.run_with_claims(1)
         worker.crash_if_due()
     worker.run_delayed_starts()
-    run_with_owners(world, 8 * ROUNDS_PER_SECOND)
+    world.run_with_claims(8 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert len([worker for worker in world.workers if worker.runs]) == 1
 
@@ -141,18 +100,18 @@
 ):
     """Guards against a next owner that counts only the last lease from its predecessor."""
     world = new_world(times)
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     worker.outage = 200 * MS
     worker.crash()
-    isolate(world, worker)
+    world.isolate(worker)
     if is_planned:
         world.owner().resign("planned stop")
     else:
         world.frozen.add("w3")
-    run_with_owners(world, rounds_until_start)
+    world.run_with_claims(rounds_until_start)
     worker.run_delayed_starts()
     assert worker.runs
-    run_with_owners(world, 30 * ROUNDS_PER_SECOND)
+    world.run_with_claims(30 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
 
@@ -162,7 +121,7 @@
     """Guards against services that wait on although the list of VMs shows the worker's end."""
     world = new_world(times)
     world.inventory.is_down = True
-    worker = start_without_answer(world, SERVICE)
+    worker = world.submit_without_answer(SERVICE)
     world.switch_off(worker)
     world.run(7 * ROUNDS_PER_SECOND)
     world.inventory.is_down = False
@@ -227,7 +186,7 @@
     while task.phase is not Phase.WAITING:
         world.round()
     crashed = [task.name for task in pool.crashed_tasks()]
-    run_until_back(world, worker)
+    world.run_until_back(worker)
     worker.run_delayed_starts()
     world.run(2 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
@@ -241,11 +200,8 @@
     world = new_world(run_ms=100)
     for worker in world.workers:
         worker.end_kind_of = lambda name: EndKind.FAILED
-    worker = start_without_answer(world)
-    worker.outage = 1000 * MS
-    worker.crash()
-    run_until_back(world, worker)
-    worker.run_delayed_starts()
+    worker = world.submit_without_answer(TASK)
+    world.crash_and_start_late(worker, 1000 * MS)
     world.run(20 * ROUNDS_PER_SECOND)
     assert world.shown("a") == "failed"
     assert world.history.starts == QUEUE.max_attempts
@@ -255,14 +211,14 @@
 def test_next_owner_accepts_the_end_of_a_late_run(has_snapshot):
     """Guards against a task that runs again although its done run is acknowledged."""
     world = new_world(run_ms=100)
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     worker.outage = 3000 * MS
     worker.crash()
     owner = world.owner()
     task = owner._term.pool.task("a/0/0/0")
     while task.phase is not Phase.WAITING:
         world.round()
-    run_until_back(world, worker)
+    world.run_until_back(worker)
     worker.run_delayed_starts()
     world.clock.advance(200 * MS)
     worker.end_due_runs()
@@ -273,9 +229,9 @@
     isolated = {name for name in world.agents if name != worker.id}
     world.frozen |= isolated
     world.owners[worker.id].acquire()
-    run_with_owners(world, 10)
+    world.run_with_claims(10)
     world.frozen -= isolated
-    run_with_owners(world, 40)
+    world.run_with_claims(40)
     assert world.history.violations == []
     assert world.history.starts == 1
     assert world.shown("a") == "completed"
@@ -284,7 +240,7 @@
 def test_task_does_not_start_before_the_listing_that_settles_it_is_reconciled():
     """Guards against a report that is observed at once, but waits behind large submissions."""
     world = new_world(run_ms=100)
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     worker.outage = 3000 * MS
     worker.crash()
     owner = world.owner()
@@ -292,7 +248,7 @@
     task = term.pool.task("a/0/0/0")
     while task.phase is not Phase.WAITING:
         world.round()
-    run_until_back(world, worker)
+    world.run_until_back(worker)
     worker.run_delayed_starts()
     world.clock.advance(200 * MS)
     worker.end_due_runs()
@@ -312,7 +268,7 @@
 def test_late_start_is_not_repeated_by_a_next_owner_that_has_heard_the_worker(times):
     """Guards against an owner that takes starts of its predecessor for never delivered."""
     world = new_world(times)
-    worker = start_without_answer(world)
+    worker = world.submit_without_answer(TASK)
     world.owner().resign("planned stop")
     world.owners["w3"].acquire()
     agent, directory = world.agents[worker.id]
@@ -322,7 +278,7 @@
     assert world.owner()._term.members[worker.id].fenced_at is not None
     worker.outage = 200 * MS
     worker.crash()
-    isolate(world, worker)
+    world.isolate(worker)
     world.run(25)
     worker.run_delayed_starts()
     assert worker.runs
@@ -344,10 +300,10 @@
         world.round()
     owner = world.owner()
     worker = next(worker for worker in world.workers if worker.runs)
-    isolate(world, worker)
+    world.isolate(worker)
     # The build before has no settlements and adds no excess.
     owner._scheduler._times = TIMES
     owner.resign("planned stop")
-    run_with_owners(world, 25 * ROUNDS_PER_SECOND)
+    world.run_with_claims(25 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -18,7 +18,6 @@
 from mulberryslip.workflows import accepted_event
 from mulberryslipd.members import FENCES_PER_EPOCH
 from mulberryslipd.ownerships import PoolLeaseTimes
-from mulberryslipd.pending_starts import LATE_CALL_TIMEOUT
 from mulberryslipd.schedulers import (
     MAX_REPORT_AGE,
     START_WINDOW,
@@ -27,6 +26,7 @@
 )
 from pool_doubles import (
     CAPACITY,
+    MAX_CALL_DELAY,
     MAX_LEASE_TIMES,
     MS,
     QUEUE,
@@ -1194,7 +1194,7 @@
         deadly_share,
         times=MAX_LEASE_TIMES,
         max_lease=MAX_LEASE_TIMES.max_lease,
-        max_call_delay=LATE_CALL_TIMEOUT,
+        max_call_delay=MAX_CALL_DELAY,
     )
 
 
--- a/tests/test_later_incarnations_paths.py
+++ b/tests/test_restarts_under_one_id.py
@@ -42,17 +42,6 @@
     return world
 
 
-def isolate(world, worker):
-    """Cut a worker and its agent off from all other VMs, and from the store."""
-    world.cut |= {worker.id, world.address(worker)}
-    world.store_cut.add(worker.id)
-
-
-def reconnect(world, worker):
-    world.cut -= {worker.id, world.address(worker)}
-    world.store_cut.discard(worker.id)
-
-
 def restart(world, worker):
     """Restart a worker under its id, and list its new incarnation."""
     worker.restart()
@@ -79,9 +68,7 @@
     for _ in range(limit // SECOND * ROUNDS_PER_SECOND):
         if is_reached():
             return
-        if world.owner() is None:
-            world.claim_if_free()
-        world.round()
+        world.run_with_claims(1)
     raise AssertionError(f"not reached in {limit}")
 
 
@@ -132,11 +119,11 @@
     worker, other, _ = world.workers
     other.capacity = Resources(0, 0, 0)
     restart(world, worker)
-    isolate(world, worker)
+    world.isolate(worker)
     outlast_expiry(world)
     if is_agent_restarted:
         world.start_process(worker)
-    reconnect(world, worker)
+    world.reconnect(worker)
     world.run(3 * ROUNDS_PER_SECOND)
     world.submit("a", TASK)
     world.run(10 * ROUNDS_PER_SECOND)
@@ -149,10 +136,10 @@
     worker = world.workers[0]
     restart(world, worker)
     earlier = attrs.evolve(grant_of(world, worker))
-    isolate(world, worker)
+    world.isolate(worker)
     outlast_expiry(world)
     worker.restart()
-    reconnect(world, worker)
+    world.reconnect(worker)
     world.run(3 * ROUNDS_PER_SECOND)
     assert grant_of(world, worker).incarnation == worker.incarnation
     with pytest.raises(RunnerFencedError):
@@ -190,12 +177,12 @@
     world.submit("a", TASK)
     worker = late.wait()
     assert grant_of(world, worker).ended_through == acknowledged
-    isolate(world, worker)
+    world.isolate(worker)
     worker.restart()
     assert late.execute() is None
     world.clock.advance(500 * MS)
     worker.extend_lease(*renewals[worker.id][-1])
-    reconnect(world, worker)
+    world.reconnect(worker)
     world.run(10 * ROUNDS_PER_SECOND)
     assert world.shown("a") == "completed"
     assert world.history.violations == []
@@ -219,7 +206,7 @@
 
 def end_by_list_of_vms(world, worker):
     """Let the list of VMs show twice that the VM runs no worker, before it is back."""
-    isolate(world, worker)
+    world.isolate(worker)
     worker.is_unreachable = worker.is_vm_off = True
     wait_for_next_run(world)
     worker.is_unreachable = worker.is_vm_off = False
@@ -267,7 +254,7 @@
     late = LateStart(world)
     world.submit("a", TASK)
     worker = late.wait()
-    isolate(world, worker)
+    world.isolate(worker)
     grant = grant_of(world, worker)
     worker.restart()
     world.clock.advance(delay_ms * MS)
@@ -286,7 +273,7 @@
     late = LateStart(world)
     world.submit("a", TASK)
     worker = late.wait()
-    isolate(world, worker)
+    world.isolate(worker)
     if is_planned:
         world.owner().resign("planned stop")
     else:
@@ -294,10 +281,7 @@
     worker.restart()
     world.clock.advance(SECOND)
     assert late.execute() is None
-    for _ in range(25 * ROUNDS_PER_SECOND):
-        if world.owner() is None:
-            world.claim_if_free()
-        world.round()
+    world.run_with_claims(25 * ROUNDS_PER_SECOND)
     assert world.history.starts == 2
     assert world.history.violations == []
 
@@ -322,11 +306,8 @@
     world.owner().resign("planned stop")
     assert json.loads(world.store.get(silences_key(0)).value)["ended_ms"]
     world.frozen.add(world.workers[-1].id)
-    isolate(world, next(worker for worker in world.workers if worker.runs))
-    for _ in range(25 * ROUNDS_PER_SECOND):
-        if world.owner() is None:
-            world.claim_if_free()
-        world.round()
+    world.isolate(next(worker for worker in world.workers if worker.runs))
+    world.run_with_claims(25 * ROUNDS_PER_SECOND)
     assert world.history.violations == []
     assert world.history.starts == 2
 
@@ -346,7 +327,7 @@
     run_until(world, lambda: world.history.starts)
     world.run(ROUNDS_PER_SECOND)
     worker = next(worker for worker in world.workers if worker.runs)
-    isolate(world, worker)
+    world.isolate(worker)
     waited_from = world.clock.monotonic()
     world.owner().resign("planned stop")
     world.elect((first, second)[early_changes % 2])
@@ -381,7 +362,7 @@
     assert worker.runs
     for other in others:
         other.capacity = worker.capacity
-    isolate(world, worker)
+    world.isolate(worker)
     run_until(world, lambda: world.history.starts == 2)
     assert world.history.violations == []
 
@@ -467,7 +448,7 @@
     world.run(2 * ROUNDS_PER_SECOND)
     announce_later_start(world, worker)
     world.run(2)
-    isolate(world, worker)
+    world.isolate(worker)
     run_until(world, lambda: world.history.starts == 2, 2 * MAX_LEASE_TIMES.max_lease)
     assert world.history.violations == []
 
@@ -592,7 +573,7 @@
         if worker.id in self.reconnect_at or self.world.owners[worker.id] is owner:
             return
         self.note("cut", worker.id)
-        isolate(self.world, worker)
+        self.world.isolate(worker)
         duration = self.rng.uniform(2, 14) * SECOND
         self.reconnect_at[worker.id] = self.world.clock.monotonic() + duration
 
@@ -615,7 +596,7 @@
                 worker.id, timedelta.max
             ):
                 self.reconnect_at.pop(worker.id, None)
-                reconnect(self.world, worker)
+                self.world.reconnect(worker)
                 self.world.frozen.discard(worker.id)
 
     def run(self):
